--- /dev/null
+++ b/src/turmericlug/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""Services, groups of services and the shards of each index snapshot."""
--- /dev/null
+++ b/src/turmericlug/daemon.py
@@ -0,0 +1,370 @@
+"""``turmericlugd``: one instance of the query tier."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import time
+import typing
+from collections import abc
+
+import aiohttp
+import aiomisc
+import typer
+
+import turmericlug
+from turmericlug.config import settings as settings_module
+from turmericlug.kernel import kernel as kernel_module
+from turmericlug.membership import detector as detector_module
+from turmericlug.membership import freshness as freshness_module
+from turmericlug.membership import members as members_module
+from turmericlug.membership import mesh as mesh_module
+from turmericlug.operators import http as operators_http
+from turmericlug.owner import owner as owner_module
+from turmericlug.platform import store as store_module
+from turmericlug.query import callers_http
+from turmericlug.query import coordinator as coordinator_module
+from turmericlug.records import records as records_module
+from turmericlug.rules import configuration
+from turmericlug.rules import distribution as distribution_module
+from turmericlug.rules import repository as repository_module
+from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import events
+from turmericlug.wire import server as server_module
+
+EXIT_SETTINGS = 2
+EXIT_RUNTIME = 3
+_LOAD_PERIOD_S = 0.25
+_JOIN_WAIT_S = 2.0
+_FINISH_LIMIT_S = 60.0
+
+Kernel = kernel_module.Kernel
+
+
+@contextlib.asynccontextmanager
+async def _background(
+    *works: typing.Coroutine[typing.Any, typing.Any, typing.Any]
+) -> abc.AsyncIterator[None]:
+    """Run tasks for the length of the block; one that ends by an error is logged."""
+    tasks = [asyncio.create_task(work) for work in works]
+    for task in tasks:
+        task.add_done_callback(_report)
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _report(task: asyncio.Task[typing.Any]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        error = task.exception()
+        events.emit("task.failed", "error", reason=f"{type(error).__name__}: {error}")
+
+
+@contextlib.asynccontextmanager
+async def _session(kernel: Kernel) -> abc.AsyncIterator[aiohttp.ClientSession]:
+    async with aiohttp.ClientSession() as session:
+        yield session
+
+
+@contextlib.asynccontextmanager
+async def _store(kernel: Kernel) -> abc.AsyncIterator[store_module.Store]:
+    platform = kernel.find("settings").platform
+    async with store_module.connected(
+        platform.store_url, platform.store_timeout_ms, kernel.find("counters")
+    ) as store:
+        yield store
+
+
+@contextlib.asynccontextmanager
+async def _mesh(kernel: Kernel) -> abc.AsyncIterator[mesh_module.Mesh]:
+    settings = kernel.find("settings")
+    mesh = mesh_module.Mesh(
+        members_module.Members(_own_member(settings)),
+        settings.instance.cluster_key,
+        kernel.find("counters"),
+        settings.membership.silence_ms,
+        settings.instance.host,
+    )
+    async with mesh_module.running(mesh):
+        yield mesh
+
+
+def _own_member(settings: settings_module.Settings) -> members_module.Member:
+    own = settings.instance
+    return members_module.Member(
+        instance=own.name,
+        state=members_module.ALIVE,
+        incarnation=int(time.time() * 1000),
+        host=own.advertised_host or own.host,
+        peers_port=own.advertised_peers_port or own.peers_port,
+        callers_port=own.callers_port,
+        data_centre=own.data_centre,
+    )
+
+
+@contextlib.asynccontextmanager
+async def _detector(kernel: Kernel) -> abc.AsyncIterator[detector_module.Detector]:
+    settings = kernel.find("settings")
+    detector = detector_module.Detector(
+        kernel.find("mesh"),
+        kernel.find("configuration").freshness,
+        kernel.find("counters"),
+        settings.membership.probe_interval_ms,
+        settings.membership.probe_timeout_ms,
+        settings.membership.suspicion_ms,
+    )
+    platform = settings.platform
+    follow = detector.follow_list(
+        kernel.find("session"), platform.instances_url, platform.instances_poll_ms / 1000
+    )
+    async with _background(detector.run(), follow):
+        try:
+            yield detector
+        finally:
+            await detector.close()
+
+
+@contextlib.asynccontextmanager
+async def _distribution(kernel: Kernel) -> abc.AsyncIterator[distribution_module.Distribution]:
+    settings = kernel.find("settings")
+    detector = kernel.find("detector")
+    distribution = distribution_module.Distribution(
+        kernel.find("configuration"),
+        kernel.find("repository"),
+        kernel.find("store"),
+        detector,
+        settings.membership.freshness_ms,
+    )
+    detector.on_newer = distribution.pull_from
+    async with _background(distribution.run(), distribution.run_watch()):
+        try:
+            yield distribution
+        finally:
+            await distribution.close()
+
+
+@contextlib.asynccontextmanager
+async def _records(kernel: Kernel) -> abc.AsyncIterator[records_module.Records]:
+    records = records_module.Records(
+        kernel.find("settings"), kernel.find("store"), kernel.find("mesh"), kernel.find("counters")
+    )
+    try:
+        yield records
+    finally:
+        await records.close()
+
+
+@contextlib.asynccontextmanager
+async def _owner(kernel: Kernel) -> abc.AsyncIterator[owner_module.Owner]:
+    owner = owner_module.Owner(
+        kernel.find("settings"),
+        kernel.find("configuration"),
+        kernel.find("mesh"),
+        kernel.find("session"),
+        kernel.find("counters"),
+    )
+    async with _background(owner.run(), _tell_load(kernel, owner)):
+        try:
+            yield owner
+        finally:
+            await owner.close()
+
+
+async def _tell_load(kernel: Kernel, owner: owner_module.Owner) -> None:
+    members = kernel.find("mesh").members
+    while True:
+        await asyncio.sleep(_LOAD_PERIOD_S)
+        members.set_own_load(owner.load_permille())
+
+
+@contextlib.asynccontextmanager
+async def _coordinator(kernel: Kernel) -> abc.AsyncIterator[coordinator_module.Coordinator]:
+    coordinator = coordinator_module.Coordinator(
+        kernel.find("settings"),
+        kernel.find("configuration"),
+        kernel.find("mesh"),
+        kernel.find("owner"),
+        kernel.find("records"),
+        kernel.find("counters"),
+    )
+    kernel.find("distribution").older_ended = coordinator.older_ended
+    yield coordinator
+
+
+@contextlib.asynccontextmanager
+async def _operators(kernel: Kernel) -> abc.AsyncIterator[operators_http.OperatorsHttp]:
+    settings = kernel.find("settings")
+    operators = operators_http.OperatorsHttp(
+        settings,
+        kernel.find("configuration"),
+        kernel.find("repository"),
+        kernel.find("distribution"),
+        kernel.find("detector"),
+        kernel.find("owner"),
+        kernel.find("counters"),
+        kernel.find("stop").set,
+    )
+    own = settings.instance
+    async with callers_http.serving(operators.application(), own.host, own.operators_port):
+        yield operators
+
+
+@contextlib.asynccontextmanager
+async def _peers(kernel: Kernel) -> abc.AsyncIterator[server_module.Server]:
+    own = kernel.find("settings").instance
+    server = server_module.Server(own.cluster_key, own.name, kernel.find("counters"))
+    detector = kernel.find("detector")
+    distribution = kernel.find("distribution")
+    owner = kernel.find("owner")
+    server.handlers = {
+        "ping": detector.on_ping,
+        "probe": detector.on_probe,
+        "documents": distribution.on_documents,
+        "spread": distribution.on_spread,
+        "parts": owner.on_parts,
+        "targetLeaving": owner.on_target_leaving,
+        "claim": kernel.find("records").on_claim,
+        "status": kernel.find("operators").on_status,
+    }
+    async with server_module.listening(server, own.host, own.peers_port):
+        yield server
+
+
+@contextlib.asynccontextmanager
+async def _callers(kernel: Kernel) -> abc.AsyncIterator[callers_http.CallersHttp]:
+    settings = kernel.find("settings")
+    callers = callers_http.CallersHttp(
+        settings,
+        kernel.find("configuration"),
+        kernel.find("mesh"),
+        kernel.find("coordinator"),
+        kernel.find("counters"),
+    )
+    own = settings.instance
+    async with callers_http.serving(callers.application(), own.host, own.callers_port):
+        yield callers
+
+
+_SERVICES: tuple[tuple[str, kernel_module.ServiceFactory], ...] = (
+    ("session", _session),
+    ("store", _store),
+    ("mesh", _mesh),
+    ("detector", _detector),
+    ("distribution", _distribution),
+    ("records", _records),
+    ("owner", _owner),
+    ("coordinator", _coordinator),
+    ("operators", _operators),
+    ("peers", _peers),
+    ("callers", _callers),
+)
+
+
+async def serve(settings: settings_module.Settings) -> None:
+    """Run one instance until it is told to stop, then stop without cutting anything off."""
+    kernel = Kernel()
+    counters = counters_module.Counters(
+        settings.metrics.statsd_host, settings.metrics.statsd_port, settings.metrics.prefix
+    )
+    freshness = freshness_module.Freshness(settings.membership.freshness_ms)
+    stop = asyncio.Event()
+    kernel.provide("settings", settings)
+    kernel.provide("counters", counters)
+    kernel.provide("stop", stop)
+    kernel.provide("configuration", configuration.Configuration(freshness, counters))
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    try:
+        for name, factory in _SERVICES:
+            await kernel.open(name, factory)
+            if name == "store":
+                prefix = settings.platform.store_prefix
+                kernel.provide(
+                    "repository", repository_module.Repository(kernel.find("store"), prefix)
+                )
+        await kernel.find("detector").join(_JOIN_WAIT_S)
+        await kernel.find("owner").open_owned()
+        events.emit("instance.started", callers_port=settings.instance.callers_port)
+        await stop.wait()
+        await _leave(kernel)
+    finally:
+        await kernel.close()
+    events.emit("instance.stopped")
+
+
+async def _leave(kernel: Kernel) -> None:
+    """
+    Leave without cutting off a request.
+
+    Ownership and the entry addresses go first. Callers that still hold this address are served
+    for its lifetime, through the new owners, and told where to move; only then is the port closed.
+    """
+    settings, mesh = kernel.find("settings"), kernel.find("mesh")
+    owner, coordinator = kernel.find("owner"), kernel.find("coordinator")
+    events.emit("instance.leaving")
+    mesh.members.announce(state=members_module.LEAVING)
+    await asyncio.sleep(2 * settings.membership.probe_interval_ms / 1000)
+    owner.hand_over()
+    await asyncio.sleep(settings.policy.address_lifetime_ms / 1000)
+    end_s = time.monotonic() + _FINISH_LIMIT_S
+    while (owner.in_flight() or coordinator.running) and time.monotonic() < end_s:
+        await asyncio.sleep(0.02)
+    await kernel.find("callers").finish()
+
+
+application = typer.Typer(add_completion=True)
+
+
+def _version(asked: bool) -> None:
+    if asked:
+        typer.echo(turmericlug.__version__)
+        raise typer.Exit
+
+
+@application.command()
+def main(
+    settings_file: typing.Annotated[
+        pathlib.Path, typer.Argument(help="The INI file with this instance's settings.")
+    ],
+    check_settings: typing.Annotated[
+        bool, typer.Option("--check-settings", help="Check the settings, print problems, exit.")
+    ] = False,
+    version: typing.Annotated[
+        bool, typer.Option("--version", callback=_version, is_eager=True, help="Print the version.")
+    ] = False,
+) -> None:
+    """
+    Run one turmericlug instance.
+
+    SIGTERM and SIGINT stop it gracefully: it leaves the entry addresses, hands its queues over,
+    serves callers that still hold its address, and exits.
+
+    Exit codes: 0 stopped gracefully, 2 the settings can't be used, 3 it could not run.
+    """
+    try:
+        settings = settings_module.load(settings_file)
+    except settings_module.SettingsError as error:
+        for problem in error.problems:
+            typer.echo(problem, err=True)
+        raise typer.Exit(EXIT_SETTINGS) from error
+    if check_settings:
+        typer.echo(f"{settings_file}: the settings are usable")
+        return
+    events.setup(settings.instance.name)
+    try:
+        with aiomisc.entrypoint(log_config=False) as loop:
+            loop.run_until_complete(serve(settings))
+    except OSError as error:
+        events.emit("instance.cannot_run", "error", reason=str(error))
+        raise typer.Exit(EXIT_RUNTIME) from error
+
+
+def run() -> None:
+    """Start the program."""
+    application()
--- /dev/null
+++ b/src/turmericlug/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances are alive, and which of them owns a service."""
--- /dev/null
+++ b/src/turmericlug/membership/detector.py
@@ -0,0 +1,253 @@
+"""Failure detection: each instance probes one other per interval, and gossip rides along."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+import typing
+from collections import abc
+
+import aiohttp
+
+from turmericlug.membership import freshness as freshness_module
+from turmericlug.membership import members as members_module
+from turmericlug.membership import mesh as mesh_module
+from turmericlug.platform import instances
+from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import events
+from turmericlug.wire import link as link_module
+from turmericlug.wire import server as server_module
+
+_HELPERS = 2
+_RETRY_DEAD_EVERY = 5
+
+
+class Detector:
+    """Probes, suspicion and gossip of one instance; its cost does not grow with the fleet."""
+
+    def __init__(
+        self,
+        mesh: mesh_module.Mesh,
+        freshness: freshness_module.Freshness,
+        counters: counters_module.Counters,
+        interval_ms: int,
+        timeout_ms: int,
+        suspicion_ms: int,
+    ) -> None:
+        self.mesh = mesh
+        self.members = mesh.members
+        self.listed: dict[str, instances.Listed] = {}
+        self.on_newer: abc.Callable[[str], None] = lambda instance: None
+        self._freshness = freshness
+        self._counters = counters
+        self._interval_s = interval_ms / 1000
+        self._timeout_s = timeout_ms / 1000
+        self._suspicion_s = suspicion_ms / 1000
+        self._suspects: dict[str, float] = {}
+        self._round: list[str] = []
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
+
+    def stamp(self) -> dict[str, int]:
+        """Describe what we have in force, for every probe and ping."""
+        held = self._freshness.held
+        return {
+            "rulesRevision": held.rules,
+            "catalogRevision": held.catalog,
+            "evidenceAgeMs": self._freshness.age_ms(),
+            "loadPermille": self.members.own.load_permille,
+        }
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        count = 0
+        while True:
+            await asyncio.sleep(self._interval_s * random.uniform(0.9, 1.1))
+            if self._freshness.tick():
+                events.emit("instance.resumed_after_gap", "warning")
+                for member in self.members.peers()[:8]:
+                    self._start(self._probe(member.instance))
+            self._end_suspicions()
+            target = self._next()
+            if target is not None:
+                self._start(self._probe(target))
+            count += 1
+            if count % _RETRY_DEAD_EVERY == 0:
+                self._start(self._retry_listed())
+
+    def _start(self, work: abc.Coroutine[typing.Any, typing.Any, typing.Any]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _next(self) -> str | None:
+        """Take the next peer of a shuffled round: each is probed once per round."""
+        known = {member.instance for member in self.members.peers()}
+        while self._round:
+            instance = self._round.pop()
+            if instance in known:
+                return instance
+        self._round = list(known)
+        random.shuffle(self._round)
+        return self._round.pop() if self._round else None
+
+    async def _probe(self, instance: str) -> None:
+        if await self._reached(instance, ""):
+            return
+        helpers = [member.instance for member in self.members.peers()]
+        helpers = [name for name in helpers if name != instance]
+        chosen = random.sample(helpers, min(_HELPERS, len(helpers)))
+        if chosen:
+            found = await asyncio.gather(*(self._reached(name, instance) for name in chosen))
+            if any(found):
+                return
+        if self.members.mark(instance, members_module.SUSPECT):
+            self._counters.add("membership.suspected")
+            events.emit("membership.suspected", peer=instance)
+        if self.members.by_instance[instance].state != members_module.DEAD:
+            self._suspects.setdefault(instance, time.monotonic())
+
+    async def _reached(self, instance: str, about: str) -> bool:
+        link = self.mesh.link(instance)
+        if link is None:
+            return False
+        return await self._exchange(link, instance, about)
+
+    async def _exchange(self, link: link_module.Link, instance: str, about: str) -> bool:
+        """Probe over a link, directly or through it about another instance."""
+        asked_at_s = time.monotonic()
+
+        def fill(envelope: typing.Any) -> None:
+            probe = envelope.init("probe")
+            probe.stamp = self.stamp()
+            probe.about = about
+            probe.whole = self._is_new_to(instance)
+            news = self.members.take_news()
+            known = self.members.by_instance.get(instance)
+            if known is not None and known.state != members_module.ALIVE:
+                # What we hold against it goes with the probe, so that it can refute it.
+                news.append(known)
+            probe.news = members_module.to_wire(news)
+
+        try:
+            reply = await link.ask(fill, self._timeout_s * (2 if about else 1))
+        except link_module.LinkError:
+            return False
+        if reply.which() != "probeReply":
+            return False
+        self._learn(reply.probeReply.news)
+        self._take_stamp(link.peer, reply.probeReply.stamp, asked_at_s)
+        if not about:
+            self._suspects.pop(instance, None)
+        return bool(reply.probeReply.reached)
+
+    def _is_new_to(self, instance: str) -> bool:
+        """Whether we know so little that the whole list is wanted."""
+        known = self.members.by_instance.get(instance)
+        return len(self.members.by_instance) <= 2 or known is None or not known.serving
+
+    def _learn(self, items: typing.Any) -> None:
+        for member in members_module.from_wire(items):
+            if not self.members.learn(member):
+                self.members.refresh_load(member)
+            elif member.state == members_module.ALIVE:
+                self._suspects.pop(member.instance, None)
+            elif member.state == members_module.SUSPECT:
+                # Whoever hears of a suspicion also counts it down, so that the death is
+                # declared even when the instance that raised it is gone as well.
+                self._suspects.setdefault(member.instance, time.monotonic())
+
+    def _take_stamp(self, peer: str, stamp: typing.Any, asked_at_s: float) -> None:
+        revisions = freshness_module.Revisions(stamp.rulesRevision, stamp.catalogRevision)
+        self._freshness.from_peer(asked_at_s, revisions, stamp.evidenceAgeMs)
+        if not self._freshness.held.covers(revisions):
+            self.on_newer(peer)
+
+    def _end_suspicions(self) -> None:
+        now_s = time.monotonic()
+        for instance, since_s in list(self._suspects.items()):
+            member = self.members.by_instance.get(instance)
+            if member is None or member.state in (members_module.ALIVE, members_module.DEAD):
+                del self._suspects[instance]
+            elif now_s - since_s > self._suspicion_s:
+                del self._suspects[instance]
+                self.members.mark(instance, members_module.DEAD)
+                self._counters.add("membership.died")
+                events.emit("membership.died", "warning", peer=instance)
+        for instance, member in list(self.members.by_instance.items()):
+            if member.state == members_module.DEAD and instance not in self.listed:
+                self.members.forget(instance)
+
+    async def _retry_listed(self) -> None:
+        """Probe one listed instance that we hold for dead or don't know, as after a cut heals."""
+        missing = [
+            entry
+            for name, entry in self.listed.items()
+            if name != self.members.own.instance
+            and (
+                name not in self.members.by_instance
+                or self.members.by_instance[name].state == members_module.DEAD
+            )
+        ]
+        if missing:
+            entry = random.choice(missing)
+            async with self.mesh.passing((entry.host, entry.port)) as link:
+                await self._exchange(link, entry.instance, "")
+
+    def on_probe(self, request: server_module.Request) -> typing.Any:
+        """Answer a probe, or make one for a peer that can't reach the instance itself."""
+        probe = request.message.probe
+        self._learn(probe.news)
+        revisions = freshness_module.Revisions(
+            probe.stamp.rulesRevision, probe.stamp.catalogRevision
+        )
+        if not self._freshness.held.covers(revisions):
+            self.on_newer(request.peer)
+        if probe.about:
+            return self._probe_for(request, probe.about)
+        self._reply(request, True, probe.whole)
+        return None
+
+    async def _probe_for(self, request: server_module.Request, about: str) -> None:
+        self._reply(request, await self._reached(about, ""), False)
+
+    def _reply(self, request: server_module.Request, reached: bool, whole: bool) -> None:
+        def fill(envelope: typing.Any) -> None:
+            reply = envelope.init("probeReply")
+            reply.stamp = self.stamp()
+            reply.reached = reached
+            news = list(self.members.by_instance.values()) if whole else self.members.take_news()
+            reply.news = members_module.to_wire(news)
+
+        request.reply(fill)
+
+    def on_ping(self, request: server_module.Request) -> None:
+        """Answer a ping at once: it only asks whether this process runs."""
+
+        def fill(envelope: typing.Any) -> None:
+            envelope.init("pong")
+
+        request.reply(fill)
+
+    async def join(self, wait_s: float) -> None:
+        """Make contact with listed peers before serving, as far as that works in time."""
+        end_s = time.monotonic() + wait_s
+        while self.listed and time.monotonic() < end_s:
+            if self.members.peers() or set(self.listed) <= {self.members.own.instance}:
+                return
+            await self._retry_listed()
+
+    async def follow_list(self, session: aiohttp.ClientSession, url: str, poll_s: float) -> None:
+        """Read the daemons' part of the platform's list until cancelled."""
+        while True:
+            with contextlib.suppress(instances.InstancesError):
+                found = await instances.read(session, url, instances.DAEMONS, max(poll_s, 1.0))
+                self.listed = {entry.instance: entry for entry in found if not entry.leaving}
+            await asyncio.sleep(poll_s * random.uniform(0.9, 1.1))
+
+    async def close(self) -> None:
+        """End the probes under way."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/src/turmericlug/membership/mesh.py
@@ -0,0 +1,101 @@
+"""Links to peers, opened when first needed and closed when their instance is gone."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections import abc
+
+from turmericlug.membership import members as members_module
+from turmericlug.telemetry import counters as counters_module
+from turmericlug.wire import link as link_module
+
+_TICKS_PER_SILENCE = 3
+
+
+class Mesh:
+    """Our links by instance."""
+
+    def __init__(
+        self,
+        members: members_module.Members,
+        key: str,
+        counters: counters_module.Counters,
+        silence_ms: int,
+        source_host: str = "",
+    ) -> None:
+        self.members = members
+        self._source_host = source_host
+        self._key = key
+        self._counters = counters
+        self._silence_s = silence_ms / 1000
+        self._links: dict[str, tuple[link_module.Link, asyncio.Task[None]]] = {}
+
+    def link(self, instance: str) -> link_module.Link | None:
+        """Return the link to an instance, ``None`` if we don't know its address."""
+        member = self.members.by_instance.get(instance)
+        if member is None or member.state == members_module.DEAD:
+            return None
+        address = (member.host, member.peers_port)
+        entry = self._links.get(instance)
+        if entry is not None and entry[0].address == address:
+            return entry[0]
+        self._close(instance)
+        link = self._new_link(address)
+        self._links[instance] = (link, asyncio.create_task(link.run()))
+        return link
+
+    @contextlib.asynccontextmanager
+    async def passing(self, address: tuple[str, int]) -> abc.AsyncIterator[link_module.Link]:
+        """Open a link to an address whose instance is not known, for the length of the block."""
+        link = self._new_link(address)
+        async with link_module.opened(link):
+            yield link
+
+    def _new_link(self, address: tuple[str, int]) -> link_module.Link:
+        own = self.members.own
+        return link_module.Link(address, self._key, own.instance, self._counters, self._source_host)
+
+    async def watch_silence(self) -> None:
+        """Find silent peers, and close the links of dead ones, until cancelled."""
+        tick_s = self._silence_s / _TICKS_PER_SILENCE
+        while True:
+            slept_at_s = time.monotonic()
+            await asyncio.sleep(tick_s)
+            # When this process itself was held up, its peers' replies wait unread in the sockets:
+            # their silence is our own, and moving their parts would double the work.
+            if time.monotonic() - slept_at_s > 2 * tick_s:
+                for link, _ in self._links.values():
+                    link.heard_at_s = time.monotonic()
+                continue
+            for instance, (link, _) in list(self._links.items()):
+                link.check_silence(self._silence_s)
+                member = self.members.by_instance.get(instance)
+                if member is None or member.state == members_module.DEAD:
+                    self._close(instance)
+
+    def _close(self, instance: str) -> None:
+        entry = self._links.pop(instance, None)
+        if entry is not None:
+            entry[1].cancel()
+
+    async def close(self) -> None:
+        """End every link."""
+        tasks = [task for _, task in self._links.values()]
+        self._links.clear()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@contextlib.asynccontextmanager
+async def running(mesh: Mesh) -> abc.AsyncIterator[Mesh]:
+    """Watch over the links for the length of the block."""
+    task = asyncio.create_task(mesh.watch_silence())
+    try:
+        yield mesh
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await mesh.close()
--- /dev/null
+++ b/src/turmericlug/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP interface and its command-line client."""
--- /dev/null
+++ b/src/turmericlug/owner/__init__.py
@@ -0,0 +1,1 @@
+"""The target's side of a query: one queue per service, limits, hedging, retries."""
--- /dev/null
+++ b/src/turmericlug/owner/owner.py
@@ -0,0 +1,365 @@
+"""The owner's role of a daemon: the queues of its services and the replicas behind them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+import typing
+from collections import abc
+
+import aiohttp
+import attrs
+
+from turmericlug.config import settings as settings_module
+from turmericlug.membership import members as members_module
+from turmericlug.membership import mesh as mesh_module
+from turmericlug.owner import replica as replica_module
+from turmericlug.owner import service_queue
+from turmericlug.owner import target
+from turmericlug.platform import instances
+from turmericlug.rules import configuration
+from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import events
+from turmericlug.wire import server as server_module
+
+_HEALTH_TIMEOUT_S = 0.5
+_STANDBY_OWNERS = 2
+
+
+@attrs.frozen(slots=True)
+class PartsIn:
+    """A query's parts as a coordinator sends them; ``parts`` has number, service, shard."""
+
+    query_id: str
+    snapshot: str
+    remaining_s: float
+    priority: int
+    repeatable: bool
+    hedge: bool
+    retries: int
+    caller: str
+    body: bytes
+    parts: tuple[tuple[int, str, str], ...]
+
+
+OnReplies = abc.Callable[[list[service_queue.PartReply]], None]
+
+
+class Owner:
+    """Queues by service, made when a service is first owned or asked for."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        config: configuration.Configuration,
+        mesh: mesh_module.Mesh,
+        session: aiohttp.ClientSession,
+        counters: counters_module.Counters,
+    ) -> None:
+        self.queues: dict[str, service_queue.ServiceQueue] = {}
+        self.leaving = False
+        self._settings = settings
+        self._config = config
+        self._mesh = mesh
+        self._session = session
+        self._counters = counters
+        self._rng = random.Random(settings.instance.name)
+        self._stack = contextlib.AsyncExitStack()
+        self._opening: dict[str, asyncio.Task[service_queue.ServiceQueue]] = {}
+        self._generations: dict[str, int] = {}
+        self._centres: dict[str, str] = {}
+        self._known_leaving: set[str] = set()
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
+
+    def ranking(self, service: str) -> list[members_module.Member]:
+        """Rank the instances that may own a service, the owner first."""
+        centre = self._centres.get(service, "")
+        return members_module.owners(service, centre, self._mesh.members.serving())
+
+    def submit(self, parts_in: PartsIn, on_replies: OnReplies) -> abc.Callable[[], None]:
+        """
+        Take parts; replies come in batches, those of one turn of the event loop together.
+
+        :returns: gives up what is still open
+        """
+        deadline_s = time.monotonic() + parts_in.remaining_s
+        batch: list[service_queue.PartReply] = []
+
+        def flush() -> None:
+            replies = batch[:]
+            batch.clear()
+            on_replies(replies)
+
+        def reply(part_reply: service_queue.PartReply) -> None:
+            if not batch:
+                asyncio.get_running_loop().call_soon(flush)
+            batch.append(part_reply)
+
+        made: list[tuple[service_queue.ServiceQueue, service_queue.Part]] = []
+        for number, service, shard in parts_in.parts:
+            part = service_queue.Part(
+                number=number,
+                shard=shard,
+                snapshot=parts_in.snapshot,
+                caller=parts_in.caller,
+                priority=parts_in.priority,
+                deadline_s=deadline_s,
+                repeatable=parts_in.repeatable,
+                hedge=parts_in.hedge,
+                retries=parts_in.retries,
+                body=parts_in.body,
+                reply=reply,
+                attempt_prefix=f"{parts_in.query_id}.{number}.{self._settings.instance.name}",
+            )
+            self._submit_one(service, part, made)
+
+        def cancel() -> None:
+            for queue, part in made:
+                queue.cancel(part)
+
+        return cancel
+
+    def _submit_one(
+        self,
+        service: str,
+        part: service_queue.Part,
+        made: list[tuple[service_queue.ServiceQueue, service_queue.Part]],
+    ) -> None:
+        if self.leaving:
+            self._counters.add("owner.part.refused.owner_leaving")
+            part.reply(service_queue.PartReply(part.number, service_queue.REFUSED, "owner_leaving"))
+            return
+        queue = self.queues.get(service)
+        if queue is not None:
+            made.append((queue, part))
+            queue.submit(part)
+        else:
+            self._start(self._submit_later(service, part, made))
+
+    async def _submit_later(
+        self,
+        service: str,
+        part: service_queue.Part,
+        made: list[tuple[service_queue.ServiceQueue, service_queue.Part]],
+    ) -> None:
+        """Open a service that we did not expect, as when the coordinator's view differs."""
+        queue = await self._queue(service)
+        made.append((queue, part))
+        if not part.done:
+            queue.submit(part)
+
+    async def _queue(self, service: str) -> service_queue.ServiceQueue:
+        """Open a service's queue once, however many ask for it."""
+        if service not in self._opening:
+            self._opening[service] = asyncio.create_task(self._open(service))
+        return await asyncio.shield(self._opening[service])
+
+    async def _open(self, service: str) -> service_queue.ServiceQueue:
+        limits = self._config.catalog.services.get(service)
+        connections = limits.connections if limits else 2
+        # Under split views two instances own a service; each keeps to half the connections.
+        client = await self._stack.enter_async_context(
+            target.connected(connections // 2, self._counters)
+        )
+        policy = self._settings.policy
+        queue = service_queue.ServiceQueue(
+            service,
+            client,
+            self._counters,
+            self._rng,
+            policy.hedge_budget,
+            policy.hedge_percentile,
+            policy.retry_budget,
+            self._settings.limits.queue_parts,
+            policy.caller_share,
+        )
+        queue.on_leaving = lambda instance: self._tell_leaving(service, instance)
+        await self._refresh(service, queue, client)
+        self.queues[service] = queue
+        self._start(self._follow(service, queue, client))
+        return queue
+
+    async def _follow(
+        self, service: str, queue: service_queue.ServiceQueue, client: target.Client
+    ) -> None:
+        """Keep the replicas of one service up to date until cancelled."""
+        period_s = self._settings.platform.instances_poll_ms / 1000
+        while True:
+            await asyncio.sleep(period_s * self._rng.uniform(0.9, 1.1))
+            await self._refresh(service, queue, client)
+            await asyncio.gather(
+                *(self._check_health(client, each) for each in queue.replicas.values())
+            )
+            queue.pump()
+
+    async def _refresh(
+        self, service: str, queue: service_queue.ServiceQueue, client: target.Client
+    ) -> None:
+        try:
+            listed = await instances.read(
+                self._session,
+                self._settings.platform.instances_url,
+                service,
+                max(self._settings.platform.instances_poll_ms / 1000, 0.5),
+            )
+        except instances.InstancesError:
+            return  # what we know by our own attempts is newer than nothing
+        limits = self._config.catalog.services.get(service)
+        warmed = []
+        for entry in listed:
+            if self._generations.get(entry.instance) != entry.generation:
+                replica = self._new_replica(entry, limits.slots if limits else 1)
+                queue.replicas[entry.instance] = replica
+                if not replica.leaving:
+                    warmed.append(client.warm(replica.address, int(replica.ceiling) + 1, 1.0))
+            if entry.leaving:
+                queue.leave(entry.instance, replica_module.LISTED_DRAIN)
+        present = {entry.instance for entry in listed}
+        for instance in [name for name in queue.replicas if name not in present]:
+            if not queue.replicas[instance].in_flight:
+                del queue.replicas[instance]
+                self._generations.pop(instance, None)
+        if listed:
+            self._set_centre(service, listed)
+        await asyncio.gather(*warmed)
+
+    def _new_replica(self, entry: instances.Listed, slots: int) -> replica_module.Replica:
+        self._generations[entry.instance] = entry.generation
+        replica = replica_module.Replica(
+            entry.instance, f"http://{entry.host}:{entry.port}", entry.data_centre, float(slots)
+        )
+        if f"{entry.instance}#{entry.generation}" in self._known_leaving:
+            replica.leaving = "told_by_peer"
+        return replica
+
+    def _set_centre(self, service: str, listed: list[instances.Listed]) -> None:
+        centres = [entry.data_centre for entry in listed]
+        self._centres[service] = max(sorted(set(centres)), key=centres.count)
+
+    async def _check_health(self, client: target.Client, replica: replica_module.Replica) -> None:
+        """Ask a replica for its own word, which adds suspicion and never takes any away."""
+        state = await client.health(replica.address, _HEALTH_TIMEOUT_S)
+        if state != "ok" and not replica.suspected:
+            replica.suspected = True
+
+    def _tell_leaving(self, service: str, instance: str) -> None:
+        """
+        Tell the next owners of the service that a target takes no new work.
+
+        The platform's list lags: an owner that takes over meanwhile would send it work again.
+        """
+        events.emit("target.leaving", target=instance, service=service)
+        name = f"{instance}#{self._generations.get(instance, 0)}"
+        for member in self.ranking(service)[: _STANDBY_OWNERS + 1]:
+            link = self._mesh.link(member.instance)
+            if link is not None and member.instance != self._mesh.members.own.instance:
+                link.tell(lambda envelope: setattr(envelope, "targetLeaving", name))
+
+    def on_target_leaving(self, request: server_module.Request) -> None:
+        """Note what another owner found out."""
+        name = request.message.targetLeaving
+        self._known_leaving.add(name)
+        instance, _, generation = name.rpartition("#")
+        for queue in self.queues.values():
+            replica = queue.replicas.get(instance)
+            if replica is not None and str(self._generations.get(instance, 0)) == generation:
+                replica.leaving = "told_by_peer"
+
+    def on_parts(self, request: server_module.Request) -> None:
+        """Serve a coordinator on another instance."""
+        message = request.message.parts
+        query_id = message.queryId
+        parts_in = PartsIn(
+            query_id=query_id,
+            snapshot=message.snapshot,
+            remaining_s=message.remainingMs / 1000,
+            priority=message.priority,
+            repeatable=message.repeatable,
+            hedge=message.hedge,
+            retries=message.retries,
+            caller=message.caller,
+            body=message.body,
+            parts=tuple((each.number, each.service, each.shard) for each in message.parts),
+        )
+
+        def on_replies(replies: list[service_queue.PartReply]) -> None:
+            request.reply(lambda envelope: _fill_replies(envelope, query_id, replies))
+
+        if self._config.freshness.tick():
+            # We were frozen: the time that remains was counted from before, so that nobody may
+            # wait for these parts any more. Refused, they go where the coordinator likes.
+            on_replies(
+                [
+                    service_queue.PartReply(number, service_queue.REFUSED, "resumed_after_gap")
+                    for number, _, _ in parts_in.parts
+                ]
+            )
+            return
+        request.cancelled = self.submit(parts_in, on_replies)
+
+    async def run(self) -> None:
+        """Open the queues of the services that this instance owns before they are needed."""
+        while True:
+            await self.open_owned()
+            await asyncio.sleep(0.5)
+
+    async def open_owned(self) -> None:
+        """Open, and so warm, what we own now."""
+        own = self._mesh.members.own.instance
+        missing = []
+        for service in self._config.catalog.services:
+            ranking = self.ranking(service)
+            if service not in self._opening and ranking and ranking[0].instance == own:
+                missing.append(self._queue(service))
+        await asyncio.gather(*missing)
+
+    def hand_over(self) -> None:
+        """Take no new parts and give the queued ones back to their coordinators."""
+        self.leaving = True
+        for queue in self.queues.values():
+            queue.give_back()
+
+    def in_flight(self) -> int:
+        """Return the attempts under way in all queues."""
+        return sum(queue.in_flight() for queue in self.queues.values())
+
+    def load_permille(self) -> int:
+        """Return how full our slots are, queues included."""
+        slots = sum(queue.slots() for queue in self.queues.values())
+        work = sum(queue.in_flight() + queue.queued() for queue in self.queues.values())
+        return int(min(65535, 1000 * work / slots)) if slots else 0
+
+    def _start(self, work: abc.Coroutine[typing.Any, typing.Any, typing.Any]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """End what runs and close the connections to targets."""
+        tasks = [*self._tasks, *self._opening.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for queue in self.queues.values():
+            await queue.close()
+        await self._stack.aclose()
+
+
+def _fill_replies(
+    envelope: typing.Any, query_id: str, replies: list[service_queue.PartReply]
+) -> None:
+    message = envelope.init("partsReply")
+    message.queryId = query_id
+    items = message.init("replies", len(replies))
+    for index, reply in enumerate(replies):
+        item = items[index]
+        item.number = reply.number
+        item.outcome = reply.outcome
+        item.reason = reply.reason
+        item.snapshot = reply.snapshot
+        item.comeBackMs = reply.come_back_ms
+        item.body = reply.body
+        item.attempts = reply.attempts
+        item.waitMs = reply.wait_ms
--- /dev/null
+++ b/src/turmericlug/owner/service_queue.py
@@ -0,0 +1,424 @@
+"""One service at its owner: one queue before all its replicas, attempts, hedges and retries."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+import time
+import typing
+from collections import abc
+
+import attrs
+
+from turmericlug.owner import fair_queue
+from turmericlug.owner import policy
+from turmericlug.owner import replica as replica_module
+from turmericlug.owner import target
+from turmericlug.telemetry import counters as counters_module
+
+ANSWERED, REFUSED, FAILED, SNAPSHOT_ABSENT = "answered", "refused", "failed", "snapshotAbsent"
+# The queue lets nothing start that could not be sent and answered in this time.
+_LEAST_TIME_S = 0.001
+
+
+@attrs.frozen(slots=True)
+class PartReply:
+    """What became of one part."""
+
+    number: int
+    outcome: str
+    reason: str = ""
+    snapshot: str = ""
+    come_back_ms: int = 0
+    body: bytes = b""
+    attempts: int = 0
+    wait_ms: float = 0.0
+    """Predicted wait of a new part of the same caller and priority, as the reply leaves."""
+
+
+@attrs.define(eq=False, slots=True)
+class Part:
+    """One shard's part of a query, waiting or running."""
+
+    number: int
+    shard: str
+    snapshot: str
+    caller: str
+    priority: int
+    deadline_s: float
+    repeatable: bool
+    hedge: bool
+    retries: int
+    body: bytes
+    reply: abc.Callable[[PartReply], None]
+    attempt_prefix: str
+    queued_at_s: float = 0.0
+    done: bool = False
+    attempts: int = 0
+    may_have_run: bool = False
+    running: dict[str, replica_module.Replica] = attrs.field(factory=dict)
+    tried: set[str] = attrs.field(factory=set)
+    hedge_timer: asyncio.TimerHandle | None = None
+    hedged: bool = False
+
+
+class ServiceQueue:
+    """The queue, the replicas and what was learned of them."""
+
+    def __init__(
+        self,
+        service: str,
+        client: target.Client,
+        counters: counters_module.Counters,
+        rng: random.Random,
+        hedge_budget: float,
+        hedge_percentile: float,
+        retry_budget: float,
+        most_queued: int,
+        caller_share: float,
+    ) -> None:
+        self.service = service
+        self.replicas: dict[str, replica_module.Replica] = {}
+        self.times = policy.RecentTimes()
+        self._client = client
+        self._counters = counters
+        self._rng = rng
+        self._hedge_percentile = hedge_percentile
+        self._hedges = policy.Budget(hedge_budget)
+        self._retries = policy.Budget(retry_budget)
+        self._most_queued = most_queued
+        self._caller_share = caller_share
+        self._queue: fair_queue.FairQueue[Part] = fair_queue.FairQueue()
+        self._late: collections.deque[Part] = collections.deque()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.on_leaving: abc.Callable[[str], None] = lambda instance: None
+
+    def slots(self) -> float:
+        """Return the parts that all usable replicas take together."""
+        now_s = time.monotonic()
+        return sum(each.limit for each in self.replicas.values() if each.usable(now_s))
+
+    def in_flight(self) -> int:
+        """Return the attempts under way."""
+        return sum(each.in_flight for each in self.replicas.values())
+
+    def queued(self) -> int:
+        """Return the parts waiting for a slot."""
+        return len(self._queue)
+
+    def wait_ms(self, priority: int, caller: str) -> float:
+        """Predict how long a new part would wait."""
+        ahead = self._queue.ahead_of(priority, caller) + self.in_flight()
+        return policy.predicted_wait_ms(ahead, self.slots(), self.times.mean_ms)
+
+    def submit(self, part: Part) -> None:
+        """
+        Take a part, or refuse it at once when it could not finish in time.
+
+        A part that would expire in the queue keeps others waiting and then answers nobody.
+        """
+        now_s = time.monotonic()
+        wait_ms = self.wait_ms(part.priority, part.caller)
+        reason = ""
+        if not any(not each.leaving for each in self.replicas.values()):
+            reason = "no_replica"
+        elif len(self._queue) >= self._most_queued:
+            reason = "queue_full"
+        elif self._queue.of_caller(part.caller) >= self._caller_share * self._most_queued:
+            reason = "caller_share"
+        elif not policy.admits((part.deadline_s - now_s) * 1000, wait_ms, self.times.mean_ms):
+            reason = "no_time"
+        if reason:
+            self._refuse(part, reason, wait_ms)
+            return
+        part.queued_at_s = now_s
+        self._hedges.earn()
+        self._retries.earn()
+        self._queue.push(part)
+        self.pump()
+
+    def _refuse(self, part: Part, reason: str, wait_ms: float = 0.0) -> None:
+        come_back_ms = policy.come_back_ms(wait_ms, self._rng)
+        self._counters.add(f"owner.part.refused.{reason}")
+        self._finish(
+            part,
+            PartReply(part.number, REFUSED, reason, come_back_ms=come_back_ms, wait_ms=wait_ms),
+        )
+
+    def _fail(self, part: Part, reason: str) -> None:
+        self._counters.add(f"owner.part.failed.{reason}")
+        self._finish(part, PartReply(part.number, FAILED, reason, attempts=part.attempts))
+
+    def _finish(self, part: Part, reply: PartReply) -> None:
+        if part.done:
+            return
+        self._close(part)
+        part.reply(reply)
+
+    def _close(self, part: Part) -> None:
+        """End a part: nothing of it starts any more, and what runs is cancelled."""
+        part.done = True
+        if part.hedge_timer is not None:
+            part.hedge_timer.cancel()
+        for attempt, replica in part.running.items():
+            self._start(self._client.cancel(replica.address, attempt))
+
+    def cancel(self, part: Part) -> None:
+        """Give up a part that nobody waits for."""
+        if not part.done:
+            self._counters.add("owner.part.cancelled")
+            self._close(part)
+
+    def give_back(self) -> None:
+        """Refuse what waits, so that coordinators take it to the next owner."""
+        for part in self._queue.drain():
+            self._counters.add("owner.handed_over")
+            self._give_up(part, "owner_leaving")
+
+    def pump(self) -> None:
+        """Start attempts while there are parts and free slots."""
+        now_s = time.monotonic()
+        self._start_late(now_s)
+        while len(self._queue):
+            replica = self._free(now_s, None)
+            if replica is None:
+                return
+            part = self._queue.pop()
+            if part is None:
+                return
+            if part.deadline_s - now_s < _LEAST_TIME_S:
+                self._give_up(part, "expired_in_queue")
+                continue
+            chosen = self._free(now_s, part) or self._repeat_choice(now_s, part)
+            if chosen is None:
+                self._without_replica(part, now_s)
+                continue
+            self._dispatch(part, chosen, now_s)
+
+    def _start_late(self, now_s: float) -> None:
+        """
+        Start the second attempts of late parts, before anything new.
+
+        A hedge that gets only slots that happen to be free starves exactly when replicas are
+        busy, which is when stragglers hurt most.
+        """
+        waiting = len(self._late)
+        for _ in range(waiting):
+            part = self._late.popleft()
+            if part.done or not part.running:
+                continue
+            replica = self._free(now_s, part)
+            if replica is None:
+                self._late.append(part)
+                continue
+            self._counters.add("owner.hedge.sent")
+            self._dispatch(part, replica, now_s)
+
+    def _free(self, now_s: float, part: Part | None) -> replica_module.Replica | None:
+        """Choose a replica with a free slot that this part was not sent to yet."""
+        return policy.choose(
+            each
+            for each in self.replicas.values()
+            if each.usable(now_s)
+            and (
+                part is None
+                or (each.instance not in part.tried and not each.lacks(part.snapshot, now_s))
+            )
+        )
+
+    def _repeat_choice(self, now_s: float, part: Part) -> replica_module.Replica | None:
+        """Choose a replica for a retry that has been to all of them."""
+        if not part.tried or part.running:
+            return None
+        return policy.choose(
+            each
+            for each in self.replicas.values()
+            if each.usable(now_s) and not each.lacks(part.snapshot, now_s)
+        )
+
+    def _without_replica(self, part: Part, now_s: float) -> None:
+        """Deal with a part at the head of the queue that no free replica can take."""
+        able = [
+            each
+            for each in self.replicas.values()
+            if not each.leaving and not each.lacks(part.snapshot, now_s)
+        ]
+        if not able:
+            self._counters.add("owner.part.snapshot_absent")
+            self._finish(part, PartReply(part.number, SNAPSHOT_ABSENT, "snapshot_absent"))
+            return
+        self._later(part, 0.005)
+
+    def _later(self, part: Part, delay_s: float) -> None:
+        asyncio.get_running_loop().call_later(delay_s, self._again, part)
+
+    def _again(self, part: Part) -> None:
+        if not part.done:
+            self._queue.push(part)
+            self.pump()
+
+    def _give_up(self, part: Part, reason: str) -> None:
+        """Say what is true of a part that nothing more is tried for."""
+        if part.may_have_run:
+            self._fail(part, reason)
+        else:
+            self._refuse(part, reason, self.wait_ms(part.priority, part.caller))
+
+    def _dispatch(self, part: Part, replica: replica_module.Replica, now_s: float) -> None:
+        if not part.attempts:
+            self._counters.time_ms("owner.queue_ms", (now_s - part.queued_at_s) * 1000)
+        part.attempts += 1
+        part.tried.add(replica.instance)
+        attempt = f"{part.attempt_prefix}.{part.attempts}"
+        part.running[attempt] = replica
+        replica.in_flight += 1
+        self._arm_hedge(part)
+        self._start(self._attempt(part, replica, attempt))
+
+    def _arm_hedge(self, part: Part) -> None:
+        if not (part.hedge and part.repeatable) or part.hedged or len(self.replicas) < 2:
+            return
+        delay_ms = self.times.percentile_ms(self._hedge_percentile)
+        if delay_ms is not None:
+            part.hedge_timer = asyncio.get_running_loop().call_later(
+                delay_ms / 1000, self._late_part, part
+            )
+
+    def _late_part(self, part: Part) -> None:
+        if part.done or part.hedged or not part.running:
+            return
+        part.hedged = True
+        if not self._hedges.spend():
+            self._counters.add("owner.hedge.denied")
+            return
+        self._late.append(part)
+        self.pump()
+
+    def _start(self, work: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _attempt(self, part: Part, replica: replica_module.Replica, attempt: str) -> None:
+        began_at_s = time.monotonic()
+        outcome: target.Outcome = target.Unknown("cancelled")
+        try:
+            outcome = await self._client.run(
+                replica.address,
+                attempt,
+                part.snapshot,
+                part.shard,
+                part.body,
+                part.deadline_s - began_at_s,
+            )
+        finally:
+            replica.in_flight -= 1
+            part.running.pop(attempt, None)
+        duration_ms = (time.monotonic() - began_at_s) * 1000
+        self._counters.time_ms("owner.target_ms", duration_ms)
+        self._learn(replica, part, outcome, duration_ms)
+        if not part.done:
+            self._settle(part, replica, outcome, attempt)
+        self.pump()
+
+    def _learn(
+        self,
+        replica: replica_module.Replica,
+        part: Part,
+        outcome: target.Outcome,
+        duration_ms: float,
+    ) -> None:
+        match outcome:
+            case target.Answered():
+                replica.succeeded(duration_ms)
+                self.times.add(duration_ms)
+            case target.NotRun(reason="cancelled") | target.Unknown(reason="cancelled"):
+                pass
+            case target.NotRun(reason="draining"):
+                self.leave(replica.instance, "draining")
+            case target.NotRun(reason="connect_failed"):
+                self._failed(replica)
+            case target.NotRun():
+                replica.refused()
+            case target.SnapshotAbsent():
+                replica.absent[part.snapshot] = time.monotonic()
+            case target.Unknown(reason="timeout") if duration_ms < 4 * self.times.mean_ms:
+                pass  # the caller was in a hurry; that says nothing of the replica
+            case target.Unknown():
+                self._failed(replica)
+
+    def _failed(self, replica: replica_module.Replica) -> None:
+        now_s = time.monotonic()
+        others = [
+            each
+            for each in self.replicas.values()
+            if each is not replica and not each.leaving and each.ejected_until_s <= now_s
+        ]
+        if replica.failed(may_eject=bool(others)):
+            self._counters.add("owner.ejected")
+
+    def leave(self, instance: str, reason: str) -> None:
+        """Give a replica no new work; tells the peers the first time."""
+        replica = self.replicas.get(instance)
+        if replica is not None and not replica.leaving:
+            replica.leaving = reason
+            self.on_leaving(instance)
+
+    def _settle(
+        self, part: Part, replica: replica_module.Replica, outcome: target.Outcome, attempt: str
+    ) -> None:
+        """Turn an attempt's outcome into the part's, or into another attempt."""
+        match outcome:
+            case target.Answered():
+                if part.hedged and not attempt.endswith(".1"):
+                    self._counters.add("owner.hedge.won")
+                self._counters.add("owner.part.answered")
+                self._finish(
+                    part,
+                    PartReply(
+                        part.number,
+                        ANSWERED,
+                        snapshot=outcome.snapshot,
+                        body=outcome.body,
+                        attempts=part.attempts,
+                        wait_ms=self.wait_ms(part.priority, part.caller),
+                    ),
+                )
+            case _ if part.running:
+                return  # the other attempt may still answer
+            case target.SnapshotAbsent():
+                self._again(part)
+            case target.NotRun(reason=reason):
+                self._retry(part, reason)
+            case target.Unknown(reason=reason):
+                part.may_have_run = True
+                self._retry(part, reason)
+
+    def _retry(self, part: Part, reason: str) -> None:
+        """
+        Try again where that is safe and within the budget; else say what is true.
+
+        Only here is anything retried: retries at several layers multiply.
+        """
+        denied = ""
+        if part.may_have_run and not part.repeatable:
+            denied = "not_repeatable"
+        elif part.attempts > part.retries:
+            denied = "used_up"
+        elif time.monotonic() + _LEAST_TIME_S > part.deadline_s:
+            denied = "deadline"
+        elif not self._retries.spend():
+            denied = "budget"
+        if not denied:
+            self._counters.add(f"owner.retry.{reason}")
+            self._later(part, policy.backoff_ms(part.attempts, self._rng) / 1000)
+            return
+        self._counters.add(f"owner.retry_denied.{denied}")
+        self._give_up(part, reason)
+
+    async def close(self) -> None:
+        """End what runs; planned stops wait for :meth:`in_flight` to be zero before."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/src/turmericlug/owner/target.py
@@ -0,0 +1,193 @@
+"""One request to a target over HTTP, and what its outcome proves."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import time
+import typing
+from collections import abc
+
+import aiohttp
+
+from turmericlug.telemetry import counters as counters_module
+
+ATTEMPT = "Query-Attempt"
+SNAPSHOT = "Query-Snapshot"
+SHARD = "Query-Shard"
+DEADLINE_MS = "Query-Deadline-Ms"
+NOT_RUN = "Query-Not-Run"
+CANCELLED_STATUS = 499
+"""Sent by a target for an attempt that it had begun and gave up on request."""
+CANCEL_GRACE_S = 0.05
+KEEP_ALIVE_S = 3600.0
+MAX_REPLY_BYTES = 4 << 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The target ran the part."""
+
+    snapshot: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The part certainly did not run: never sent, or the target says so."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotAbsent:
+    """The replica does not hold the snapshot; the part did not run."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The part may have run, and its answer can't be used."""
+
+    reason: str
+
+
+Outcome = Answered | NotRun | SnapshotAbsent | Unknown
+
+
+class Client:
+    """Connections to the replicas of one service, few and long-lived."""
+
+    def __init__(self, session: aiohttp.ClientSession, counters: counters_module.Counters) -> None:
+        self._session = session
+        self._counters = counters
+
+    async def run(
+        self,
+        address: str,
+        attempt: str,
+        snapshot: str,
+        shard: str,
+        body: bytes,
+        remaining_s: float,
+    ) -> Outcome:
+        """
+        Run one part on one replica.
+
+        Sent with POST: the HTTP library repeats idempotent methods by itself when a kept
+        connection turns out closed, and a request that may not be repeated would run twice.
+
+        :param address: ``http://host:port``
+        :param attempt: identifier that the reply must echo
+        :param remaining_s: time left; the target gets it too
+        """
+        headers = {
+            ATTEMPT: attempt,
+            SNAPSHOT: snapshot,
+            SHARD: shard,
+            DEADLINE_MS: str(max(1, int(remaining_s * 1000))),
+            "Content-Type": "application/json",
+        }
+        try:
+            async with asyncio.timeout(remaining_s):
+                async with self._session.post(
+                    f"{address}/v1/run", data=body, headers=headers
+                ) as response:
+                    return await self._outcome(response, attempt, snapshot)
+        except aiohttp.ClientConnectorError:
+            return NotRun("connect_failed")
+        except TimeoutError:
+            return Unknown("timeout")
+        except aiohttp.ClientPayloadError:
+            return Unknown("truncated_reply")
+        except (aiohttp.ClientError, OSError):
+            return Unknown("connection_lost")
+
+    async def _outcome(
+        self, response: aiohttp.ClientResponse, attempt: str, snapshot: str
+    ) -> Outcome:
+        body = await response.read()
+        # A reply that names another attempt was meant for another request, as on a connection
+        # whose earlier request timed out. It is dropped with its connection: whatever else is in
+        # that stream is off by one as well.
+        if response.headers.get(ATTEMPT) != attempt:
+            self._counters.add("owner.mismatched_reply")
+            response.close()
+            return Unknown("mismatched_reply")
+        if response.status == 200:
+            if response.headers.get(SNAPSHOT) != snapshot:
+                return Unknown("wrong_snapshot")
+            if len(body) > MAX_REPLY_BYTES or not _is_json(body):
+                return Unknown("bad_reply")
+            return Answered(snapshot, body)
+        if response.status == 409:
+            return SnapshotAbsent()
+        if response.headers.get(NOT_RUN):
+            return NotRun(response.headers[NOT_RUN])
+        if response.status == CANCELLED_STATUS:
+            return Unknown("cancelled")
+        return Unknown(f"status_{response.status}")
+
+    async def cancel(self, address: str, attempt: str) -> None:
+        """Ask a target to give up an attempt; it then answers that attempt at once."""
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with asyncio.timeout(CANCEL_GRACE_S):
+                async with self._session.post(
+                    f"{address}/v1/cancel", headers={ATTEMPT: attempt}
+                ) as response:
+                    await response.read()
+
+    async def health(self, address: str, timeout_s: float) -> str:
+        """Return a replica's own word on its state, or an empty text when it gives none."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self._session.get(f"{address}/v1/health") as response:
+                    plain = await response.json()
+                    return str(plain.get("state", "")) if isinstance(plain, dict) else ""
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+            return ""
+
+    async def warm(self, address: str, connections: int, timeout_s: float) -> None:
+        """Open connections to a replica before they are needed."""
+        await asyncio.gather(*(self.health(address, timeout_s) for _ in range(connections)))
+
+
+def _is_json(body: bytes) -> bool:
+    try:
+        json.loads(body)
+    except ValueError:
+        return False
+    return True
+
+
+@contextlib.asynccontextmanager
+async def connected(
+    connections: int, counters: counters_module.Counters
+) -> abc.AsyncIterator[Client]:
+    """
+    Hold the connections to one service's replicas for the length of the block.
+
+    :param connections: the most to any one replica
+    """
+    trace = aiohttp.TraceConfig()
+
+    async def on_start(session: typing.Any, context: typing.Any, params: typing.Any) -> None:
+        context.began_at_s = time.monotonic()
+
+    async def on_end(session: typing.Any, context: typing.Any, params: typing.Any) -> None:
+        counters.add("owner.connections_opened")
+        counters.time_ms("owner.connect_ms", (time.monotonic() - context.began_at_s) * 1000)
+
+    trace.on_connection_create_start.append(on_start)
+    trace.on_connection_create_end.append(on_end)
+    connector = aiohttp.TCPConnector(
+        limit=0, limit_per_host=connections, keepalive_timeout=KEEP_ALIVE_S
+    )
+    async with aiohttp.ClientSession(
+        connector=connector,
+        trace_configs=[trace],
+        timeout=aiohttp.ClientTimeout(total=None),
+        auto_decompress=False,
+    ) as session:
+        yield Client(session, counters)
--- /dev/null
+++ b/src/turmericlug/platform/instances.py
@@ -0,0 +1,60 @@
+"""Client of the platform's instance list, by the Consul catalogue's health format."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import aiohttp
+import attrs
+
+DAEMONS = "turmericlug"
+"""The service under which the platform lists our own daemons."""
+
+
+class InstancesError(Exception):
+    """The instance list gave no usable answer."""
+
+
+@attrs.frozen
+class Listed:
+    """One instance as the platform lists it; the list lags, so this is a hint."""
+
+    instance: str
+    generation: int
+    """Rises when the instance registers again, as after a restart."""
+    host: str
+    port: int
+    data_centre: str
+    leaving: bool
+
+
+async def read(
+    session: aiohttp.ClientSession, url: str, service: str, timeout_s: float
+) -> list[Listed]:
+    """
+    Read all instances of one service.
+
+    :param service: a service of the catalogue, or ``DAEMONS``
+    :raises InstancesError: no answer, or one that is not a list of instances
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            async with session.get(f"{url}/v1/health/service/{service}") as response:
+                if response.status != 200:
+                    raise InstancesError(f"status {response.status}")
+                return [_listed(item) for item in await response.json()]
+    except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError) as error:
+        raise InstancesError(type(error).__name__) from error
+
+
+def _listed(item: dict[str, typing.Any]) -> Listed:
+    service = item["Service"]
+    return Listed(
+        instance=service["ID"],
+        generation=int(service.get("CreateIndex", 0)),
+        host=service["Address"],
+        port=int(service["Port"]),
+        data_centre=item["Node"]["Datacenter"],
+        leaving=any(check["Status"] == "critical" for check in item["Checks"]),
+    )
--- /dev/null
+++ b/src/turmericlug/query/fan_out.py
@@ -0,0 +1,303 @@
+"""One query's parts on their way to the owners and back, merged under one snapshot."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import typing
+from collections import abc
+
+import attrs
+
+from turmericlug.catalog import catalog as catalog_module
+from turmericlug.membership import mesh as mesh_module
+from turmericlug.owner import owner as owner_module
+from turmericlug.owner import service_queue
+from turmericlug.query import outcome as outcome_module
+from turmericlug.telemetry import counters as counters_module
+from turmericlug.wire import link as link_module
+
+_MOVE_ON = ("owner_leaving", "resumed_after_gap", "no_replica")
+"""Refusals that speak of the owner, not of the service: the next owner may do better."""
+MOST_RANKS = 3
+ABSENT = "snapshot_absent"
+
+
+@attrs.frozen
+class Plan:
+    """What a query asks of the owners."""
+
+    query_id: str
+    snapshot: catalog_module.Snapshot
+    parts: tuple[tuple[str, str], ...]
+    """Service and shard of each part."""
+    caller: str
+    priority: int
+    repeatable: bool
+    hedge: bool
+    retries: int
+    min_coverage: float
+    body: bytes
+    deadline_s: float
+    """On the monotonic clock."""
+
+
+@attrs.define
+class _Part:
+    service: str
+    shard: str
+    rank: int = 0
+    answered: bytes | None = None
+    reason: str = ""
+    holders: int = 0
+    """Owners that got the part and have not said that they did not run it."""
+
+
+OnWait = abc.Callable[[str, float], None]
+
+
+class FanOut:
+    """The state of one query's parts."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        owner: owner_module.Owner,
+        mesh: mesh_module.Mesh,
+        counters: counters_module.Counters,
+        on_wait: OnWait,
+    ) -> None:
+        self._plan = plan
+        self._owner = owner
+        self._mesh = mesh
+        self._counters = counters
+        self._on_wait = on_wait
+        self._parts = [_Part(service, shard) for service, shard in plan.parts]
+        self._open = set(range(len(self._parts)))
+        self._cancels: list[abc.Callable[[], None]] = []
+        self._changed = asyncio.Event()
+        self.come_back_ms = 0
+
+    def start(self) -> None:
+        """Send every part to the owner of its service: one message per owner."""
+        self._send(sorted(self._open))
+
+    def _send(self, numbers: list[int]) -> None:
+        by_owner: dict[str, list[int]] = {}
+        for number in numbers:
+            part = self._parts[number]
+            ranking = self._owner.ranking(part.service)
+            if part.rank >= min(len(ranking), MOST_RANKS):
+                self._close(number, part.reason or "no_owner")
+                continue
+            by_owner.setdefault(ranking[part.rank].instance, []).append(number)
+        for instance, theirs in by_owner.items():
+            if instance == self._mesh.members.own.instance:
+                self._send_own(theirs)
+            else:
+                self._send_peer(instance, theirs)
+        self._changed.set()
+
+    def _send_own(self, numbers: list[int]) -> None:
+        for number in numbers:
+            self._parts[number].holders += 1
+        cancel = self._owner.submit(self._parts_in(numbers), self._on_replies)
+        self._cancels.append(cancel)
+
+    def _parts_in(self, numbers: list[int]) -> owner_module.PartsIn:
+        plan = self._plan
+        return owner_module.PartsIn(
+            query_id=plan.query_id,
+            snapshot=plan.snapshot.name,
+            remaining_s=plan.deadline_s - time.monotonic(),
+            priority=plan.priority,
+            repeatable=plan.repeatable,
+            hedge=plan.hedge,
+            retries=plan.retries,
+            caller=plan.caller,
+            body=plan.body,
+            parts=tuple((number, *plan.parts[number]) for number in numbers),
+        )
+
+    def _send_peer(self, instance: str, numbers: list[int]) -> None:
+        link = self._mesh.link(instance)
+        # A silent owner may be frozen: new parts go to the next one until it speaks again.
+        if link is None or not link.is_up or (link.silent and self._plan.repeatable):
+            self._move_on(numbers, "owner_unreachable")
+            return
+        waiting = set(numbers)
+
+        def on_reply(message: typing.Any) -> bool:
+            if isinstance(message, link_module.Silent | link_module.Lost):
+                self._on_note(message, waiting)
+                return isinstance(message, link_module.Lost)
+            self._on_message(message, waiting)
+            return not waiting
+
+        try:
+            request_id = link.send(lambda envelope: self._fill(envelope, numbers), on_reply)
+        except link_module.LinkError:
+            self._move_on(numbers, "owner_unreachable")
+            return
+        for number in numbers:
+            self._parts[number].holders += 1
+        self._cancels.append(lambda: link.cancel(request_id))
+
+    def _fill(self, envelope: typing.Any, numbers: list[int]) -> None:
+        plan = self._plan
+        message = envelope.init("parts")
+        message.queryId = plan.query_id
+        message.snapshot = plan.snapshot.name
+        message.remainingMs = max(0.0, (plan.deadline_s - time.monotonic()) * 1000)
+        message.priority = plan.priority
+        message.repeatable = plan.repeatable
+        message.hedge = plan.hedge
+        message.retries = plan.retries
+        message.caller = plan.caller
+        message.body = plan.body
+        parts = message.init("parts", len(numbers))
+        for index, number in enumerate(numbers):
+            item = parts[index]
+            item.number = number
+            item.service, item.shard = plan.parts[number]
+
+    def _on_note(self, note: link_module.Note, waiting: set[int]) -> None:
+        """
+        Move what a frozen or lost owner still has to the next one, where repeating is safe.
+
+        A part that may run only once stays: it may be running there, and its outcome is unknown.
+        """
+        open_numbers = sorted(waiting & self._open)
+        if self._plan.repeatable:
+            waiting.clear()
+            if open_numbers:
+                self._counters.add("query.moved_parts", len(open_numbers))
+                self._move_on(open_numbers, "owner_lost")
+        elif isinstance(note, link_module.Lost):
+            for number in open_numbers:
+                self._close(number, "owner_lost")
+        self._changed.set()
+
+    def _move_on(self, numbers: list[int], reason: str) -> None:
+        for number in numbers:
+            self._parts[number].rank += 1
+            self._parts[number].reason = reason
+        self._send(numbers)
+
+    def _on_message(self, message: typing.Any, waiting: set[int]) -> None:
+        if message.which() != "partsReply" or message.partsReply.queryId != self._plan.query_id:
+            self._counters.add("query.mismatched_reply")
+            return
+        replies = []
+        for item in message.partsReply.replies:
+            if item.number in waiting:
+                waiting.discard(item.number)
+                replies.append(
+                    service_queue.PartReply(
+                        item.number,
+                        str(item.outcome),
+                        item.reason,
+                        item.snapshot,
+                        item.comeBackMs,
+                        item.body,
+                        item.attempts,
+                        item.waitMs,
+                    )
+                )
+        self._on_replies(replies)
+
+    def _on_replies(self, replies: list[service_queue.PartReply]) -> None:
+        moving = []
+        for reply in replies:
+            if reply.number not in self._open:
+                continue
+            part = self._parts[reply.number]
+            self._on_wait(part.service, reply.wait_ms)
+            if reply.outcome == service_queue.ANSWERED:
+                self._take_answer(reply, part)
+            elif reply.outcome == service_queue.FAILED:
+                self._close(reply.number, reply.reason)
+            else:
+                part.holders -= 1
+                if reply.reason in _MOVE_ON:
+                    moving.append(reply.number)
+                else:
+                    self.come_back_ms = max(self.come_back_ms, reply.come_back_ms)
+                    self._close(reply.number, reply.reason)
+        if moving:
+            self._move_on(moving, "no_owner")
+        self._changed.set()
+
+    def _take_answer(self, reply: service_queue.PartReply, part: _Part) -> None:
+        # An owner that mixes up snapshots would make an answer of two versions of the indexes.
+        if reply.snapshot != self._plan.snapshot.name:
+            self._counters.add("query.mismatched_reply")
+            self._close(reply.number, "wrong_snapshot")
+            return
+        part.answered = reply.body
+        self._open.discard(reply.number)
+
+    def _close(self, number: int, reason: str) -> None:
+        self._open.discard(number)
+        self._parts[number].reason = reason
+
+    @property
+    def hopeless(self) -> bool:
+        """Whether the least coverage can't be reached any more."""
+        possible = sum(part.answered is not None for part in self._parts) + len(self._open)
+        return not possible or possible < self._plan.min_coverage * len(self._parts) - 1e-9
+
+    @property
+    def enough(self) -> bool:
+        """Whether what has answered satisfies the least coverage."""
+        return self.coverage().ratio >= self._plan.min_coverage - 1e-9
+
+    @property
+    def snapshot_absent(self) -> bool:
+        """Whether some part found that no replica holds the pinned snapshot."""
+        return any(part.reason == ABSENT for part in self._parts)
+
+    @property
+    def nothing_ran(self) -> bool:
+        """Whether it is certain that no target ran any part."""
+        return not self._open and all(
+            not part.holders and part.answered is None for part in self._parts
+        )
+
+    async def wait(self, until_s: float) -> None:
+        """Wait until all parts have ended, the query is hopeless, or a time has come."""
+        while self._open and not self.hopeless and not self.snapshot_absent:
+            self._changed.clear()
+            left_s = until_s - time.monotonic()
+            if left_s <= 0:
+                return
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                return
+
+    def stop(self) -> None:
+        """Cancel what is still open, at the owners and through them at the targets."""
+        for cancel in self._cancels:
+            cancel()
+
+    def coverage(self) -> outcome_module.Coverage:
+        """State what answered, and why the rest did not."""
+        missing = tuple(
+            outcome_module.Missing(part.shard, part.reason if not_open else "late")
+            for number, part in enumerate(self._parts)
+            if part.answered is None
+            for not_open in [number not in self._open]
+        )
+        total = len(self._parts)
+        return outcome_module.Coverage(total - len(missing), total, missing)
+
+    def results(self) -> list[tuple[str, bytes]]:
+        """Return the answers by shard, in the order of the plan."""
+        return [(part.shard, part.answered) for part in self._parts if part.answered is not None]
+
+    def first_reason(self) -> str:
+        """Return why the first of the missing parts is missing."""
+        missing = self.coverage().missing
+        return missing[0].reason if missing else ""
--- /dev/null
+++ b/src/turmericlug/query/outcome.py
@@ -0,0 +1,117 @@
+"""What a caller is told: every query ends in exactly one of these."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import typing
+
+import attrs
+
+
+@attrs.frozen
+class Missing:
+    """A shard without an answer, and why."""
+
+    shard: str
+    reason: str
+
+
+@attrs.frozen
+class Coverage:
+    """How much of the pinned snapshot answered."""
+
+    answered: int
+    total: int
+    missing: tuple[Missing, ...]
+
+    @property
+    def ratio(self) -> float:
+        """Return the share of shards that answered."""
+        return self.answered / self.total if self.total else 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Results of one snapshot: complete if nothing is missing, else partial."""
+
+    snapshot: str
+    coverage: Coverage
+    results: list[tuple[str, bytes]]
+    """JSON text by shard."""
+    rules_revision: int
+    rule: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Nothing ran; ``come_back_ms`` tells when to ask again."""
+
+    reason: str
+    come_back_ms: int
+    rules_revision: int = 0
+    rule: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """The query may have run, in part or whole, and there is no answer."""
+
+    reason: str
+    rules_revision: int = 0
+    rule: str = ""
+    coverage: Coverage | None = None
+    come_back_ms: int = 0
+
+
+Outcome = Answer | Refused | Failed
+
+
+def name_of(outcome: Outcome) -> str:
+    """Return the word that callers see."""
+    match outcome:
+        case Answer(coverage=coverage):
+            return "partial" if coverage.missing else "complete"
+        case Refused():
+            return "refused"
+        case Failed():
+            return "failed"
+
+
+def to_json(outcome: Outcome, instance: str, query_id: str) -> str:
+    """Write an outcome as callers get it; results are passed on as the targets wrote them."""
+    head: dict[str, typing.Any] = {
+        "outcome": name_of(outcome),
+        "query_id": query_id,
+        "instance": instance,
+        "rules_revision": outcome.rules_revision,
+        "rule": outcome.rule,
+    }
+    match outcome:
+        case Answer():
+            head["snapshot"] = outcome.snapshot
+            head["coverage"] = _coverage(outcome.coverage)
+        case Refused():
+            head |= {"ran": "no", "reason": outcome.reason, "come_back_ms": outcome.come_back_ms}
+        case Failed():
+            head |= {"ran": "maybe", "reason": outcome.reason}
+            if outcome.come_back_ms:
+                head["come_back_ms"] = outcome.come_back_ms
+            if outcome.coverage is not None:
+                head["coverage"] = _coverage(outcome.coverage)
+    text = json.dumps(head)
+    if isinstance(outcome, Answer):
+        rows = ", ".join(
+            f'{{"shard": {json.dumps(shard)}, "result": {body.decode()}}}'
+            for shard, body in outcome.results
+        )
+        text = f'{text[:-1]}, "results": [{rows}]}}'
+    return text
+
+
+def _coverage(coverage: Coverage) -> dict[str, typing.Any]:
+    return {
+        "answered": coverage.answered,
+        "total": coverage.total,
+        "missing": [attrs.asdict(each) for each in coverage.missing],
+    }
--- /dev/null
+++ b/src/turmericlug/records/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency records that let a request run at most once."""
--- /dev/null
+++ b/src/turmericlug/rules/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' ordered rules: model, checks, matching, editing and distribution."""
--- /dev/null
+++ b/src/turmericlug/rules/repository.py
@@ -0,0 +1,192 @@
+"""The configuration in the store: read, and changed by compare-and-swap on one head key."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import time
+import typing
+
+import attrs
+
+from turmericlug.catalog import catalog as catalog_module
+from turmericlug.platform import store as store_module
+from turmericlug.rules import configuration
+from turmericlug.rules import edits
+from turmericlug.rules import model
+from turmericlug.rules import text as text_module
+
+_TRIES = 12
+_EMPTY_CATALOG = json.dumps({"services": {}, "groups": {}, "snapshots": []})
+
+
+class RepositoryError(Exception):
+    """The store gave no answer, so that the configuration could not be read."""
+
+
+@attrs.frozen
+class Contents:
+    """All of the configuration, as one read of the store gave it."""
+
+    head: configuration.Head
+    rules: model.Document
+    texts: list[configuration.Text]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """The change is in the store."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The store did not answer: the change may or may not be stored; ask again by its edit."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejected:
+    """The change is not stored, and why."""
+
+    problems: list[str]
+
+
+Outcome = Stored | Unknown | Rejected | edits.Conflict
+
+
+class Repository:
+    """Reads and changes the configuration in the store."""
+
+    def __init__(self, store: store_module.Store, prefix: str) -> None:
+        self._store = store
+        self.head_key = f"{prefix}config/head"
+        self._prefix = f"{prefix}config/"
+        self._history = f"{prefix}history/"
+
+    async def read_head(self) -> configuration.Head:
+        """
+        Read which revisions are the newest.
+
+        :raises RepositoryError: the store gave no answer
+        """
+        try:
+            value = await self._store.read(self.head_key)
+        except store_module.StoreError as error:
+            raise RepositoryError(error.reason) from error
+        return configuration.head_from_json(value.text, value.revision)
+
+    async def read(self) -> Contents:
+        """
+        Read all of the configuration at one moment, creating an empty one in a new store.
+
+        :raises RepositoryError: the store gave no answer
+        """
+        try:
+            values = await self._store.read_prefix(self._prefix)
+            if not values:
+                await self._create()
+                values = await self._store.read_prefix(self._prefix)
+        except store_module.StoreError as error:
+            raise RepositoryError(error.reason) from error
+        by_key = {value.key: value for value in values}
+        head_value = by_key[self.head_key]
+        head = configuration.head_from_json(head_value.text, head_value.revision)
+        rules_text = by_key[f"{self._prefix}rules"].text
+        catalog_text = by_key[f"{self._prefix}catalog"].text
+        texts = [
+            configuration.Text(configuration.RULES, head.rules, rules_text),
+            configuration.Text(configuration.CATALOG, head.catalog, catalog_text),
+        ]
+        return Contents(head, model.from_json(rules_text), texts)
+
+    async def _create(self) -> None:
+        await self._store.swap(
+            {self.head_key: 0},
+            {
+                self.head_key: configuration.head_to_json(1, 1),
+                f"{self._prefix}rules": model.to_json(model.Document(1, (), ())),
+                f"{self._prefix}catalog": _EMPTY_CATALOG,
+            },
+        )
+
+    async def edit(self, change: edits.Change) -> Outcome:
+        """
+        Store one edit of the rules.
+
+        A write whose answer was lost is settled by reading: the edit's identifier is in the
+        document if it took effect. If it is not, the same change is swapped in again; should the
+        first write arrive late after all, it fails, since the head has moved.
+
+        :param change: the edit, with an identifier of its own
+        """
+        reason = "contention"
+        for _ in range(_TRIES):
+            try:
+                contents = await self.read()
+            except RepositoryError as error:
+                return Unknown(str(error))
+            outcome = edits.apply(contents.rules, change, int(time.time()))
+            if isinstance(outcome, edits.AlreadyStored):
+                return Stored(outcome.revision)
+            if isinstance(outcome, edits.Conflict):
+                return outcome
+            if isinstance(outcome, edits.Impossible):
+                return Rejected([outcome.reason])
+            try:
+                catalog = catalog_module.parse(contents.texts[1].text)
+                text_module.check_order(outcome.document.rules, catalog)
+            except text_module.RulesError as error:
+                return Rejected([problem.reason for problem in error.problems])
+            written = await self._write_rules(contents.head, outcome.document)
+            if isinstance(written, str):
+                reason = written
+            elif written:
+                return Stored(outcome.document.revision)
+        return Unknown(reason)
+
+    async def _write_rules(self, head: configuration.Head, document: model.Document) -> int | str:
+        """Swap a document in; 0: the head moved; a text: the store did not answer."""
+        text = model.to_json(document)
+        try:
+            return await self._store.swap(
+                {self.head_key: head.swap_revision},
+                {
+                    self.head_key: configuration.head_to_json(document.revision, head.catalog),
+                    f"{self._prefix}rules": text,
+                    f"{self._history}{document.revision:012d}": text,
+                },
+            )
+        except store_module.StoreError as error:
+            return error.reason
+
+    async def put_catalog(self, text: str) -> Outcome:
+        """Store a whole catalogue, which the catalogue's checks have passed."""
+        try:
+            catalog_module.parse(text)
+        except catalog_module.CatalogError as error:
+            return Rejected(error.problems)
+        for _ in range(_TRIES):
+            try:
+                contents = await self.read()
+                if contents.texts[1].text == text:
+                    return Stored(contents.head.catalog)
+                revision = contents.head.catalog + 1
+                head_text = configuration.head_to_json(contents.head.rules, revision)
+                puts = {self.head_key: head_text, f"{self._prefix}catalog": text}
+                if await self._store.swap({self.head_key: contents.head.swap_revision}, puts):
+                    return Stored(revision)
+            except (RepositoryError, store_module.StoreError) as error:
+                return Unknown(str(error))
+        return Unknown("contention")
+
+    async def history(self, limit: int) -> list[dict[str, typing.Any]]:
+        """
+        Return the latest edits, the newest first.
+
+        :raises RepositoryError: the store gave no answer
+        """
+        contents = await self.read()
+        return [attrs.asdict(edit) for edit in reversed(contents.rules.edits)][:limit]
--- /dev/null
+++ b/src/turmericlug/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs, counters and timers."""
--- /dev/null
+++ b/src/turmericlug/telemetry/counters.py
@@ -0,0 +1,80 @@
+"""Counters and timers, sent to statsd and kept in memory for the status page."""
+
+from __future__ import annotations
+
+import collections
+
+import statsd
+
+# Every metric that the daemon emits, with what it says; docs/reference-metrics.md lists the same
+# names and a test compares the two. A trailing ".*" stands for the reasons that follow.
+NAMES: dict[str, str] = {
+    "query.complete": "answers with every shard",
+    "query.partial": "answers with shards missing",
+    "query.refused.*": "queries refused and not run, by reason",
+    "query.failed.*": "queries that may have run but have no answer, by reason",
+    "query.bad_request.*": "requests turned away before they became queries, by reason",
+    "query.restarted": "queries begun again on another snapshot",
+    "query.moved_parts": "parts sent to the next owner because the first fell silent",
+    "query.mismatched_reply": "owners' replies dropped because they named another query",
+    "query.total_ms": "timer: whole query, from its arrival to its answer",
+    "owner.part.answered": "parts answered by a target",
+    "owner.part.refused.*": "parts refused and not run, by reason",
+    "owner.part.failed.*": "parts that may have run but have no answer, by reason",
+    "owner.part.cancelled": "parts given up because nobody waits for them",
+    "owner.part.snapshot_absent": "parts whose snapshot no replica holds",
+    "owner.retry.*": "attempts repeated, by the reason of the one before",
+    "owner.retry_denied.*": "attempts not repeated although repeatable, by reason",
+    "owner.hedge.sent": "second attempts started for a late part",
+    "owner.hedge.won": "second attempts that answered first",
+    "owner.hedge.denied": "late parts without a second attempt: budget spent",
+    "owner.queue_ms": "timer: a part's wait before its first attempt",
+    "owner.target_ms": "timer: an attempt at a target, from sending to its reply",
+    "owner.connect_ms": "timer: opening a connection to a target",
+    "owner.connections_opened": "connections opened to targets",
+    "owner.ejected": "replicas set aside after errors",
+    "owner.mismatched_reply": "target replies that named another attempt",
+    "owner.handed_over": "queued parts given back when this instance left",
+    "membership.suspected": "peers that missed a probe",
+    "membership.died": "peers declared dead",
+    "membership.refuted": "times this instance contradicted its own death",
+    "membership.stepped_aside": "times this instance stopped serving for want of news",
+    "store.call.*": "calls to the store, by operation",
+    "store.error.*": "calls to the store that failed, by reason",
+    "rules.applied": "revisions put in force",
+    "rules.edit.*": "operators' edits, by outcome",
+    "records.claim.*": "idempotency claims, by outcome",
+    "records.settle.*": "outcomes recorded, by outcome of recording",
+    "records.release.*": "claims released because nothing ran, by outcome",
+    "records.writes": "store writes that carried records",
+    "records.carried": "records in those writes",
+    "peer.rejected.*": "peer connections refused, by reason",
+    "peer.unasked_reply": "replies dropped since nothing open had asked for them: late or doubled",
+    "peer.frames_sent": "frames sent to peers",
+    "peer.bytes_sent": "bytes sent to peers",
+}
+
+
+class Counters:
+    """Totals since the start, mirrored to statsd when a server is set."""
+
+    def __init__(self, host: str = "", port: int = 0, prefix: str = "") -> None:
+        self.totals: collections.Counter[str] = collections.Counter()
+        self._client = statsd.StatsClient(host, port, prefix) if port else None
+
+    def add(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.totals[name] += amount
+        if self._client is not None:
+            self._client.incr(name, amount)
+
+    def time_ms(self, name: str, duration_ms: float) -> None:
+        """Record one duration."""
+        if self._client is not None:
+            self._client.timing(name, duration_ms)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self.totals[name] = int(value)
+        if self._client is not None:
+            self._client.gauge(name, value)
--- /dev/null
+++ b/src/turmericlug/telemetry/events.py
@@ -0,0 +1,62 @@
+"""Structured log lines: one JSON object per event, written through absl.logging."""
+
+from __future__ import annotations
+
+import json
+import logging as std_logging
+import time
+import typing
+
+from absl import logging
+
+_LEVELS = {"info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
+
+
+def setup(instance: str) -> None:
+    """
+    Send one JSON object per event to standard error.
+
+    :param instance: the name that each line carries
+    """
+    handler = logging.get_absl_handler()
+    handler.setFormatter(_JsonFormatter(instance))
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    logging.set_stderrthreshold("info")
+    std_logging.getLogger("aiohttp").setLevel(std_logging.ERROR)
+
+
+def emit(event: str, level: str = "info", **fields: typing.Any) -> None:
+    """
+    Log one event.
+
+    :param event: its name, in dotted lower case
+    :param level: ``info``, ``warning`` or ``error``
+    :param fields: what happened; a unit is part of the field's name
+    """
+    number = _LEVELS[level]
+    if logging.get_verbosity() >= number:
+        logging.log(number, "%s", json.dumps({"event": event, **fields}, default=str))
+
+
+class _JsonFormatter(std_logging.Formatter):
+    """Wraps each record in a JSON object, also those that libraries emit."""
+
+    def __init__(self, instance: str) -> None:
+        super().__init__()
+        self._instance = instance
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        line = {
+            "time_s": round(time.time(), 3),
+            "level": record.levelname.lower(),
+            "instance": self._instance,
+        }
+        message = record.getMessage()
+        if message.startswith("{"):
+            line.update(json.loads(message))
+        else:
+            line.update(event="library.message", text=message, source=record.name)
+        if record.exc_info:
+            line["trace"] = self.formatException(record.exc_info)
+        return json.dumps(line)
--- /dev/null
+++ b/src/turmericlug/wire/handshake.py
@@ -0,0 +1,110 @@
+"""Proof between two daemons that both hold the cluster key and speak the same protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import secrets
+
+from turmericlug.wire import codec
+
+TIMEOUT_S = 2.0
+_NONCE_BYTES = 16
+
+
+class HandshakeError(Exception):
+    """The other side was not accepted, or did not accept us; ``reason`` names why."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+async def accept(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, key: str, instance: str
+) -> str:
+    """
+    Check a peer that connected to us.
+
+    A peer of another cluster must not reach the queues: a wrong key shows as a wrong proof. The
+    nonce is fresh for each connection, so a recorded handshake does not open another one.
+
+    :param key: the cluster key
+    :param instance: our name
+    :returns: the peer's name
+    :raises HandshakeError: ``wrong_protocol``, ``wrong_key``, ``malformed``, ``closed`` or ``timeout``
+    """
+    nonce = secrets.token_bytes(_NONCE_BYTES)
+    challenge = codec.envelope(0)
+    challenge.challenge = {
+        "protocol": codec.PROTOCOL_VERSION,
+        "nonce": nonce,
+        "instance": instance,
+    }
+    writer.write(codec.encode(challenge))
+    message = await _read_one(reader)
+    if message.which() != "hello":
+        raise HandshakeError("malformed")
+    hello = message.hello
+    reason = ""
+    if hello.protocol != codec.PROTOCOL_VERSION:
+        reason = "wrong_protocol"
+    elif not hmac.compare_digest(hello.proof, _proof(key, nonce, hello.instance, instance)):
+        reason = "wrong_key"
+    answer = codec.envelope(0)
+    if reason:
+        answer.rejected = reason
+        writer.write(codec.encode(answer))
+        raise HandshakeError(reason)
+    answer.welcome = instance
+    writer.write(codec.encode(answer))
+    return hello.instance
+
+
+async def introduce(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, key: str, instance: str
+) -> str:
+    """
+    Introduce ourselves to a peer that we connected to.
+
+    :returns: the peer's name
+    :raises HandshakeError: as the peer says, or ``malformed``, ``closed`` or ``timeout``
+    """
+    message = await _read_one(reader)
+    if message.which() != "challenge":
+        raise HandshakeError("malformed")
+    challenge = message.challenge
+    hello = codec.envelope(0)
+    hello.hello = {
+        "protocol": codec.PROTOCOL_VERSION,
+        "proof": _proof(key, challenge.nonce, instance, challenge.instance),
+        "instance": instance,
+    }
+    writer.write(codec.encode(hello))
+    answer = await _read_one(reader)
+    if answer.which() == "rejected":
+        raise HandshakeError(answer.rejected)
+    if answer.which() != "welcome":
+        raise HandshakeError("malformed")
+    return answer.welcome
+
+
+async def _read_one(reader: asyncio.StreamReader) -> codec.Envelope:
+    """Read exactly one frame; nothing follows it before our answer."""
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            length = int.from_bytes(await reader.readexactly(4), "little")
+            if not 8 <= length <= 4096:
+                raise HandshakeError("malformed")
+            return codec.decode(await reader.readexactly(length))
+    except TimeoutError as error:
+        raise HandshakeError("timeout") from error
+    except (OSError, asyncio.IncompleteReadError) as error:
+        raise HandshakeError("closed") from error
+    except codec.FrameError as error:
+        raise HandshakeError("malformed") from error
+
+
+def _proof(key: str, nonce: bytes, from_instance: str, to_instance: str) -> bytes:
+    text = b"\0".join((nonce, from_instance.encode(), to_instance.encode()))
+    return hmac.digest(key.encode(), text, "sha256")
--- /dev/null
+++ b/src/turmericlug/wire/server.py
@@ -0,0 +1,142 @@
+"""The listening side: one task per peer connection, requests handed to named handlers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import typing
+from collections import abc
+
+import attrs
+
+from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import events
+from turmericlug.wire import codec
+from turmericlug.wire import handshake
+from turmericlug.wire import outbox
+
+_READ_BYTES = 1 << 18
+MAX_CONNECTIONS = 10000
+
+
+@attrs.define(slots=True)
+class Request:
+    """One request of a peer, as its handler sees it."""
+
+    peer: str
+    message: codec.Envelope
+    _outbox: outbox.Outbox
+    cancelled: abc.Callable[[], None] | None = None
+
+    def reply(self, fill: abc.Callable[[codec.Envelope], None]) -> None:
+        """Send one reply; a request may have several."""
+        message = codec.envelope(self.message.requestId)
+        fill(message)
+        self._outbox.put(message)
+
+
+Handler = abc.Callable[[Request], typing.Any]
+
+
+class Server:
+    """Handlers by message kind, and the connections they serve."""
+
+    def __init__(self, key: str, instance: str, counters: counters_module.Counters) -> None:
+        self.handlers: dict[str, Handler] = {}
+        self._key = key
+        self._instance = instance
+        self._counters = counters
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self._tasks) >= MAX_CONNECTIONS:
+            self._counters.add("peer.rejected.too_many")
+            writer.transport.abort()
+            return
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        address = writer.get_extra_info("peername")
+        requests: dict[int, Request] = {}
+        try:
+            peer = await handshake.accept(reader, writer, self._key, self._instance)
+            await self._read(reader, outbox.Outbox(writer, self._counters), peer, requests)
+        except handshake.HandshakeError as error:
+            self._counters.add(f"peer.rejected.{error.reason}")
+            events.emit("peer.rejected", "warning", address=address, reason=error.reason)
+            await _drained(writer)
+        except codec.FrameError as error:
+            self._counters.add("peer.rejected.bad_frame")
+            events.emit("peer.bad_frame", "warning", address=address, reason=str(error))
+        except OSError:
+            pass
+        finally:
+            writer.transport.abort()
+            for request in requests.values():
+                if request.cancelled is not None:
+                    request.cancelled()
+
+    async def _read(
+        self,
+        reader: asyncio.StreamReader,
+        box: outbox.Outbox,
+        peer: str,
+        requests: dict[int, Request],
+    ) -> None:
+        frames = codec.FrameReader()
+        newest = 0
+        while data := await reader.read(_READ_BYTES):
+            for body in frames.feed(data):
+                message = codec.decode(body)
+                kind = message.which()
+                if kind == "cancel":
+                    request = requests.pop(message.requestId, None)
+                    if request is not None and request.cancelled is not None:
+                        request.cancelled()
+                    continue
+                # A frame that arrives twice would run a request twice; the numbers of one
+                # connection only rise, so that the second copy shows and ends the connection.
+                if message.requestId and message.requestId <= newest:
+                    raise codec.FrameError("a request number that was used before")
+                newest = max(newest, message.requestId)
+                self._hand_over(str(kind), Request(peer, message, box), requests)
+
+    def _hand_over(self, kind: str, request: Request, requests: dict[int, Request]) -> None:
+        handler = self.handlers.get(kind)
+        if handler is None:
+            request.reply(lambda envelope: setattr(envelope, "fault", "unknown_request"))
+            return
+        outcome = handler(request)
+        if request.cancelled is not None:
+            requests[request.message.requestId] = request
+            if len(requests) > 4096:
+                for number in list(requests)[:2048]:
+                    del requests[number]
+        if outcome is not None:
+            task = asyncio.create_task(outcome)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+
+@contextlib.asynccontextmanager
+async def listening(server: Server, host: str, port: int) -> abc.AsyncIterator[Server]:
+    """Accept peers for the length of the block."""
+    listener = await asyncio.start_server(server._connected, host, port, limit=_READ_BYTES)
+    try:
+        yield server
+    finally:
+        listener.close()
+        for task in list(server._tasks):
+            task.cancel()
+        await asyncio.gather(*server._tasks, return_exceptions=True)
+
+
+async def _drained(writer: asyncio.StreamWriter) -> None:
+    """Give the peer a moment to read why it was refused."""
+    with contextlib.suppress(OSError, TimeoutError):
+        async with asyncio.timeout(1):
+            await writer.drain()
+            writer.write_eof()
+            await asyncio.sleep(0.1)
--- /dev/null
+++ b/src/turmericlug_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what surrounds the daemons, and the load and experiment tool."""
--- /dev/null
+++ b/src/turmericlug_lab/standin.py
@@ -0,0 +1,86 @@
+"""``turmericlug-standin``: stand-ins for targets, the platform and a faulty network."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import typing
+
+import aiomisc
+import typer
+
+import turmericlug
+from turmericlug_lab import standin_platform
+from turmericlug_lab import standin_proxy
+from turmericlug_lab import standin_target
+
+application = typer.Typer(
+    help="Stand-ins for tests, demonstrations and experiments; all listen on loopback.",
+    no_args_is_help=True,
+)
+
+Host = typing.Annotated[str, typer.Option(help="Loopback IP number to listen on.")]
+Port = typing.Annotated[int, typer.Option(help="Port to listen on.")]
+SpecFile = typing.Annotated[pathlib.Path, typer.Argument(help="JSON file, a list of objects.")]
+
+
+def _run(work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+    try:
+        with aiomisc.entrypoint(log_config=False) as loop:
+            loop.run_until_complete(work)
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        pass
+
+
+def _specs(path: pathlib.Path, kind: type) -> list[typing.Any]:
+    try:
+        return [kind(**item) for item in json.loads(path.read_text())]
+    except (OSError, ValueError, TypeError) as error:
+        typer.echo(f"{path}: {error}", err=True)
+        raise typer.Exit(2) from error
+
+
+@application.command()
+def targets(
+    specs: SpecFile,
+    host: Host = "127.0.0.1",
+    journal: typing.Annotated[
+        pathlib.Path | None, typer.Option(help="File that every run is written to.")
+    ] = None,
+    seed: typing.Annotated[int, typer.Option(help="Seed of the service times.")] = 1,
+) -> None:
+    """Stand in for replicas: name, service, port, slots, connections, connect_ms, behaviour."""
+    _run(standin_target.serve(_specs(specs, standin_target.Spec), host, journal, seed))
+
+
+@application.command()
+def platform(port: Port, host: Host = "127.0.0.1") -> None:
+    """Stand in for the key-value store and the instance list."""
+    _run(standin_platform.serve(host, port))
+
+
+@application.command()
+def proxy(specs: SpecFile, port: Port, host: Host = "127.0.0.1") -> None:
+    """Proxy TCP routes (name, listen, to, delay_ms); POST /control/NAME on PORT injects faults."""
+    _run(standin_proxy.serve(host, _specs(specs, standin_proxy.Route), port))
+
+
+def _version(asked: bool) -> None:
+    if asked:
+        typer.echo(turmericlug.__version__)
+        raise typer.Exit
+
+
+@application.callback()
+def main(
+    version: typing.Annotated[
+        bool, typer.Option("--version", callback=_version, is_eager=True, help="Print the version.")
+    ] = False,
+) -> None:
+    """Stand-ins for tests, demonstrations and experiments; all listen on loopback."""
+
+
+def run() -> None:
+    """Start the program."""
+    application()
--- /dev/null
+++ b/src/turmericlug_lab/standin_target.py
@@ -0,0 +1,265 @@
+"""Stand-in targets: replicas with slots, limits, faults and a journal, many to a process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import random
+import typing
+from collections import abc
+
+import attrs
+from aiohttp import web
+from aiohttp import web_protocol
+
+from turmericlug.owner import target as target_module
+
+
+@attrs.define
+class Behaviour:
+    """How a replica acts; a control call changes it while it runs."""
+
+    service_ms: float = 10.0
+    spread: float = 0.3
+    """Sigma of the log-normal service time."""
+    straggler_share: float = 0.0
+    straggler_factor: float = 10.0
+    cold_ms: float = 0.0
+    """Extra service time of the first runs, falling to nothing over ``cold_runs``."""
+    cold_runs: int = 20
+    draining: bool = False
+    drained_after_s: float = 0.0
+    shed_above: int = 1000
+    snapshots: list[str] = attrs.field(factory=lambda: ["s1"])
+    health: str = "ok"
+    reply_fault: str = ""
+    """``crossed``, ``duplicated``, ``truncated``, ``garbage``, ``wrong_snapshot`` or ``die``."""
+    fault_share: float = 1.0
+
+
+@attrs.frozen
+class Spec:
+    """One replica to stand in for."""
+
+    name: str
+    service: str
+    port: int
+    slots: int
+    connections: int
+    connect_ms: float
+    behaviour: dict[str, typing.Any] = attrs.field(factory=dict)
+
+
+class _Limited(web_protocol.RequestHandler):
+    """A connection that counts against its replica's limit; the handler reads ``is_new``."""
+
+    __slots__ = ("is_new", "replica")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Refuse what exceeds the limit, by closing before a byte is read."""
+        self.is_new = True
+        super().connection_made(transport)
+        if self.replica.connections >= self.replica.spec.connections:
+            self.replica.connections_refused += 1
+            transport.close()
+        self.replica.connections += 1
+        self.replica.most_connections = max(self.replica.most_connections, self.replica.connections)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Give the connection back."""
+        self.replica.connections -= 1
+        super().connection_lost(exc)
+
+
+class Replica:
+    """One stand-in replica."""
+
+    def __init__(self, spec: Spec, journal: typing.TextIO | None, seed: int) -> None:
+        self.spec = spec
+        self.behaviour = Behaviour(**spec.behaviour)
+        self.connections = 0
+        self.most_connections = 0
+        self.connections_refused = 0
+        self.most_running = 0
+        self.runs = 0
+        self.received = 0
+        self.work_ms = 0.0
+        self._running = 0
+        self._waiting = 0
+        self._journal = journal
+        self._rng = random.Random(f"{seed}/{spec.name}")
+        self._slots = asyncio.Semaphore(spec.slots)
+        self._tasks: dict[str, asyncio.Task[typing.Any]] = {}
+        self._last_reply: tuple[str, bytes] = ("", b"{}")
+
+    def note(self, **fields: typing.Any) -> None:
+        """Write a line to the journal, on disk before anything else happens."""
+        if self._journal is not None:
+            self._journal.write(json.dumps({"replica": self.spec.name, **fields}) + "\n")
+            self._journal.flush()
+
+    def application(self) -> web.Application:
+        """Build the routes of the target protocol and of the control."""
+        application = web.Application(client_max_size=1 << 22)
+        application.router.add_post("/v1/run", self._run)
+        application.router.add_post("/v1/cancel", self._cancel)
+        application.router.add_get("/v1/health", self._health)
+        application.router.add_post("/control", self._control)
+        application.router.add_get("/control", self._report)
+        return application
+
+    async def _health(self, request: web.Request) -> web.Response:
+        await self._connect_cost(request)
+        return web.json_response({"state": self.behaviour.health, "load": 0.0})
+
+    async def _connect_cost(self, request: web.Request) -> None:
+        protocol = typing.cast(_Limited, request.protocol)
+        if protocol.is_new:
+            protocol.is_new = False
+            await asyncio.sleep(self.spec.connect_ms / 1000)
+
+    async def _control(self, request: web.Request) -> web.Response:
+        self.behaviour = attrs.evolve(self.behaviour, **await request.json())
+        self.note(event="control", behaviour=attrs.asdict(self.behaviour))
+        return web.json_response({})
+
+    async def _report(self, request: web.Request) -> web.Response:
+        names = ("runs", "received", "work_ms", "connections", "most_connections")
+        numbers = {name: getattr(self, name) for name in names}
+        numbers["connections_refused"] = self.connections_refused
+        numbers["most_running"] = self.most_running
+        return web.json_response(numbers)
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        task = self._tasks.get(request.headers.get(target_module.ATTEMPT, ""))
+        if task is not None:
+            task.cancel("asked")
+        return web.Response(status=202)
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        attempt = request.headers[target_module.ATTEMPT]
+        body = await request.read()
+        await self._connect_cost(request)
+        self.received += 1
+        behaviour = self.behaviour
+        if behaviour.draining:
+            return self._not_run(attempt, "draining")
+        if self._waiting >= behaviour.shed_above:
+            return self._not_run(attempt, "shed")
+        snapshot = request.headers[target_module.SNAPSHOT]
+        if snapshot not in behaviour.snapshots:
+            return web.Response(status=409, headers={target_module.ATTEMPT: attempt})
+        task = asyncio.create_task(self._work(request, attempt, snapshot, body))
+        self._tasks[attempt] = task
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if not task.cancelled():
+                raise
+            return web.Response(
+                status=target_module.CANCELLED_STATUS, headers={target_module.ATTEMPT: attempt}
+            )
+        finally:
+            task.cancel()
+            self._tasks.pop(attempt, None)
+
+    def _not_run(self, attempt: str, reason: str) -> web.Response:
+        self.note(event="refused", attempt=attempt, reason=reason)
+        headers = {target_module.ATTEMPT: attempt, target_module.NOT_RUN: reason}
+        return web.Response(status=503, headers=headers)
+
+    async def _work(
+        self, request: web.Request, attempt: str, snapshot: str, body: bytes
+    ) -> web.StreamResponse:
+        """Wait for a slot within the deadline, run, answer."""
+        shard = request.headers[target_module.SHARD]
+        self._waiting += 1
+        try:
+            async with asyncio.timeout(int(request.headers[target_module.DEADLINE_MS]) / 1000):
+                await self._slots.acquire()
+        except TimeoutError:
+            return self._not_run(attempt, "deadline")
+        except asyncio.CancelledError:
+            return self._not_run(attempt, "cancelled")
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        self.most_running = max(self.most_running, self._running)
+        began_at_s = asyncio.get_running_loop().time()
+        self.note(event="run", attempt=attempt, snapshot=snapshot, shard=shard, body=body.decode())
+        self.runs += 1
+        try:
+            await asyncio.sleep(self._service_s())
+        finally:
+            self.work_ms += (asyncio.get_running_loop().time() - began_at_s) * 1000
+            self._running -= 1
+            self._slots.release()
+        return self._answer(request, attempt, snapshot, shard, body)
+
+    def _service_s(self) -> float:
+        behaviour = self.behaviour
+        service_ms = behaviour.service_ms * self._rng.lognormvariate(0, behaviour.spread)
+        if self._rng.random() < behaviour.straggler_share:
+            service_ms *= behaviour.straggler_factor
+        if self.runs <= behaviour.cold_runs:
+            service_ms += behaviour.cold_ms * (1 - self.runs / (behaviour.cold_runs + 1))
+        return service_ms / 1000
+
+    def _answer(
+        self, request: web.Request, attempt: str, snapshot: str, shard: str, body: bytes
+    ) -> web.StreamResponse:
+        result = {"replica": self.spec.name, "shard": shard, "snapshot": snapshot}
+        text = json.dumps(result)[:-1].encode() + b', "asked": ' + body + b"}"
+        headers = {target_module.ATTEMPT: attempt, target_module.SNAPSHOT: snapshot}
+        fault = self.behaviour.reply_fault
+        if fault and self._rng.random() >= self.behaviour.fault_share:
+            fault = ""
+        self.note(event="answered", attempt=attempt, fault=fault)
+        last, self._last_reply = self._last_reply, (attempt, text)
+        transport = request.transport
+        if fault == "die" or transport is None:
+            if transport is not None:
+                transport.abort()
+        elif fault in ("crossed", "duplicated"):
+            headers[target_module.ATTEMPT], text = last
+        elif fault == "wrong_snapshot":
+            headers[target_module.SNAPSHOT] = "another"
+        elif fault == "garbage":
+            text = text[: len(text) // 2]
+        elif fault == "truncated":
+            head = f"HTTP/1.1 200 OK\r\n{target_module.ATTEMPT}: {attempt}\r\n"
+            head += f"{target_module.SNAPSHOT}: {snapshot}\r\nContent-Length: {len(text)}\r\n\r\n"
+            transport.write(head.encode() + text[: len(text) // 2])
+            transport.close()
+        return web.Response(body=text, headers=headers, content_type="application/json")
+
+
+@contextlib.asynccontextmanager
+async def serving(replica: Replica, host: str) -> abc.AsyncIterator[None]:
+    """Serve one replica for the length of the block."""
+    loop = asyncio.get_running_loop()
+    runner = web.AppRunner(replica.application(), access_log=None, handler_cancellation=True)
+    await runner.setup()
+
+    def connection() -> _Limited:
+        handler = _Limited(runner.server, loop=loop, access_log=None, keepalive_timeout=3600)
+        handler.replica = replica
+        return handler
+
+    listener = await loop.create_server(connection, host, replica.spec.port)
+    try:
+        yield
+    finally:
+        listener.close()
+        await runner.cleanup()
+
+
+async def serve(specs: list[Spec], host: str, journal: pathlib.Path | None, seed: int) -> None:
+    """Serve replicas until cancelled."""
+    async with contextlib.AsyncExitStack() as stack:
+        stream = stack.enter_context(journal.open("a")) if journal else None
+        for spec in specs:
+            await stack.enter_async_context(serving(Replica(spec, stream, seed), host))
+        await asyncio.Event().wait()
