--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Everything a fresh machine with Python 3.11 needs: make demo, make test, make bench.
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: demo test lint bench clean
+
+$(BIN)/.installed: requirements.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(BIN)/.installed
+	$(BIN)/turmericlug-load demo
+
+lint: $(BIN)/.installed
+	$(BIN)/black --check --quiet src tests
+	$(BIN)/ruff check --quiet src tests
+
+test: lint
+	$(BIN)/python -m pytest
+
+bench: $(BIN)/.installed
+	$(BIN)/turmericlug-load bench
+
+clean:
+	rm -rf $(VENV) .hypothesis reports
--- a/src/turmericlug/catalog/catalog.py
+++ b/src/turmericlug/catalog/catalog.py
@@ -23,6 +23,8 @@
     name: str
     slots: int
     connections: int
+    data_centre: str = ""
+    """Where its replicas are, so that its owner is chosen there; empty: anywhere."""
 
 
 @attrs.frozen
@@ -85,16 +87,23 @@
         problems.append("services: must be an object")
         return found
     for name, limits in items.items():
-        if not isinstance(limits, dict) or set(limits) != {"slots", "connections"}:
-            problems.append(f"services.{name}: needs exactly slots and connections")
+        if not isinstance(limits, dict) or set(limits) - {"data_centre"} != {
+            "slots",
+            "connections",
+        }:
+            reason = "needs slots and connections, may have data_centre, and nothing else"
+            problems.append(f"services.{name}: {reason}")
             continue
         slots, connections = limits["slots"], limits["connections"]
+        centre = limits.get("data_centre", "")
         if not all(isinstance(number, int) and number > 0 for number in (slots, connections)):
             problems.append(f"services.{name}: slots and connections must be whole numbers above 0")
         elif connections < 2 * slots:
             problems.append(f"services.{name}: connections must be at least twice the slots")
+        elif not isinstance(centre, str):
+            problems.append(f"services.{name}: data_centre must be a text")
         else:
-            found[name] = Service(name, slots, connections)
+            found[name] = Service(name, slots, connections, centre)
     return found
 
 
--- a/src/turmericlug/daemon.py
+++ b/src/turmericlug/daemon.py
@@ -17,6 +17,7 @@
 import turmericlug
 from turmericlug.config import settings as settings_module
 from turmericlug.kernel import kernel as kernel_module
+from turmericlug.kernel import tasks
 from turmericlug.membership import detector as detector_module
 from turmericlug.membership import freshness as freshness_module
 from turmericlug.membership import members as members_module
@@ -43,28 +44,6 @@
 Kernel = kernel_module.Kernel
 
 
-@contextlib.asynccontextmanager
-async def _background(
-    *works: typing.Coroutine[typing.Any, typing.Any, typing.Any]
-) -> abc.AsyncIterator[None]:
-    """Run tasks for the length of the block; one that ends by an error is logged."""
-    tasks = [asyncio.create_task(work) for work in works]
-    for task in tasks:
-        task.add_done_callback(_report)
-    try:
-        yield
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
-def _report(task: asyncio.Task[typing.Any]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        error = task.exception()
-        events.emit("task.failed", "error", reason=f"{type(error).__name__}: {error}")
-
-
 @contextlib.asynccontextmanager
 async def _session(kernel: Kernel) -> abc.AsyncIterator[aiohttp.ClientSession]:
     async with aiohttp.ClientSession() as session:
@@ -122,7 +101,7 @@
     follow = detector.follow_list(
         kernel.find("session"), platform.instances_url, platform.instances_poll_ms / 1000
     )
-    async with _background(detector.run(), follow):
+    async with tasks.background(detector.run(), follow):
         try:
             yield detector
         finally:
@@ -141,7 +120,7 @@
         settings.membership.freshness_ms,
     )
     detector.on_newer = distribution.pull_from
-    async with _background(distribution.run(), distribution.run_watch()):
+    async with tasks.background(distribution.run(), distribution.run_watch()):
         try:
             yield distribution
         finally:
@@ -168,7 +147,7 @@
         kernel.find("session"),
         kernel.find("counters"),
     )
-    async with _background(owner.run(), _tell_load(kernel, owner)):
+    async with tasks.background(owner.run(), _tell_load(kernel, owner)):
         try:
             yield owner
         finally:
--- a/src/turmericlug/membership/detector.py
+++ b/src/turmericlug/membership/detector.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 
+from turmericlug.kernel import tasks
 from turmericlug.membership import freshness as freshness_module
 from turmericlug.membership import members as members_module
 from turmericlug.membership import mesh as mesh_module
@@ -47,7 +48,7 @@
         self._suspicion_s = suspicion_ms / 1000
         self._suspects: dict[str, float] = {}
         self._round: list[str] = []
-        self._tasks: set[asyncio.Task[typing.Any]] = set()
+        self._tasks = tasks.Tasks()
 
     def stamp(self) -> dict[str, int]:
         """Describe what we have in force, for every probe and ping."""
@@ -67,19 +68,14 @@
             if self._freshness.tick():
                 events.emit("instance.resumed_after_gap", "warning")
                 for member in self.members.peers()[:8]:
-                    self._start(self._probe(member.instance))
+                    self._tasks.start(self._probe(member.instance))
             self._end_suspicions()
             target = self._next()
             if target is not None:
-                self._start(self._probe(target))
+                self._tasks.start(self._probe(target))
             count += 1
             if count % _RETRY_DEAD_EVERY == 0:
-                self._start(self._retry_listed())
-
-    def _start(self, work: abc.Coroutine[typing.Any, typing.Any, typing.Any]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+                self._tasks.start(self._retry_listed())
 
     def _next(self) -> str | None:
         """Take the next peer of a shuffled round: each is probed once per round."""
@@ -248,6 +244,4 @@
 
     async def close(self) -> None:
         """End the probes under way."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
--- a/src/turmericlug/membership/mesh.py
+++ b/src/turmericlug/membership/mesh.py
@@ -7,6 +7,7 @@
 import time
 from collections import abc
 
+from turmericlug.kernel import tasks
 from turmericlug.membership import members as members_module
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.wire import link as link_module
@@ -30,6 +31,7 @@
         self._key = key
         self._counters = counters
         self._silence_s = silence_ms / 1000
+        self._tasks = tasks.Tasks()
         self._links: dict[str, tuple[link_module.Link, asyncio.Task[None]]] = {}
 
     def link(self, instance: str) -> link_module.Link | None:
@@ -43,7 +45,7 @@
             return entry[0]
         self._close(instance)
         link = self._new_link(address)
-        self._links[instance] = (link, asyncio.create_task(link.run()))
+        self._links[instance] = (link, self._tasks.start(link.run()))
         return link
 
     @contextlib.asynccontextmanager
@@ -82,20 +84,15 @@
 
     async def close(self) -> None:
         """End every link."""
-        tasks = [task for _, task in self._links.values()]
         self._links.clear()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.close()
 
 
 @contextlib.asynccontextmanager
 async def running(mesh: Mesh) -> abc.AsyncIterator[Mesh]:
     """Watch over the links for the length of the block."""
-    task = asyncio.create_task(mesh.watch_silence())
-    try:
-        yield mesh
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-        await mesh.close()
+    async with tasks.background(mesh.watch_silence()):
+        try:
+            yield mesh
+        finally:
+            await mesh.close()
--- a/src/turmericlug/operators/http.py
+++ b/src/turmericlug/operators/http.py
@@ -94,9 +94,10 @@
         return web.json_response({"revision": document.revision, "rules": rules})
 
     async def _check(self, request: web.Request) -> web.Response:
-        rules = _rules_of(_text_of(await _body(request), "text"))
+        text = _text_of(await _body(request), "text")
+        rules = _rules_of(text)
         document = [rule for rule in self._config.rules.rules if rule.name not in _names(rules)]
-        self._check_order([*document, *rules], _text_of(await _body(request), "text"))
+        self._check_order([*document, *rules], text)
         return web.json_response({"valid": True, "rules": [rule.name for rule in rules]})
 
     def _check_order(self, rules: list[model.Rule], text: str) -> None:
@@ -126,6 +127,8 @@
                     status=409,
                 )
             case repository_module.Rejected(problems=problems):
+                lines = text_module.line_numbers(str(plain.get("text", "")))
+                problems = [_with_line(problem, lines) for problem in problems]
                 return web.json_response(
                     {"outcome": "rejected", "edit": change.edit, "problems": problems}, status=422
                 )
@@ -304,6 +307,12 @@
     return web.json_response({"outcome": "rejected", "problems": list(problems)}, status=status)
 
 
+def _with_line(problem: str, lines: dict[str, int]) -> str:
+    """Name the line of the rule that a problem begins with."""
+    line = lines.get(problem.partition(":")[0])
+    return f"line {line}: {problem}" if line else problem
+
+
 async def _body(request: web.Request) -> dict[str, typing.Any]:
     try:
         plain = await request.json()
--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -13,6 +13,7 @@
 import attrs
 
 from turmericlug.config import settings as settings_module
+from turmericlug.kernel import tasks
 from turmericlug.membership import members as members_module
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.owner import replica as replica_module
@@ -69,13 +70,15 @@
         self._stack = contextlib.AsyncExitStack()
         self._opening: dict[str, asyncio.Task[service_queue.ServiceQueue]] = {}
         self._generations: dict[str, int] = {}
-        self._centres: dict[str, str] = {}
         self._known_leaving: set[str] = set()
-        self._tasks: set[asyncio.Task[typing.Any]] = set()
+        self._tasks = tasks.Tasks()
 
     def ranking(self, service: str) -> list[members_module.Member]:
         """Rank the instances that may own a service, the owner first."""
-        centre = self._centres.get(service, "")
+        # The data centre comes from the catalogue, never from the instance list as this instance
+        # happens to see it: instances would rank differently, and each have another owner.
+        limits = self._config.catalog.services.get(service)
+        centre = limits.data_centre if limits else ""
         return members_module.owners(service, centre, self._mesh.members.serving())
 
     def submit(self, parts_in: PartsIn, on_replies: OnReplies) -> abc.Callable[[], None]:
@@ -136,7 +139,7 @@
             made.append((queue, part))
             queue.submit(part)
         else:
-            self._start(self._submit_later(service, part, made))
+            self._tasks.start(self._submit_later(service, part, made))
 
     async def _submit_later(
         self,
@@ -153,7 +156,7 @@
     async def _queue(self, service: str) -> service_queue.ServiceQueue:
         """Open a service's queue once, however many ask for it."""
         if service not in self._opening:
-            self._opening[service] = asyncio.create_task(self._open(service))
+            self._opening[service] = self._tasks.start(self._open(service))
         return await asyncio.shield(self._opening[service])
 
     async def _open(self, service: str) -> service_queue.ServiceQueue:
@@ -178,7 +181,7 @@
         queue.on_leaving = lambda instance: self._tell_leaving(service, instance)
         await self._refresh(service, queue, client)
         self.queues[service] = queue
-        self._start(self._follow(service, queue, client))
+        self._tasks.start(self._follow(service, queue, client))
         return queue
 
     async def _follow(
@@ -221,8 +224,6 @@
             if not queue.replicas[instance].in_flight:
                 del queue.replicas[instance]
                 self._generations.pop(instance, None)
-        if listed:
-            self._set_centre(service, listed)
         await asyncio.gather(*warmed)
 
     def _new_replica(self, entry: instances.Listed, slots: int) -> replica_module.Replica:
@@ -234,10 +235,6 @@
             replica.leaving = "told_by_peer"
         return replica
 
-    def _set_centre(self, service: str, listed: list[instances.Listed]) -> None:
-        centres = [entry.data_centre for entry in listed]
-        self._centres[service] = max(sorted(set(centres)), key=centres.count)
-
     async def _check_health(self, client: target.Client, replica: replica_module.Replica) -> None:
         """Ask a replica for its own word, which adds suspicion and never takes any away."""
         state = await client.health(replica.address, _HEALTH_TIMEOUT_S)
@@ -331,17 +328,9 @@
         work = sum(queue.in_flight() + queue.queued() for queue in self.queues.values())
         return int(min(65535, 1000 * work / slots)) if slots else 0
 
-    def _start(self, work: abc.Coroutine[typing.Any, typing.Any, typing.Any]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def close(self) -> None:
         """End what runs and close the connections to targets."""
-        tasks = [*self._tasks, *self._opening.values()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.close()
         for queue in self.queues.values():
             await queue.close()
         await self._stack.aclose()
--- a/src/turmericlug/owner/service_queue.py
+++ b/src/turmericlug/owner/service_queue.py
@@ -6,11 +6,11 @@
 import collections
 import random
 import time
-import typing
 from collections import abc
 
 import attrs
 
+from turmericlug.kernel import tasks
 from turmericlug.owner import fair_queue
 from turmericlug.owner import policy
 from turmericlug.owner import replica as replica_module
@@ -91,7 +91,7 @@
         self._caller_share = caller_share
         self._queue: fair_queue.FairQueue[Part] = fair_queue.FairQueue()
         self._late: collections.deque[Part] = collections.deque()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = tasks.Tasks()
         self.on_leaving: abc.Callable[[str], None] = lambda instance: None
 
     def slots(self) -> float:
@@ -162,7 +162,7 @@
         if part.hedge_timer is not None:
             part.hedge_timer.cancel()
         for attempt, replica in part.running.items():
-            self._start(self._client.cancel(replica.address, attempt))
+            self._tasks.start(self._client.cancel(replica.address, attempt))
 
     def cancel(self, part: Part) -> None:
         """Give up a part that nobody waits for."""
@@ -274,7 +274,7 @@
         part.running[attempt] = replica
         replica.in_flight += 1
         self._arm_hedge(part)
-        self._start(self._attempt(part, replica, attempt))
+        self._tasks.start(self._attempt(part, replica, attempt))
 
     def _arm_hedge(self, part: Part) -> None:
         if not (part.hedge and part.repeatable) or part.hedged or len(self.replicas) < 2:
@@ -295,11 +295,6 @@
         self._late.append(part)
         self.pump()
 
-    def _start(self, work: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _attempt(self, part: Part, replica: replica_module.Replica, attempt: str) -> None:
         began_at_s = time.monotonic()
         outcome: target.Outcome = target.Unknown("cancelled")
@@ -419,6 +414,4 @@
 
     async def close(self) -> None:
         """End what runs; planned stops wait for :meth:`in_flight` to be zero before."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
--- a/src/turmericlug/query/callers_http.py
+++ b/src/turmericlug/query/callers_http.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from turmericlug.config import settings as settings_module
+from turmericlug.kernel import tasks
 from turmericlug.membership import members as members_module
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.query import coordinator as coordinator_module
@@ -70,7 +71,7 @@
         self._coordinator = coordinator
         self._counters = counters
         self._rng = random.Random(settings.instance.name)
-        self._shielded: set[asyncio.Task[typing.Any]] = set()
+        self._shielded = tasks.Tasks()
 
     def application(self) -> web.Application:
         """Build the routes."""
@@ -110,10 +111,7 @@
         if query.idempotency_key:
             # A caller that hangs up cancels its query, but not one that may run only once: its
             # outcome has to be recorded for the repeat that follows.
-            task = asyncio.create_task(work)
-            self._shielded.add(task)
-            task.add_done_callback(self._shielded.discard)
-            outcome = await asyncio.shield(task)
+            outcome = await asyncio.shield(self._shielded.start(work))
         else:
             outcome = await work
         return self._response(outcome, query_id)
@@ -243,7 +241,7 @@
 
     async def finish(self) -> None:
         """Wait for the requests that outlive their callers."""
-        await asyncio.gather(*self._shielded, return_exceptions=True)
+        await self._shielded.finish()
 
 
 def _parsed(raw: bytes) -> dict[str, typing.Any]:
--- a/src/turmericlug/query/coordinator.py
+++ b/src/turmericlug/query/coordinator.py
@@ -12,6 +12,7 @@
 import attrs
 
 from turmericlug.config import settings as settings_module
+from turmericlug.kernel import tasks
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.owner import owner as owner_module
 from turmericlug.query import admission as admission_module
@@ -69,7 +70,7 @@
         self._numbers = itertools.count(1)
         self._running: dict[str, int] = {}
         self._ended = asyncio.Event()
-        self._settling: set[asyncio.Task[None]] = set()
+        self._settling = tasks.Tasks()
 
     @property
     def running(self) -> int:
@@ -325,12 +326,7 @@
 
     def _settle(self, operation: ledger.Operation) -> None:
         """Record how a claim ended, while the caller already has its answer."""
-        task = asyncio.create_task(self._settled(operation))
-        self._settling.add(task)
-        task.add_done_callback(self._settling.discard)
-
-    async def _settled(self, operation: ledger.Operation) -> None:
-        await self._records.ask(operation, _SETTLE_TIMEOUT_S)
+        self._settling.start(self._records.ask(operation, _SETTLE_TIMEOUT_S))
 
 
 def _recorded(text: str, revision: int, rule: str) -> outcome_module.Answer:
--- a/src/turmericlug/records/records.py
+++ b/src/turmericlug/records/records.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import re
 import time
 import typing
@@ -11,11 +10,13 @@
 import xxhash
 
 from turmericlug.config import settings as settings_module
+from turmericlug.kernel import tasks
 from turmericlug.membership import members as members_module
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.platform import store as store_module
 from turmericlug.records import ledger
 from turmericlug.telemetry import counters as counters_module
+from turmericlug.wire import codec
 from turmericlug.wire import link as link_module
 from turmericlug.wire import server as server_module
 
@@ -66,7 +67,7 @@
         self._mesh = mesh
         self._counters = counters
         self._buckets: dict[int, ledger.Bucket] = {}
-        self._tasks: set[asyncio.Task[typing.Any]] = set()
+        self._tasks = tasks.Tasks()
 
     def _bucket_number(self, key: str) -> int:
         return xxhash.xxh3_64_intdigest(key.encode()) % self._settings.policy.record_buckets
@@ -82,14 +83,9 @@
                 self._counters,
             )
             self._buckets[number] = bucket
-            self._start(bucket.run())
+            self._tasks.start(bucket.run())
         return self._buckets[number]
 
-    def _start(self, work: typing.Coroutine[typing.Any, typing.Any, typing.Any]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def ask(self, wanted: ledger.Operation, timeout_s: float) -> ledger.Verdict:
         """
         Have an operation recorded by the bucket's owner, or by the next in rank.
@@ -168,14 +164,11 @@
             self._bucket_number(wanted.key), wanted, claim.remainingMs / 1000
         )
         request.reply(
-            lambda envelope: setattr(
-                envelope, "claimReply", {"outcome": verdict.outcome, "detail": verdict.detail}
+            lambda envelope: codec.fill(
+                envelope, "claimReply", outcome=verdict.outcome, detail=verdict.detail
             )
         )
 
     async def close(self) -> None:
         """End the writers."""
-        for task in list(self._tasks):
-            task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
--- a/src/turmericlug/rules/distribution.py
+++ b/src/turmericlug/rules/distribution.py
@@ -8,12 +8,14 @@
 import typing
 from collections import abc
 
+from turmericlug.kernel import tasks
 from turmericlug.membership import detector as detector_module
 from turmericlug.membership import members as members_module
 from turmericlug.platform import store as store_module
 from turmericlug.rules import configuration
 from turmericlug.rules import repository as repository_module
 from turmericlug.telemetry import events
+from turmericlug.wire import codec
 from turmericlug.wire import link as link_module
 from turmericlug.wire import server as server_module
 
@@ -48,7 +50,7 @@
         self._poll_s = freshness_ms / 3000
         self._limit_ms = freshness_ms
         self._pulling: set[str] = set()
-        self._tasks: set[asyncio.Task[typing.Any]] = set()
+        self._tasks = tasks.Tasks()
         self.store_reachable = False
         self.older_ended: abc.Callable[[int, float], abc.Awaitable[bool]] = _none_running
         self._wake = asyncio.Event()
@@ -105,9 +107,7 @@
         """Fetch documents from a peer that has newer ones, unless that is under way."""
         if peer not in self._pulling:
             self._pulling.add(peer)
-            task = asyncio.create_task(self._pull(peer))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._tasks.start(self._pull(peer))
 
     async def _pull(self, peer: str) -> None:
         try:
@@ -200,9 +200,7 @@
         )
         if not ended:
             unconfirmed = [*unconfirmed, self._detector.members.own.instance]
-        request.reply(
-            lambda envelope: setattr(envelope, "spreadReply", {"unconfirmed": unconfirmed})
-        )
+        request.reply(lambda envelope: codec.fill(envelope, "spreadReply", unconfirmed=unconfirmed))
 
     def everyone(self) -> set[str]:
         """Return all others that may be answering callers: alive for us, or listed as live."""
@@ -235,6 +233,4 @@
 
     async def close(self) -> None:
         """End what is under way."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
--- a/src/turmericlug/wire/codec.py
+++ b/src/turmericlug/wire/codec.py
@@ -30,6 +30,13 @@
     return message
 
 
+def fill(message: Envelope, kind: str, **fields: typing.Any) -> None:
+    """Set a struct of the union, which has to be made before its fields can be set."""
+    member = message.init(kind)
+    for name, value in fields.items():
+        setattr(member, name, value)
+
+
 def encode(message: Envelope) -> bytes:
     """Turn an envelope into one frame."""
     body = message.to_bytes()
--- a/src/turmericlug/wire/handshake.py
+++ b/src/turmericlug/wire/handshake.py
@@ -32,15 +32,18 @@
     :param key: the cluster key
     :param instance: our name
     :returns: the peer's name
-    :raises HandshakeError: ``wrong_protocol``, ``wrong_key``, ``malformed``, ``closed`` or ``timeout``
+    :raises HandshakeError: ``wrong_protocol``, ``wrong_key``, ``malformed``, ``closed`` or
+        ``timeout``
     """
     nonce = secrets.token_bytes(_NONCE_BYTES)
     challenge = codec.envelope(0)
-    challenge.challenge = {
-        "protocol": codec.PROTOCOL_VERSION,
-        "nonce": nonce,
-        "instance": instance,
-    }
+    codec.fill(
+        challenge,
+        "challenge",
+        protocol=codec.PROTOCOL_VERSION,
+        nonce=nonce,
+        instance=instance,
+    )
     writer.write(codec.encode(challenge))
     message = await _read_one(reader)
     if message.which() != "hello":
@@ -75,11 +78,13 @@
         raise HandshakeError("malformed")
     challenge = message.challenge
     hello = codec.envelope(0)
-    hello.hello = {
-        "protocol": codec.PROTOCOL_VERSION,
-        "proof": _proof(key, challenge.nonce, instance, challenge.instance),
-        "instance": instance,
-    }
+    codec.fill(
+        hello,
+        "hello",
+        protocol=codec.PROTOCOL_VERSION,
+        proof=_proof(key, challenge.nonce, instance, challenge.instance),
+        instance=instance,
+    )
     writer.write(codec.encode(hello))
     answer = await _read_one(reader)
     if answer.which() == "rejected":
--- a/src/turmericlug/wire/link.py
+++ b/src/turmericlug/wire/link.py
@@ -10,6 +10,7 @@
 import typing
 from collections import abc
 
+from turmericlug.kernel import tasks
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import events
 from turmericlug.wire import codec
@@ -235,9 +236,5 @@
 @contextlib.asynccontextmanager
 async def opened(link: Link) -> abc.AsyncIterator[Link]:
     """Run a link's task for the length of the block."""
-    task = asyncio.create_task(link.run())
-    try:
+    async with tasks.background(link.run()):
         yield link
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
--- a/src/turmericlug/wire/server.py
+++ b/src/turmericlug/wire/server.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from turmericlug.kernel import tasks
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import events
 from turmericlug.wire import codec
@@ -46,16 +47,15 @@
         self._key = key
         self._instance = instance
         self._counters = counters
-        self._tasks: set[asyncio.Task[None]] = set()
+        self.tasks = tasks.Tasks()
 
-    def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self._tasks) >= MAX_CONNECTIONS:
+    def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve a new connection in a task of its own."""
+        if len(self.tasks) >= MAX_CONNECTIONS:
             self._counters.add("peer.rejected.too_many")
             writer.transport.abort()
             return
-        task = asyncio.create_task(self._serve(reader, writer))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self.tasks.start(self._serve(reader, writer))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         address = writer.get_extra_info("peername")
@@ -115,22 +115,18 @@
                 for number in list(requests)[:2048]:
                     del requests[number]
         if outcome is not None:
-            task = asyncio.create_task(outcome)
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self.tasks.start(outcome)
 
 
 @contextlib.asynccontextmanager
 async def listening(server: Server, host: str, port: int) -> abc.AsyncIterator[Server]:
     """Accept peers for the length of the block."""
-    listener = await asyncio.start_server(server._connected, host, port, limit=_READ_BYTES)
+    listener = await asyncio.start_server(server.connected, host, port, limit=_READ_BYTES)
     try:
         yield server
     finally:
         listener.close()
-        for task in list(server._tasks):
-            task.cancel()
-        await asyncio.gather(*server._tasks, return_exceptions=True)
+        await server.tasks.close()
 
 
 async def _drained(writer: asyncio.StreamWriter) -> None:
--- a/src/turmericlug_lab/fleet.py
+++ b/src/turmericlug_lab/fleet.py
@@ -131,16 +131,19 @@
             raise FleetError(f"catalogue: {answer}")
 
     def _plan_targets(self) -> None:
-        centres = self.spec.data_centres
         count = sum(service.replicas for service in self.spec.services)
         ports = iter(free_ports(count))
         for index, service in enumerate(self.spec.services):
             for number in range(service.replicas):
                 name = f"{service.name}-r{number}"
                 process = f"targets-{(index + number) % self.spec.target_processes}"
-                centre = centres[index % len(centres)]
+                centre = self.centre_of(index)
                 self.targets[name] = Target(name, service.name, next(ports), centre, process)
 
+    def centre_of(self, service_index: int) -> str:
+        """Return the data centre of a service's replicas: the services take turns."""
+        return self.spec.data_centres[service_index % len(self.spec.data_centres)]
+
     def _start_targets(self) -> None:
         by_process = collections.defaultdict(list)
         services = {service.name: service for service in self.spec.services}
@@ -249,8 +252,12 @@
         """Make the catalogue of the fleet."""
         return {
             "services": {
-                service.name: {"slots": service.slots, "connections": service.connections}
-                for service in self.spec.services
+                service.name: {
+                    "slots": service.slots,
+                    "connections": service.connections,
+                    "data_centre": self.centre_of(index),
+                }
+                for index, service in enumerate(self.spec.services)
             },
             "groups": self.spec.groups,
             "snapshots": snapshots or [{"name": "s1", "shards": {}}],
