--- a/src/turmericlug/operators/http.py
+++ b/src/turmericlug/operators/http.py
@@ -283,6 +283,7 @@
                 for name, queue in sorted(self._owner.queues.items())
             ],
             "counters": dict(self._counters.totals),
+            "timers_ms": self._counters.timers_ms(),
         }
 
     def on_status(self, request: server_module.Request) -> None:
--- a/src/turmericlug/owner/policy.py
+++ b/src/turmericlug/owner/policy.py
@@ -125,6 +125,27 @@
         return True
 
 
+@attrs.define
+class HedgeClock:
+    """
+    When a part counts as late: a percentile of the recent times, raised while hedges don't pay.
+
+    Where service times are narrow, the first attempt of a part past the percentile is nearly done,
+    and a hedge only adds load. So each hedge that loses raises the age at which the next one
+    starts and each that wins lowers it; the two balance where about one hedge in six wins.
+    """
+
+    factor: float = 1.0
+    raise_by: float = 1.03
+    lower_by: float = 0.85
+    most: float = 4.0
+
+    def learn(self, won: bool) -> None:
+        """Take note of how a hedge ended."""
+        change = self.lower_by if won else self.raise_by
+        self.factor = min(self.most, max(1.0, self.factor * change))
+
+
 class RecentTimes:
     """A window of the latest durations, with their mean and percentiles."""
 
--- a/src/turmericlug/owner/service_queue.py
+++ b/src/turmericlug/owner/service_queue.py
@@ -61,6 +61,7 @@
     tried: set[str] = attrs.field(factory=set)
     hedge_timer: asyncio.TimerHandle | None = None
     hedged: bool = False
+    hedge_attempt: str = ""
 
 
 class ServiceQueue:
@@ -86,6 +87,7 @@
         self._rng = rng
         self._hedge_percentile = hedge_percentile
         self._hedges = policy.Budget(hedge_budget)
+        self._hedge_clock = policy.HedgeClock()
         self._retries = policy.Budget(retry_budget)
         self._most_queued = most_queued
         self._caller_share = caller_share
@@ -213,7 +215,7 @@
                 self._late.append(part)
                 continue
             self._counters.add("owner.hedge.sent")
-            self._dispatch(part, replica, now_s)
+            part.hedge_attempt = self._dispatch(part, replica, now_s)
 
     def _free(self, now_s: float, part: Part | None) -> replica_module.Replica | None:
         """Choose a replica with a free slot that this part was not sent to yet."""
@@ -265,7 +267,8 @@
         else:
             self._refuse(part, reason, self.wait_ms(part.priority, part.caller))
 
-    def _dispatch(self, part: Part, replica: replica_module.Replica, now_s: float) -> None:
+    def _dispatch(self, part: Part, replica: replica_module.Replica, now_s: float) -> str:
+        """Start an attempt; returns its identifier."""
         if not part.attempts:
             self._counters.time_ms("owner.queue_ms", (now_s - part.queued_at_s) * 1000)
         part.attempts += 1
@@ -275,6 +278,7 @@
         replica.in_flight += 1
         self._arm_hedge(part)
         self._tasks.start(self._attempt(part, replica, attempt))
+        return attempt
 
     def _arm_hedge(self, part: Part) -> None:
         if not (part.hedge and part.repeatable) or part.hedged or len(self.replicas) < 2:
@@ -282,7 +286,7 @@
         delay_ms = self.times.percentile_ms(self._hedge_percentile)
         if delay_ms is not None:
             part.hedge_timer = asyncio.get_running_loop().call_later(
-                delay_ms / 1000, self._late_part, part
+                delay_ms * self._hedge_clock.factor / 1000, self._late_part, part
             )
 
     def _late_part(self, part: Part) -> None:
@@ -366,8 +370,10 @@
         """Turn an attempt's outcome into the part's, or into another attempt."""
         match outcome:
             case target.Answered():
-                if part.hedged and not attempt.endswith(".1"):
-                    self._counters.add("owner.hedge.won")
+                if part.hedge_attempt:
+                    won = attempt == part.hedge_attempt
+                    self._hedge_clock.learn(won)
+                    self._counters.add("owner.hedge.won" if won else "owner.hedge.lost")
                 self._counters.add("owner.part.answered")
                 self._finish(
                     part,
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -5,6 +5,9 @@
 import collections
 
 import statsd
+from hdrh import histogram
+
+_LONGEST_US = 60_000_000
 
 # Every metric that the daemon emits, with what it says; docs/reference-metrics.md lists the same
 # names and a test compares the two. A trailing ".*" stands for the reasons that follow.
@@ -27,6 +30,7 @@
     "owner.retry_denied.*": "attempts not repeated although repeatable, by reason",
     "owner.hedge.sent": "second attempts started for a late part",
     "owner.hedge.won": "second attempts that answered first",
+    "owner.hedge.lost": "second attempts overtaken by the first",
     "owner.hedge.denied": "late parts without a second attempt: budget spent",
     "owner.queue_ms": "timer: a part's wait before its first attempt",
     "owner.target_ms": "timer: an attempt at a target, from sending to its reply",
@@ -60,6 +64,7 @@
 
     def __init__(self, host: str = "", port: int = 0, prefix: str = "") -> None:
         self.totals: collections.Counter[str] = collections.Counter()
+        self._timers: dict[str, histogram.HdrHistogram] = {}
         self._client = statsd.StatsClient(host, port, prefix) if port else None
 
     def add(self, name: str, amount: int = 1) -> None:
@@ -70,9 +75,24 @@
 
     def time_ms(self, name: str, duration_ms: float) -> None:
         """Record one duration."""
+        timer = self._timers.get(name)
+        if timer is None:
+            timer = self._timers[name] = histogram.HdrHistogram(1, _LONGEST_US, 2)
+        timer.record_value(min(max(1, int(duration_ms * 1000)), _LONGEST_US))
         if self._client is not None:
             self._client.timing(name, duration_ms)
 
+    def timers_ms(self) -> dict[str, dict[str, float]]:
+        """Return the percentiles of each timer since the start."""
+        return {
+            name: {
+                f"p{percentile}": timer.get_value_at_percentile(percentile) / 1000
+                for percentile in (50, 95, 99)
+            }
+            | {"count": timer.get_total_count()}
+            for name, timer in self._timers.items()
+        }
+
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
         self.totals[name] = int(value)
--- a/src/turmericlug_lab/fleet.py
+++ b/src/turmericlug_lab/fleet.py
@@ -125,6 +125,8 @@
             self.start_daemon(daemon.name)
         for daemon in self.daemons.values():
             await self.ready(daemon.name)
+        if not self.daemons:
+            return
         first = next(iter(self.daemons))
         status, answer = await self.operate(first, "PUT", "/v1/catalog", self.catalog())
         if status not in (200, 202):
--- a/src/turmericlug_lab/load.py
+++ b/src/turmericlug_lab/load.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+import pathlib
 import typing
 
 import typer
+from rich import console as rich_console
+from rich import table as rich_table
 
 import turmericlug
 from turmericlug_lab import demo as demo_module
+from turmericlug_lab import experiment
+from turmericlug_lab import fleet as fleet_module
+from turmericlug_lab import report as report_module
+from turmericlug_lab import scenario as scenario_module
 
 application = typer.Typer(no_args_is_help=True)
 
@@ -37,6 +45,73 @@
     demo_module.run()
 
 
+@application.command("run")
+def run_scenarios(
+    scenarios: typing.Annotated[list[pathlib.Path], typer.Argument(help="Scenario files.")],
+    policy: typing.Annotated[
+        list[str],
+        typer.Option(help=f"One of {', '.join(experiment.POLICIES)}; repeatable; default: all."),
+    ] = [],  # noqa: B006 - typer wants a list
+    folder: typing.Annotated[pathlib.Path, typer.Option(help="Where reports go.")] = pathlib.Path(
+        "reports"
+    ),
+    name: typing.Annotated[str, typer.Option(help="Name of the report.")] = "run",
+) -> None:
+    """Run scenarios with real processes; write NAME.json and NAME.html."""
+    reports = []
+    for path in scenarios:
+        try:
+            scenario = scenario_module.read(path)
+        except scenario_module.ScenarioError as error:
+            typer.echo(str(error), err=True)
+            raise typer.Exit(2) from error
+        for each in policy or experiment.POLICIES:
+            for repeat in range(scenario.repeats):
+                reports.append(run_one(scenario, each, repeat))
+    _print(report_module.lines(reports))
+    typer.echo(f"written: {report_module.write(reports, folder, name)}")
+
+
+def run_one(scenario: scenario_module.Scenario, policy: str, repeat: int) -> dict[str, typing.Any]:
+    """Run one scenario once, with progress on standard error."""
+    if policy not in experiment.POLICIES:
+        typer.echo(f"unknown policy {policy}", err=True)
+        raise typer.Exit(2)
+    try:
+        return asyncio.run(
+            experiment.run(scenario, policy, repeat, lambda text: typer.echo(text, err=True))
+        )
+    except fleet_module.FleetError as error:
+        typer.echo(f"{scenario.name}: {error}", err=True)
+        raise typer.Exit(1) from error
+
+
+def _print(rows: list[list[str]]) -> None:
+    table = rich_table.Table(*rows[0])
+    for row in rows[1:]:
+        table.add_row(*row)
+    rich_console.Console(width=200, highlight=False).print(table)
+
+
+@application.command()
+def compare(
+    ours: typing.Annotated[pathlib.Path, typer.Argument(help="Report A, the JSON file.")],
+    theirs: typing.Annotated[pathlib.Path, typer.Argument(help="Report B, the JSON file.")],
+) -> None:
+    """Print the ratios of two reports, with their spread over repeats."""
+    try:
+        a, b = report_module.read(ours), report_module.read(theirs)
+    except report_module.ReportError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(2) from error
+    for scenario, policy in sorted({(each["scenario"], each["policy"]) for each in a}):
+        mine = [each for each in a if (each["scenario"], each["policy"]) == (scenario, policy)]
+        other = [each for each in b if (each["scenario"], each["policy"]) == (scenario, policy)]
+        if other:
+            typer.echo(f"{scenario}, {policy}")
+            _print(report_module.ratios(mine, other))
+
+
 def run() -> None:
     """Start the program."""
     application()
--- a/src/turmericlug_lab/standin.py
+++ b/src/turmericlug_lab/standin.py
@@ -11,6 +11,7 @@
 import typer
 
 import turmericlug
+from turmericlug_lab import baseline as baseline_module
 from turmericlug_lab import standin_platform
 from turmericlug_lab import standin_proxy
 from turmericlug_lab import standin_target
@@ -66,6 +67,14 @@
     _run(standin_proxy.serve(host, _specs(specs, standin_proxy.Route), port))
 
 
+@application.command()
+def baseline(
+    spec: typing.Annotated[pathlib.Path, typer.Argument(help="JSON file of one instance.")],
+) -> None:
+    """Run an entry instance of the baseline that experiments compare with."""
+    _run(baseline_module.serve(json.loads(spec.read_text())))
+
+
 def _version(asked: bool) -> None:
     if asked:
         typer.echo(turmericlug.__version__)
