Close the connections of services that moved to another owner; spread callers by weight

Callers all went to the one least loaded instance of their data centre until its next report (e8 289 queries of 753, e3 21). Ruled out: warm connections alone (3 per replica).

--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -27,6 +27,7 @@
 
 _HEALTH_TIMEOUT_S = 0.5
 _STANDBY_OWNERS = 2
+_KEEP_UNOWNED_S = 2.0
 
 
 @attrs.frozen(slots=True)
@@ -67,7 +68,8 @@
         self._session = session
         self._counters = counters
         self._rng = random.Random(settings.instance.name)
-        self._stack = contextlib.AsyncExitStack()
+        self._stacks: dict[str, contextlib.AsyncExitStack] = {}
+        self._idle_since_s: dict[str, float] = {}
         self._opening: dict[str, asyncio.Task[service_queue.ServiceQueue]] = {}
         self._generations: dict[str, int] = {}
         self._known_leaving: set[str] = set()
@@ -163,9 +165,8 @@
         limits = self._config.catalog.services.get(service)
         connections = limits.connections if limits else 2
         # Under split views two instances own a service; each keeps to half the connections.
-        client = await self._stack.enter_async_context(
-            target.connected(connections // 2, self._counters)
-        )
+        stack = contextlib.AsyncExitStack()
+        client = await stack.enter_async_context(target.connected(connections // 2, self._counters))
         policy = self._settings.policy
         queue = service_queue.ServiceQueue(
             service,
@@ -180,8 +181,10 @@
         )
         queue.on_leaving = lambda instance: self._tell_leaving(service, instance)
         await self._refresh(service, queue, client)
+        await stack.enter_async_context(tasks.background(self._follow(service, queue, client)))
+        stack.push_async_callback(queue.close)
+        self._stacks[service] = stack
         self.queues[service] = queue
-        self._tasks.start(self._follow(service, queue, client))
         return queue
 
     async def _follow(
@@ -300,8 +303,33 @@
         """Open the queues of the services that this instance owns before they are needed."""
         while True:
             await self.open_owned()
+            await self._close_unowned()
             await asyncio.sleep(0.5)
 
+    async def _close_unowned(self) -> None:
+        """
+        Give up the connections of services that moved to another owner.
+
+        Kept open, those of every instance that once owned a service would add up beyond what its
+        replicas accept, and the present owner's would be refused.
+        """
+        now_s = time.monotonic()
+        for service, queue in list(self.queues.items()):
+            ranking = self.ranking(service)
+            owned = bool(ranking) and ranking[0].instance == self._mesh.members.own.instance
+            if owned or queue.queued() or queue.in_flight():
+                self._idle_since_s.pop(service, None)
+            elif now_s - self._idle_since_s.setdefault(service, now_s) > _KEEP_UNOWNED_S:
+                await self._close(service)
+
+    async def _close(self, service: str) -> None:
+        self._idle_since_s.pop(service, None)
+        self._opening.pop(service, None)
+        queue = self.queues.pop(service)
+        for instance in queue.replicas:
+            self._generations.pop(instance, None)
+        await self._stacks.pop(service).aclose()
+
     async def open_owned(self) -> None:
         """Open, and so warm, what we own now."""
         own = self._mesh.members.own.instance
@@ -331,9 +359,8 @@
     async def close(self) -> None:
         """End what runs and close the connections to targets."""
         await self._tasks.close()
-        for queue in self.queues.values():
-            await queue.close()
-        await self._stack.aclose()
+        for service in list(self.queues):
+            await self._close(service)
 
 
 def _fill_replies(
--- a/src/turmericlug/query/callers_http.py
+++ b/src/turmericlug/query/callers_http.py
@@ -211,7 +211,17 @@
     def _entries(self) -> list[members_module.Member]:
         """Rank the entries by load, leaving and suspected ones left out."""
         alive = [each for each in self._members.serving() if each.state == members_module.ALIVE]
-        return sorted(alive, key=lambda each: (each.load_permille // 100, self._rng.random()))
+        return sorted(alive, key=self._draw, reverse=True)
+
+    def _draw(self, member: members_module.Member) -> float:
+        """
+        Draw a place in a weighted shuffle: the less load, the likelier to come first.
+
+        A plain sort by load sends every caller to the one least loaded instance until its next
+        report; drawn by weight, callers spread and still avoid the loaded ones.
+        """
+        weight = 1000 / (250 + member.load_permille)
+        return self._rng.random() ** (1 / weight)
 
     async def _addresses(self, request: web.Request) -> web.Response:
         centre = request.query.get("data_centre", "")
