--- a/src/turmericlug/daemon.py
+++ b/src/turmericlug/daemon.py
@@ -37,7 +37,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_RUNTIME = 3
-_LOAD_PERIOD_S = 0.25
+_STATE_PERIOD_S = 0.1
 _JOIN_WAIT_S = 2.0
 _FINISH_LIMIT_S = 60.0
 
@@ -83,6 +83,7 @@
         peers_port=own.advertised_peers_port or own.peers_port,
         callers_port=own.callers_port,
         data_centre=own.data_centre,
+        ready=False,
     )
 
 
@@ -147,18 +148,29 @@
         kernel.find("session"),
         kernel.find("counters"),
     )
-    async with tasks.background(owner.run(), _tell_load(kernel, owner)):
+    async with tasks.background(owner.run(), _tell_state(kernel, owner)):
         try:
             yield owner
         finally:
             await owner.close()
 
 
-async def _tell_load(kernel: Kernel, owner: owner_module.Owner) -> None:
+async def _tell_state(kernel: Kernel, owner: owner_module.Owner) -> None:
+    """Tell peers our load, and whether callers and parts may come: not before we have the rules."""
     members = kernel.find("mesh").members
+    freshness = kernel.find("configuration").freshness
     while True:
-        await asyncio.sleep(_LOAD_PERIOD_S)
+        await asyncio.sleep(_STATE_PERIOD_S)
         members.set_own_load(owner.load_permille())
+        current = freshness.is_current()
+        if current and not members.own.ready:
+            await owner.open_owned(joining=True)
+            members.announce(ready=True)
+            events.emit("instance.ready")
+        elif members.own.ready and not current:
+            members.announce(ready=False)
+            kernel.find("counters").add("membership.stepped_aside")
+            events.emit("instance.stepped_aside", "warning")
 
 
 @contextlib.asynccontextmanager
@@ -268,7 +280,6 @@
                     "repository", repository_module.Repository(kernel.find("store"), prefix)
                 )
         await kernel.find("detector").join(_JOIN_WAIT_S)
-        await kernel.find("owner").open_owned()
         events.emit("instance.started", callers_port=settings.instance.callers_port)
         await stop.wait()
         await _leave(kernel)
--- a/src/turmericlug/membership/members.py
+++ b/src/turmericlug/membership/members.py
@@ -27,11 +27,13 @@
     callers_port: int
     data_centre: str
     load_permille: int = 0
+    ready: bool = True
+    """Whether it has the newest configuration: one without rules must get no caller."""
 
     @property
     def serving(self) -> bool:
         """Whether it takes new work."""
-        return self.state in (ALIVE, SUSPECT)
+        return self.ready and self.state in (ALIVE, SUSPECT)
 
 
 class Members:
@@ -166,6 +168,7 @@
             "callersPort": member.callers_port,
             "dataCentre": member.data_centre,
             "loadPermille": member.load_permille,
+            "ready": member.ready,
         }
         for member in members
     ]
@@ -192,6 +195,7 @@
                 item.callersPort,
                 item.dataCentre,
                 item.loadPermille,
+                item.ready,
             )
         )
     return found
--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -75,13 +75,15 @@
         self._known_leaving: set[str] = set()
         self._tasks = tasks.Tasks()
 
-    def ranking(self, service: str) -> list[members_module.Member]:
+    def ranking(
+        self, service: str, joining: tuple[members_module.Member, ...] = ()
+    ) -> list[members_module.Member]:
         """Rank the instances that may own a service, the owner first."""
         # The data centre comes from the catalogue, never from the instance list as this instance
         # happens to see it: instances would rank differently, and each have another owner.
         limits = self._config.catalog.services.get(service)
         centre = limits.data_centre if limits else ""
-        return members_module.owners(service, centre, self._mesh.members.serving())
+        return members_module.owners(service, centre, [*self._mesh.members.serving(), *joining])
 
     def submit(self, parts_in: PartsIn, on_replies: OnReplies) -> abc.Callable[[], None]:
         """
@@ -330,13 +332,17 @@
             self._generations.pop(instance, None)
         await self._stacks.pop(service).aclose()
 
-    async def open_owned(self) -> None:
-        """Open, and so warm, what we own now."""
-        own = self._mesh.members.own.instance
+    async def open_owned(self, joining: bool = False) -> None:
+        """
+        Open, and so warm, what we own now.
+
+        :param joining: rank as if we were ready already, to be warm before the first part comes
+        """
+        own = self._mesh.members.own
         missing = []
         for service in self._config.catalog.services:
-            ranking = self.ranking(service)
-            if service not in self._opening and ranking and ranking[0].instance == own:
+            ranking = self.ranking(service, (own,) if joining else ())
+            if service not in self._opening and ranking and ranking[0].instance == own.instance:
                 missing.append(self._queue(service))
         await asyncio.gather(*missing)
 
--- a/src/turmericlug/owner/service_queue.py
+++ b/src/turmericlug/owner/service_queue.py
@@ -98,8 +98,17 @@
 
     def slots(self) -> float:
         """Return the parts that all usable replicas take together."""
-        now_s = time.monotonic()
-        return sum(each.limit for each in self.replicas.values() if each.usable(now_s))
+        return sum(each.limit for each in self._usable(time.monotonic()))
+
+    def _usable(self, now_s: float) -> list[replica_module.Replica]:
+        """
+        Return the replicas that may get work.
+
+        When all that do not leave are ejected, they are all tried again: setting aside the last
+        replica would turn its trouble into certain loss, and nothing would wake the queue.
+        """
+        staying = [each for each in self.replicas.values() if not each.leaving]
+        return [each for each in staying if each.usable(now_s)] or staying
 
     def in_flight(self) -> int:
         """Return the attempts under way."""
@@ -221,12 +230,9 @@
         """Choose a replica with a free slot that this part was not sent to yet."""
         return policy.choose(
             each
-            for each in self.replicas.values()
-            if each.usable(now_s)
-            and (
-                part is None
-                or (each.instance not in part.tried and not each.lacks(part.snapshot, now_s))
-            )
+            for each in self._usable(now_s)
+            if part is None
+            or (each.instance not in part.tried and not each.lacks(part.snapshot, now_s))
         )
 
     def _repeat_choice(self, now_s: float, part: Part) -> replica_module.Replica | None:
@@ -234,9 +240,7 @@
         if not part.tried or part.running:
             return None
         return policy.choose(
-            each
-            for each in self.replicas.values()
-            if each.usable(now_s) and not each.lacks(part.snapshot, now_s)
+            each for each in self._usable(now_s) if not each.lacks(part.snapshot, now_s)
         )
 
     def _without_replica(self, part: Part, now_s: float) -> None:
--- a/src/turmericlug/query/callers_http.py
+++ b/src/turmericlug/query/callers_http.py
@@ -245,7 +245,7 @@
     async def _ready(self, request: web.Request) -> web.Response:
         current = self._config.freshness.is_current()
         leaving = self._members.own.state == members_module.LEAVING
-        ready = current and not leaving
+        ready = current and self._members.own.ready and not leaving
         text = {"ready": ready, "current": current, "leaving": leaving}
         return web.json_response(text, status=200 if ready else 503)
 
--- a/src/turmericlug/query/fan_out.py
+++ b/src/turmericlug/query/fan_out.py
@@ -19,7 +19,8 @@
 
 _MOVE_ON = ("owner_leaving", "resumed_after_gap", "no_replica")
 """Refusals that speak of the owner, not of the service: the next owner may do better."""
-MOST_RANKS = 3
+MOST_SENDS = 6
+_SEND_AGAIN_S = 0.025
 ABSENT = "snapshot_absent"
 
 
@@ -46,7 +47,8 @@
 class _Part:
     service: str
     shard: str
-    rank: int = 0
+    tried: set[str] = attrs.field(factory=set)
+    sends: int = 0
     answered: bytes | None = None
     reason: str = ""
     holders: int = 0
@@ -76,6 +78,7 @@
         self._open = set(range(len(self._parts)))
         self._cancels: list[abc.Callable[[], None]] = []
         self._changed = asyncio.Event()
+        self._stopped = False
         self.come_back_ms = 0
 
     def start(self) -> None:
@@ -85,12 +88,13 @@
     def _send(self, numbers: list[int]) -> None:
         by_owner: dict[str, list[int]] = {}
         for number in numbers:
-            part = self._parts[number]
-            ranking = self._owner.ranking(part.service)
-            if part.rank >= min(len(ranking), MOST_RANKS):
-                self._close(number, part.reason or "no_owner")
-                continue
-            by_owner.setdefault(ranking[part.rank].instance, []).append(number)
+            owner = self._next_owner(self._parts[number])
+            if owner is not None:
+                by_owner.setdefault(owner, []).append(number)
+            elif self._parts[number].sends < MOST_SENDS:
+                asyncio.get_running_loop().call_later(_SEND_AGAIN_S, self._send_again, number)
+            else:
+                self._close(number, self._parts[number].reason or "no_owner")
         for instance, theirs in by_owner.items():
             if instance == self._mesh.members.own.instance:
                 self._send_own(theirs)
@@ -98,6 +102,29 @@
                 self._send_peer(instance, theirs)
         self._changed.set()
 
+    def _next_owner(self, part: _Part) -> str | None:
+        """
+        Return the first in rank that has not had this part.
+
+        Told apart by name, not by place: the ranking itself changes when an instance leaves, and
+        a place counted in the old one would skip the new owner.
+        """
+        if part.sends >= MOST_SENDS:
+            return None
+        for member in self._owner.ranking(part.service):
+            if member.instance not in part.tried:
+                part.tried.add(member.instance)
+                part.sends += 1
+                return member.instance
+        return None
+
+    def _send_again(self, number: int) -> None:
+        """Begin with the first owner again, as when links are being made anew."""
+        if number in self._open and not self._stopped:
+            self._parts[number].tried.clear()
+            self._parts[number].sends += 1
+            self._send([number])
+
     def _send_own(self, numbers: list[int]) -> None:
         for number in numbers:
             self._parts[number].holders += 1
@@ -180,7 +207,6 @@
 
     def _move_on(self, numbers: list[int], reason: str) -> None:
         for number in numbers:
-            self._parts[number].rank += 1
             self._parts[number].reason = reason
         self._send(numbers)
 
@@ -279,6 +305,7 @@
 
     def stop(self) -> None:
         """Cancel what is still open, at the owners and through them at the targets."""
+        self._stopped = True
         for cancel in self._cancels:
             cancel()
 
--- a/src/turmericlug/wire/peer.capnp
+++ b/src/turmericlug/wire/peer.capnp
@@ -51,6 +51,8 @@
   callersPort @5 :UInt16;
   dataCentre @6 :Text;
   loadPermille @7 :UInt16;
+  ready @8 :Bool;
+  # Whether it has the newest configuration, and so serves callers and owns services.
   enum State { alive @0; suspect @1; leaving @2; dead @3; }
 }
 
--- a/src/turmericlug_lab/standin_platform.py
+++ b/src/turmericlug_lab/standin_platform.py
@@ -25,6 +25,8 @@
     lose_answers: int = 0
     """This many writes take effect and their answers are lost."""
     list_lag_ms: float = 0.0
+    rewind: bool = False
+    """Set once: the store goes back to the state before its latest write."""
 
 
 @attrs.frozen
@@ -41,6 +43,7 @@
         self.behaviour = behaviour
         self.calls: collections.Counter[str] = collections.Counter()
         self._entries: dict[bytes, _Entry] = {}
+        self._previous: dict[bytes, _Entry] = {}
         self._revision = 0
         self._watches: set[tuple[bytes, bytes, asyncio.Queue[dict[str, typing.Any]]]] = set()
 
@@ -64,6 +67,9 @@
                 await asyncio.sleep(0.05)
             if self.behaviour.store_down:
                 return web.json_response({"error": "unavailable", "code": 14}, status=503)
+            if self.behaviour.rewind:
+                self.behaviour.rewind = False
+                self._entries = dict(self._previous)
             answer = action(body)
             if kind == "txn" and self.behaviour.lose_answers > 0:
                 self.behaviour.lose_answers -= 1
@@ -88,6 +94,7 @@
             entry = self._entries.get(base64.b64decode(compare["key"]))
             if (entry.mod_revision if entry else 0) != int(compare["mod_revision"]):
                 return {"succeeded": False}
+        self._previous = dict(self._entries)
         self._revision += 1
         for operation in body.get("success", []):
             put = operation["request_put"]
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -37,16 +37,42 @@
     return run
 
 
+class Caller:
+    """Keeps an entry address for its lifetime, as callers do."""
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.name = list(fleet.daemons)[number % len(fleet.daemons)]
+        self.until_s = 0.0
+
+    async def entry(self):
+        if time.monotonic() >= self.until_s:
+            daemon = self.fleet.daemons[self.name]
+            url = f"http://{daemon.host}:{daemon.callers_port}/v1/addresses"
+            asked_at_s = time.monotonic()
+            async with self.fleet.http.get(url) as response:
+                plain = await response.json()
+            self.name = plain["addresses"][0]["instance"]
+            self.until_s = asked_at_s + plain["lifetime_ms"] / 1000
+        return self.name
+
+
 @contextlib.asynccontextmanager
-async def traffic(fleet, answers, clients=4, through=None, **fields):
-    """Keep clients asking for the length of the block; each answer goes to ``answers``."""
+async def traffic(fleet, answers, clients=4, through=None, moving=False, **fields):
+    """
+    Keep clients asking for the length of the block; each answer goes to ``answers``.
+
+    :param through: the daemons to ask in turn; all if not given
+    :param moving: ask for an entry address and keep it for its lifetime instead
+    """
     stop = asyncio.Event()
     names = through or list(fleet.daemons)
 
     async def client(number):
         count = 0
+        caller = Caller(fleet, number)
         while not stop.is_set():
-            name = names[(number + count) % len(names)]
+            name = await caller.entry() if moving else names[(number + count) % len(names)]
             count += 1
             mark = f"{number}.{count}"
             status, answer = await fleet.query(
--- /dev/null
+++ b/tests/integration/test_bad_input.py
@@ -0,0 +1,186 @@
+"""Bad input on every open port; the daemon goes on serving."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import random
+import resource
+
+import pytest
+from integration import conftest
+
+from turmericlug.wire import codec
+from turmericlug_lab import fleet as fleet_module
+
+CASES = [
+    ({}, "malformed"),
+    ({"service": "nowhere"}, "unknown_service"),
+    ({"service": "devis", "deadline_ms": 0}, "deadline_passed"),
+    ({"service": "devis", "deadline_ms": -5}, "deadline_passed"),
+    ({"service": "devis", "deadline_ms": 10**7}, "deadline_too_long"),
+    ({"service": "devis", "deadline_ms": "soon"}, "malformed"),
+    ({"service": "devis", "priority": 11}, "malformed"),
+    ({"service": "devis", "caller": "a b"}, "caller_missing"),
+    ({"service": "devis", "surprise": 1}, "malformed"),
+    ({"service": "billing", "repeatable": False}, "idempotency_key_missing"),
+    ({"service": "billing", "idempotency_key": "no-time"}, "idempotency_key_malformed"),
+    ({"service": "billing", "idempotency_key": "1000000000-old"}, "idempotency_key_too_old"),
+    ({"service": "billing", "idempotency_key": "9999999999-x"}, "idempotency_key_from_the_future"),
+    ({"service": "devis", "idempotency_key": "now"}, "several_shards"),
+    ({"service": "devis", "body": {"x": "y" * 70000}}, "too_large"),
+]
+
+
+def test_callers_port(play):
+    """Each bad request gets a 4xx with its reason, and nothing runs."""
+
+    async def scenario(fleet):
+        for fields, reason in CASES:
+            if fields.get("idempotency_key") == "now":
+                fields = fields | {"idempotency_key": conftest.key("now")}
+            status, answer = await fleet.query("e1", **fields)
+            assert 400 <= status < 500, (fields, status)
+            assert (answer["outcome"], answer["reason"]) == ("rejected", reason), fields
+        daemon = fleet.daemons["e1"]
+        url = f"http://{daemon.host}:{daemon.callers_port}/v1/query"
+        for raw in (b"", b"{", b"[]", b"\xff\xfe", b"[" * 5000):
+            async with fleet.http.post(url, data=raw) as response:
+                assert response.status == 400
+        assert not conftest.runs(fleet)
+
+    play(scenario)
+
+
+def test_operators_port(play):
+    """Without the token nothing is done; each bad edit is rejected with line and reason."""
+    cases = [
+        ({"operation": "add", "text": "[rule a]\nthen_wrong = 1\n"}, "line 2: then_wrong"),
+        ({"operation": "add", "text": "[rule a]\nwhen_x = 1\nthen_hedge = no"}, "line 2: when_x"),
+        ({"operation": "add", "text": "[rule a]\nthen_deadline_ms = 0\n"}, "line 2: then_deadline"),
+        ({"operation": "add", "text": "nonsense"}, "line 1"),
+        ({"operation": "add", "text": "[rule a]\nwhen_service = x\nthen_hedge = no"}, "line 1: a"),
+        ({"operation": "retire", "name": "none"}, "there is no rule"),
+        ({"operation": "paint"}, "operation must be"),
+        ({"operation": "move", "name": "none"}, "there is no rule"),
+    ]
+
+    async def scenario(fleet):
+        for plain, problem in cases:
+            status, answer = await fleet.operate("e1", "POST", "/v1/rules/edit", plain)
+            assert 400 <= status < 500
+            assert answer["problems"][0].startswith(problem), answer
+        text = "[rule all]\nthen_hedge = no\n"
+        await fleet.operate("e1", "POST", "/v1/rules/edit", {"operation": "add", "text": text})
+        hidden = "# why\n[rule hidden]\nwhen_caller = x\nthen_hedge = no\n"
+        plain = {"operation": "add", "text": hidden}
+        status, answer = await fleet.operate("e1", "POST", "/v1/rules/edit", plain)
+        assert answer["problems"] == [
+            "line 2: hidden: can never match, all before it takes all of it"
+        ]
+        daemon = fleet.daemons["e1"]
+        url = f"http://{daemon.host}:{daemon.operators_port}/v1/drain"
+        async with fleet.http.post(url, headers={"Authorization": "Bearer wrong"}) as response:
+            assert response.status == 401
+        assert (await fleet.operate("e1", "GET", "/v1/rules"))[1]["revision"] == 2
+
+    play(scenario)
+
+
+def frames(rng):
+    """Make hostile byte strings: random, truncated, oversized, another protocol."""
+    hello = codec.envelope(0)
+    codec.fill(hello, "hello", protocol=99, proof=b"x" * 32, instance="spy")
+    wrong = codec.envelope(0)
+    codec.fill(wrong, "hello", protocol=1, proof=b"x" * 32, instance="spy")
+    ping = codec.envelope(5)
+    ping.init("ping")
+    intruder = codec.encode(wrong)
+    return [
+        b"",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\xff\xff\xff\xff",
+        b"\x08\x00\x00\x00" + b"\0" * 8,
+        codec.encode(hello),
+        intruder,
+        intruder[:-5],
+        codec.encode(ping),
+        *(rng.randbytes(rng.randrange(1, 4000)) for _ in range(60)),
+    ]
+
+
+def resident_bytes(pid):
+    pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * resource.getpagesize()
+
+
+@pytest.mark.parametrize("port", ["peers_port", "callers_port", "operators_port"])
+def test_random_bytes(play, port):
+    """
+    Someone scans the ports: random bytes, half frames, huge lengths, a peer with the wrong
+    cluster key or another version. Each connection ends, the log says why, callers notice nothing
+    and memory stays bounded.
+    """
+
+    async def scenario(fleet):
+        daemon = fleet.daemons["e2"]
+        rng = random.Random(7)
+        for data in frames(rng):
+            reader, writer = await asyncio.open_connection(daemon.host, getattr(daemon, port))
+            writer.write(data)
+            writer.write_eof()
+            try:
+                async with asyncio.timeout(5):
+                    await reader.read()
+            except ConnectionError:
+                pass
+            writer.transport.abort()
+        status, answer = await fleet.query("e2", service="devis", body={"mark": "1"})
+        assert (status, answer["outcome"]) == (200, "complete")
+        if port == "peers_port":
+            reasons = {each.get("reason") for each in fleet.log("e2")}
+            assert {"wrong_key", "wrong_protocol", "malformed"} <= reasons
+        pid = fleet.processes["e2"].pid
+        assert resident_bytes(pid) < 200e6
+
+    play(scenario)
+
+
+def test_replayed_frame_ends_connection(play):
+    """
+    A frame of an accepted peer arrives twice, as through a faulty middlebox. Run twice it would
+    double the work; the connection ends instead, and queries go on over the next one.
+    """
+
+    async def scenario(fleet):
+        answers = []
+        async with conftest.traffic(fleet, answers, clients=4, deadline_ms=1500):
+            await fleet.control("proxy/peers-e2", duplicate=True)
+            await asyncio.sleep(1)
+            await fleet.control("proxy/peers-e2", duplicate=False)
+            await asyncio.sleep(0.5)
+        conftest.check_honest(fleet, answers)
+        _, status = await fleet.operate("e2", "GET", "/v1/status")
+        assert status["instances"][0]["counters"].get("peer.rejected.bad_frame", 0) > 0
+        for mark in {mark for mark, _, _ in answers}:
+            ran = conftest.runs(fleet, f'{{"mark":"{mark}"}}')
+            attempts = [line["attempt"] for line in ran]
+            assert len(set(attempts)) == len(attempts)
+
+    play(scenario, proxied=True)
+
+
+def test_settings_are_checked_as_a_whole(tmp_path):
+    """Every error of a settings file is told in one report, and the exit code is 2."""
+    import subprocess
+    import sys
+
+    path = tmp_path / "bad.ini"
+    path.write_text("[instance]\nname = a\nport = 1\n[limits]\nmax_body_bytes = huge\n[odd]\n")
+    command = [sys.executable, "-P", "-c", fleet_module._LAUNCHER["daemon"], str(path)]
+    done = subprocess.run([*command, "--check-settings"], capture_output=True, text=True)
+    assert done.returncode == 2
+    for problem in ("[odd]: unknown section", "port: unknown key", "max_body_bytes: 'huge'"):
+        assert problem in done.stderr
+    assert json.dumps(done.stderr).count("missing") >= 6
--- /dev/null
+++ b/tests/membership/test_members.py
@@ -0,0 +1,103 @@
+from __future__ import annotations
+
+import collections
+
+import attrs
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from turmericlug.membership import members
+
+
+def member(name, state=members.ALIVE, incarnation=1, centre="dc"):
+    return members.Member(name, state, incarnation, "127.0.0.1", 1, 2, centre)
+
+
+@pytest.mark.parametrize(
+    ("known", "told", "state"),
+    [
+        (("alive", 1), ("suspect", 1), "suspect"),
+        (("suspect", 1), ("alive", 1), "suspect"),
+        (("suspect", 1), ("alive", 2), "alive"),
+        (("dead", 1), ("suspect", 1), "dead"),
+        (("dead", 1), ("alive", 2), "alive"),
+        (("leaving", 1), ("suspect", 1), "leaving"),
+        (("alive", 3), ("dead", 2), "alive"),
+    ],
+)
+def test_merge(known, told, state):
+    view = members.Members(member("me"))
+    view.learn(member("peer", *known))
+    view.learn(member("peer", *told))
+    assert view.by_instance["peer"].state == state
+
+
+@pytest.mark.parametrize("state", [members.SUSPECT, members.DEAD])
+def test_own_death_is_refuted(state):
+    view = members.Members(member("me"))
+    view.learn(member("me", state, 5))
+    assert (view.own.state, view.own.incarnation) == (members.ALIVE, 6)
+    assert view.take_news()[0] == view.own
+
+
+def test_leaving_is_not_refuted_into_staying():
+    view = members.Members(member("me"))
+    view.announce(state=members.LEAVING)
+    view.learn(member("me", members.DEAD, view.own.incarnation))
+    assert view.own.state == members.LEAVING
+
+
+def test_news_are_told_a_bounded_number_of_times():
+    view = members.Members(member("me"))
+    view.learn(member("peer"))
+    told = sum(len(view.take_news()) > 1 for _ in range(100))
+    assert 3 <= told <= 15
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["alive", "suspect", "leaving", "dead"]),
+            strategies.integers(1, 4),
+        ),
+        min_size=1,
+    ),
+    strategies.randoms(use_true_random=False),
+)
+@hypothesis.settings(derandomize=True)
+def test_views_converge_in_any_order(beliefs, rng):
+    ends = set()
+    for _ in range(3):
+        view = members.Members(member("me"))
+        rng.shuffle(beliefs)
+        for belief in beliefs:
+            view.learn(member("peer", *belief))
+        ends.add(view.by_instance["peer"])
+    assert len(ends) == 1
+
+
+def test_losing_one_owner_moves_only_its_services():
+    everyone = [member(f"e{number}") for number in range(9)]
+    services = [f"s{number}" for number in range(900)]
+    before = {name: members.owners(name, "", everyone)[0].instance for name in services}
+    after = {name: members.owners(name, "", everyone[1:])[0].instance for name in services}
+    assert all(after[name] == before[name] for name in services if before[name] != "e0")
+    counts = collections.Counter(before.values())
+    assert min(counts.values()) > 60 and max(counts.values()) < 150
+
+
+def test_owner_is_in_the_replicas_data_centre():
+    everyone = [member("a", centre="x"), member("b", centre="y")]
+    assert members.owners("s", "y", everyone)[0].instance == "b"
+    assert len(members.owners("s", "y", everyone)) == 2
+
+
+def test_wire_round_trip():
+    from turmericlug.wire import codec
+
+    everyone = [attrs.evolve(member("a", "leaving", 7), load_permille=300), member("b")]
+    envelope = codec.envelope(1)
+    codec.fill(envelope, "probeReply", news=members.to_wire(everyone))
+    found = codec.decode(codec.encode(envelope)[4:])
+    assert members.from_wire(found.probeReply.news) == everyone
--- /dev/null
+++ b/tests/records/test_ledger.py
@@ -0,0 +1,183 @@
+"""One bucket of records: verdicts, and a state machine of writers, outages and lost answers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import fake_store
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies
+
+from turmericlug.records import ledger
+from turmericlug.telemetry import counters as counters_module
+
+NOW_S = int(time.time())
+
+
+def operation(kind, attempt="a1", key="k", fingerprint="f", outcome="", at_s=NOW_S):
+    return ledger.Operation(kind, key, attempt, fingerprint, at_s, outcome)
+
+
+CLAIMED = ledger.Entry("a1", "f", NOW_S)
+SETTLED = ledger.Entry("a1", "f", NOW_S, "done")
+RELEASED = ledger.Entry("a1", "f", NOW_S, released=True)
+
+
+@pytest.mark.parametrize(
+    ("entry", "wanted", "verdict"),
+    [
+        (None, operation("claim"), "granted"),
+        (CLAIMED, operation("claim"), "granted"),
+        (CLAIMED, operation("claim", "a2"), "open"),
+        (CLAIMED, operation("claim", "a2", fingerprint="g"), "mismatch"),
+        (SETTLED, operation("claim", "a2"), "settled"),
+        (RELEASED, operation("claim", "a2"), "granted"),
+        (RELEASED, operation("claim", "a1"), "unavailable"),
+        (None, operation("settle"), "mismatch"),
+        (CLAIMED, operation("settle", outcome="done"), "granted"),
+        (CLAIMED, operation("settle", "a2", outcome="done"), "mismatch"),
+        (RELEASED, operation("settle", outcome="done"), "mismatch"),
+        (CLAIMED, operation("release"), "granted"),
+        (CLAIMED, operation("release", "a2"), "mismatch"),
+        (None, operation("release"), "granted"),
+    ],
+)
+def test_judge(entry, wanted, verdict):
+    assert ledger.judge(entry, wanted)[0].outcome == verdict
+
+
+def test_late_claim_of_a_released_attempt_does_not_revive_it():
+    """A release overtakes its claim; the caller heard "not run", so the claim must fail."""
+    _, entry = ledger.judge(None, operation("release"))
+    verdict, changed = ledger.judge(entry, operation("claim"))
+    assert (verdict.outcome, changed) == ("unavailable", None)
+
+
+def bucket(store):
+    return ledger.Bucket(store, "r/0/", 3600, 0, counters_module.Counters())
+
+
+async def ask(writer, wanted, limit_s=0.3):
+    task = asyncio.create_task(writer.run())
+    try:
+        async with asyncio.timeout(limit_s):
+            return await writer.ask(wanted)
+    except TimeoutError:
+        return ledger.unavailable("store")
+    finally:
+        task.cancel()
+
+
+def test_one_write_carries_many_records():
+    async def main():
+        store = fake_store.FakeStore()
+        writer = bucket(store)
+        asked = [writer.ask(operation("claim", f"a{n}", f"k{n}")) for n in range(100)]
+        tasks = [asyncio.create_task(each) for each in asked]
+        await asyncio.sleep(0)
+        running = asyncio.create_task(writer.run())
+        verdicts = await asyncio.gather(*tasks)
+        running.cancel()
+        assert {verdict.outcome for verdict in verdicts} == {"granted"}
+        return store.swaps
+
+    assert asyncio.run(main()) == 1
+
+
+def test_compaction_keeps_what_counts():
+    async def main():
+        store = fake_store.FakeStore()
+        writer = bucket(store)
+        for number in range(80):
+            await ask(writer, operation("claim", f"a{number}", f"k{number}"))
+        await ask(writer, operation("settle", "a3", "k3", outcome="done"))
+        old = operation("claim", "old", "old", at_s=NOW_S - 3000)
+        await ask(writer, old)
+        assert len(store.values) < 60
+        fresh = bucket(store)
+        for number in range(80):
+            verdict = await ask(fresh, operation("claim", "other", f"k{number}"))
+            assert verdict.outcome == ("settled" if number == 3 else "open")
+        expired = await ask(fresh, operation("claim", "x", "x", at_s=NOW_S - 4000))
+        assert expired.outcome == "expired"
+
+    asyncio.run(main())
+
+
+class Writers(stateful.RuleBasedStateMachine):
+    """
+    Three writers believe to own the same bucket; writes are lost, late or dropped, the store has
+    outages, writers are paused (their memory is old) and restarted. An attempt that was granted
+    would run: no key may ever be granted to two attempts that were not released.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.store = fake_store.FakeStore()
+        self.writers = [bucket(self.store) for _ in range(3)]
+        self.ran = {}
+        self.outcomes = {}
+        self.count = 0
+
+    def play(self, writer, wanted):
+        return asyncio.run(ask(self.fresh_loop(writer), wanted, 0.08))
+
+    def fresh_loop(self, writer):
+        self.writers[writer]._wake = asyncio.Event()
+        self.writers[writer]._waiting.clear()
+        return self.writers[writer]
+
+    @stateful.rule(writer=strategies.integers(0, 2), key=strategies.sampled_from("xyz"))
+    def claim_and_run(self, writer, key):
+        self.count += 1
+        attempt = f"a{self.count}"
+        verdict = self.play(writer, operation("claim", attempt, key))
+        if verdict.outcome == "granted":
+            assert key not in self.ran, f"{key} runs twice"
+            self.ran[key] = attempt
+        if verdict.outcome == "settled":
+            assert verdict.detail == self.outcomes[key]
+
+    @stateful.rule(writer=strategies.integers(0, 2), key=strategies.sampled_from("xyz"))
+    def settle(self, writer, key):
+        if key in self.ran:
+            wanted = operation("settle", self.ran[key], key, outcome=f"done-{key}")
+            self.outcomes[key] = wanted.outcome
+            self.play(writer, wanted)
+
+    @stateful.rule(writer=strategies.integers(0, 2), key=strategies.sampled_from("xyz"))
+    def claim_unconfirmed_then_release(self, writer, key):
+        self.count += 1
+        attempt = f"a{self.count}"
+        self.store.plan[:0] = ["lost"]
+        verdict = self.play(writer, operation("claim", attempt, key))
+        if verdict.outcome == "granted":
+            self.ran.setdefault(key, attempt)
+            assert self.ran[key] == attempt
+        elif verdict.outcome == "unavailable":
+            self.play((writer + 1) % 3, operation("release", attempt, key))
+
+    @stateful.rule(fates=strategies.lists(strategies.sampled_from(["lost", "late", "dropped"])))
+    def trouble(self, fates):
+        self.store.plan = fates[:3]
+
+    @stateful.rule()
+    def late_writes_arrive(self):
+        self.store.deliver()
+
+    @stateful.rule(down=strategies.booleans())
+    def outage(self, down):
+        self.store.down = down
+
+    @stateful.rule(writer=strategies.integers(0, 2))
+    def restart(self, writer):
+        self.writers[writer] = bucket(self.store)
+
+
+TestWriters = Writers.TestCase
+TestWriters.settings = hypothesis.settings(
+    max_examples=40, stateful_step_count=15, deadline=None, derandomize=True
+)
--- /dev/null
+++ b/tests/rules/test_edits.py
@@ -0,0 +1,97 @@
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from turmericlug.rules import edits
+from turmericlug.rules import model
+
+NUMBERS = itertools.count()
+
+
+def rule(name, refuse=""):
+    return model.Rule(name, {"caller": (name,)}, model.Treatment(rule=name, refuse=refuse))
+
+
+def document(*names):
+    found = model.Document(0, (), ())
+    for name in names:
+        found = applied(found, "add", name)
+    return found
+
+
+def change(operation, name, **fields):
+    fields = {"edit": f"{operation}-{name}-{next(NUMBERS)}", "operator": "ann", "base": 0} | fields
+    if operation in ("add", "replace"):
+        fields.setdefault("rule", rule(name))
+    return edits.Change(operation=operation, name=name, **fields)
+
+
+def applied(start, operation, name, **fields):
+    outcome = edits.apply(start, change(operation, name, **fields), 1)
+    assert isinstance(outcome, edits.Applied), outcome
+    return outcome.document
+
+
+@pytest.mark.parametrize(
+    ("operation", "name", "fields", "names"),
+    [
+        ("add", "d", {}, "abcd"),
+        ("add", "d", {"before": "a"}, "dabc"),
+        ("add", "d", {"after": "a"}, "adbc"),
+        ("move", "c", {"before": "a"}, "cab"),
+        ("move", "a", {"after": "c"}, "bca"),
+        ("retire", "b", {}, "ac"),
+        ("replace", "b", {}, "abc"),
+    ],
+)
+def test_order(operation, name, fields, names):
+    before = document("a", "b", "c")
+    after = applied(before, operation, name, **fields)
+    assert "".join(each.name for each in after.rules) == names
+    assert after.revision == before.revision + 1
+
+
+@pytest.mark.parametrize(
+    ("operation", "name", "fields"),
+    [
+        ("add", "a", {}),
+        ("add", "d", {"before": "x"}),
+        ("add", "d", {"before": "a", "after": "b"}),
+        ("move", "x", {"before": "a"}),
+        ("move", "a", {}),
+        ("move", "a", {"before": "a"}),
+        ("retire", "x", {}),
+        ("replace", "x", {}),
+        ("paint", "a", {}),
+    ],
+)
+def test_impossible(operation, name, fields):
+    outcome = edits.apply(document("a", "b", "c"), change(operation, name, **fields), 1)
+    assert isinstance(outcome, edits.Impossible)
+
+
+def test_same_edit_twice_takes_effect_once():
+    asked = change("add", "d", edit="e1")
+    first = edits.apply(document("a"), asked, 1).document
+    assert edits.apply(first, asked, 2) == edits.AlreadyStored(first.revision)
+
+
+def test_edits_of_other_rules_rebase_and_of_the_same_conflict():
+    base = document("a", "b")
+    moved_on = applied(base, "replace", "a", rule=rule("a", "x"), operator="bob")
+    other = edits.apply(moved_on, change("retire", "b", base=base.revision), 1)
+    assert isinstance(other, edits.Applied)
+    same = edits.apply(moved_on, change("retire", "a", base=base.revision), 1)
+    assert same == edits.Conflict("bob", "replace", "a", moved_on.revision)
+    anchor = edits.apply(moved_on, change("add", "c", base=base.revision, after="a"), 1)
+    assert isinstance(anchor, edits.Conflict)
+
+
+def test_base_too_old_is_told():
+    found = document("a")
+    for number in range(model.RECENT_EDITS + 2):
+        found = applied(found, "replace", "a", edit=f"e{number}")
+    outcome = edits.apply(found, change("retire", "a", base=1), 1)
+    assert isinstance(outcome, edits.Impossible) and "too old" in outcome.reason
--- /dev/null
+++ b/tests/wire/test_codec.py
@@ -0,0 +1,51 @@
+from __future__ import annotations
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from turmericlug.wire import codec
+
+
+def frame(number):
+    envelope = codec.envelope(number)
+    envelope.fault = "x" * (number % 50)
+    return codec.encode(envelope)
+
+
+@hypothesis.given(strategies.integers(1, 7), strategies.integers(1, 40))
+def test_frames_in_any_pieces(count, size):
+    stream = b"".join(frame(number) for number in range(count))
+    reader, found = codec.FrameReader(), []
+    for start in range(0, len(stream), size):
+        found += [codec.decode(body) for body in reader.feed(stream[start : start + size])]
+    assert [message.requestId for message in found] == list(range(count))
+
+
+@hypothesis.given(strategies.binary(max_size=400))
+@hypothesis.settings(max_examples=400, derandomize=True)
+def test_random_bytes_give_messages_or_frame_errors(data):
+    reader = codec.FrameReader()
+    try:
+        for body in reader.feed(data):
+            codec.decode(body)
+    except codec.FrameError:
+        pass
+
+
+@hypothesis.given(strategies.binary(min_size=8, max_size=200), strategies.integers(0, 30))
+@hypothesis.settings(max_examples=300, derandomize=True)
+def test_damaged_messages(noise, at):
+    body = bytearray(frame(9)[4:])
+    body[at : at + len(noise)] = noise
+    try:
+        message = codec.decode(bytes(body))
+        str(message)
+    except Exception as error:
+        assert isinstance(error, codec.FrameError) or "capnp" in type(error).__module__
+
+
+@pytest.mark.parametrize("length", [0, 7, 12, codec.MAX_FRAME_BYTES + 8, 0xFFFFFFFF])
+def test_impossible_lengths(length):
+    with pytest.raises(codec.FrameError):
+        codec.FrameReader().feed(length.to_bytes(4, "little"))
