--- a/src/turmericlug/config/settings.py
+++ b/src/turmericlug/config/settings.py
@@ -111,7 +111,7 @@
         _whole(200, 60000), 3000, "an instance without news for this long steps aside"
     )
     silence_ms: int = _key(
-        _whole(5, 10000), 60, "silence of an owner with open work before its parts move on"
+        _whole(5, 10000), 150, "silence of an owner with open work before its parts move on"
     )
 
 
--- a/src/turmericlug/daemon.py
+++ b/src/turmericlug/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 import pathlib
 import signal
 import time
@@ -37,6 +38,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_RUNTIME = 3
+_COLLECT_THRESHOLDS = (20_000, 20, 50)
 _STATE_PERIOD_S = 0.1
 _JOIN_WAIT_S = 2.0
 _FINISH_LIMIT_S = 60.0
@@ -308,6 +310,18 @@
     await kernel.find("callers").finish()
 
 
+def _spare_the_collector() -> None:
+    """
+    Keep the cyclic garbage collector from scanning what lives as long as the process.
+
+    A full collection over all loaded modules holds the event loop up for tens of milliseconds,
+    which shows as a tail of the latency and, to peers, as silence.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*_COLLECT_THRESHOLDS)
+
+
 application = typer.Typer(add_completion=True)
 
 
@@ -348,6 +362,7 @@
         return
     events.setup(settings.instance.name)
     try:
+        _spare_the_collector()
         with aiomisc.entrypoint(log_config=False) as loop:
             loop.run_until_complete(serve(settings))
     except OSError as error:
--- a/src/turmericlug/membership/mesh.py
+++ b/src/turmericlug/membership/mesh.py
@@ -67,7 +67,9 @@
             await asyncio.sleep(tick_s)
             # When this process itself was held up, its peers' replies wait unread in the sockets:
             # their silence is our own, and moving their parts would double the work.
-            if time.monotonic() - slept_at_s > 2 * tick_s:
+            lag_s = time.monotonic() - slept_at_s - tick_s
+            self._counters.time_ms("instance.loop_lag_ms", lag_s * 1000)
+            if lag_s > tick_s:
                 for link, _ in self._links.values():
                     link.heard_at_s = time.monotonic()
                 continue
--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -221,7 +221,7 @@
                 replica = self._new_replica(entry, limits.slots if limits else 1)
                 queue.replicas[entry.instance] = replica
                 if not replica.leaving:
-                    warmed.append(client.warm(replica.address, int(replica.ceiling) + 1, 1.0))
+                    warmed.append(client.warm(replica.address, int(replica.ceiling), 1.0))
             if entry.leaving:
                 queue.leave(entry.instance, replica_module.LISTED_DRAIN)
         present = {entry.instance for entry in listed}
--- a/src/turmericlug/owner/policy.py
+++ b/src/turmericlug/owner/policy.py
@@ -16,6 +16,9 @@
 BACKOFF_BASE_MS = 4.0
 BACKOFF_MAX_MS = 100.0
 SLOW_START_LIMIT = 1.0
+REFUSE_NONE = 0.1
+REFUSE_ALL = 0.35
+"""Shares of a query's time that owners' queues may use up before queries are refused."""
 ADDITIVE_STEP = 0.25
 
 
@@ -47,13 +50,15 @@
     Tell which share of new queries to turn away before they start.
 
     A query refused by one of its twenty owners has wasted the work of the other nineteen, so the
-    coordinators refuse whole queries first: none while the queue takes up less than a third of the
-    time at hand, all once it takes up two thirds, and evenly between.
+    coordinators refuse whole queries first: none while the queue takes up less than a tenth of
+    the time at hand, all once it takes up ``REFUSE_ALL``, and evenly between. A longer queue would
+    not keep the slots busier, it would only make every answer late.
     """
     spare_ms = remaining_ms - service_ms
     if spare_ms <= 0:
         return 1.0
-    return min(max(wait_ms / spare_ms * 3 - 1, 0.0), 1.0)
+    used = wait_ms / spare_ms
+    return min(max((used - REFUSE_NONE) / (REFUSE_ALL - REFUSE_NONE), 0.0), 1.0)
 
 
 def backoff_ms(attempt: int, rng: random.Random) -> float:
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -39,6 +39,7 @@
     "owner.ejected": "replicas set aside after errors",
     "owner.mismatched_reply": "target replies that named another attempt",
     "owner.handed_over": "queued parts given back when this instance left",
+    "instance.loop_lag_ms": "timer: how late this process came to its turn: overload of its core",
     "membership.suspected": "peers that missed a probe",
     "membership.died": "peers declared dead",
     "membership.refuted": "times this instance contradicted its own death",
--- a/src/turmericlug_lab/fleet.py
+++ b/src/turmericlug_lab/fleet.py
@@ -127,6 +127,8 @@
             await self.ready(daemon.name)
         if not self.daemons:
             return
+        for daemon in self.daemons.values():
+            await self.sees_all(daemon.name)
         first = next(iter(self.daemons))
         status, answer = await self.operate(first, "PUT", "/v1/catalog", self.catalog())
         if status not in (200, 202):
@@ -310,6 +312,18 @@
         daemon = self.daemons[name]
         await self.answering(f"http://{daemon.host}:{daemon.callers_port}/v1/ready")
 
+    async def sees_all(self, name: str) -> None:
+        """Wait until a daemon names every daemon as an entry."""
+        daemon = self.daemons[name]
+        url = f"http://{daemon.host}:{daemon.callers_port}/v1/addresses"
+        end_s = time.monotonic() + _START_LIMIT_S
+        while time.monotonic() < end_s:
+            async with self.http.get(url) as response:
+                if len((await response.json())["addresses"]) == len(self.daemons):
+                    return
+            await asyncio.sleep(0.03)
+        raise FleetError(f"{name} does not see all others")
+
     async def query(
         self, name: str, headers: dict[str, str] | None = None, **fields: typing.Any
     ) -> tuple[int, dict[str, typing.Any]]:
--- a/src/turmericlug_lab/generator.py
+++ b/src/turmericlug_lab/generator.py
@@ -33,6 +33,7 @@
         self.shards_answered = 0
         self.shards_total = 0
         self.entries: collections.Counter[str] = collections.Counter()
+        self.start_lag = histogram.HdrHistogram(1, floor.HIGHEST_US, 3)
 
     def result(self, duration_s: float) -> dict[str, typing.Any]:
         """Return the numbers of the report."""
@@ -50,6 +51,7 @@
             "outcomes": dict(self.outcomes),
             "reasons": dict(self.reasons),
             "entries": dict(self.entries),
+            "start_lag_ms": floor.read_ms(self.start_lag),
         }
 
 
@@ -137,6 +139,7 @@
         mark = f"{self._load.name}-{self._count}"
         caller = self._callers[self._count % len(self._callers)]
         self.measured.offered += measured
+        self.measured.start_lag.record_value(max(1, int((time.monotonic() - intended_s) * 1e6)))
         for attempt in range(self._load.retries + 1):
             asked_at_s = time.monotonic() if attempt else intended_s
             outcome, answer = await self._ask(caller, mark)
