--- a/src/turmericlug_lab/experiment.py
+++ b/src/turmericlug_lab/experiment.py
@@ -229,11 +229,11 @@
     return {
         "targets": dict(zip(names, reports, strict=True)),
         "store_calls": sum(store.values()),
-        "processes": {name: _usage(each.pid) for name, each in fleet.processes.items()},
+        "processes": {name: usage(each.pid) for name, each in fleet.processes.items()},
     }
 
 
-def _usage(pid: int) -> tuple[float, float]:
+def usage(pid: int) -> tuple[float, float]:
     """Return a process's processor seconds and resident megabytes, 0 when it is gone."""
     try:
         fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
--- a/src/turmericlug_lab/load.py
+++ b/src/turmericlug_lab/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import pathlib
 import typing
 
@@ -16,6 +17,7 @@
 from turmericlug_lab import fleet as fleet_module
 from turmericlug_lab import report as report_module
 from turmericlug_lab import scenario as scenario_module
+from turmericlug_lab import slopes as slopes_module
 
 application = typer.Typer(no_args_is_help=True)
 
@@ -112,6 +114,16 @@
             _print(report_module.ratios(mine, other))
 
 
+@application.command()
+def slopes(
+    file: typing.Annotated[pathlib.Path, typer.Argument(help="JSON file to write.")],
+) -> None:
+    """Measure how each role's cost grows: the inputs of docs/CAPACITY.md."""
+    found = asyncio.run(slopes_module.measure(lambda text: typer.echo(text, err=True)))
+    file.write_text(json.dumps(found, indent=1) + "\n")
+    typer.echo(f"written: {file}")
+
+
 def run() -> None:
     """Start the program."""
     application()
