--- a/src/turmericlug/operators/http.py
+++ b/src/turmericlug/operators/http.py
@@ -220,7 +220,8 @@
 
     async def _status(self, request: web.Request) -> web.Response:
         members = self._detector.members
-        answers = await asyncio.gather(*(self._ask_status(each) for each in members.peers()))
+        peers = [] if "own" in request.query else members.peers()
+        answers = await asyncio.gather(*(self._ask_status(each) for each in peers))
         instances = [self.own_status(), *answers]
         return web.json_response(
             {
@@ -254,6 +255,10 @@
         return {
             "instance": own.instance,
             "state": own.state,
+            "ready": own.ready,
+            "members": {
+                name: each.state for name, each in self._detector.members.by_instance.items()
+            },
             "reached": True,
             "data_centre": own.data_centre,
             "rules_revision": self._config.rules.revision,
--- a/src/turmericlug_lab/fleet.py
+++ b/src/turmericlug_lab/fleet.py
@@ -313,17 +313,20 @@
         await self.answering(f"http://{daemon.host}:{daemon.callers_port}/v1/ready")
 
     async def sees_all(self, name: str) -> None:
-        """Wait until a daemon names every daemon as an entry."""
-        daemon = self.daemons[name]
-        url = f"http://{daemon.host}:{daemon.callers_port}/v1/addresses"
+        """Wait until a daemon holds every daemon for alive."""
         end_s = time.monotonic() + _START_LIMIT_S
         while time.monotonic() < end_s:
-            async with self.http.get(url) as response:
-                if len((await response.json())["addresses"]) == len(self.daemons):
-                    return
+            states = await self.members(name)
+            if sum(state == "alive" for state in states.values()) == len(self.daemons):
+                return
             await asyncio.sleep(0.03)
         raise FleetError(f"{name} does not see all others")
 
+    async def members(self, name: str) -> dict[str, str]:
+        """Return what a daemon believes of each instance."""
+        _, status = await self.operate(name, "GET", "/v1/status?own")
+        return status["instances"][0]["members"]
+
     async def query(
         self, name: str, headers: dict[str, str] | None = None, **fields: typing.Any
     ) -> tuple[int, dict[str, typing.Any]]:
--- a/src/turmericlug_lab/slopes.py
+++ b/src/turmericlug_lab/slopes.py
@@ -107,18 +107,13 @@
 
 
 async def _detect(fleet: fleet_module.Fleet) -> float:
-    """Kill one daemon; return how long until no other names it as an entry."""
+    """Kill one daemon; return how long until every other holds it for dead."""
     victim = list(fleet.daemons)[-1]
-    others = [each for name, each in fleet.daemons.items() if name != victim]
     fleet.signal(victim, signal.SIGKILL)
     began_at_s = time.monotonic()
-    waiting = list(others)
+    waiting = [name for name in fleet.daemons if name != victim]
     while waiting:
-        daemon = waiting[-1]
-        url = f"http://{daemon.host}:{daemon.callers_port}/v1/addresses"
-        async with fleet.http.get(url) as response:
-            names = {each["instance"] for each in (await response.json())["addresses"]}
-        if victim not in names:
+        if (await fleet.members(waiting[-1])).get(victim) == "dead":
             waiting.pop()
         else:
             await asyncio.sleep(0.02)
--- a/tests/integration/test_membership.py
+++ b/tests/integration/test_membership.py
@@ -10,8 +10,7 @@
 
 
 async def states(fleet, through):
-    _, status = await fleet.operate(through, "GET", "/v1/status")
-    return {each["instance"]: each["state"] for each in status["instances"]}
+    return await fleet.members(through)
 
 
 def sees(fleet, through, instance, wanted):
