--- a/src/turmericlug/daemon.py
+++ b/src/turmericlug/daemon.py
@@ -15,8 +15,8 @@
 import aiomisc
 import typer
 
-import turmericlug
 from turmericlug.config import settings as settings_module
+from turmericlug.config import version as version_module
 from turmericlug.kernel import kernel as kernel_module
 from turmericlug.kernel import tasks
 from turmericlug.membership import detector as detector_module
@@ -341,12 +341,6 @@
 application = typer.Typer(add_completion=True)
 
 
-def _version(asked: bool) -> None:
-    if asked:
-        typer.echo(turmericlug.__version__)
-        raise typer.Exit
-
-
 @application.command()
 def main(
     settings_file: typing.Annotated[
@@ -355,9 +349,7 @@
     check_settings: typing.Annotated[
         bool, typer.Option("--check-settings", help="Check the settings, print problems, exit.")
     ] = False,
-    version: typing.Annotated[
-        bool, typer.Option("--version", callback=_version, is_eager=True, help="Print the version.")
-    ] = False,
+    version: version_module.Option = False,
 ) -> None:
     """
     Run one turmericlug instance.
--- a/src/turmericlug/operators/client.py
+++ b/src/turmericlug/operators/client.py
@@ -15,7 +15,7 @@
 from rich import console as rich_console
 from rich import table as rich_table
 
-import turmericlug
+from turmericlug.config import version as version_module
 
 EXIT_REJECTED = 1
 EXIT_USAGE = 2
@@ -56,12 +56,7 @@
     as_json: typing.Annotated[
         bool, typer.Option("--json", help="Print JSON for programs instead of tables.")
     ] = False,
-    version: typing.Annotated[
-        bool,
-        typer.Option(
-            "--version", is_eager=True, help="Print the version.", callback=lambda on: _version(on)
-        ),
-    ] = False,
+    version: version_module.Option = False,
 ) -> None:
     """
     Drive turmericlug: write, reorder and retire rules, and see what every instance does.
@@ -72,12 +67,6 @@
     context.obj = _Caller(url.rstrip("/"), token, as_json)
 
 
-def _version(asked: bool) -> None:
-    if asked:
-        typer.echo(turmericlug.__version__)
-        raise typer.Exit
-
-
 class _Caller:
     """How to reach an instance, and how to print."""
 
--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -16,6 +16,7 @@
 from turmericlug.kernel import tasks
 from turmericlug.membership import members as members_module
 from turmericlug.membership import mesh as mesh_module
+from turmericlug.owner import part as part_module
 from turmericlug.owner import replica as replica_module
 from turmericlug.owner import service_queue
 from turmericlug.owner import target
@@ -46,7 +47,7 @@
     parts: tuple[tuple[int, str, str], ...]
 
 
-OnReplies = abc.Callable[[list[service_queue.PartReply]], None]
+OnReplies = abc.Callable[[list[part_module.PartReply]], None]
 
 
 class Owner:
@@ -92,21 +93,21 @@
         :returns: gives up what is still open
         """
         deadline_s = time.monotonic() + parts_in.remaining_s
-        batch: list[service_queue.PartReply] = []
+        batch: list[part_module.PartReply] = []
 
         def flush() -> None:
             replies = batch[:]
             batch.clear()
             on_replies(replies)
 
-        def reply(part_reply: service_queue.PartReply) -> None:
+        def reply(part_reply: part_module.PartReply) -> None:
             if not batch:
                 asyncio.get_running_loop().call_soon(flush)
             batch.append(part_reply)
 
-        made: list[tuple[service_queue.ServiceQueue, service_queue.Part]] = []
+        made: list[tuple[service_queue.ServiceQueue, part_module.Part]] = []
         for number, service, shard in parts_in.parts:
-            part = service_queue.Part(
+            part = part_module.Part(
                 number=number,
                 shard=shard,
                 snapshot=parts_in.snapshot,
@@ -131,12 +132,12 @@
     def _submit_one(
         self,
         service: str,
-        part: service_queue.Part,
-        made: list[tuple[service_queue.ServiceQueue, service_queue.Part]],
+        part: part_module.Part,
+        made: list[tuple[service_queue.ServiceQueue, part_module.Part]],
     ) -> None:
         if self.leaving:
             self._counters.add("owner.part.refused.owner_leaving")
-            part.reply(service_queue.PartReply(part.number, service_queue.REFUSED, "owner_leaving"))
+            part.reply(part_module.PartReply(part.number, part_module.REFUSED, "owner_leaving"))
             return
         queue = self.queues.get(service)
         if queue is not None:
@@ -148,8 +149,8 @@
     async def _submit_later(
         self,
         service: str,
-        part: service_queue.Part,
-        made: list[tuple[service_queue.ServiceQueue, service_queue.Part]],
+        part: part_module.Part,
+        made: list[tuple[service_queue.ServiceQueue, part_module.Part]],
     ) -> None:
         """Open a service that we did not expect, as when the coordinator's view differs."""
         queue = await self._queue(service)
@@ -286,7 +287,7 @@
             parts=tuple((each.number, each.service, each.shard) for each in message.parts),
         )
 
-        def on_replies(replies: list[service_queue.PartReply]) -> None:
+        def on_replies(replies: list[part_module.PartReply]) -> None:
             request.reply(lambda envelope: _fill_replies(envelope, query_id, replies))
 
         if self._config.freshness.tick():
@@ -294,7 +295,7 @@
             # wait for these parts any more. Refused, they go where the coordinator likes.
             on_replies(
                 [
-                    service_queue.PartReply(number, service_queue.REFUSED, "resumed_after_gap")
+                    part_module.PartReply(number, part_module.REFUSED, "resumed_after_gap")
                     for number, _, _ in parts_in.parts
                 ]
             )
@@ -370,7 +371,7 @@
 
 
 def _fill_replies(
-    envelope: typing.Any, query_id: str, replies: list[service_queue.PartReply]
+    envelope: typing.Any, query_id: str, replies: list[part_module.PartReply]
 ) -> None:
     message = envelope.init("partsReply")
     message.queryId = query_id
--- a/src/turmericlug/owner/service_queue.py
+++ b/src/turmericlug/owner/service_queue.py
@@ -8,70 +8,17 @@
 import time
 from collections import abc
 
-import attrs
-
 from turmericlug.kernel import tasks
 from turmericlug.owner import fair_queue
+from turmericlug.owner import hedging
+from turmericlug.owner import part as part_module
 from turmericlug.owner import policy
 from turmericlug.owner import replica as replica_module
 from turmericlug.owner import target
 from turmericlug.telemetry import counters as counters_module
 
-ANSWERED, REFUSED, FAILED, SNAPSHOT_ABSENT = "answered", "refused", "failed", "snapshotAbsent"
 # The queue lets nothing start that could not be sent and answered in this time.
 _LEAST_TIME_S = 0.001
-_STUCK_FACTOR = 4.0
-"""Multiples of the mean service time after which an attempt is long overdue."""
-
-
-@attrs.frozen(slots=True)
-class PartReply:
-    """What became of one part."""
-
-    number: int
-    outcome: str
-    reason: str = ""
-    snapshot: str = ""
-    come_back_ms: int = 0
-    body: bytes = b""
-    attempts: int = 0
-    wait_ms: float = 0.0
-    """Predicted wait of a new part of the same caller and priority, as the reply leaves."""
-
-
-@attrs.frozen(eq=False, slots=True)
-class Attempt:
-    """One sending of a part to a replica."""
-
-    replica: replica_module.Replica
-    began_at_s: float
-
-
-@attrs.define(eq=False, slots=True)
-class Part:
-    """One shard's part of a query, waiting or running."""
-
-    number: int
-    shard: str
-    snapshot: str
-    caller: str
-    priority: int
-    deadline_s: float
-    repeatable: bool
-    hedge: bool
-    retries: int
-    body: bytes
-    reply: abc.Callable[[PartReply], None]
-    attempt_prefix: str
-    queued_at_s: float = 0.0
-    done: bool = False
-    attempts: int = 0
-    may_have_run: bool = False
-    running: dict[str, Attempt] = attrs.field(factory=dict)
-    tried: set[str] = attrs.field(factory=set)
-    hedge_timer: asyncio.TimerHandle | None = None
-    hedged: bool = False
-    hedge_attempt: str = ""
 
 
 class ServiceQueue:
@@ -95,14 +42,14 @@
         self._client = client
         self._counters = counters
         self._rng = rng
-        self._hedge_percentile = hedge_percentile
-        self._hedges = policy.Budget(hedge_budget)
-        self._hedge_clock = policy.HedgeClock()
         self._retries = policy.Budget(retry_budget)
+        self._hedging = hedging.Hedging(
+            policy.Budget(hedge_budget), self._retries, hedge_percentile, self.times
+        )
         self._most_queued = most_queued
         self._caller_share = caller_share
-        self._queue: fair_queue.FairQueue[Part] = fair_queue.FairQueue()
-        self._late: collections.deque[Part] = collections.deque()
+        self._queue: fair_queue.FairQueue[part_module.Part] = fair_queue.FairQueue()
+        self._late: collections.deque[part_module.Part] = collections.deque()
         self._tasks = tasks.Tasks()
         self.on_leaving: abc.Callable[[str], None] = lambda instance: None
 
@@ -133,7 +80,7 @@
         ahead = self._queue.ahead_of(priority, caller) + self.in_flight()
         return policy.predicted_wait_ms(ahead, self.slots(), self.times.mean_ms)
 
-    def submit(self, part: Part) -> None:
+    def submit(self, part: part_module.Part) -> None:
         """
         Take a part, or refuse it at once when it could not finish in time.
 
@@ -154,30 +101,35 @@
             self._refuse(part, reason, wait_ms)
             return
         part.queued_at_s = now_s
-        self._hedges.earn()
+        self._hedging.budget.earn()
         self._retries.earn()
         self._queue.push(part)
         self.pump()
 
-    def _refuse(self, part: Part, reason: str, wait_ms: float = 0.0) -> None:
+    def _refuse(self, part: part_module.Part, reason: str, wait_ms: float = 0.0) -> None:
         come_back_ms = policy.come_back_ms(wait_ms, self._rng)
         self._counters.add(f"owner.part.refused.{reason}")
         self._finish(
             part,
-            PartReply(part.number, REFUSED, reason, come_back_ms=come_back_ms, wait_ms=wait_ms),
+            part_module.PartReply(
+                part.number, part_module.REFUSED, reason, come_back_ms=come_back_ms, wait_ms=wait_ms
+            ),
         )
 
-    def _fail(self, part: Part, reason: str) -> None:
+    def _fail(self, part: part_module.Part, reason: str) -> None:
         self._counters.add(f"owner.part.failed.{reason}")
-        self._finish(part, PartReply(part.number, FAILED, reason, attempts=part.attempts))
+        self._finish(
+            part,
+            part_module.PartReply(part.number, part_module.FAILED, reason, attempts=part.attempts),
+        )
 
-    def _finish(self, part: Part, reply: PartReply) -> None:
+    def _finish(self, part: part_module.Part, reply: part_module.PartReply) -> None:
         if part.done:
             return
         self._close(part)
         part.reply(reply)
 
-    def _close(self, part: Part) -> None:
+    def _close(self, part: part_module.Part) -> None:
         """End a part: nothing of it starts any more, and what runs is cancelled."""
         part.done = True
         if part.hedge_timer is not None:
@@ -185,7 +137,7 @@
         for name, attempt in part.running.items():
             self._tasks.start(self._client.cancel(attempt.replica.address, name))
 
-    def cancel(self, part: Part) -> None:
+    def cancel(self, part: part_module.Part) -> None:
         """Give up a part that nobody waits for."""
         if not part.done:
             self._counters.add("owner.part.cancelled")
@@ -236,7 +188,7 @@
             self._counters.add("owner.hedge.sent")
             part.hedge_attempt = self._dispatch(part, replica, now_s)
 
-    def _free(self, now_s: float, part: Part | None) -> replica_module.Replica | None:
+    def _free(self, now_s: float, part: part_module.Part | None) -> replica_module.Replica | None:
         """Choose a replica with a free slot that this part was not sent to yet."""
         return policy.choose(
             each
@@ -245,7 +197,7 @@
             or (each.instance not in part.tried and not each.lacks(part.snapshot, now_s))
         )
 
-    def _repeat_choice(self, now_s: float, part: Part) -> replica_module.Replica | None:
+    def _repeat_choice(self, now_s: float, part: part_module.Part) -> replica_module.Replica | None:
         """Choose a replica for a retry that has been to all of them."""
         if not part.tried or part.running:
             return None
@@ -253,7 +205,7 @@
             each for each in self._usable(now_s) if not each.lacks(part.snapshot, now_s)
         )
 
-    def _without_replica(self, part: Part, now_s: float) -> None:
+    def _without_replica(self, part: part_module.Part, now_s: float) -> None:
         """Deal with a part at the head of the queue that no free replica can take."""
         able = [
             each
@@ -262,51 +214,56 @@
         ]
         if not able:
             self._counters.add("owner.part.snapshot_absent")
-            self._finish(part, PartReply(part.number, SNAPSHOT_ABSENT, "snapshot_absent"))
+            self._finish(
+                part,
+                part_module.PartReply(part.number, part_module.SNAPSHOT_ABSENT, "snapshot_absent"),
+            )
             return
         self._later(part, 0.005)
 
-    def _later(self, part: Part, delay_s: float) -> None:
+    def _later(self, part: part_module.Part, delay_s: float) -> None:
         asyncio.get_running_loop().call_later(delay_s, self._again, part)
 
-    def _again(self, part: Part) -> None:
+    def _again(self, part: part_module.Part) -> None:
         if not part.done:
             self._queue.push(part)
             self.pump()
 
-    def _give_up(self, part: Part, reason: str) -> None:
+    def _give_up(self, part: part_module.Part, reason: str) -> None:
         """Say what is true of a part that nothing more is tried for."""
         if part.may_have_run:
             self._fail(part, reason)
         else:
             self._refuse(part, reason, self.wait_ms(part.priority, part.caller))
 
-    def _dispatch(self, part: Part, replica: replica_module.Replica, now_s: float) -> str:
+    def _dispatch(
+        self, part: part_module.Part, replica: replica_module.Replica, now_s: float
+    ) -> str:
         """Start an attempt; returns its identifier."""
         if not part.attempts:
             self._counters.time_ms("owner.queue_ms", (now_s - part.queued_at_s) * 1000)
         part.attempts += 1
         part.tried.add(replica.instance)
         attempt = f"{part.attempt_prefix}.{part.attempts}"
-        part.running[attempt] = Attempt(replica, now_s)
+        part.running[attempt] = part_module.Attempt(replica, now_s)
         replica.in_flight += 1
         self._arm_hedge(part)
         self._tasks.start(self._attempt(part, replica, attempt))
         return attempt
 
-    def _arm_hedge(self, part: Part) -> None:
+    def _arm_hedge(self, part: part_module.Part) -> None:
         if not (part.hedge and part.repeatable) or part.hedged or len(self.replicas) < 2:
             return
-        delay_ms = self.times.percentile_ms(self._hedge_percentile)
+        delay_ms = self._hedging.delay_ms()
         if delay_ms is not None:
             part.hedge_timer = asyncio.get_running_loop().call_later(
-                delay_ms * self._hedge_clock.factor / 1000, self._late_part, part
+                delay_ms / 1000, self._late_part, part
             )
 
-    def _late_part(self, part: Part) -> None:
+    def _late_part(self, part: part_module.Part) -> None:
         if part.done or part.hedged or not part.running:
             return
-        if not self._may_hedge(part):
+        if not self._hedging.pay(list(part.running.values()), time.monotonic()):
             self._counters.add("owner.hedge.denied")
             self._look_again(part)
             return
@@ -314,34 +271,14 @@
         self._late.append(part)
         self.pump()
 
-    def _may_hedge(self, part: Part) -> bool:
-        """
-        Pay for a second attempt.
-
-        From the hedge budget; for a part that waits on a replica which looks stuck, from that of
-        retries: a replica that takes requests and never answers makes every part that it gets
-        late, more than the hedge budget pays for. The trial part of an ejected one is free, since
-        there is one at a time.
-        """
-        attempts = list(part.running.values())
-        if any(each.replica.ejections for each in attempts):
-            return True
-        if self._hedges.spend():
-            return True
-        return all(self._looks_stuck(each) for each in attempts) and self._retries.spend()
-
-    def _looks_stuck(self, attempt: Attempt) -> bool:
-        """Whether a replica has answered nothing since an attempt that is long overdue."""
-        age_ms = (time.monotonic() - attempt.began_at_s) * 1000
-        silent = attempt.replica.answered_at_s < attempt.began_at_s
-        return silent and age_ms > _STUCK_FACTOR * max(self.times.mean_ms, 1.0)
-
-    def _look_again(self, part: Part) -> None:
+    def _look_again(self, part: part_module.Part) -> None:
         """Decide once more when the part would count as stuck."""
-        delay_s = _STUCK_FACTOR * max(self.times.mean_ms, 1.0) / 1000
+        delay_s = self._hedging.stuck_after_ms() / 1000
         part.hedge_timer = asyncio.get_running_loop().call_later(delay_s, self._late_part, part)
 
-    async def _attempt(self, part: Part, replica: replica_module.Replica, attempt: str) -> None:
+    async def _attempt(
+        self, part: part_module.Part, replica: replica_module.Replica, attempt: str
+    ) -> None:
         began_at_s = time.monotonic()
         outcome: target.Outcome = target.Unknown("cancelled")
         try:
@@ -366,7 +303,7 @@
     def _learn(
         self,
         replica: replica_module.Replica,
-        part: Part,
+        part: part_module.Part,
         outcome: target.Outcome,
         duration_ms: float,
     ) -> None:
@@ -407,7 +344,11 @@
             self.on_leaving(instance)
 
     def _settle(
-        self, part: Part, replica: replica_module.Replica, outcome: target.Outcome, attempt: str
+        self,
+        part: part_module.Part,
+        replica: replica_module.Replica,
+        outcome: target.Outcome,
+        attempt: str,
     ) -> None:
         """Turn an attempt's outcome into the part's, or into another attempt."""
         match outcome:
@@ -415,14 +356,14 @@
                 self._note_stuck(part)
                 if part.hedge_attempt:
                     won = attempt == part.hedge_attempt
-                    self._hedge_clock.learn(won)
+                    self._hedging.clock.learn(won)
                     self._counters.add("owner.hedge.won" if won else "owner.hedge.lost")
                 self._counters.add("owner.part.answered")
                 self._finish(
                     part,
-                    PartReply(
+                    part_module.PartReply(
                         part.number,
-                        ANSWERED,
+                        part_module.ANSWERED,
                         snapshot=outcome.snapshot,
                         body=outcome.body,
                         attempts=part.attempts,
@@ -439,7 +380,7 @@
                 part.may_have_run = True
                 self._retry(part, reason)
 
-    def _note_stuck(self, part: Part) -> None:
+    def _note_stuck(self, part: part_module.Part) -> None:
         """
         Count an overtaken attempt against its replica if that looks stuck.
 
@@ -447,10 +388,10 @@
         given more parts.
         """
         for attempt in part.running.values():
-            if self._looks_stuck(attempt):
+            if self._hedging.looks_stuck(attempt, time.monotonic()):
                 self._failed(attempt.replica)
 
-    def _retry(self, part: Part, reason: str) -> None:
+    def _retry(self, part: part_module.Part, reason: str) -> None:
         """
         Try again where that is safe and within the budget; else say what is true.
 
--- a/src/turmericlug/query/fan_out.py
+++ b/src/turmericlug/query/fan_out.py
@@ -12,7 +12,7 @@
 from turmericlug.catalog import catalog as catalog_module
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.owner import owner as owner_module
-from turmericlug.owner import service_queue
+from turmericlug.owner import part as part_module
 from turmericlug.query import outcome as outcome_module
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.wire import link as link_module
@@ -219,7 +219,7 @@
             if item.number in waiting:
                 waiting.discard(item.number)
                 replies.append(
-                    service_queue.PartReply(
+                    part_module.PartReply(
                         item.number,
                         str(item.outcome),
                         item.reason,
@@ -232,16 +232,16 @@
                 )
         self._on_replies(replies)
 
-    def _on_replies(self, replies: list[service_queue.PartReply]) -> None:
+    def _on_replies(self, replies: list[part_module.PartReply]) -> None:
         moving = []
         for reply in replies:
             if reply.number not in self._open:
                 continue
             part = self._parts[reply.number]
             self._on_wait(part.service, reply.wait_ms)
-            if reply.outcome == service_queue.ANSWERED:
+            if reply.outcome == part_module.ANSWERED:
                 self._take_answer(reply, part)
-            elif reply.outcome == service_queue.FAILED:
+            elif reply.outcome == part_module.FAILED:
                 self._close(reply.number, reply.reason)
             else:
                 part.holders -= 1
@@ -254,7 +254,7 @@
             self._move_on(moving, "no_owner")
         self._changed.set()
 
-    def _take_answer(self, reply: service_queue.PartReply, part: _Part) -> None:
+    def _take_answer(self, reply: part_module.PartReply, part: _Part) -> None:
         # An owner that mixes up snapshots would make an answer of two versions of the indexes.
         if reply.snapshot != self._plan.snapshot.name:
             self._counters.add("query.mismatched_reply")
--- a/src/turmericlug_lab/demo.py
+++ b/src/turmericlug_lab/demo.py
@@ -14,6 +14,7 @@
 import typer
 
 from turmericlug_lab import fleet as fleet_module
+from turmericlug_lab import fleet_spec
 
 _RULE = """\
 # Dispatchers have a client on the phone: nine tenths of the indexes by 200 ms are enough.
@@ -27,14 +28,14 @@
 then_priority = 8
 """
 _SERVICES = (
-    *(fleet_module.ServiceSpec(f"devis-{n:02d}", 2, 2, 25, 6.0) for n in range(6)),
-    fleet_module.ServiceSpec("billing", 2, 4, 45, 1.0),
+    *(fleet_spec.ServiceSpec(f"devis-{n:02d}", 2, 2, 25, 6.0) for n in range(6)),
+    fleet_spec.ServiceSpec("billing", 2, 4, 45, 1.0),
 )
 
 
 async def play(folder: pathlib.Path) -> None:
     """Run the demonstration and print it."""
-    spec = fleet_module.FleetSpec(
+    spec = fleet_spec.FleetSpec(
         services=_SERVICES, groups={"devis": [each.name for each in _SERVICES[:6]]}
     )
     typer.secho("starting a platform, 14 targets and three daemons on loopback", bold=True)
--- a/src/turmericlug_lab/experiment.py
+++ b/src/turmericlug_lab/experiment.py
@@ -16,6 +16,7 @@
 import attrs
 
 from turmericlug_lab import fleet as fleet_module
+from turmericlug_lab import fleet_spec
 from turmericlug_lab import floor
 from turmericlug_lab import generator
 from turmericlug_lab import profiles
@@ -58,7 +59,7 @@
 
 def _spec(
     scenario: scenario_module.Scenario, profile: profiles.Profile, repeat: int
-) -> fleet_module.FleetSpec:
+) -> fleet_spec.FleetSpec:
     services = tuple(
         attrs.evolve(service, behaviour={**service.behaviour, **scenario.targets})
         for service in profile.services
@@ -67,7 +68,7 @@
     names = {service.name for service in services}
     centres = profile.data_centres
     delays = {(a, b): profile.delay_ms for a in centres for b in centres if a != b}
-    return fleet_module.FleetSpec(
+    return fleet_spec.FleetSpec(
         services=services,
         groups={name: each for name, each in profile.groups.items() if set(each) <= names},
         daemons=scenario.daemons,
@@ -103,7 +104,7 @@
     for target in fleet.targets.values():
         services.setdefault(target.service, []).append(f"http://127.0.0.1:{target.port}")
     entries = {}
-    for number, port in enumerate(fleet_module.free_ports(scenario.daemons), 1):
+    for number, port in enumerate(fleet_spec.free_ports(scenario.daemons), 1):
         name = f"b{number}"
         plain = {
             "name": name,
--- a/src/turmericlug_lab/fleet.py
+++ b/src/turmericlug_lab/fleet.py
@@ -10,7 +10,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -20,81 +19,26 @@
 import aiohttp
 import attrs
 
+from turmericlug_lab import fleet_spec
+
 TOKEN = "operators-token-of-the-stand-in-fleet"
 CLUSTER_KEY = "cluster-key-of-the-stand-in-fleet"
 _START_LIMIT_S = 30.0
 
 
-@attrs.frozen
-class ServiceSpec:
-    """A service of the stand-in fleet, with the limits of each replica."""
-
-    name: str
-    replicas: int
-    slots: int
-    connections: int
-    connect_ms: float
-    behaviour: dict[str, typing.Any] = attrs.field(factory=dict)
-
-
-@attrs.frozen
-class FleetSpec:
-    """What to start."""
-
-    services: tuple[ServiceSpec, ...]
-    groups: dict[str, list[str]]
-    daemons: int = 3
-    data_centres: tuple[str, ...] = ("dc1", "dc2", "dc3")
-    delay_ms: dict[tuple[str, str], float] = attrs.field(factory=dict)
-    """One-way delay between data centres; peers' traffic then goes through the proxy."""
-    proxied: bool = False
-    target_processes: int = 1
-    journal: bool = True
-    seed: int = 1
-    settings: dict[str, dict[str, str]] = attrs.field(factory=dict)
-    """Further settings of every daemon, by section."""
-
-
-@attrs.frozen
-class Target:
-    """A running stand-in replica."""
-
-    name: str
-    service: str
-    port: int
-    data_centre: str
-    process: str
-
-
-@attrs.define
-class Daemon:
-    """A daemon and where it listens."""
-
-    name: str
-    host: str
-    data_centre: str
-    callers_port: int
-    peers_port: int
-    operators_port: int
-    advertised_peers_port: int
-    settings_file: pathlib.Path
-
-
-class FleetError(Exception):
-    """A process did not come up, or a call to it failed."""
-
-
 class Fleet:
     """The running processes, by name, and calls to them."""
 
-    def __init__(self, spec: FleetSpec, folder: pathlib.Path, http: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, spec: fleet_spec.FleetSpec, folder: pathlib.Path, http: aiohttp.ClientSession
+    ) -> None:
         self.spec = spec
         self.folder = folder
         self.http = http
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
-        self.targets: dict[str, Target] = {}
-        self.daemons: dict[str, Daemon] = {}
-        self.platform_port, self.proxy_port = free_ports(2)
+        self.targets: dict[str, fleet_spec.Target] = {}
+        self.daemons: dict[str, fleet_spec.Daemon] = {}
+        self.platform_port, self.proxy_port = fleet_spec.free_ports(2)
         self._routes: list[dict[str, typing.Any]] = []
 
     def launch(self, name: str, program: str, *arguments: str) -> None:
@@ -132,17 +76,19 @@
         first = next(iter(self.daemons))
         status, answer = await self.operate(first, "PUT", "/v1/catalog", self.catalog())
         if status not in (200, 202):
-            raise FleetError(f"catalogue: {answer}")
+            raise fleet_spec.FleetError(f"catalogue: {answer}")
 
     def _plan_targets(self) -> None:
         count = sum(service.replicas for service in self.spec.services)
-        ports = iter(free_ports(count))
+        ports = iter(fleet_spec.free_ports(count))
         for index, service in enumerate(self.spec.services):
             for number in range(service.replicas):
                 name = f"{service.name}-r{number}"
                 process = f"targets-{(index + number) % self.spec.target_processes}"
                 centre = self.centre_of(index)
-                self.targets[name] = Target(name, service.name, next(ports), centre, process)
+                self.targets[name] = fleet_spec.Target(
+                    name, service.name, next(ports), centre, process
+                )
 
     def centre_of(self, service_index: int) -> str:
         """Return the data centre of a service's replicas: the services take turns."""
@@ -173,12 +119,12 @@
         for index in range(self.spec.daemons):
             self._plan_daemon(index)
 
-    def _plan_daemon(self, index: int) -> Daemon:
+    def _plan_daemon(self, index: int) -> fleet_spec.Daemon:
         name = f"e{index + 1}"
-        callers, peers, operators, via_proxy, platform = free_ports(5)
+        callers, peers, operators, via_proxy, platform = fleet_spec.free_ports(5)
         centre = self.spec.data_centres[index % len(self.spec.data_centres)]
         proxied = self.spec.proxied or bool(self.spec.delay_ms)
-        daemon = Daemon(
+        daemon = fleet_spec.Daemon(
             name=name,
             host=f"127.0.1.{index + 1}",
             data_centre=centre,
@@ -194,7 +140,7 @@
         self._write_settings(daemon, platform if proxied else self.platform_port)
         return daemon
 
-    def _add_routes(self, daemon: Daemon, platform_port: int) -> None:
+    def _add_routes(self, daemon: fleet_spec.Daemon, platform_port: int) -> None:
         delays = {
             f"127.0.1.{number + 1}": self.spec.delay_ms.get(
                 (self.spec.data_centres[number % len(self.spec.data_centres)], daemon.data_centre),
@@ -219,7 +165,7 @@
             }
         )
 
-    def _write_settings(self, daemon: Daemon, platform_port: int) -> None:
+    def _write_settings(self, daemon: fleet_spec.Daemon, platform_port: int) -> None:
         parser = configparser.ConfigParser(interpolation=None)
         url = f"http://127.0.0.1:{platform_port}"
         proxied = daemon.advertised_peers_port != daemon.peers_port
@@ -305,7 +251,7 @@
                     if response.status == 200:
                         return
             await asyncio.sleep(0.03)
-        raise FleetError(f"{url} does not answer")
+        raise fleet_spec.FleetError(f"{url} does not answer")
 
     async def ready(self, name: str) -> None:
         """Wait until a daemon serves callers."""
@@ -320,7 +266,7 @@
             if sum(state == "alive" for state in states.values()) == len(self.daemons):
                 return
             await asyncio.sleep(0.03)
-        raise FleetError(f"{name} does not see all others")
+        raise fleet_spec.FleetError(f"{name} does not see all others")
 
     async def members(self, name: str) -> dict[str, str]:
         """Return what a daemon believes of each instance."""
@@ -374,7 +320,7 @@
         end_s = time.monotonic() + limit_s
         while process.poll() is None:
             if time.monotonic() > end_s:
-                raise FleetError(f"{name} does not stop")
+                raise fleet_spec.FleetError(f"{name} does not stop")
             await asyncio.sleep(0.02)
         return process.returncode
 
@@ -401,7 +347,7 @@
                 process.send_signal(signal.SIGTERM)
         for name in self.daemons:
             if name in self.processes:
-                with contextlib.suppress(FleetError):
+                with contextlib.suppress(fleet_spec.FleetError):
                     await self.wait_exit(name, 10)
         for process in self.processes.values():
             if process.poll() is None:
@@ -415,20 +361,8 @@
 }
 
 
-def free_ports(count: int) -> list[int]:
-    """Find ports that are free on loopback now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
-
-
 @contextlib.asynccontextmanager
-async def running(spec: FleetSpec, folder: pathlib.Path) -> abc.AsyncIterator[Fleet]:
+async def running(spec: fleet_spec.FleetSpec, folder: pathlib.Path) -> abc.AsyncIterator[Fleet]:
     """Run a fleet for the length of the block."""
     timeout = aiohttp.ClientTimeout(total=60)
     connector = aiohttp.TCPConnector(limit=0)
--- /dev/null
+++ b/src/turmericlug_lab/fleet_spec.py
@@ -0,0 +1,80 @@
+"""What a fleet of stand-ins and daemons consists of, and free ports for it."""
+
+from __future__ import annotations
+
+import pathlib
+import socket
+import typing
+
+import attrs
+
+
+@attrs.frozen
+class ServiceSpec:
+    """A service of the stand-in fleet, with the limits of each replica."""
+
+    name: str
+    replicas: int
+    slots: int
+    connections: int
+    connect_ms: float
+    behaviour: dict[str, typing.Any] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class FleetSpec:
+    """What to start."""
+
+    services: tuple[ServiceSpec, ...]
+    groups: dict[str, list[str]]
+    daemons: int = 3
+    data_centres: tuple[str, ...] = ("dc1", "dc2", "dc3")
+    delay_ms: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    """One-way delay between data centres; peers' traffic then goes through the proxy."""
+    proxied: bool = False
+    target_processes: int = 1
+    journal: bool = True
+    seed: int = 1
+    settings: dict[str, dict[str, str]] = attrs.field(factory=dict)
+    """Further settings of every daemon, by section."""
+
+
+@attrs.frozen
+class Target:
+    """A running stand-in replica."""
+
+    name: str
+    service: str
+    port: int
+    data_centre: str
+    process: str
+
+
+@attrs.define
+class Daemon:
+    """A daemon and where it listens."""
+
+    name: str
+    host: str
+    data_centre: str
+    callers_port: int
+    peers_port: int
+    operators_port: int
+    advertised_peers_port: int
+    settings_file: pathlib.Path
+
+
+class FleetError(Exception):
+    """A process did not come up, or a call to it failed."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Find ports that are free on loopback now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
--- a/src/turmericlug_lab/load.py
+++ b/src/turmericlug_lab/load.py
@@ -11,12 +11,12 @@
 from rich import console as rich_console
 from rich import table as rich_table
 
-import turmericlug
+from turmericlug.config import version as version_module
 from turmericlug_lab import bench as bench_module
 from turmericlug_lab import capacity as capacity_module
 from turmericlug_lab import demo as demo_module
 from turmericlug_lab import experiment
-from turmericlug_lab import fleet as fleet_module
+from turmericlug_lab import fleet_spec
 from turmericlug_lab import report as report_module
 from turmericlug_lab import scenario as scenario_module
 from turmericlug_lab import slopes as slopes_module
@@ -24,17 +24,9 @@
 application = typer.Typer(no_args_is_help=True)
 
 
-def _version(asked: bool) -> None:
-    if asked:
-        typer.echo(turmericlug.__version__)
-        raise typer.Exit
-
-
 @application.callback()
 def main(
-    version: typing.Annotated[
-        bool, typer.Option("--version", callback=_version, is_eager=True, help="Print the version.")
-    ] = False,
+    version: version_module.Option = False,
 ) -> None:
     """
     Start stand-ins and daemons on loopback, load them, and report what was measured.
@@ -85,7 +77,7 @@
         return asyncio.run(
             experiment.run(scenario, policy, repeat, lambda text: typer.echo(text, err=True))
         )
-    except fleet_module.FleetError as error:
+    except fleet_spec.FleetError as error:
         typer.echo(f"{scenario.name}: {error}", err=True)
         raise typer.Exit(1) from error
 
--- a/src/turmericlug_lab/profiles.py
+++ b/src/turmericlug_lab/profiles.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmericlug_lab import fleet as fleet_module
+from turmericlug_lab import fleet_spec
 
 MEAN_MS = 25.0
 SPREAD = 0.3
@@ -14,27 +14,27 @@
 class Profile:
     """Services and delays of one user."""
 
-    services: tuple[fleet_module.ServiceSpec, ...]
+    services: tuple[fleet_spec.ServiceSpec, ...]
     groups: dict[str, list[str]]
     data_centres: tuple[str, ...]
     delay_ms: float
     """One-way delay between two data centres."""
 
 
-def _fan(name: str, count: int) -> tuple[fleet_module.ServiceSpec, ...]:
+def _fan(name: str, count: int) -> tuple[fleet_spec.ServiceSpec, ...]:
     return tuple(_service(f"{name}-{number:02d}", 2, 2, 25, 6.0) for number in range(count))
 
 
 def _service(
     name: str, replicas: int, slots: int, connections: int, connect_ms: float
-) -> fleet_module.ServiceSpec:
+) -> fleet_spec.ServiceSpec:
     behaviour = {"service_ms": MEAN_MS, "spread": SPREAD}
-    return fleet_module.ServiceSpec(name, replicas, slots, connections, connect_ms, behaviour)
+    return fleet_spec.ServiceSpec(name, replicas, slots, connections, connect_ms, behaviour)
 
 
 def _profile(
     fans: dict[str, int],
-    singles: tuple[fleet_module.ServiceSpec, ...],
+    singles: tuple[fleet_spec.ServiceSpec, ...],
     data_centres: tuple[str, ...],
     delay_ms: float,
 ) -> Profile:
--- a/src/turmericlug_lab/slopes.py
+++ b/src/turmericlug_lab/slopes.py
@@ -12,6 +12,7 @@
 
 from turmericlug_lab import experiment
 from turmericlug_lab import fleet as fleet_module
+from turmericlug_lab import fleet_spec
 
 Numbers = dict[str, typing.Any]
 Progress = typing.Callable[[str], None]
@@ -35,9 +36,9 @@
     }
 
 
-def _service(name: str, service_ms: float = 1.0) -> fleet_module.ServiceSpec:
+def _service(name: str, service_ms: float = 1.0) -> fleet_spec.ServiceSpec:
     behaviour = {"service_ms": service_ms, "spread": 0.0}
-    return fleet_module.ServiceSpec(name, 1, 8, 64, 0.0, behaviour)
+    return fleet_spec.ServiceSpec(name, 1, 8, 64, 0.0, behaviour)
 
 
 def _usage(fleet: fleet_module.Fleet) -> dict[str, tuple[float, float]]:
@@ -79,7 +80,7 @@
 async def _control(size: int, progress: Progress) -> Numbers:
     """Measure the control's cost, the time to detect a death, and to spread an edit."""
     progress(f"control with {size} daemons")
-    spec = fleet_module.FleetSpec((_service("one"),), {}, daemons=size, settings=_QUIET)
+    spec = fleet_spec.FleetSpec((_service("one"),), {}, daemons=size, settings=_QUIET)
     with tempfile.TemporaryDirectory() as folder:
         async with fleet_module.running(spec, pathlib.Path(folder)) as fleet:
             numbers = {"daemons": size, **await _idle(fleet)}
@@ -96,7 +97,7 @@
         "e1", "POST", "/v1/rules/edit", {"operation": "add", "text": text}
     )
     if status != 200:
-        raise fleet_module.FleetError(f"edit: {answer}")
+        raise fleet_spec.FleetError(f"edit: {answer}")
     return (time.monotonic() - began_at_s) * 1000
 
 
@@ -124,7 +125,7 @@
     """Measure what owning services costs while nobody asks: list reads, health, connections."""
     progress(f"{count} services owned by one daemon")
     services = tuple(_service(f"s{number}") for number in range(count)) or (_service("none"),)
-    spec = fleet_module.FleetSpec(services, {}, daemons=1, settings=_QUIET)
+    spec = fleet_spec.FleetSpec(services, {}, daemons=1, settings=_QUIET)
     with tempfile.TemporaryDirectory() as folder:
         async with fleet_module.running(spec, pathlib.Path(folder)) as fleet:
             return {"services": count, **await _idle(fleet)}
@@ -138,7 +139,7 @@
     """
     progress(f"queries with {fan_out} parts")
     names = [f"s{number}" for number in range(fan_out)]
-    spec = fleet_module.FleetSpec(
+    spec = fleet_spec.FleetSpec(
         tuple(_service(name) for name in names),
         {"all": names},
         daemons=2,
@@ -197,7 +198,7 @@
 async def _records(progress: Progress) -> list[Numbers]:
     """Measure store writes per request that may run once, by how many are under way."""
     found = []
-    spec = fleet_module.FleetSpec((_service("bill"),), {}, daemons=3, settings=_QUIET)
+    spec = fleet_spec.FleetSpec((_service("bill"),), {}, daemons=3, settings=_QUIET)
     with tempfile.TemporaryDirectory() as folder:
         async with fleet_module.running(spec, pathlib.Path(folder)) as fleet:
             for concurrent in CONCURRENT:
@@ -220,7 +221,7 @@
                 names[number % len(names)], service="bill", body={}, idempotency_key=key
             )
             if answer["outcome"] != "complete":
-                raise fleet_module.FleetError(f"bill: {answer}")
+                raise fleet_spec.FleetError(f"bill: {answer}")
             took_ms.append((time.monotonic() - began_at_s) * 1000)
 
     before, used = await fleet.report("platform"), _usage(fleet)
@@ -240,7 +241,7 @@
 async def _addresses(progress: Progress) -> Numbers:
     """Measure processor time per question for entry addresses."""
     progress("entry addresses")
-    spec = fleet_module.FleetSpec((_service("one"),), {}, daemons=9, settings=_QUIET)
+    spec = fleet_spec.FleetSpec((_service("one"),), {}, daemons=9, settings=_QUIET)
     with tempfile.TemporaryDirectory() as folder:
         async with fleet_module.running(spec, pathlib.Path(folder)) as fleet:
             daemon = fleet.daemons["e1"]
--- a/src/turmericlug_lab/standin.py
+++ b/src/turmericlug_lab/standin.py
@@ -10,7 +10,7 @@
 import aiomisc
 import typer
 
-import turmericlug
+from turmericlug.config import version as version_module
 from turmericlug_lab import baseline as baseline_module
 from turmericlug_lab import standin_platform
 from turmericlug_lab import standin_proxy
@@ -75,17 +75,9 @@
     _run(baseline_module.serve(json.loads(spec.read_text())))
 
 
-def _version(asked: bool) -> None:
-    if asked:
-        typer.echo(turmericlug.__version__)
-        raise typer.Exit
-
-
 @application.callback()
 def main(
-    version: typing.Annotated[
-        bool, typer.Option("--version", callback=_version, is_eager=True, help="Print the version.")
-    ] = False,
+    version: version_module.Option = False,
 ) -> None:
     """Stand-ins for tests, demonstrations and experiments; all listen on loopback."""
 
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -9,13 +9,14 @@
 import pytest
 
 from turmericlug_lab import fleet as fleet_module
+from turmericlug_lab import fleet_spec
 
 SERVICES = (
     *(
-        fleet_module.ServiceSpec(f"devis-{n:02d}", 2, 2, 25, 2.0, {"service_ms": 4.0})
+        fleet_spec.ServiceSpec(f"devis-{n:02d}", 2, 2, 25, 2.0, {"service_ms": 4.0})
         for n in range(4)
     ),
-    fleet_module.ServiceSpec("billing", 2, 4, 45, 1.0, {"service_ms": 4.0}),
+    fleet_spec.ServiceSpec("billing", 2, 4, 45, 1.0, {"service_ms": 4.0}),
 )
 GROUPS = {"devis": [f"devis-{n:02d}" for n in range(4)]}
 
@@ -25,7 +26,7 @@
     """Run a scenario against a fleet: ``play(scenario, **spec)``."""
 
     def run(scenario, **changes):
-        spec = fleet_module.FleetSpec(**{"services": SERVICES, "groups": GROUPS} | changes)
+        spec = fleet_spec.FleetSpec(**{"services": SERVICES, "groups": GROUPS} | changes)
 
         async def main():
             async with fleet_module.running(spec, tmp_path) as fleet:
--- a/tests/integration/test_snapshots.py
+++ b/tests/integration/test_snapshots.py
@@ -89,7 +89,7 @@
 
     # Two processes; both replicas of a service in the same one.
     services = [
-        conftest.fleet_module.ServiceSpec(f"devis-{n:02d}", 1, 2, 25, 2.0, {"service_ms": 4.0})
+        conftest.fleet_spec.ServiceSpec(f"devis-{n:02d}", 1, 2, 25, 2.0, {"service_ms": 4.0})
         for n in range(4)
     ]
     play(scenario, services=tuple(services), target_processes=2)
--- a/tests/owner/test_service_queue.py
+++ b/tests/owner/test_service_queue.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from turmericlug.owner import part as part_module
 from turmericlug.owner import replica as replica_module
 from turmericlug.owner import service_queue
 from turmericlug.owner import target
@@ -56,7 +57,7 @@
 
 
 def submit(queue, replies, deadline_ms=1000, repeatable=True, retries=1, caller="c", number=0):
-    part = service_queue.Part(
+    part = part_module.Part(
         number=number,
         shard="s",
         snapshot="s1",
