Take parts a few per turn of the event loop; count a query's state as replies come

Cause: with 500 parts for one owner the owner was busy for 140 ms in one turn, silent for longer than its peers' limit, so that the coordinator moved the parts to itself and opened every service: 192 ms of coordinator time per query at 500 parts, 3.3 ms at 100 (slopes run). Ruled out: adding up all parts at each reply (fixed as well; alone it left 301 ms).

--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import random
 import time
@@ -29,6 +30,7 @@
 _HEALTH_TIMEOUT_S = 0.5
 _STANDBY_OWNERS = 2
 _KEEP_UNOWNED_S = 2.0
+_PARTS_PER_TURN = 16
 
 
 @attrs.frozen(slots=True)
@@ -47,6 +49,27 @@
     parts: tuple[tuple[int, str, str], ...]
 
 
+@attrs.define(eq=False)
+class _Submission:
+    """A coordinator's parts on their way into the queues."""
+
+    parts_in: PartsIn
+    deadline_s: float
+    reply: abc.Callable[[part_module.PartReply], None]
+    made: list[tuple[service_queue.ServiceQueue, part_module.Part]] = attrs.field(factory=list)
+    waiting: collections.deque[tuple[int, str, str]] = attrs.field(init=False)
+    cancelled: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self.waiting = collections.deque(self.parts_in.parts)
+
+    def cancel(self) -> None:
+        """Give up what is still open, also what has not reached a queue yet."""
+        self.cancelled = True
+        for queue, part in self.made:
+            queue.cancel(part)
+
+
 OnReplies = abc.Callable[[list[part_module.PartReply]], None]
 
 
@@ -105,57 +128,57 @@
                 asyncio.get_running_loop().call_soon(flush)
             batch.append(part_reply)
 
-        made: list[tuple[service_queue.ServiceQueue, part_module.Part]] = []
-        for number, service, shard in parts_in.parts:
-            part = part_module.Part(
-                number=number,
-                shard=shard,
-                snapshot=parts_in.snapshot,
-                caller=parts_in.caller,
-                priority=parts_in.priority,
-                deadline_s=deadline_s,
-                repeatable=parts_in.repeatable,
-                hedge=parts_in.hedge,
-                retries=parts_in.retries,
-                body=parts_in.body,
-                reply=reply,
-                attempt_prefix=f"{parts_in.query_id}.{number}.{self._settings.instance.name}",
-            )
-            self._submit_one(service, part, made)
-
-        def cancel() -> None:
-            for queue, part in made:
-                queue.cancel(part)
+        submission = _Submission(parts_in, deadline_s, reply)
+        self._submit_some(submission)
+        return submission.cancel
 
-        return cancel
+    def _submit_some(self, submission: _Submission) -> None:
+        """
+        Take a few parts, and the next few in the next turn of the event loop.
 
-    def _submit_one(
-        self,
-        service: str,
-        part: part_module.Part,
-        made: list[tuple[service_queue.ServiceQueue, part_module.Part]],
-    ) -> None:
-        if self.leaving:
-            self._counters.add("owner.part.refused.owner_leaving")
-            part.reply(part_module.PartReply(part.number, part_module.REFUSED, "owner_leaving"))
-            return
-        queue = self.queues.get(service)
-        if queue is not None:
-            made.append((queue, part))
-            queue.submit(part)
-        else:
-            self._tasks.start(self._submit_later(service, part, made))
+        Each part taken starts an attempt; five hundred in one turn keep the process from answering
+        pings for longer than its peers' silence limit, and they move the parts elsewhere.
+        """
+        for _ in range(_PARTS_PER_TURN):
+            if submission.cancelled or not submission.waiting:
+                return
+            number, service, shard = submission.waiting.popleft()
+            part = self._part(submission, number, shard)
+            queue = self.queues.get(service)
+            if self.leaving:
+                self._counters.add("owner.part.refused.owner_leaving")
+                part.reply(part_module.PartReply(number, part_module.REFUSED, "owner_leaving"))
+            elif queue is None:
+                self._tasks.start(self._submit_later(service, part, submission))
+            else:
+                submission.made.append((queue, part))
+                queue.submit(part)
+        asyncio.get_running_loop().call_soon(self._submit_some, submission)
+
+    def _part(self, submission: _Submission, number: int, shard: str) -> part_module.Part:
+        parts_in = submission.parts_in
+        return part_module.Part(
+            number=number,
+            shard=shard,
+            snapshot=parts_in.snapshot,
+            caller=parts_in.caller,
+            priority=parts_in.priority,
+            deadline_s=submission.deadline_s,
+            repeatable=parts_in.repeatable,
+            hedge=parts_in.hedge,
+            retries=parts_in.retries,
+            body=parts_in.body,
+            reply=submission.reply,
+            attempt_prefix=f"{parts_in.query_id}.{number}.{self._settings.instance.name}",
+        )
 
     async def _submit_later(
-        self,
-        service: str,
-        part: part_module.Part,
-        made: list[tuple[service_queue.ServiceQueue, part_module.Part]],
+        self, service: str, part: part_module.Part, submission: _Submission
     ) -> None:
         """Open a service that we did not expect, as when the coordinator's view differs."""
         queue = await self._queue(service)
-        made.append((queue, part))
-        if not part.done:
+        if not submission.cancelled:
+            submission.made.append((queue, part))
             queue.submit(part)
 
     async def _queue(self, service: str) -> service_queue.ServiceQueue:
--- a/src/turmericlug/query/fan_out.py
+++ b/src/turmericlug/query/fan_out.py
@@ -76,6 +76,10 @@
         self._on_wait = on_wait
         self._parts = [_Part(service, shard) for service, shard in plan.parts]
         self._open = set(range(len(self._parts)))
+        # Counted as replies come: adding up 500 parts at each of 500 replies took most of a
+        # coordinator's time.
+        self._answered = 0
+        self._some_absent = False
         self._cancels: list[abc.Callable[[], None]] = []
         self._changed = asyncio.Event()
         self._stopped = False
@@ -261,27 +265,29 @@
             self._close(reply.number, "wrong_snapshot")
             return
         part.answered = reply.body
+        self._answered += 1
         self._open.discard(reply.number)
 
     def _close(self, number: int, reason: str) -> None:
         self._open.discard(number)
         self._parts[number].reason = reason
+        self._some_absent = self._some_absent or reason == ABSENT
 
     @property
     def hopeless(self) -> bool:
         """Whether the least coverage can't be reached any more."""
-        possible = sum(part.answered is not None for part in self._parts) + len(self._open)
+        possible = self._answered + len(self._open)
         return not possible or possible < self._plan.min_coverage * len(self._parts) - 1e-9
 
     @property
     def enough(self) -> bool:
         """Whether what has answered satisfies the least coverage."""
-        return self.coverage().ratio >= self._plan.min_coverage - 1e-9
+        return self._answered >= self._plan.min_coverage * len(self._parts) - 1e-9
 
     @property
     def snapshot_absent(self) -> bool:
         """Whether some part found that no replica holds the pinned snapshot."""
-        return any(part.reason == ABSENT for part in self._parts)
+        return self._some_absent
 
     @property
     def nothing_ran(self) -> bool:
--- a/src/turmericlug_lab/capacity.py
+++ b/src/turmericlug_lab/capacity.py
@@ -27,7 +27,6 @@
 REPLICAS_PER_SERVICE = 2
 RULES_BYTES = 40_000
 """A document of some 200 rules with its latest edits."""
-CATALOGUE_BYTES_PER_SERVICE = 65
 CATALOGUE_CHANGES = 0.1
 """Share of the changes that are of the catalogue."""
 MEMBER_WIRE_BYTES = 120
@@ -90,26 +89,50 @@
 def _idle(measured: Numbers) -> tuple[float, float, float]:
     """Extrapolate the control of an idle daemon to the target size: share, bytes/s, megabytes."""
     rows = measured["control"]
-    # Constant per daemon by design; the growth that is measured over the range is kept in.
     large = [row for row in rows if row["daemons"] >= 18] or rows
     cpu = sum(row["cpu_share"] for row in large) / len(large)
     bytes_per_s = sum(row["bytes_per_s"] for row in large) / len(large)
-    base_mb, member_mb = _of(rows, "daemons", "memory_mb")
-    return cpu, bytes_per_s, base_mb + max(member_mb, 0.0) * DAEMONS
+    return cpu, bytes_per_s, rows[-1]["memory_mb"] + _state_mb(measured)
+
+
+def _state_mb(measured: Numbers) -> float:
+    """Return what the fleet's view and the catalogue take at the target size."""
+    state = measured["state"]
+    services = REPLICAS / REPLICAS_PER_SERVICE
+    texts = 2 * services * state["catalogue_text_bytes_per_service"]
+    return (
+        DAEMONS * state["bytes_per_member"] + services * state["bytes_per_service"] + texts
+    ) / 1e6
 
 
 def _control(measured: Numbers) -> list[Line]:
     cpu, bytes_per_s, memory_mb = _idle(measured)
     _, growth = _of(measured["control"], "daemons", "cpu_share")
     detect = [row["detect_ms"] for row in measured["control"]]
-    _, member_mb = _of(measured["control"], "daemons", "memory_mb")
+    _, line_mb = _of(measured["control"], "daemons", "memory_mb")
     return [
         Line("membership", "share of a core, idle", f"{cpu:.4f}", "mean of 18 to 60 daemons"),
         Line("membership", "growth of it per daemon", f"{growth:.7f}", "3 to 60 daemons"),
         Line("membership", "bytes/s sent per daemon", f"{bytes_per_s:.0f}", "18 to 60 daemons"),
         Line("membership", "ms until all saw a death", f"{max(detect):.0f}", "most of 3 to 60"),
-        Line("membership", "KB of memory per member", f"{member_mb * 1000:.1f}", "3 to 60 daemons"),
-        Line("membership", "MB per daemon at 4,700", f"{memory_mb:.0f}", "line through 3 to 60"),
+        Line(
+            "membership",
+            "bytes of the view per member",
+            f"{measured['state']['bytes_per_member']}",
+            "4,700 members in one process",
+        ),
+        Line(
+            "membership",
+            "MB per daemon",
+            f"{memory_mb:.0f}",
+            "60 daemons' + view + catalogue at the target size",
+        ),
+        Line(
+            "membership",
+            "MB per daemon if links grew on",
+            f"{measured['control'][0]['memory_mb'] + line_mb * DAEMONS:.0f}",
+            "line through 3 to 60: links, which stop growing at some 50",
+        ),
     ]
 
 
@@ -138,13 +161,13 @@
     ]
 
 
-def _document_bytes() -> tuple[float, float]:
+def _document_bytes(measured: Numbers) -> tuple[float, float]:
     services = REPLICAS / REPLICAS_PER_SERVICE
-    return RULES_BYTES, services * CATALOGUE_BYTES_PER_SERVICE
+    return RULES_BYTES, services * measured["state"]["catalogue_text_bytes_per_service"]
 
 
 def _rules(measured: Numbers) -> list[Line]:
-    rules, catalogue = _document_bytes()
+    rules, catalogue = _document_bytes(measured)
     mean = rules * (1 - CATALOGUE_CHANGES) + catalogue * CATALOGUE_CHANGES
     per_s = CHANGES_A_DAY / DAY_S
     depth = math.ceil(math.log(DAEMONS, TREE_WIDTH))
@@ -180,7 +203,7 @@
 def _records(measured: Numbers) -> list[Line]:
     best = measured["records"][-1]
     carried = STORE_WRITES_PER_S / best["writes_per_request"]
-    entry_bytes = 700.0
+    entry_bytes = measured["state"]["bytes_per_record"]
     in_memory = 16 * MEMORY_MB / 2 * 1e6 / entry_bytes / DAY_S
     return [
         Line(
@@ -196,7 +219,7 @@
             "records",
             "requests/s by memory",
             f"{in_memory:.0f}",
-            "16 buckets, half of 256 MB each, 700 bytes, kept a day",
+            f"16 buckets, half of 256 MB each, {entry_bytes} bytes, kept a day",
         ),
     ]
 
@@ -238,7 +261,7 @@
 
 def _sum(measured: Numbers) -> list[Line]:
     cpu, bytes_per_s, memory_mb = _idle(measured)
-    rules, catalogue = _document_bytes()
+    rules, catalogue = _document_bytes(measured)
     mean = rules * (1 - CATALOGUE_CHANGES) + catalogue * CATALOGUE_CHANGES
     told = 3 * math.ceil(math.log2(DAEMONS + 1)) + 1
     gossip = (RESTARTS_A_DAY * 3 + FAILURES_A_DAY * 2) / DAY_S * told * MEMBER_WIRE_BYTES
@@ -260,7 +283,7 @@
             f"{total_bytes:.0f} of {BYTES_PER_S:.0f}",
             "probes + gossip + documents in and out",
         ),
-        Line("sum", "MB per daemon", f"{memory_mb:.0f} of {MEMORY_MB:.0f}", "line through 3 to 60"),
+        Line("sum", "MB per daemon", f"{memory_mb:.0f} of {MEMORY_MB:.0f}", "as above"),
     ]
 
 
--- a/src/turmericlug_lab/slopes.py
+++ b/src/turmericlug_lab/slopes.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import pathlib
 import signal
 import statistics
 import tempfile
 import time
+import tracemalloc
 import typing
 
+import attrs
+
+from turmericlug.catalog import catalog as catalog_module
+from turmericlug.membership import members as members_module
+from turmericlug.records import ledger
 from turmericlug_lab import experiment
 from turmericlug_lab import fleet as fleet_module
 from turmericlug_lab import fleet_spec
@@ -20,6 +27,9 @@
 FLEET_SIZES = (3, 6, 9, 18, 36, 60)
 FAN_OUTS = (20, 100, 500)
 CONCURRENT = (1, 10, 100)
+_MEMBERS = 4700
+_SERVICES = 13000
+_RECORDS = 10000
 _IDLE_S = 8.0
 _SETTLE_S = 3.0
 _QUIET = {"platform": {"instances_poll_ms": "1000"}}
@@ -33,6 +43,43 @@
         "query": [await _query(fan_out, progress) for fan_out in FAN_OUTS],
         "records": await _records(progress),
         "addresses": await _addresses(progress),
+        "state": state(),
+    }
+
+
+def state() -> Numbers:
+    """Measure the memory of what grows with the fleet, at its target size, in this process."""
+    own = members_module.Member("e", "alive", 1, "10.0.0.1", 1, 2, "dc")
+    tracemalloc.start()
+    view = members_module.Members(own)
+    for number in range(_MEMBERS):
+        view.learn(attrs.evolve(own, instance=f"instance-{number}", host=f"10.0.{number}.1"))
+    members_bytes, _ = tracemalloc.get_traced_memory()
+    text = json.dumps(
+        {
+            "services": {
+                f"service-{number}": {"slots": 2, "connections": 25, "data_centre": "montreal"}
+                for number in range(_SERVICES)
+            }
+        }
+    )
+    tracemalloc.reset_peak()
+    before, _ = tracemalloc.get_traced_memory()
+    catalog = catalog_module.parse(text)
+    after, _ = tracemalloc.get_traced_memory()
+    entries = {
+        f"{1796234104 + number}-voucher-{number}": ledger.Entry(
+            f"e1-0011223344-{number}", "0" * 32, 1796234104, "x" * 120
+        )
+        for number in range(_RECORDS)
+    }
+    last, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {
+        "bytes_per_member": round(members_bytes / _MEMBERS),
+        "bytes_per_service": round((after - before) / len(catalog.services)),
+        "catalogue_text_bytes_per_service": round(len(text) / _SERVICES),
+        "bytes_per_record": round((last - after) / len(entries)),
     }
 
 
