--- a/src/turmericlug/query/coordinator.py
+++ b/src/turmericlug/query/coordinator.py
@@ -23,11 +23,14 @@
 from turmericlug.rules import configuration
 from turmericlug.rules import model
 from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import events
 
 _ANSWER_MARGIN_S = 0.004
 """Kept back from the deadline for merging and for the way to the caller."""
 _STEP_ASIDE_MS = 500
 _SETTLE_TIMEOUT_S = 10.0
+_LINES_PER_S = 10
+"""Log lines of one kind of outcome in a second."""
 
 
 @attrs.frozen
@@ -70,6 +73,7 @@
         self._numbers = itertools.count(1)
         self._running: dict[str, int] = {}
         self._ended = asyncio.Event()
+        self._limiter = events.Limiter(_LINES_PER_S)
         self._settling = tasks.Tasks()
 
     @property
@@ -114,8 +118,23 @@
         name = outcome_module.name_of(outcome)
         reason = "" if isinstance(outcome, outcome_module.Answer) else f".{outcome.reason}"
         self._counters.add(f"query.{name}{reason}")
+        if name != "complete":
+            self._log(query, query_id, outcome)
         return outcome
 
+    def _log(self, query: Query, query_id: str, outcome: outcome_module.Outcome) -> None:
+        reasons = [getattr(outcome, "reason", "")]
+        if isinstance(outcome, outcome_module.Answer):
+            reasons = sorted({missing.reason for missing in outcome.coverage.missing})
+        self._limiter.emit(
+            f"query.{outcome_module.name_of(outcome)}",
+            request=query_id,
+            service=query.service,
+            caller=query.caller,
+            rule=outcome.rule,
+            reason=", ".join(reasons),
+        )
+
     async def _decide(
         self, query: Query, query_id: str, began_at_s: float
     ) -> outcome_module.Outcome:
--- a/src/turmericlug/telemetry/events.py
+++ b/src/turmericlug/telemetry/events.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import collections
 import json
 import logging as std_logging
 import time
 import typing
+from collections import abc
 
 from absl import logging
 
@@ -39,6 +41,36 @@
         logging.log(number, "%s", json.dumps({"event": event, **fields}, default=str))
 
 
+class Limiter:
+    """Lets only so many lines of each kind through per second, and counts the others."""
+
+    def __init__(self, most_per_s: int, now_s: abc.Callable[[], float] = time.monotonic) -> None:
+        self._most_per_s = most_per_s
+        self._now_s = now_s
+        self._second = 0
+        self._counts: collections.Counter[str] = collections.Counter()
+
+    def emit(self, event: str, level: str = "info", **fields: typing.Any) -> None:
+        """
+        Log an event that callers can bring about at any rate.
+
+        Under overload thousands of refusals a second would cost more than the queries. What was
+        left out is told with the first line of a later second.
+        """
+        second = int(self._now_s())
+        if second != self._second:
+            suppressed = sum(self._counts.values()) - sum(
+                min(count, self._most_per_s) for count in self._counts.values()
+            )
+            self._second = second
+            self._counts.clear()
+            if suppressed:
+                fields["suppressed_before"] = suppressed
+        self._counts[event] += 1
+        if self._counts[event] <= self._most_per_s:
+            emit(event, level, **fields)
+
+
 class _JsonFormatter(std_logging.Formatter):
     """Wraps each record in a JSON object, also those that libraries emit."""
 
--- /dev/null
+++ b/tests/integration/test_samples.py
@@ -0,0 +1,61 @@
+"""The sample settings and catalogues of both users, started as they are but for the ports."""
+
+from __future__ import annotations
+
+import configparser
+import json
+import pathlib
+import signal
+
+import pytest
+
+from turmericlug_lab import fleet_spec
+
+SAMPLES = pathlib.Path(__file__).parents[2] / "samples"
+
+
+@pytest.mark.parametrize("name", ["pluvia", "regie"])
+def test_sample_starts(play, tmp_path, name):
+    """A daemon with the sample's settings starts, takes the sample's catalogue, and stops."""
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read(SAMPLES / f"{name}.ini")
+    plain = json.loads((SAMPLES / f"{name}-catalog.json").read_text())
+
+    async def scenario(fleet):
+        url = f"http://127.0.0.1:{fleet.platform_port}"
+        parser["platform"].update(store_url=url, instances_url=url)
+        ports = fleet_spec.free_ports(3)
+        keys = ("callers_port", "peers_port", "operators_port")
+        parser["instance"].update(zip(keys, map(str, ports), strict=True))
+        parser["policy"]["address_lifetime_ms"] = "100"
+        path = tmp_path / "sample.ini"
+        with path.open("w") as stream:
+            parser.write(stream)
+        fleet.launch("sample", "daemon", str(path))
+        base = f"http://127.0.0.1:{ports[0]}"
+        await fleet.answering(f"{base}/v1/ready")
+        token = parser["instance"]["operators_token"]
+        async with fleet.http.put(
+            f"http://127.0.0.1:{ports[2]}/v1/catalog",
+            json=plain,
+            headers={"Authorization": f"Bearer {token}"},
+        ) as response:
+            assert (await response.json())["outcome"] == "accepted"
+        group = next(iter(plain["groups"]))
+        body = {"service": group, "caller": "tests", "deadline_ms": 300}
+        async with fleet.http.post(f"{base}/v1/query", json=body) as response:
+            answer = await response.json()
+        assert (answer["outcome"], answer.get("ran")) == ("refused", "no"), answer
+        fleet.signal("sample", signal.SIGTERM)
+        assert await fleet.wait_exit("sample") == 0
+
+    play(scenario, daemons=0, services=(), groups={})
+
+
+def test_sizes_are_the_brief_s():
+    sizes = {}
+    for name in ("pluvia", "regie"):
+        plain = json.loads((SAMPLES / f"{name}-catalog.json").read_text())
+        sizes[name] = sorted(len(each) for each in plain["groups"].values())
+        assert len(plain["services"]) == 52
+    assert sizes == {"pluvia": [20, 30], "regie": [20, 30]}
--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -93,6 +93,17 @@
     assert len(members.owners("s", "y", everyone)) == 2
 
 
+@pytest.mark.parametrize(
+    ("state", "ready", "serving"),
+    [("alive", True, True), ("suspect", True, True), ("alive", False, False)]
+    + [("leaving", True, False), ("dead", True, False)],
+)
+def test_who_takes_new_work(state, ready, serving):
+    """A new instance without the rules must get no caller; nor must one that leaves."""
+    found = attrs.evolve(member("a", state), ready=ready)
+    assert found.serving is serving
+
+
 def test_wire_round_trip():
     from turmericlug.wire import codec
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -125,10 +125,10 @@
     ),
     one(
         "ready-without-rules",
-        "daemon.py",
-        "        ready=False,\n",
-        "        ready=True,\n",
-        f"{I}test_planned_stop.py::test_rolling_replacement[True]",
+        "membership/members.py",
+        "return self.ready and self.state in (ALIVE, SUSPECT)",
+        "return self.state in (ALIVE, SUSPECT)",
+        "membership/test_members.py::test_who_takes_new_work",
     ),
     one(
         "always-current",
