Rank owners once per change of the view, and only near by

Cause, found by reading: the ranking of all instances was made anew for each part; at 4,700 instances and 500 parts that is 2.3 million hashes a query. Kept per service until the view or the catalogue changes, and only the data centre's instances are weighed when it has eight or more. Also removed: Document.position and Freshness.alone, which nothing used.

--- a/src/turmericlug/membership/freshness.py
+++ b/src/turmericlug/membership/freshness.py
@@ -34,15 +34,12 @@
     that hears neither store nor peers steps aside, since the others may have moved on without it.
     """
 
-    def __init__(
-        self, limit_ms: int, now_s: abc.Callable[[], float] = time.monotonic, alone: bool = False
-    ) -> None:
+    def __init__(self, limit_ms: int, now_s: abc.Callable[[], float] = time.monotonic) -> None:
         self._limit_s = limit_ms / 1000
         self._now_s = now_s
         self._store_at_s = NEVER_S
         self._peer_at_s = NEVER_S
         self._ticked_at_s = now_s()
-        self.alone = alone
         self.held = Revisions()
         self.wanted = Revisions()
 
--- a/src/turmericlug/membership/members.py
+++ b/src/turmericlug/membership/members.py
@@ -15,6 +15,8 @@
 _PRECEDENCE = {ALIVE: 0, SUSPECT: 1, LEAVING: 2, DEAD: 3}
 _NEWS_PER_MESSAGE = 12
 _MOST_NEWS_PER_MESSAGE = 48
+RANKED = 8
+"""Instances that a ranking of owners names."""
 PROBED_PEERS = 16
 """Peers that one instance probes in turn."""
 
@@ -148,7 +150,7 @@
 
 def owners(service: str, data_centre: str, members: list[Member]) -> list[Member]:
     """
-    Rank the instances for a service by rendezvous hashing; the first one owns it.
+    Rank the first instances for a service by rendezvous hashing; the first one owns it.
 
     Instances in the replicas' data centre come first, so that the owner's hop to its targets is
     short. A change of one instance moves only that instance's services.
@@ -162,7 +164,11 @@
         score = xxhash.xxh3_64_intdigest(f"{service}\0{member.instance}".encode())
         return member.data_centre == data_centre, score
 
-    return sorted(members, key=weight, reverse=True)
+    local = [each for each in members if each.data_centre == data_centre]
+    # Nobody asks for more than the first few: with enough of them near by, the others of a large
+    # fleet need not be weighed.
+    candidates = local if len(local) >= RANKED else members
+    return heapq.nlargest(RANKED, candidates, key=weight)
 
 
 def probe_set(own: str, peers: list[Member]) -> list[str]:
--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -97,6 +97,9 @@
         self._opening: dict[str, asyncio.Task[service_queue.ServiceQueue]] = {}
         self._generations: dict[str, int] = {}
         self._known_leaving: set[str] = set()
+        # Ranking all instances for each of 500 parts would cost more than the rest of a query.
+        self._rankings: dict[str, list[members_module.Member]] = {}
+        self._ranked_at = (-1, -1)
         self._tasks = tasks.Tasks()
 
     def ranking(
@@ -107,7 +110,16 @@
         # happens to see it: instances would rank differently, and each have another owner.
         limits = self._config.catalog.services.get(service)
         centre = limits.data_centre if limits else ""
-        return members_module.owners(service, centre, [*self._mesh.members.serving(), *joining])
+        members = self._mesh.members
+        if joining:
+            return members_module.owners(service, centre, [*members.serving(), *joining])
+        version = (members.version, self._config.catalog_revision)
+        if version != self._ranked_at:
+            self._rankings.clear()
+            self._ranked_at = version
+        if service not in self._rankings:
+            self._rankings[service] = members_module.owners(service, centre, members.serving())
+        return self._rankings[service]
 
     def submit(self, parts_in: PartsIn, on_replies: OnReplies) -> abc.Callable[[], None]:
         """
--- a/src/turmericlug/rules/model.py
+++ b/src/turmericlug/rules/model.py
@@ -102,13 +102,6 @@
                 break
         return found
 
-    def position(self, name: str) -> int | None:
-        """Return a rule's place, or ``None``."""
-        for index, rule in enumerate(self.rules):
-            if rule.name == name:
-                return index
-        return None
-
 
 EMPTY = Document(0, (), ())
 
