Answer malformed calls to the operators' port with 4xx

A priority, limit or headers of the wrong kind gave a 500 without a problem text; found by reading. The bad-input test has these calls now and failed before.

--- a/src/turmericlug/operators/http.py
+++ b/src/turmericlug/operators/http.py
@@ -85,6 +85,8 @@
             return _problem(error.status, error.reason)
         except _BadCallError as error:
             return _problem(400, *error.problems)
+        except (ValueError, TypeError) as error:
+            return _problem(400, f"malformed: {error}")
         except repository_module.RepositoryError as error:
             return _problem(503, f"the store does not answer ({error}); try again")
 
--- a/tests/integration/test_bad_input.py
+++ b/tests/integration/test_bad_input.py
@@ -71,6 +71,16 @@
             status, answer = await fleet.operate("e1", "POST", "/v1/rules/edit", plain)
             assert 400 <= status < 500
             assert answer["problems"][0].startswith(problem), answer
+        for method, path, plain in (
+            ("POST", "/v1/rules/explain", {"priority": "x"}),
+            ("POST", "/v1/rules/explain", {"headers": 3}),
+            ("POST", "/v1/rules/explain", []),
+            ("GET", "/v1/rules/history?limit=x", None),
+            ("PUT", "/v1/catalog", {"services": 3}),
+            ("GET", "/v1/nowhere", None),
+        ):
+            status, answer = await fleet.operate("e1", method, path, plain)
+            assert 400 <= status < 500 and answer["problems"], (path, status)
         text = "[rule all]\nthen_hedge = no\n"
         await fleet.operate("e1", "POST", "/v1/rules/edit", {"operation": "add", "text": text})
         hidden = "# why\n[rule hidden]\nwhen_caller = x\nthen_hedge = no\n"
