Stand-in fleets listen below the range of source ports

The daemons bind their links' source address, with a port that the system draws from the range that free_ports drew the listening ports from, and they connect before they listen: some ten links, three ports and nine daemons in 28,000 ports make about one start in a hundred fail, one in some hundred was seen. Not reproduced on purpose: it is the likely cause, not a shown one. The fleet now tells exit code and log of a daemon that does not come up.

--- a/src/turmericlug_lab/fleet.py
+++ b/src/turmericlug_lab/fleet.py
@@ -254,9 +254,14 @@
         raise fleet_spec.FleetError(f"{url} does not answer")
 
     async def ready(self, name: str) -> None:
-        """Wait until a daemon serves callers."""
+        """Wait until a daemon serves callers; tells the end of its log if it does not."""
         daemon = self.daemons[name]
-        await self.answering(f"http://{daemon.host}:{daemon.callers_port}/v1/ready")
+        try:
+            await self.answering(f"http://{daemon.host}:{daemon.callers_port}/v1/ready")
+        except fleet_spec.FleetError as error:
+            ended = self.processes[name].poll()
+            last = (self.folder / f"{name}.log").read_text()[-1500:]
+            raise fleet_spec.FleetError(f"{error}; exit code {ended}; log: {last}") from error
 
     async def sees_all(self, name: str) -> None:
         """Wait until a daemon holds every daemon for alive."""
--- a/src/turmericlug_lab/fleet_spec.py
+++ b/src/turmericlug_lab/fleet_spec.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import pathlib
+import random
 import socket
 import typing
 
 import attrs
 
+_PORTS = (10000, 32000)
+
 
 @attrs.frozen
 class ServiceSpec:
@@ -69,12 +72,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Find ports that are free on loopback now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """
+    Find ports that are free on loopback now.
+
+    Below the range that the system takes source ports from: one of those may become the source of
+    somebody's connection before the process that it was meant for listens there.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(*_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
+    return ports
