Refuse what is too short to be sent; coverage with replicas cut off; every log line is JSON

Cause: a deadline shorter than the 4 ms kept for the way back was sent to owners all the same and answered 'failed, may have run' at once (seen by hand with 1 ms). It is refused now, and the test looks into the journals. A test with the network cut to both replicas of a service is new and passed at once. The log library's first line was no JSON.

--- a/src/turmericlug/query/coordinator.py
+++ b/src/turmericlug/query/coordinator.py
@@ -156,6 +156,11 @@
             return refusal
         deadline_ms = min(query.deadline_ms, treatment.deadline_ms or query.deadline_ms)
         deadline_s = began_at_s + deadline_ms / 1000 - _ANSWER_MARGIN_S
+        if deadline_s <= time.monotonic():
+            # Sent all the same, the parts would be late for certain and might yet run.
+            return outcome_module.Refused(
+                "no_time", self._spread_ms(1), self._config.rules.revision, treatment.rule
+            )
         if query.idempotency_key:
             return await self._run_once(query, treatment, query_id, deadline_s)
         return await self._run_parts(query, treatment, query_id, began_at_s, deadline_s)
--- a/src/turmericlug/telemetry/events.py
+++ b/src/turmericlug/telemetry/events.py
@@ -9,6 +9,7 @@
 import typing
 from collections import abc
 
+from absl import flags
 from absl import logging
 
 _LEVELS = {"info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
@@ -20,6 +21,9 @@
 
     :param instance: the name that each line carries
     """
+    # Our programs read no absl flags; unless that is said, the library prints a line that is no
+    # JSON before the first.
+    flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     handler.setFormatter(_JsonFormatter(instance))
     logging.use_absl_handler()
--- a/src/turmericlug_lab/standin.py
+++ b/src/turmericlug_lab/standin.py
@@ -17,7 +17,6 @@
 from turmericlug_lab import standin_target
 
 application = typer.Typer(
-    help="Stand-ins for tests, demonstrations and experiments; all listen on loopback.",
     no_args_is_help=True,
 )
 
@@ -79,7 +78,11 @@
 def main(
     version: version_module.Option = False,
 ) -> None:
-    """Stand-ins for tests, demonstrations and experiments; all listen on loopback."""
+    """
+    Stand in for targets, the platform and a faulty network; all listen on loopback.
+
+    Exit codes: 0 stopped, 1 it could not run, 2 wrong usage or a file that can't be used.
+    """
 
 
 def run() -> None:
--- a/tests/integration/test_snapshots.py
+++ b/tests/integration/test_snapshots.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 
+import attrs
 import pytest
 from integration import conftest
 
+from turmericlug_lab import fleet_spec
+
 
 def test_version_switch_under_queries(play):
     """
@@ -87,9 +91,61 @@
             assert sorted(each["shard"] for each in missing) == gone
             assert all(each["reason"] for each in missing)
 
-    # Two processes; both replicas of a service in the same one.
+    # One replica a service: those of one process are gone.
     services = [
         conftest.fleet_spec.ServiceSpec(f"devis-{n:02d}", 1, 2, 25, 2.0, {"service_ms": 4.0})
         for n in range(4)
     ]
     play(scenario, services=tuple(services), target_processes=2)
+
+
+def test_coverage_with_replicas_cut(play):
+    """
+    The network to both replicas of one service is cut: connections stand, nothing passes. The
+    clerk gets the other shards with the cut one named, and all of them again after healing.
+    """
+
+    async def scenario(fleet):
+        names = ["devis-00-r0", "devis-00-r1"]
+        control_port, *ports = fleet_spec.free_ports(3)
+        routes = [
+            {"name": name, "listen": port, "to": fleet.targets[name].port}
+            for name, port in zip(names, ports, strict=True)
+        ]
+        path = fleet.folder / "cut.json"
+        path.write_text(json.dumps(routes))
+        fleet.launch("cut", "standin", "proxy", str(path), "--port", str(control_port))
+        for name, port in zip(names, ports, strict=True):
+            await fleet.answering(f"http://127.0.0.1:{port}/v1/health")
+            fleet.targets[name] = attrs.evolve(fleet.targets[name], port=port)
+            await fleet.register(name)
+
+        async def switch(mode):
+            for name in names:
+                url = f"http://127.0.0.1:{control_port}/control/{name}"
+                async with fleet.http.post(url, json={"mode": mode}) as response:
+                    response.raise_for_status()
+
+        async def query(mark):
+            _, answer = await fleet.query(
+                "e1", service="devis", body={"mark": mark}, deadline_ms=500
+            )
+            answers.append((mark, 200, answer))
+            return answer
+
+        async def cut_off():
+            answer = await query("cut")
+            return [each["shard"] for each in answer["coverage"]["missing"]] == ["devis-00"]
+
+        async def whole():
+            return (await query("whole"))["outcome"] == "complete"
+
+        answers = []
+        await asyncio.sleep(1)
+        await switch("hang")
+        await conftest.eventually(cut_off)
+        await switch("pass")
+        await conftest.eventually(whole)
+        conftest.check_honest(fleet, answers)
+
+    play(scenario)
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -22,5 +22,9 @@
         status, answer = await fleet.query("e3", service="devis", body={"mark": "2"})
         assert (status, answer["reason"]) == (503, "rule_shut")
         assert not conftest.runs(fleet, '"2"')
+        fields = {"service": "billing", "body": {"mark": "3"}, "deadline_ms": 2}
+        status, answer = await fleet.query("e1", **fields)
+        assert (status, answer["outcome"], answer["reason"]) == (503, "refused", "no_time")
+        assert not conftest.runs(fleet, '"3"')
 
     play(scenario)
