One place for what was written again: who owns a service, and the capacity page's sums

Found by reading the whole change: 'the first in the ranking is me' stood in the owner twice and in the operators' status; the gossip's bytes and the mean document were worked out in two rows each of the capacity page. Behaviour unchanged: the page's test still finds the same table; tests of lab, owner and membership, whole path, leaving targets and membership under faults passed once.

--- a/src/turmericlug/operators/http.py
+++ b/src/turmericlug/operators/http.py
@@ -271,8 +271,7 @@
             "services": [
                 {
                     "service": name,
-                    "owned": bool(ranking := self._owner.ranking(name))
-                    and ranking[0].instance == own.instance,
+                    "owned": self._owner.owns(name),
                     "queued": queue.queued(),
                     "targets": [
                         {
--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -121,6 +121,11 @@
             self._rankings[service] = members_module.owners(service, centre, members.serving())
         return self._rankings[service]
 
+    def owns(self, service: str, joining: tuple[members_module.Member, ...] = ()) -> bool:
+        """Whether this instance is the first in a service's ranking."""
+        ranking = self.ranking(service, joining)
+        return bool(ranking) and ranking[0].instance == self._mesh.members.own.instance
+
     def submit(self, parts_in: PartsIn, on_replies: OnReplies) -> abc.Callable[[], None]:
         """
         Take parts; replies come in batches, those of one turn of the event loop together.
@@ -353,9 +358,7 @@
         """
         now_s = time.monotonic()
         for service, queue in list(self.queues.items()):
-            ranking = self.ranking(service)
-            owned = bool(ranking) and ranking[0].instance == self._mesh.members.own.instance
-            if owned or queue.queued() or queue.in_flight():
+            if self.owns(service) or queue.queued() or queue.in_flight():
                 self._idle_since_s.pop(service, None)
             elif now_s - self._idle_since_s.setdefault(service, now_s) > _KEEP_UNOWNED_S:
                 await self._close(service)
@@ -377,8 +380,7 @@
         own = self._mesh.members.own
         missing = []
         for service in self._config.catalog.services:
-            ranking = self.ranking(service, (own,) if joining else ())
-            if service not in self._opening and ranking and ranking[0].instance == own.instance:
+            if service not in self._opening and self.owns(service, (own,) if joining else ()):
                 missing.append(self._queue(service))
         await asyncio.gather(*missing)
 
--- a/src/turmericlug_lab/capacity.py
+++ b/src/turmericlug_lab/capacity.py
@@ -140,10 +140,20 @@
     return max(row["frames_per_s"] for row in measured["control"])
 
 
-def _news(measured: Numbers) -> list[Line]:
-    told = 3 * math.ceil(math.log2(DAEMONS + 1)) + 1
+def _times_told() -> int:
+    """Return how often an instance tells each news, as members.py does."""
+    return 3 * math.ceil(math.log2(DAEMONS + 1)) + 1
+
+
+def _gossip_bytes_per_s() -> float:
+    """Return what the news of an ordinary day cost a daemon."""
     news_per_s = (RESTARTS_A_DAY * 3 + FAILURES_A_DAY * 2) / DAY_S
-    bytes_per_s = news_per_s * told * MEMBER_WIRE_BYTES
+    return news_per_s * _times_told() * MEMBER_WIRE_BYTES
+
+
+def _news(measured: Numbers) -> list[Line]:
+    told = _times_told()
+    bytes_per_s = _gossip_bytes_per_s()
     frames_per_s = _frames_per_s(measured)
     rooms_per_s = frames_per_s * (NEWS_PER_MESSAGE - 1)
     centre = DAEMONS / DATA_CENTRES * 2
@@ -166,9 +176,15 @@
     return RULES_BYTES, services * measured["state"]["catalogue_text_bytes_per_service"]
 
 
-def _rules(measured: Numbers) -> list[Line]:
+def _mean_document_bytes(measured: Numbers) -> float:
+    """Return the size of the document that a change sends, on average."""
     rules, catalogue = _document_bytes(measured)
-    mean = rules * (1 - CATALOGUE_CHANGES) + catalogue * CATALOGUE_CHANGES
+    return rules * (1 - CATALOGUE_CHANGES) + catalogue * CATALOGUE_CHANGES
+
+
+def _rules(measured: Numbers) -> list[Line]:
+    _, catalogue = _document_bytes(measured)
+    mean = _mean_document_bytes(measured)
     per_s = CHANGES_A_DAY / DAY_S
     depth = math.ceil(math.log(DAEMONS, TREE_WIDTH))
     largest = measured["control"][-1]
@@ -261,10 +277,8 @@
 
 def _sum(measured: Numbers) -> list[Line]:
     cpu, bytes_per_s, memory_mb = _idle(measured)
-    rules, catalogue = _document_bytes(measured)
-    mean = rules * (1 - CATALOGUE_CHANGES) + catalogue * CATALOGUE_CHANGES
-    told = 3 * math.ceil(math.log2(DAEMONS + 1)) + 1
-    gossip = (RESTARTS_A_DAY * 3 + FAILURES_A_DAY * 2) / DAY_S * told * MEMBER_WIRE_BYTES
+    mean = _mean_document_bytes(measured)
+    gossip = _gossip_bytes_per_s()
     service_rows = measured["services"]
     _, per_service = _of(service_rows, "services", "cpu_share")
     owned = REPLICAS / REPLICAS_PER_SERVICE / DAEMONS
