--- /dev/null
+++ b/src/turmericlug/config/ini.py
@@ -0,0 +1,117 @@
+"""INI settings declared as attrs classes: checked as a whole, every error in one report."""
+
+from __future__ import annotations
+
+import configparser
+import pathlib
+import typing
+from collections import abc
+
+import attrs
+
+Parse = abc.Callable[[str], typing.Any]
+
+
+class SettingsError(Exception):
+    """The settings file can't be used; ``problems`` lists every reason."""
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("\n".join(problems))
+        self.problems = problems
+
+
+def text(raw: str) -> str:
+    """Parse a text that must not be empty."""
+    if not raw:
+        raise ValueError("must not be empty")
+    return raw
+
+
+def whole(low: int, high: int) -> Parse:
+    """Return the parser of a whole number within bounds."""
+
+    def parse(raw: str) -> int:
+        try:
+            value = int(raw)
+        except ValueError:
+            raise ValueError(f"{raw!r} is not a whole number") from None
+        if not low <= value <= high:
+            raise ValueError(f"{value} is outside {low}..{high}")
+        return value
+
+    return parse
+
+
+def ratio(high: float) -> Parse:
+    """Return the parser of a number from 0 to a bound."""
+
+    def parse(raw: str) -> float:
+        try:
+            value = float(raw)
+        except ValueError:
+            raise ValueError(f"{raw!r} is not a number") from None
+        if not 0.0 <= value <= high:
+            raise ValueError(f"{value} is outside 0..{high}")
+        return value
+
+    return parse
+
+
+def secret(raw: str) -> str:
+    """Parse a secret, which must not be short."""
+    if len(raw) < 16:
+        raise ValueError("must have at least 16 characters")
+    return raw
+
+
+def url(raw: str) -> str:
+    """Parse a base address."""
+    if not raw.startswith(("http://", "https://")):
+        raise ValueError(f"{raw!r} is not an http:// or https:// address")
+    return raw.rstrip("/")
+
+
+def key(parse: Parse, default: typing.Any, doc: str) -> typing.Any:
+    """Declare one key: how it is parsed, its default (``None``: required), what it is for."""
+    return attrs.field(default=default, metadata={"parse": parse, "doc": doc})
+
+
+def read(path: pathlib.Path, sections: dict[str, type]) -> dict[str, typing.Any]:
+    """
+    Read and check a settings file.
+
+    :param path: the INI file
+    :param sections: the class of each section, its fields declared with ``key``
+    :returns: the sections' objects by name
+    :raises SettingsError: with every problem found, not only the first
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with path.open(encoding="utf-8") as stream:
+            parser.read_file(stream)
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        raise SettingsError([f"{path}: {error}"]) from error
+    problems = [f"[{name}]: unknown section" for name in parser.sections() if name not in sections]
+    values = {name: _section(parser, name, cls, problems) for name, cls in sections.items()}
+    if problems:
+        raise SettingsError(problems)
+    return values
+
+
+def _section(
+    parser: configparser.ConfigParser, name: str, cls: type, problems: list[str]
+) -> typing.Any:
+    given = dict(parser[name]) if parser.has_section(name) else {}
+    fields = {field.name: field for field in attrs.fields(cls)}
+    problems += [f"[{name}] {key}: unknown key" for key in given if key not in fields]
+    values = {}
+    for key, field in fields.items():
+        if key not in given:
+            if field.default is None:
+                problems.append(f"[{name}] {key}: missing ({field.metadata['doc']})")
+            continue
+        try:
+            values[key] = field.metadata["parse"](given[key])
+        except ValueError as error:
+            problems.append(f"[{name}] {key}: {error}")
+    return cls(**values) if not problems else None
--- a/src/turmericlug/daemon.py
+++ b/src/turmericlug/daemon.py
@@ -25,14 +25,14 @@
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.operators import http as operators_http
 from turmericlug.owner import owner as owner_module
-from turmericlug.platform import instances
-from turmericlug.platform import store as store_module
 from turmericlug.query import callers_http
 from turmericlug.query import coordinator as coordinator_module
 from turmericlug.records import records as records_module
 from turmericlug.rules import configuration
 from turmericlug.rules import distribution as distribution_module
 from turmericlug.rules import repository as repository_module
+from turmericlug.storage import instances
+from turmericlug.storage import store as store_module
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import events
 from turmericlug.wire import server as server_module
@@ -287,6 +287,7 @@
     kernel.provide("stop", stop)
     kernel.provide("configuration", configuration.Configuration(freshness, counters))
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(_report_failure)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     try:
@@ -306,6 +307,12 @@
     events.emit("instance.stopped")
 
 
+def _report_failure(loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]) -> None:
+    error = context.get("exception")
+    reason = f"{type(error).__name__}: {error}" if error else str(context.get("message"))
+    events.emit("task.failed", "error", reason=reason[:500])
+
+
 async def _leave(kernel: Kernel) -> None:
     """
     Leave without cutting off a request.
--- /dev/null
+++ b/src/turmericlug/direct/answering.py
@@ -0,0 +1,227 @@
+"""From a caller's request to its one answer: a single service, or all shards of a query."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+
+import attrs
+
+from turmericlug.direct import merge
+from turmericlug.direct import obtaining
+from turmericlug.direct import sending
+from turmericlug.direct import timing
+from turmericlug.http1 import client
+from turmericlug.http1 import server
+
+COME_BACK_LEAST_S = 0.05
+COME_BACK_MOST_S = 0.4
+"""Callers refused together come back spread over some service times, not all at once."""
+_RESPONSE_OWN = frozenset((b"content-length", b"connection", b"keep-alive", b"date"))
+
+
+@attrs.frozen
+class Ending:
+    """The answer to a request and why it is that one."""
+
+    answer: server.Answer
+    outcome: str
+    """``answered``, ``partial``, ``refused`` (nothing ran), ``failed`` (may have run)."""
+    reason: str = ""
+
+
+def come_back_s(rng: random.Random) -> float:
+    """Draw when a refused caller should come back."""
+    return rng.uniform(COME_BACK_LEAST_S, COME_BACK_MOST_S)
+
+
+def refusal(sender: obtaining.Sender, reason: str) -> Ending:
+    """Refuse: nothing ran and nothing will; the caller learns when to come back."""
+    seconds = b"%.3f" % come_back_s(sender.rng)
+    answer = server.Answer(503, ((sender.names.retry_after, seconds),), reason.encode())
+    return Ending(answer, "refused", reason)
+
+
+def failure(status: int, reason: str) -> Ending:
+    """Fail: the request may have run, nothing is promised."""
+    return Ending(server.Answer(status, (), reason.encode()), "failed", reason)
+
+
+async def single(sender: obtaining.Sender, call: sending.Call, service: str) -> Ending:
+    """Answer a request that one replica of one service answers."""
+    outcome = await obtaining.obtain(sender, call, service)
+    match outcome:
+        case sending.Answered():
+            return Ending(_passed_on(outcome.response, outcome.response.status), "answered")
+        case sending.Failed():
+            return _failed_by_replica(outcome)
+        case sending.NotRun():
+            return refusal(sender, outcome.reason)
+        case sending.Unknown():
+            late = outcome.reason in ("deadline", "silent")
+            return failure(504 if late else 502, outcome.reason)
+
+
+def _failed_by_replica(outcome: sending.Failed) -> Ending:
+    """
+    Pass a replica's own failure on unchanged.
+
+    But for a status that callers take for the promise that nothing ran, since it did run: it
+    becomes a 502 without the replica's signature.
+    """
+    status = outcome.response.status
+    if sending.promises_not_run(status):
+        return failure(502, f"replica_status_{status}")
+    return Ending(_passed_on(outcome.response, status), "failed", f"replica_status_{status}")
+
+
+def _passed_on(response: client.Response, status: int) -> server.Answer:
+    headers = tuple(
+        (name, value)
+        for name, value in client.end_to_end(response.headers)
+        if name not in _RESPONSE_OWN
+    )
+    return server.Answer(status, headers, response.body)
+
+
+async def all_shards(sender: obtaining.Sender, call: sending.Call) -> Ending:
+    """
+    Answer a query with the greatest records of all shards.
+
+    Waits for all of them until shortly before the goal. From then on it answers as soon as enough
+    shards are in, with the number of those that are missing.
+    """
+    if _reachable(sender, call) < least_parts(call):
+        return refusal(sender, "no_replica")
+    loop = asyncio.get_running_loop()
+    parts = {
+        shard: loop.create_task(obtaining.obtain(sender, call, shard))
+        for shard in call.route.shards
+    }
+    try:
+        await _enough(call, parts)
+    finally:
+        # Sends under way finish by themselves, which keeps their connections usable.
+        for part in parts.values():
+            part.cancel()
+    return _merged(sender, call, parts)
+
+
+Parts = dict[str, asyncio.Task[sending.Outcome]]
+
+
+def _reachable(sender: obtaining.Sender, call: sending.Call) -> int:
+    """Count the shards that have a replica: when too few do, nothing needs to be sent."""
+    now_s = asyncio.get_running_loop().time()
+    replicas = sender.replicas
+    return sum(
+        replicas.choose(shard, call.route, (), now_s) is not None for shard in call.route.shards
+    )
+
+
+async def _enough(call: sending.Call, parts: Parts) -> None:
+    """Wait until the query should be answered with the parts that are in."""
+    loop = asyncio.get_running_loop()
+    progress = _Progress(len(parts), least_parts(call), loop.create_future())
+    for part in parts.values():
+        part.add_done_callback(progress.ended)
+    answer_at_s = call.arrived_s + timing.answer_after_ms(call.route.goal_ms) / 1000
+    goal_near = loop.call_at(answer_at_s, progress.goal_near)
+    deadline = loop.call_at(call.deadline_s, progress.decide)
+    try:
+        await progress.decided
+    finally:
+        goal_near.cancel()
+        deadline.cancel()
+
+
+@attrs.define
+class _Progress:
+    """Counts how the parts of a query end, and tells when it should be answered."""
+
+    total: int
+    least: int
+    decided: asyncio.Future[None]
+    answered: int = 0
+    failed: int = 0
+    late: bool = False
+
+    def ended(self, part: asyncio.Task[sending.Outcome]) -> None:
+        """Take note of the end of one part."""
+        if part.cancelled():
+            return
+        if _answered(part) is None:
+            self.failed += 1
+        else:
+            self.answered += 1
+        self._check()
+
+    def goal_near(self) -> None:
+        """Answer as soon as enough parts are in."""
+        self.late = True
+        self._check()
+
+    def _check(self) -> None:
+        under_way = self.total - self.answered - self.failed
+        hopeless = self.answered + under_way < self.least
+        if not under_way or hopeless or (self.late and self.answered >= self.least):
+            self.decide()
+
+    def decide(self) -> None:
+        """Wait no longer."""
+        if not self.decided.done():
+            self.decided.set_result(None)
+
+
+def least_parts(call: sending.Call) -> int:
+    """Return how many shards an answer needs at least."""
+    return max(1, math.ceil(call.route.min_coverage * len(call.route.shards) - 1e-9))
+
+
+def _answered(part: asyncio.Task[sending.Outcome]) -> sending.Answered | None:
+    if not part.done() or part.cancelled():
+        return None
+    outcome = part.result()
+    return outcome if isinstance(outcome, sending.Answered) else None
+
+
+def _merged(sender: obtaining.Sender, call: sending.Call, parts: Parts) -> Ending:
+    answers = {shard: _answered(part) for shard, part in parts.items()}
+    present = [answer for answer in answers.values() if answer is not None]
+    missing = [shard for shard, answer in answers.items() if answer is None]
+    if len(present) < least_parts(call):
+        return _too_few(sender, call, parts)
+    headers = [
+        (sender.names.part_signatures, b", ".join(each.signature for each in present)),
+        (sender.names.missing_parts, b"%d" % len(missing)),
+        (sender.names.request_id, call.request_id),
+        (b"content-type", b"application/octet-stream"),
+    ]
+    body = merge.greatest((each.response.body for each in present), call.route.top_records)
+    answer = server.Answer(200, tuple(headers), body)
+    if not missing:
+        return Ending(answer, "answered")
+    sender.counters.add("direct.missing_parts", len(missing))
+    why = ", ".join(f"{shard}: {_why(parts[shard])}" for shard in missing[:5])
+    return Ending(answer, "partial", why)
+
+
+def _why(part: asyncio.Task[sending.Outcome]) -> str:
+    if not part.done() or part.cancelled():
+        return "not in time"
+    outcome = part.result()
+    return getattr(outcome, "reason", "replica failed")
+
+
+def _too_few(sender: obtaining.Sender, call: sending.Call, parts: Parts) -> Ending:
+    """Refuse when no part can have run, else fail."""
+    outcomes = [
+        part.result() if part.done() and not part.cancelled() else None for part in parts.values()
+    ]
+    if all(isinstance(outcome, sending.NotRun) for outcome in outcomes):
+        reasons = {outcome.reason.partition(":")[0] for outcome in outcomes}
+        return refusal(sender, ", ".join(sorted(reasons)))
+    late = asyncio.get_running_loop().time() >= call.deadline_s
+    why = ", ".join(sorted({_why(part) for part in parts.values() if not _answered(part)})[:5])
+    return failure(504 if late else 502, f"too few shards: {why}")
--- /dev/null
+++ b/src/turmericlug/direct/obtaining.py
@@ -0,0 +1,281 @@
+"""Getting one answer out of the replicas of one service: first send, hedge, repeat."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import abc
+
+import attrs
+
+from turmericlug.direct import dialect as dialect_module
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import sending
+from turmericlug.direct import timing
+from turmericlug.kernel import tasks as tasks_module
+from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import decisions
+
+MOST_UNSENT = 3
+"""Sends that found no connection do not count as attempts; a service whose replicas all refuse
+connections is given up after this many."""
+
+
+@attrs.define
+class Sender:
+    """What every send needs."""
+
+    replicas: replicas_module.Replicas
+    names: dialect_module.Dialect
+    counters: counters_module.Counters
+    tasks: tasks_module.Tasks
+    instances: abc.Callable[[], int]
+    """How many instances share the budget of extra sends."""
+    rng: random.Random = attrs.field(factory=random.Random)
+
+
+@attrs.define(eq=False)
+class _Pending:
+    """A send under way."""
+
+    replica: replicas_module.Replica
+    began_s: float
+
+
+@attrs.define(eq=False)
+class _Effort:
+    """The sends of one request to one service."""
+
+    sender: Sender
+    call: sending.Call
+    service: str
+    tried: list[replicas_module.Replica] = attrs.field(factory=list)
+    pending: dict[asyncio.Task[sending.Outcome], _Pending] = attrs.field(factory=dict)
+    attempts: int = 0
+    unsent: int = 0
+    hedge_denied: bool = False
+    failure: sending.Outcome = sending.NotRun("no_replica", sent=False)
+    """The last failure, or one after which the request may have run, if there was any."""
+
+
+async def obtain(sender: Sender, call: sending.Call, service: str) -> sending.Outcome:
+    """
+    Get one answer from a service.
+
+    Cancelling it leaves sends under way to finish by themselves, so that their connections can be
+    used again; ``call.abandon`` ends them.
+
+    :returns: the first answer, or the failure; ``NotRun`` only when no attempt can have run
+    """
+    loop = asyncio.get_running_loop()
+    effort = _Effort(sender, call, service)
+    sender.replicas.extra_sends(service).count_request(loop.time())
+    _start(effort, loop.time())
+    while effort.pending:
+        done, _ = await asyncio.wait(
+            effort.pending,
+            timeout=_patience_s(effort, loop.time()),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in done:
+            del effort.pending[task]
+            outcome = task.result()
+            if isinstance(outcome, sending.Answered):
+                return outcome
+            _take_failure(effort, outcome)
+        now_s = loop.time()
+        if now_s >= call.deadline_s:
+            return _at_deadline(effort)
+        if done:
+            _repeat(effort, now_s)
+        else:
+            _hedge(effort, now_s)
+    return effort.failure
+
+
+def _at_deadline(effort: _Effort) -> sending.Outcome:
+    """What is under way may still run, so that nothing can be promised any more."""
+    if effort.pending and isinstance(effort.failure, sending.NotRun):
+        return sending.Unknown("deadline")
+    return effort.failure
+
+
+def _patience_s(effort: _Effort, now_s: float) -> float:
+    """Return how long to wait for the pending sends until a hedge or the deadline is due."""
+    left_s = max(effort.call.deadline_s - now_s, 0.0)
+    if not _may_hedge(effort):
+        return left_s
+    (pending,) = effort.pending.values()
+    hedge_ms = effort.sender.replicas.hedge_after_ms(pending.replica, effort.call.route)
+    return min(max(pending.began_s + hedge_ms / 1000 - now_s, 0.0), left_s)
+
+
+def _may_hedge(effort: _Effort) -> bool:
+    call = effort.call
+    return (
+        call.route.idempotent
+        and len(effort.pending) == 1
+        and effort.attempts < call.route.max_attempts
+        and not effort.hedge_denied
+    )
+
+
+def _take_failure(effort: _Effort, outcome: sending.Outcome) -> None:
+    if not isinstance(outcome, sending.NotRun):
+        effort.failure = outcome
+        return
+    if not outcome.sent:
+        effort.attempts -= 1
+        effort.unsent += 1
+    if isinstance(effort.failure, sending.NotRun):
+        effort.failure = outcome
+
+
+def _hedge(effort: _Effort, now_s: float) -> None:
+    sender, call = effort.sender, effort.call
+    if not _may_hedge(effort):
+        return
+    (pending,) = effort.pending.values()
+    other = sender.replicas.choose(effort.service, call.route, effort.tried, now_s)
+    budget = sender.replicas.extra_sends(effort.service)
+    if other is None or not budget.spend(now_s, sender.instances()):
+        effort.hedge_denied = True
+        sender.counters.add("direct.hedge_denied." + ("no_replica" if other is None else "budget"))
+        return
+    call.hedges += 1
+    sender.counters.add("direct.hedge.sent")
+    decisions.log(
+        "send.hedged",
+        request=call.request_id,
+        service=effort.service,
+        late=pending.replica.entry.instance,
+        to=other.entry.instance,
+        age_ms=round((now_s - pending.began_s) * 1000, 1),
+    )
+    _send_to(effort, other, now_s)
+
+
+def _repeat(effort: _Effort, now_s: float) -> None:
+    """Send once more after a failure, if that can't make the request run twice by our doing."""
+    sender, call = effort.sender, effort.call
+    failure = effort.failure
+    if effort.pending or effort.attempts >= call.route.max_attempts:
+        return
+    if effort.unsent > MOST_UNSENT:
+        return
+    if not call.route.idempotent and not isinstance(failure, sending.NotRun):
+        return
+    reason = getattr(failure, "reason", "replica_failed").partition(":")[0]
+    if effort.attempts and not sender.replicas.extra_sends(effort.service).spend(
+        now_s, sender.instances()
+    ):
+        sender.counters.add("direct.repeat_denied.budget")
+        decisions.log(
+            "send.not_repeated", request=call.request_id, service=effort.service, reason=reason
+        )
+        return
+    if _start(effort, now_s):
+        call.repeats += 1
+        sender.counters.add(f"direct.repeat.{reason}")
+        decisions.log(
+            "send.repeated",
+            request=call.request_id,
+            service=effort.service,
+            reason=reason,
+            to=effort.tried[-1].entry.instance,
+            left_ms=round((call.deadline_s - now_s) * 1000),
+        )
+
+
+def _start(effort: _Effort, now_s: float) -> bool:
+    """Send to the best replica that the request was not sent to; false when there is none."""
+    call = effort.call
+    replica = effort.sender.replicas.choose(effort.service, call.route, effort.tried, now_s)
+    if replica is None:
+        return False
+    _send_to(effort, replica, now_s)
+    return True
+
+
+def _send_to(effort: _Effort, replica: replicas_module.Replica, now_s: float) -> None:
+    sender, call = effort.sender, effort.call
+    task = sender.tasks.start(_tracked(sender, call, replica, now_s))
+    call.sends.add(task)
+    task.add_done_callback(call.sends.discard)
+    effort.tried.append(replica)
+    effort.pending[task] = _Pending(replica, now_s)
+    effort.attempts += 1
+
+
+async def _tracked(
+    sender: Sender, call: sending.Call, replica: replicas_module.Replica, began_s: float
+) -> sending.Outcome:
+    """Send, and let the replica's standing learn from the outcome."""
+    route = call.route
+    late_ms = sender.replicas.hedge_after_ms(replica, route)
+    send = replicas_module.Send(began_s, late_ms / 1000)
+    replica.sends.add(send)
+    try:
+        outcome = await sending.send(
+            call, replica, sender.names, _time_limit_s(sender, call, replica, began_s)
+        )
+    except asyncio.CancelledError:
+        # The caller left and the connection is closed: says nothing of the replica.
+        return sending.Unknown("abandoned")
+    finally:
+        replica.sends.discard(send)
+    _learn(sender, call, replica, outcome, began_s)
+    return outcome
+
+
+def _time_limit_s(
+    sender: Sender, call: sending.Call, replica: replicas_module.Replica, began_s: float
+) -> float:
+    """
+    Return when to take a send for lost together with its connection.
+
+    A part of a query is given up and its connection closed when it is silent for much longer than
+    a pause: the query has been answered by then, and a connection gone silent would swallow the
+    next part as well. A single request is left its whole time: a slow replica may be at work on it.
+    """
+    if not call.route.shards:
+        return call.deadline_s
+    slow_ms = sender.replicas.times(call.route.name, replica.entry.data_centre).slow_ms
+    return began_s + timing.stuck_after_ms(slow_ms) / 1000
+
+
+def _learn(
+    sender: Sender,
+    call: sending.Call,
+    replica: replicas_module.Replica,
+    outcome: sending.Outcome,
+    began_s: float,
+) -> None:
+    now_s = asyncio.get_running_loop().time()
+    duration_ms = (now_s - began_s) * 1000
+    if isinstance(outcome, sending.Answered):
+        times = sender.replicas.times(call.route.name, replica.entry.data_centre)
+        replica.succeeded(duration_ms, times.usual_ms, now_s)
+        times.add(duration_ms)
+        sender.counters.time_ms("direct.send_ms", duration_ms)
+        return
+    reason = getattr(outcome, "reason", "replica_failed").partition(":")[0]
+    sender.counters.add(f"direct.send_failed.{reason}")
+    if isinstance(outcome, sending.NotRun) and outcome.sent:
+        replica.full_until_s = now_s + replicas_module.SHED_PAUSE_S
+        set_aside = True
+    else:
+        set_aside = replica.failed(now_s)
+    decisions.log(
+        "send.failed",
+        request=call.request_id,
+        service=replica.entry.service,
+        replica=replica.entry.instance,
+        reason=(
+            getattr(outcome, "reason", f"status {outcome.response.status}")
+            if not isinstance(outcome, sending.Failed)
+            else f"status {outcome.response.status}"
+        ),
+        age_ms=round(duration_ms, 1),
+        set_aside=set_aside,
+    )
--- /dev/null
+++ b/src/turmericlug/direct/pool.py
@@ -0,0 +1,172 @@
+"""The connections of one instance to one replica: bounded, reused, handed out by priority."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import heapq
+import itertools
+import typing
+from collections import abc
+
+import attrs
+
+from turmericlug.http1 import client
+
+IDLE_S = 4.0
+"""Idle time after which a connection is not trusted, where the replica states no limit."""
+IDLE_SHARE = 0.8
+"""Part of the stated limit within which an idle connection is used: the request must get there."""
+FRESH_S = 0.3
+"""Idle time within which a connection may carry a request that must not run twice: a reset on an
+idle connection leaves it unknown whether the request ran."""
+CONNECTIONS_SHARE = 0.85
+"""Part of a replica's connections that the instances divide: those of an instance that was killed
+stay open at the replica for a while."""
+
+_numbers = itertools.count()
+
+
+def connections_limit(most: int, instances: int) -> int:
+    """
+    Return how many connections one instance may keep to one replica.
+
+    :param most: what the replica takes from all callers
+    :param instances: how many instances divide them
+    """
+    return max(1, int(most * CONNECTIONS_SHARE / max(instances, 1)))
+
+
+Connect = abc.Callable[[], abc.Awaitable[client.Connection]]
+
+
+@attrs.define
+class Pool:
+    """Open, idle and awaited connections to one replica."""
+
+    connect: Connect
+    limit: abc.Callable[[], int]
+    now_s: abc.Callable[[], float]
+    open_count: int = 0
+    opened: int = 0
+    _idle: collections.deque[client.Connection] = attrs.field(factory=collections.deque)
+    _waiting: list[tuple[int, int, asyncio.Future[None]]] = attrs.field(factory=list)
+
+    @property
+    def waiting(self) -> int:
+        """How many sends wait for a connection."""
+        return len(self._waiting)
+
+    @contextlib.asynccontextmanager
+    async def connection(
+        self, priority: int, fresh: bool = False
+    ) -> abc.AsyncIterator[client.Connection]:
+        """
+        Lend a connection for one exchange; one that was left in use is closed.
+
+        :param priority: 0 goes first among those that wait
+        :param fresh: whether only a connection will do that was in use a moment ago or is new
+        :raises ConnectError: none could be opened
+        """
+        connection = await self._take(priority, fresh)
+        lent_exchanges = connection.exchanges
+        try:
+            yield connection
+        except BaseException:
+            connection.close()
+            raise
+        finally:
+            self._give_back(connection, used=connection.exchanges > lent_exchanges)
+
+    async def _take(self, priority: int, fresh: bool) -> client.Connection:
+        while True:
+            connection = self._pop_idle(fresh)
+            if connection is not None:
+                return connection
+            if self.open_count < self.limit():
+                return await self._open()
+            if fresh and self._idle:
+                self._drop(self._idle.popleft())
+                continue
+            await self._wait(priority)
+
+    async def _open(self) -> client.Connection:
+        self.open_count += 1
+        try:
+            connection = await self.connect()
+        except BaseException:
+            self.open_count -= 1
+            self._wake()
+            raise
+        self.opened += 1
+        return connection
+
+    def _pop_idle(self, fresh: bool) -> client.Connection | None:
+        while self._idle:
+            connection = self._idle[-1]
+            age_s = self.now_s() - connection.idle_since_s
+            if connection.closed or age_s > _trusted_s(connection):
+                self._drop(self._idle.pop())
+            elif fresh and age_s > FRESH_S:
+                return None
+            else:
+                return self._idle.pop()
+        return None
+
+    async def _wait(self, priority: int) -> None:
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        entry = (priority, next(_numbers), turn)
+        heapq.heappush(self._waiting, entry)
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if entry in self._waiting:
+                self._waiting.remove(entry)
+                heapq.heapify(self._waiting)
+            elif turn.done() and not turn.cancelled():
+                # The turn came at the same moment: the next in line takes it.
+                self._wake()
+            raise
+
+    def _wake(self) -> None:
+        while self._waiting:
+            _, _, turn = heapq.heappop(self._waiting)
+            if not turn.done():
+                turn.set_result(None)
+                return
+
+    def _give_back(self, connection: client.Connection, used: bool) -> None:
+        if connection.closed:
+            self.open_count -= 1
+        else:
+            if used:
+                connection.idle_since_s = self.now_s()
+            self._idle.append(connection)
+        self._wake()
+
+    def _drop(self, connection: client.Connection) -> None:
+        connection.close()
+        self.open_count -= 1
+
+    def trim(self) -> None:
+        """Close what is idle for longer than it is trusted."""
+        for connection in list(self._idle):
+            if connection.closed or self.now_s() - connection.idle_since_s > _trusted_s(connection):
+                self._idle.remove(connection)
+                self._drop(connection)
+        self._wake()
+
+    def close(self) -> None:
+        """Close the idle connections; those in use close when they come back."""
+        while self._idle:
+            self._drop(self._idle.popleft())
+        self.limit = lambda: 0
+
+
+def _trusted_s(connection: client.Connection) -> float:
+    stated_s = connection.keep_idle_s
+    return IDLE_S if stated_s is None else min(stated_s * IDLE_SHARE, 60.0)
+
+
+PoolFactory = abc.Callable[[typing.Any], Pool]
--- /dev/null
+++ b/src/turmericlug/direct/replicas.py
@@ -0,0 +1,240 @@
+"""The replicas of all services as this instance sees them: who is there, how fast, how reliable."""
+
+from __future__ import annotations
+
+import collections
+from collections import abc
+
+import attrs
+
+from turmericlug.direct import budget
+from turmericlug.direct import pool as pool_module
+from turmericlug.direct import routes
+from turmericlug.direct import timing
+from turmericlug.owner import policy
+
+PACE_GAIN = 0.3
+"""Weight of a new time in a replica's pace: about the last five sends count."""
+PACE_HALF_LIFE_S = 3.0
+"""A replica rated slow is hardly tried; its rating fades so that it is tried again."""
+OVERDUE_FACTOR = 6.0
+"""A replica with an overdue send is taken only where the other is six times as slow: a pause lasts
+200 to 300 ms, several times a usual part."""
+TROUBLE_FACTOR = 3.0
+"""A replica that fails all its requests counts as four times as slow before it is set aside."""
+SHED_PAUSE_S = 0.15
+"""A replica that was full is passed over for a few service times, so that its queue can drain."""
+REMOTE_GUESS_MS = 60.0
+LOCAL_GUESS_MS = 30.0
+"""Before there are measured times, replicas of the own region go first."""
+FAILURES_TO_EJECT = 2
+
+
+class Times:
+    """Recent times of one route's sends to the replicas of one data centre."""
+
+    def __init__(self, guess_ms: float) -> None:
+        self._recent = policy.RecentTimes()
+        self._guess_ms = guess_ms
+
+    def add(self, duration_ms: float) -> None:
+        """Record the duration of one send."""
+        self._recent.add(duration_ms)
+
+    @property
+    def usual_ms(self) -> float:
+        """The usual duration, or a guess before there are enough."""
+        return self._recent.percentile_ms(50) or self._guess_ms
+
+    @property
+    def slow_ms(self) -> float | None:
+        """The 90th percentile, or ``None`` before there are enough."""
+        return self._recent.percentile_ms(90)
+
+
+@attrs.define(eq=False)
+class Send:
+    """One request under way to a replica."""
+
+    began_s: float
+    overdue_after_s: float
+
+
+@attrs.define(eq=False)
+class Replica:
+    """One replica, with what this instance has seen of it."""
+
+    entry: routes.ReplicaEntry
+    pool: pool_module.Pool
+    sends: set[Send] = attrs.field(factory=set)
+    pace: float = 1.0
+    """Its times as a multiple of what is usual in its data centre."""
+    pace_at_s: float = 0.0
+    trouble: float = 0.0
+    """Recent share of failures."""
+    failures: int = 0
+    ejections: int = 0
+    ejected_until_s: float = 0.0
+    full_until_s: float = 0.0
+    leaving: bool = False
+    """It drains, or its entry is gone and perhaps only for a moment."""
+
+    def current_pace(self, now_s: float) -> float:
+        """Return the pace, faded towards the usual with the time since it was measured."""
+        fade = 0.5 ** ((now_s - self.pace_at_s) / PACE_HALF_LIFE_S)
+        return 1.0 + (self.pace - 1.0) * fade
+
+    def overdue(self, now_s: float) -> bool:
+        """Whether a send has gone unanswered for longer than a slow one takes."""
+        return any(now_s - send.began_s > send.overdue_after_s for send in self.sends)
+
+    def set_aside(self, now_s: float) -> bool:
+        """Whether it failed lately and is not due for its next trial."""
+        if now_s < self.ejected_until_s or now_s < self.full_until_s:
+            return True
+        return self.ejections > 0 and bool(self.sends)
+
+    def succeeded(self, duration_ms: float, usual_ms: float, now_s: float) -> None:
+        """Take note of an answer."""
+        ratio = duration_ms / max(usual_ms, 0.1)
+        self.pace = self.current_pace(now_s) * (1 - PACE_GAIN) + ratio * PACE_GAIN
+        self.pace_at_s = now_s
+        self.trouble *= 1 - PACE_GAIN
+        self.failures = self.ejections = 0
+
+    def failed(self, now_s: float) -> bool:
+        """
+        Take note of a failure.
+
+        :returns: whether the replica is set aside by it
+        """
+        self.trouble += (1 - self.trouble) * PACE_GAIN
+        self.failures += 1
+        if self.failures < FAILURES_TO_EJECT:
+            return False
+        self.ejections += 1
+        self.ejected_until_s = now_s + policy.eject_ms(self.ejections) / 1000
+        return True
+
+
+MakePool = abc.Callable[[routes.ReplicaEntry], pool_module.Pool]
+
+
+class Replicas:
+    """All replicas by service, with the shared times of routes and budgets of services."""
+
+    def __init__(
+        self,
+        make_pool: MakePool,
+        data_centre_region: abc.Mapping[str, str],
+        region: str,
+        allowance: budget.Allowance,
+    ) -> None:
+        self._make_pool = make_pool
+        self._regions = data_centre_region
+        self._region = region
+        self._allowance = allowance
+        self._by_service: dict[str, dict[str, Replica]] = collections.defaultdict(dict)
+        self._by_instance: dict[str, Replica] = {}
+        self._times: dict[tuple[str, str], Times] = {}
+        self._budgets: dict[str, budget.ExtraSends] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_instance)
+
+    def all(self) -> abc.Iterable[Replica]:
+        """Return every replica."""
+        return self._by_instance.values()
+
+    def of(self, service: str) -> list[Replica]:
+        """Return the replicas of a service."""
+        return list(self._by_service.get(service, {}).values())
+
+    def put(self, entry: routes.ReplicaEntry) -> bool:
+        """
+        Add a replica or take over its new entry.
+
+        :returns: whether anything that matters has changed
+        """
+        known = self._by_instance.get(entry.instance)
+        if known is None:
+            replica = Replica(entry, self._make_pool(entry), leaving=entry.draining)
+            self._by_instance[entry.instance] = replica
+            self._by_service[entry.service][entry.instance] = replica
+            return True
+        changed = known.leaving != entry.draining
+        known.entry = entry
+        known.leaving = entry.draining
+        if entry.draining:
+            known.pool.trim()
+        return changed
+
+    def suspect_gone(self, instance: str) -> None:
+        """Pass a replica over whose entry is missing, perhaps only for a moment."""
+        if instance in self._by_instance:
+            self._by_instance[instance].leaving = True
+
+    def remove(self, instance: str) -> bool:
+        """Forget a replica; what is under way to it may finish."""
+        replica = self._by_instance.pop(instance, None)
+        if replica is None:
+            return False
+        self._by_service[replica.entry.service].pop(instance, None)
+        replica.pool.close()
+        return True
+
+    def instances(self) -> set[str]:
+        """Return the instances of all replicas."""
+        return set(self._by_instance)
+
+    def times(self, route: str, data_centre: str) -> Times:
+        """Return the recent times of a route's sends to a data centre."""
+        key = (route, data_centre)
+        if key not in self._times:
+            near = self._regions.get(data_centre) == self._region
+            self._times[key] = Times(LOCAL_GUESS_MS if near else REMOTE_GUESS_MS)
+        return self._times[key]
+
+    def extra_sends(self, service: str) -> budget.ExtraSends:
+        """Return the budget of a service."""
+        if service not in self._budgets:
+            self._budgets[service] = budget.ExtraSends(self._allowance)
+        return self._budgets[service]
+
+    def choose(
+        self, service: str, route: routes.Route, tried: abc.Collection[Replica], now_s: float
+    ) -> Replica | None:
+        """
+        Pick the replica that will probably answer first.
+
+        Replicas set aside are taken only when there is no other: an answer of an unreliable one is
+        worth more than none.
+
+        :param tried: those that this request has been sent to
+        """
+        candidates = [
+            each
+            for each in self._by_service.get(service, {}).values()
+            if not each.leaving and each not in tried
+        ]
+        sound = [each for each in candidates if not each.set_aside(now_s)]
+        return min(
+            sound or candidates,
+            key=lambda each: self.expected_ms(each, route, now_s),
+            default=None,
+        )
+
+    def expected_ms(self, replica: Replica, route: routes.Route, now_s: float) -> float:
+        """Estimate how long a replica takes for one more request."""
+        usual_ms = self.times(route.name, replica.entry.data_centre).usual_ms
+        load = 1 + (len(replica.sends) + replica.pool.waiting) / max(replica.entry.slots, 1)
+        expected_ms = usual_ms * replica.current_pace(now_s) * load
+        expected_ms *= 1 + TROUBLE_FACTOR * replica.trouble
+        if replica.overdue(now_s):
+            expected_ms *= OVERDUE_FACTOR
+        return expected_ms
+
+    def hedge_after_ms(self, replica: Replica, route: routes.Route) -> float:
+        """Return the age at which a send to this replica counts as late."""
+        slow_ms = self.times(route.name, replica.entry.data_centre).slow_ms
+        return timing.hedge_after_ms(slow_ms, route.goal_ms)
--- /dev/null
+++ b/src/turmericlug/direct/routes.py
@@ -0,0 +1,114 @@
+"""
+Routes: ordered rules that say which services may answer a request, and how.
+
+A route matches a host and a path prefix. The rules of a host are kept longest prefix first, so that
+the first match decides, as with the operators' own rules.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+
+@attrs.frozen
+class Share:
+    """One service of a route with the weight at which it takes the route's requests."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """What is to happen with the requests of one host below one path prefix."""
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    timeout_ms: float
+    """The longest time a caller is kept waiting."""
+    goal_ms: float
+    """The time within which an answer is worth most to its caller."""
+    priority: int
+    """0 goes first."""
+    max_attempts: int
+    """Replicas that one request may be sent to; of a query over shards, for each shard."""
+    services: tuple[Share, ...] = ()
+    """One of them answers; empty for a query over shards."""
+    shards: tuple[str, ...] = ()
+    """Services that all hold a part of the answer."""
+    top_records: int = 0
+    min_coverage: float = 0.0
+
+    def pick_service(self, rng: random.Random) -> str:
+        """Draw one of the services by weight."""
+        if len(self.services) == 1:
+            return self.services[0].service
+        weights = [share.weight for share in self.services]
+        return rng.choices(self.services, weights)[0].service
+
+    def targets(self) -> tuple[str, ...]:
+        """Return every service that requests on this route may reach."""
+        return self.shards or tuple(share.service for share in self.services)
+
+
+@attrs.frozen
+class Service:
+    """A service that replicas belong to."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    """Connections that one replica takes from all callers together."""
+
+
+@attrs.frozen
+class CallerLimits:
+    """What a caller may send and how long it may take."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 262144
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+@attrs.define
+class Configuration:
+    """One version of all routes and services."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: CallerLimits
+    _by_host: dict[str, list[Route]] = attrs.field(init=False, factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        for route in self.routes:
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of a request: the first rule whose prefix begins the path."""
+        for route in self._by_host.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+@attrs.frozen
+class ReplicaEntry:
+    """What a replica says of itself; each start of a replica is an instance of its own."""
+
+    instance: str
+    service: str
+    host: str
+    port: int
+    data_centre: str
+    slots: int
+    draining: bool
+    warmup_left_ms: float
+    """How much longer it is slow after its start, as of the entry's writing."""
--- /dev/null
+++ b/src/turmericlug/direct/sending.py
@@ -0,0 +1,157 @@
+"""One send to one replica, and what its end says about whether the request ran."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import typing
+
+import attrs
+
+from turmericlug.direct import dialect as dialect_module
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import routes
+from turmericlug.http1 import client
+
+_PROMISE_STATUSES = (408, 421, 429, 503)
+_MISDIRECTED = 421
+
+
+@attrs.define(eq=False)
+class Call:
+    """A caller's request on its way through this instance."""
+
+    request_id: bytes
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    """End-to-end headers, without those that a send adds."""
+    body: bytes
+    route: routes.Route
+    version: int
+    """Of the configuration that it is handled by from start to end."""
+    arrived_s: float
+    deadline_s: float
+    """The caller's deadline or the route's timeout, whichever is sooner; the loop's clock."""
+    sends: set[asyncio.Task[typing.Any]] = attrs.field(factory=set)
+    hedges: int = 0
+    repeats: int = 0
+
+    def abandon(self) -> None:
+        """Close the connections of all sends: the caller has left, replicas can drop the work."""
+        for send in self.sends:
+            send.cancel()
+
+
+@dataclasses.dataclass(frozen=True)
+class Answered:
+    """A replica's own whole answer."""
+
+    response: client.Response
+    signature: bytes
+    replica: replicas_module.Replica
+
+
+@dataclasses.dataclass(frozen=True)
+class Failed:
+    """A replica's own answer that says it failed; the request ran."""
+
+    response: client.Response
+    replica: replicas_module.Replica
+
+
+@dataclasses.dataclass(frozen=True)
+class NotRun:
+    """The request certainly did not run."""
+
+    reason: str
+    sent: bool
+    """Whether it reached the replica, which then refused it."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Unknown:
+    """No usable answer; the request may have run."""
+
+    reason: str
+
+
+Outcome = Answered | Failed | NotRun | Unknown
+
+
+def request_for(
+    call: Call, replica: replicas_module.Replica, names: dialect_module.Dialect, left_ms: int
+) -> bytes:
+    """Write the request for one replica, with the time that is left and the instance it is for."""
+    headers = [
+        *call.headers,
+        (names.time_left, b"%d" % left_ms),
+        (names.expected_instance, replica.entry.instance.encode()),
+    ]
+    return client.request_bytes(call.method, call.target, headers, call.body)
+
+
+def classify(
+    response: client.Response,
+    call: Call,
+    replica: replicas_module.Replica,
+    names: dialect_module.Dialect,
+) -> Outcome:
+    """
+    Tell what a response says.
+
+    A response that names another request belongs to that one: it was late or doubled, and what the
+    connection carries next can't be told apart either.
+    """
+    echoed = response.header(names.request_id)
+    if echoed is not None and echoed != call.request_id:
+        return Unknown("response_of_another_request")
+    if response.header(names.not_run) is not None or response.status == _MISDIRECTED:
+        return NotRun("misdirected" if response.status == _MISDIRECTED else "shed", sent=True)
+    signature = response.header(names.signature)
+    if not signature:
+        return Unknown(f"unsigned_status_{response.status}")
+    if response.header(b"content-encoding") is not None:
+        return Unknown("encoded_body")
+    if 200 <= response.status < 300:
+        return Answered(response, signature, replica)
+    return Failed(response, replica)
+
+
+def promises_not_run(status: int) -> bool:
+    """Whether callers take a status for the promise that their request did not run."""
+    return status in _PROMISE_STATUSES
+
+
+async def send(
+    call: Call,
+    replica: replicas_module.Replica,
+    names: dialect_module.Dialect,
+    time_limit_s: float,
+) -> Outcome:
+    """
+    Send a request to a replica and wait for what it says.
+
+    :param time_limit_s: when to take the connection for dead, on the loop's clock
+    """
+    loop = asyncio.get_running_loop()
+    written = False
+    try:
+        async with asyncio.timeout_at(min(time_limit_s, call.deadline_s)):
+            fresh = not call.route.idempotent
+            async with replica.pool.connection(call.route.priority, fresh) as connection:
+                left_ms = int((call.deadline_s - loop.time()) * 1000)
+                if left_ms < 1:
+                    return NotRun("no_time_left", sent=False)
+                written = True
+                response = await connection.exchange(request_for(call, replica, names, left_ms))
+                outcome = classify(response, call, replica, names)
+                if isinstance(outcome, Unknown):
+                    connection.close()
+                return outcome
+    except client.ConnectError as error:
+        return NotRun(f"connect: {error}", sent=False)
+    except client.ExchangeError as error:
+        return Unknown(str(error))
+    except TimeoutError:
+        return Unknown("silent") if written else NotRun("no_connection_in_time", sent=False)
--- /dev/null
+++ b/src/turmericlug/direct/timing.py
@@ -0,0 +1,47 @@
+"""
+When to send a second time and when to answer with what is there: pure functions.
+
+The load pattern: replicas pause for 200 to 300 ms each few seconds, so that more than half of all
+queries over 20 shards meet a pause. Waiting for it misses the goal; sending the part to the other
+replica early costs one extra send for each part that is late.
+"""
+
+from __future__ import annotations
+
+HEDGE_FACTOR = 1.2
+"""Multiple of the usual slow part (90th percentile) at which a part counts as late."""
+HEDGE_AT_LEAST_MS = 8.0
+"""A turn of a busy event loop: below it, lateness is our own."""
+HEDGE_LATEST_SHARE = 0.45
+"""Share of the goal after which a second send would come back too late to help."""
+PARTIAL_SHARE = 0.9
+"""Share of the goal at which a query answers with the parts it has."""
+PARTIAL_MARGIN_MS = 14.0
+"""What an answer needs at least from its decision to the caller's hand: the merge, the write, the
+way to the caller, and lateness of timers."""
+STUCK_FACTOR = 4.0
+STUCK_AT_LEAST_MS = 700.0
+"""Longer than the pauses of replicas (300 ms) and a slow part together: what is silent beyond it is
+a dead connection or replica, not a pause."""
+
+
+def hedge_after_ms(slow_ms: float | None, goal_ms: float) -> float:
+    """
+    Return the age at which a part is sent to a second replica.
+
+    :param slow_ms: 90th percentile of recent parts; ``None`` before there are enough
+    """
+    latest_ms = HEDGE_LATEST_SHARE * goal_ms
+    if slow_ms is None:
+        return latest_ms
+    return min(max(HEDGE_FACTOR * slow_ms, HEDGE_AT_LEAST_MS), latest_ms)
+
+
+def answer_after_ms(goal_ms: float) -> float:
+    """Return the age at which a query with enough parts answers without the others."""
+    return max(min(PARTIAL_SHARE * goal_ms, goal_ms - PARTIAL_MARGIN_MS), goal_ms / 2)
+
+
+def stuck_after_ms(slow_ms: float | None) -> float:
+    """Return the age at which a send counts as lost with its connection."""
+    return max(STUCK_AT_LEAST_MS, STUCK_FACTOR * (slow_ms or 0.0))
--- /dev/null
+++ b/src/turmericlug/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance: follows the configuration, answers callers, tells where to connect."""
--- /dev/null
+++ b/src/turmericlug/entry/callers.py
@@ -0,0 +1,223 @@
+"""Callers' requests: checked, matched to a route, answered, logged."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+from collections import abc
+
+import attrs
+
+from turmericlug.direct import answering
+from turmericlug.direct import obtaining
+from turmericlug.direct import routes
+from turmericlug.direct import sending
+from turmericlug.entry import view as view_module
+from turmericlug.http1 import client
+from turmericlug.http1 import server
+from turmericlug.telemetry import decisions
+
+STALE_S = 1.5
+"""Without the source for longer than this, an unknown path may be a new route: the caller is sent
+elsewhere instead of being told that there is none."""
+LEAST_LEFT_S = 0.003
+"""Less time than this can't reach a replica and come back."""
+
+
+@attrs.define
+class Spread:
+    """Spreads the requests of a route over its services so that each gets its weight's share."""
+
+    _counts: dict[tuple[routes.Share, ...], list[float]] = attrs.field(factory=dict)
+
+    def pick(self, route: routes.Route, rng: random.Random) -> str:
+        """
+        Return the service that is furthest behind its share.
+
+        Drawing at random leaves shares of a few hundred requests several points off.
+        """
+        shares = route.services
+        if len(shares) == 1:
+            return shares[0].service
+        total = sum(share.weight for share in shares)
+        debts = self._counts.get(shares)
+        if debts is None:
+            # A random start keeps instances from all beginning with the same service.
+            debts = self._counts[shares] = [rng.random() * each.weight / total for each in shares]
+        for index, share in enumerate(shares):
+            debts[index] += share.weight / total
+        chosen = max(range(len(shares)), key=lambda index: debts[index])
+        debts[chosen] -= 1.0
+        return shares[chosen].service
+
+
+class Callers:
+    """The handler of callers' requests."""
+
+    def __init__(
+        self,
+        view: view_module.View,
+        sender: obtaining.Sender,
+        source_age_s: abc.Callable[[], float],
+    ) -> None:
+        self.view = view
+        self.sender = sender
+        self.refusing = False
+        """Whether this instance is about to end: new requests are refused, not run."""
+        self._source_age_s = source_age_s
+        self._spread = Spread()
+        self.in_progress: collections.Counter[str] = collections.Counter()
+
+    async def handle(self, request: server.Request) -> server.Answer:
+        """Answer one request."""
+        configuration = self.view.configuration
+        if configuration is None:
+            return self._refused(request, "no_configuration")
+        if self.refusing:
+            return attrs.evolve(self._refused(request, "leaving"), close=True)
+        hosts = [value for key, value in request.headers if key == b"host"]
+        request_id = request.header(self.sender.names.request_id)
+        if len(hosts) != 1 or not request_id:
+            return self._bad_request(request, "host" if len(hosts) != 1 else "request_id")
+        host = hosts[0].decode("latin-1").partition(":")[0]
+        target = _origin_form(request.target)
+        path = target.partition(b"?")[0].decode("latin-1")
+        route = configuration.match(host, path)
+        if route is None:
+            return self._no_route(request, configuration, host, path)
+        call = self._call(request, request_id, target, route, configuration.version)
+        return await self._answered(call)
+
+    def _call(
+        self,
+        request: server.Request,
+        request_id: bytes,
+        target: bytes,
+        route: routes.Route,
+        version: int,
+    ) -> sending.Call:
+        names = self.sender.names
+        dropped = (names.time_left, names.expected_instance, b"expect")
+        headers = [each for each in client.end_to_end(request.headers) if each[0] not in dropped]
+        limit_ms = min(_time_left_ms(request.header(names.time_left)), route.timeout_ms)
+        return sending.Call(
+            request_id=request_id,
+            method=request.method,
+            target=target,
+            headers=headers,
+            body=request.body,
+            route=route,
+            version=version,
+            arrived_s=request.arrived_s,
+            deadline_s=request.arrived_s + limit_ms / 1000,
+        )
+
+    async def _answered(self, call: sending.Call) -> server.Answer:
+        loop = asyncio.get_running_loop()
+        self.in_progress[call.route.name] += 1
+        try:
+            ending = await self._ending(call, loop.time())
+        except asyncio.CancelledError:
+            self._left(call, loop.time())
+            raise
+        finally:
+            self.in_progress[call.route.name] -= 1
+        self._log(call, ending, loop.time())
+        return ending.answer
+
+    async def _ending(self, call: sending.Call, now_s: float) -> answering.Ending:
+        if call.deadline_s - now_s < LEAST_LEFT_S:
+            return answering.refusal(self.sender, "no_time_left")
+        if call.route.shards:
+            return await answering.all_shards(self.sender, call)
+        if not call.route.services:
+            return answering.refusal(self.sender, "no_service")
+        service = self._spread.pick(call.route, self.sender.rng)
+        return await answering.single(self.sender, call, service)
+
+    def _left(self, call: sending.Call, now_s: float) -> None:
+        """
+        Stop the work for a caller that has left.
+
+        But for a request that must not run twice: breaking it off half done would leave its effect
+        unknown, and nobody could be told.
+        """
+        if call.route.idempotent:
+            call.abandon()
+        self.sender.counters.add("entry.caller_left")
+        decisions.log(
+            "query.caller_left",
+            request=call.request_id,
+            route=call.route.name,
+            age_ms=round((now_s - call.arrived_s) * 1000, 1),
+        )
+
+    def _log(self, call: sending.Call, ending: answering.Ending, now_s: float) -> None:
+        counters = self.sender.counters
+        counters.add(f"entry.{ending.outcome}")
+        if ending.outcome == "refused":
+            counters.add(f"entry.refused.{ending.reason.partition(',')[0]}")
+        duration_ms = (now_s - call.arrived_s) * 1000
+        counters.time_ms("entry.total_ms", duration_ms)
+        decisions.log(
+            f"query.{ending.outcome}",
+            request=call.request_id,
+            route=call.route.name,
+            version=call.version,
+            status=ending.answer.status,
+            reason=ending.reason or None,
+            duration_ms=round(duration_ms, 1),
+            goal_ms=call.route.goal_ms,
+            hedges=call.hedges,
+            repeats=call.repeats,
+        )
+
+    def _refused(self, request: server.Request, reason: str) -> server.Answer:
+        self.sender.counters.add(f"entry.refused.{reason}")
+        decisions.log(
+            "query.refused",
+            request=request.header(self.sender.names.request_id),
+            reason=reason,
+            source_age_ms=round(self._source_age_s() * 1000),
+        )
+        return answering.refusal(self.sender, reason).answer
+
+    def _bad_request(self, request: server.Request, lacking: str) -> server.Answer:
+        self.sender.counters.add(f"entry.bad_request.{lacking}")
+        decisions.log("query.bad_request", lacking=lacking)
+        return server.Answer(400, body=f"{lacking} is missing or stands twice".encode())
+
+    def _no_route(
+        self,
+        request: server.Request,
+        configuration: routes.Configuration,
+        host: str,
+        path: str,
+    ) -> server.Answer:
+        if self._source_age_s() > STALE_S:
+            return self._refused(request, "route_perhaps_new")
+        self.sender.counters.add("entry.no_route")
+        decisions.log(
+            "query.no_route",
+            request=request.header(self.sender.names.request_id),
+            host=host,
+            path=path[:100],
+            version=configuration.version,
+        )
+        return server.Answer(404, body=b"no route")
+
+
+def _origin_form(target: bytes) -> bytes:
+    """Return path and query of a target that names scheme and host as well."""
+    if target.startswith(b"/"):
+        return target
+    _, found, rest = target.partition(b"://")
+    return b"/" + rest.partition(b"/")[2] if found else target
+
+
+def _time_left_ms(value: bytes | None) -> float:
+    try:
+        return max(float(value), 0.0) if value else float("inf")
+    except ValueError:
+        return float("inf")
--- /dev/null
+++ b/src/turmericlug/entry/daemon.py
@@ -0,0 +1,291 @@
+"""One entry instance: opens its services in order, serves, and leaves without cutting a request."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import functools
+import gc
+import pathlib
+import random
+import signal
+import typing
+from collections import abc
+
+import attrs
+
+from turmericlug.direct import budget
+from turmericlug.direct import dialect as dialect_module
+from turmericlug.direct import obtaining
+from turmericlug.direct import pool as pool_module
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import routes
+from turmericlug.entry import callers as callers_module
+from turmericlug.entry import directory as directory_module
+from turmericlug.entry import follower
+from turmericlug.entry import metrics
+from turmericlug.entry import news
+from turmericlug.entry import settings as settings_module
+from turmericlug.entry import view as view_module
+from turmericlug.http1 import client
+from turmericlug.http1 import server
+from turmericlug.kernel import kernel as kernel_module
+from turmericlug.kernel import tasks
+from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import decisions
+
+RESERVED_DESCRIPTORS = 900
+"""Descriptors kept from callers: files (200), connections to replicas, the store, listeners."""
+HOUSEKEEPING_S = 0.1
+TRIM_EVERY_S = 1.0
+REFUSE_AFTER_SHARE = 0.6
+"""Share of the grace period after which a leaving instance refuses: what it takes later could be
+cut off by the forced end."""
+END_BEFORE_S = 0.7
+"""Time kept before the forced end, for the last answers to leave a slowed instance."""
+QUIET_S = 2.5
+"""A leaving instance without connections ends after the lifetime of its addresses (2 s)."""
+_COLLECT_THRESHOLDS = (20_000, 20, 50)
+
+Kernel = kernel_module.Kernel
+
+
+@attrs.frozen
+class Adapter:
+    """What differs from one kind of deployment to the next."""
+
+    names: dialect_module.Dialect
+    source: abc.Callable[[settings_module.Source, counters_module.Counters], news.Source]
+    resolve_handler: abc.Callable[[directory_module.Directory], server.Handler]
+    ready_handler: abc.Callable[[abc.Callable[[], bool]], server.Handler]
+
+
+def run(settings: settings_module.Settings, adapter: Adapter, settings_file: pathlib.Path) -> None:
+    """Run one entry instance until it is told to stop."""
+    decisions.setup(settings.entry.name)
+    # A full collection over all loaded modules holds the event loop up for tens of milliseconds.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*_COLLECT_THRESHOLDS)
+    asyncio.run(_serve(settings, adapter, settings_file))
+    decisions.flush()
+
+
+async def _serve(
+    settings: settings_module.Settings, adapter: Adapter, settings_file: pathlib.Path
+) -> None:
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(_report_failure)
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, settings_file)
+    kernel = kernel_module.Kernel()
+    kernel.provide("settings", settings)
+    kernel.provide("adapter", adapter)
+    kernel.provide("counters", counters_module.Counters())
+    decisions.log("instance.starting")
+    try:
+        for name, factory in _SERVICES:
+            await kernel.open(name, factory)
+        decisions.log("instance.started")
+        await stop.wait()
+        await _leave(kernel)
+    finally:
+        await kernel.close()
+    decisions.log("instance.stopped")
+
+
+def _reload(settings_file: pathlib.Path) -> None:
+    """Check the changed settings; they take effect at the next start."""
+    try:
+        settings_module.load(settings_file)
+    except settings_module.ini.SettingsError as error:
+        decisions.log("instance.reload_failed", problems=error.problems)
+        return
+    decisions.log("instance.reloaded")
+
+
+def _report_failure(loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]) -> None:
+    error = context.get("exception")
+    reason = f"{type(error).__name__}: {error}" if error else str(context.get("message"))
+    decisions.log("task.failed", reason=reason[:500])
+
+
+@contextlib.asynccontextmanager
+async def _source(kernel: Kernel) -> abc.AsyncIterator[news.Source]:
+    settings, counters = kernel.find("settings"), kernel.find("counters")
+    source = kernel.find("adapter").source(settings.source, counters)
+    yield source
+    source.close()
+
+
+@contextlib.asynccontextmanager
+async def _view(kernel: Kernel) -> abc.AsyncIterator[view_module.View]:
+    loop = asyncio.get_running_loop()
+    settings, counters = kernel.find("settings"), kernel.find("counters")
+
+    def limit(entry: routes.ReplicaEntry) -> int:
+        configuration = view.configuration
+        service = configuration.services.get(entry.service) if configuration else None
+        most = service.max_connections if service else entry.slots
+        return pool_module.connections_limit(most, view.instances_count())
+
+    def unasked(entry: routes.ReplicaEntry) -> None:
+        counters.add("direct.unasked_bytes")
+        decisions.log("send.unasked_bytes", replica=entry.instance, service=entry.service)
+
+    def make_pool(entry: routes.ReplicaEntry) -> pool_module.Pool:
+        connect = functools.partial(
+            client.connect,
+            entry.host,
+            entry.port,
+            on_unasked=functools.partial(unasked, entry),
+        )
+        return pool_module.Pool(connect, functools.partial(limit, entry), loop.time)
+
+    policy = settings.policy
+    allowance = budget.Allowance(policy.extra_ratio, policy.extra_slack, policy.extra_window_s)
+    replicas = replicas_module.Replicas(
+        make_pool, settings.entry.data_centres, settings.entry.region, allowance
+    )
+    view = view_module.View(settings.entry.name, replicas, loop.time)
+    async with tasks.background(_keep_house(view)):
+        yield view
+
+
+async def _keep_house(view: view_module.View) -> None:
+    rounds = 0
+    while True:
+        await asyncio.sleep(HOUSEKEEPING_S)
+        view.settle()
+        rounds += 1
+        if rounds % int(TRIM_EVERY_S / HOUSEKEEPING_S) == 0:
+            for replica in view.replicas.all():
+                replica.pool.trim()
+
+
+@contextlib.asynccontextmanager
+async def _following(kernel: Kernel) -> abc.AsyncIterator[tasks.Tasks]:
+    """Follow the source; opening ends with the first reading."""
+    view = kernel.find("view")
+    work = follower.follow(kernel.find("source"), view, kernel.find("counters"), random.Random())
+    async with tasks.background(work) as running:
+        yield running
+
+
+@contextlib.asynccontextmanager
+async def _callers(kernel: Kernel) -> abc.AsyncIterator[server.Server]:
+    settings, view = kernel.find("settings"), kernel.find("view")
+    sends = tasks.Tasks()
+    sender = obtaining.Sender(
+        view.replicas,
+        kernel.find("adapter").names,
+        kernel.find("counters"),
+        sends,
+        view.instances_count,
+    )
+    callers = callers_module.Callers(view, sender, view.source_age_s)
+    kernel.provide("handler", callers)
+    most = settings.limits.descriptors - RESERVED_DESCRIPTORS
+    entrance = server.Server(callers.handle, lambda: _limits(view), max(most, 64))
+    async with _listening(entrance, settings.entry.callers_address):
+        yield entrance
+    await sends.close()
+
+
+def _limits(view: view_module.View) -> server.Limits:
+    if view.configuration is None:
+        return server.Limits()
+    limits = view.configuration.limits
+    return server.Limits(
+        limits.header_bytes,
+        limits.body_bytes,
+        limits.header_timeout_ms / 1000,
+        limits.idle_timeout_ms / 1000,
+    )
+
+
+@contextlib.asynccontextmanager
+async def _listening(
+    entrance: server.Server, address: tuple[str, int]
+) -> abc.AsyncIterator[asyncio.Server]:
+    listener = await server.listen(entrance, *address)
+    try:
+        yield listener
+    finally:
+        listener.close()
+        entrance.close()
+
+
+@contextlib.asynccontextmanager
+async def _questions(kernel: Kernel) -> abc.AsyncIterator[None]:
+    """Answer readiness, addresses and metrics."""
+    settings, view = kernel.find("settings"), kernel.find("view")
+    adapter, entrance = kernel.find("adapter"), kernel.find("callers")
+    handlers = [
+        (adapter.ready_handler(lambda: _ready(kernel)), settings.entry.ready_address),
+        (
+            adapter.resolve_handler(directory_module.Directory(view)),
+            settings.entry.directory_address,
+        ),
+        (metrics.handler(kernel.find("counters")), settings.entry.metrics_address),
+    ]
+    del entrance
+    async with contextlib.AsyncExitStack() as stack:
+        for handler, address in handlers:
+            questions = server.Server(handler, server.Limits, settings.limits.descriptors // 8)
+            await stack.enter_async_context(_listening(questions, address))
+        yield
+
+
+def _ready(kernel: Kernel) -> bool:
+    return kernel.find("view").ready and not kernel.find("callers").leaving
+
+
+@contextlib.asynccontextmanager
+async def _registration(kernel: Kernel) -> abc.AsyncIterator[tasks.Tasks]:
+    entry = kernel.find("settings").entry
+    host, port = entry.callers_address
+    own = news.EntryInstance(entry.name, f"{host}:{port}", entry.data_centre, entry.region)
+    work = follower.stay_registered(
+        kernel.find("source"), kernel.find("view"), own, lambda: _ready(kernel), random.Random()
+    )
+    async with tasks.background(work) as running:
+        yield running
+
+
+async def _leave(kernel: Kernel) -> None:
+    """
+    Leave without cutting off a request.
+
+    The entry goes first, so that callers stop coming. Callers that still hold the address are
+    served; each answer asks them to connect elsewhere. Late in the grace period new requests are
+    refused, as they could be cut off, and at its end the process waits for the last answers.
+    """
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    grace_s = kernel.find("settings").policy.grace_s
+    entrance, handler = kernel.find("callers"), kernel.find("handler")
+    decisions.log("instance.leaving", connections=len(entrance.connections))
+    entrance.leave()
+    await kernel.find("registration").close()
+    refuse_at_s = began_s + REFUSE_AFTER_SHARE * grace_s
+    end_s = began_s + grace_s - END_BEFORE_S
+    while loop.time() < end_s:
+        if loop.time() >= refuse_at_s and not handler.refusing:
+            handler.refusing = True
+            decisions.log("instance.refusing", connections=len(entrance.connections))
+        if loop.time() >= began_s + QUIET_S and not entrance.connections:
+            break
+        await asyncio.sleep(0.05)
+
+
+_SERVICES: tuple[tuple[str, kernel_module.ServiceFactory], ...] = (
+    ("source", _source),
+    ("view", _view),
+    ("following", _following),
+    ("callers", _callers),
+    ("questions", _questions),
+    ("registration", _registration),
+)
--- /dev/null
+++ b/src/turmericlug/entry/directory.py
@@ -0,0 +1,41 @@
+"""Which instances a caller should connect to."""
+
+from __future__ import annotations
+
+import attrs
+
+from turmericlug.entry import news
+from turmericlug.entry import view as view_module
+
+LIFETIME_S = 2.0
+"""How long callers keep the addresses: an instance that leaves goes on serving for a multiple."""
+ENOUGH = 2
+"""With two addresses a caller whose instance fails has another one to go to."""
+MOST = 64
+
+
+@attrs.define
+class Directory:
+    """Tells addresses from the view; the nearest instances first."""
+
+    view: view_module.View
+    lifetime_s: float = LIFETIME_S
+
+    def addresses(self, region: str, data_centre: str) -> list[str]:
+        """
+        Return addresses for a caller.
+
+        All instances of its data centre, if there are enough for a second choice; else those of its
+        region, else of all: an answer that crosses regions is late, but none is worse.
+        """
+        instances = sorted(self.view.instances.values(), key=lambda each: each.name)
+        near = [each for each in instances if each.data_centre == data_centre]
+        same_region = [each for each in instances if each.region == region]
+        for candidates in (near, same_region, instances):
+            if len(candidates) >= ENOUGH:
+                return _addresses(candidates)
+        return _addresses(instances)
+
+
+def _addresses(instances: list[news.EntryInstance]) -> list[str]:
+    return [each.address for each in instances[:MOST]]
--- /dev/null
+++ b/src/turmericlug/entry/follower.py
@@ -0,0 +1,101 @@
+"""Following the source: one reading, then changes; and this instance's own entry there."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import abc
+
+from turmericlug.entry import news
+from turmericlug.entry import view as view_module
+from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import decisions
+
+WAIT_S = 2.0
+"""How long one question for changes waits. A connection that went silent is found out after it,
+within the 3 to 4 s in which a configuration has to be in force."""
+RETRY_LEAST_S = 0.1
+RETRY_MOST_S = 0.5
+"""Pause after a failure: short against the bound of a configuration, and drawn at random so that
+instances that lost the source together do not return together."""
+LEASE_S = 3.0
+"""An instance that is killed is told to callers for this long; they try another address then."""
+KEEP_EVERY_S = 1.0
+
+
+async def follow(
+    source: news.Source,
+    view: view_module.View,
+    counters: counters_module.Counters,
+    rng: random.Random,
+) -> None:
+    """Keep the view up to date for ever."""
+    revision: int | None = None
+    while True:
+        try:
+            if revision is None:
+                snapshot = await source.read_all()
+                view.source_regained()
+                view.take_snapshot(snapshot)
+                revision = snapshot.revision
+            changes = await source.changes(revision, WAIT_S)
+            view.source_regained()
+            view.take_changes(changes)
+            revision = max(changes.revision, revision)
+        except news.HistoryLostError:
+            decisions.log("source.history_lost", after=revision)
+            counters.add("source.history_lost")
+            revision = None
+        except news.SourceError as error:
+            counters.add(f"source.error.{error.reason}")
+            view.source_lost(error.reason)
+            await asyncio.sleep(rng.uniform(RETRY_LEAST_S, RETRY_MOST_S))
+
+
+async def stay_registered(
+    source: news.Source,
+    view: view_module.View,
+    own: news.EntryInstance,
+    may_serve: abc.Callable[[], bool],
+    rng: random.Random,
+) -> None:
+    """
+    Keep this instance's entry in the source while it may serve, and take it out at the end.
+
+    The entry can vanish without a failed renewal (its lease was ended from outside); the view sees
+    that as news.
+    """
+    lease: int | None = None
+    try:
+        while True:
+            if not may_serve():
+                await asyncio.sleep(0.05)
+                continue
+            try:
+                if lease is None or view.own_entry_removed:
+                    view.own_entry_removed = False
+                    lease = await source.lease(LEASE_S)
+                    await source.register(own, lease)
+                    decisions.log("instance.registered", lease=lease)
+                else:
+                    await source.keep(lease)
+                view.source_regained()
+            except news.LeaseEndedError:
+                decisions.log("instance.lease_ended", lease=lease)
+                lease = None
+                continue
+            except news.SourceError as error:
+                view.source_lost(error.reason)
+            await asyncio.sleep(KEEP_EVERY_S * rng.uniform(0.8, 1.2))
+    finally:
+        if lease is not None:
+            await _end(source, lease)
+
+
+async def _end(source: news.Source, lease: int) -> None:
+    try:
+        async with asyncio.timeout(1.0):
+            await source.end(lease)
+        decisions.log("instance.unregistered", lease=lease)
+    except (news.SourceError, news.LeaseEndedError, TimeoutError) as error:
+        decisions.log("instance.unregister_failed", reason=str(error) or "timeout")
--- /dev/null
+++ b/src/turmericlug/entry/metrics.py
@@ -0,0 +1,36 @@
+"""Counters and latency percentiles as text, one metric a line."""
+
+from __future__ import annotations
+
+from turmericlug.http1 import server
+from turmericlug.telemetry import counters as counters_module
+
+PATH = b"/metrics"
+
+
+def handler(counters: counters_module.Counters) -> server.Handler:
+    """Return the handler of the metrics address."""
+
+    async def handle(request: server.Request) -> server.Answer:
+        if request.target.partition(b"?")[0] != PATH:
+            return server.Answer(404)
+        return server.Answer(200, ((b"content-type", b"text/plain"),), text(counters).encode())
+
+    return handle
+
+
+def text(counters: counters_module.Counters) -> str:
+    """Write every counter and timer since the start."""
+    lines = [f"{_name(name)} {value}" for name, value in sorted(counters.totals.items())]
+    for name, values in sorted(counters.timers_ms().items()):
+        for key, value in values.items():
+            if key == "count":
+                lines.append(f"{_name(name)}_count {value:.0f}")
+            else:
+                quantile = int(key[1:]) / 100
+                lines.append(f'{_name(name)}{{quantile="{quantile}"}} {value}')
+    return "\n".join(lines) + "\n"
+
+
+def _name(name: str) -> str:
+    return "turmericlug_" + "".join(each if each.isalnum() else "_" for each in name)
--- /dev/null
+++ b/src/turmericlug/entry/news.py
@@ -0,0 +1,97 @@
+"""What an entry instance learns from where the configuration and the replicas are kept."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+from turmericlug.direct import routes
+
+
+@attrs.frozen
+class EntryInstance:
+    """An instance that callers may connect to."""
+
+    name: str
+    address: str
+    """``host:port`` for callers."""
+    data_centre: str
+    region: str
+
+
+Value = routes.Configuration | routes.ReplicaEntry | EntryInstance
+
+
+@attrs.frozen
+class Written:
+    """A key has a new value."""
+
+    key: str
+    value: Value
+    revision: int
+
+
+@attrs.frozen
+class Removed:
+    """A key is gone."""
+
+    key: str
+    revision: int
+
+
+Change = Written | Removed
+
+
+@attrs.frozen
+class Snapshot:
+    """Everything at one revision, from which changes can be followed."""
+
+    written: tuple[Written, ...]
+    revision: int
+
+
+@attrs.frozen
+class Changes:
+    """What has changed up to a revision."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+class SourceError(Exception):
+    """The source gave no usable answer; the reason is a short word."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class HistoryLostError(Exception):
+    """The changes since the given revision are no longer known: read everything anew."""
+
+
+class LeaseEndedError(Exception):
+    """The lease is no longer in force, and its keys are gone."""
+
+
+class Source(typing.Protocol):
+    """Where configuration, replicas and the other instances are kept."""
+
+    async def read_all(self) -> Snapshot:
+        """Read everything, as of now."""
+
+    async def changes(self, after: int, wait_s: float) -> Changes:
+        """Wait for changes after a revision; none when the time is over."""
+
+    async def lease(self, ttl_s: float) -> int:
+        """Open a lease."""
+
+    async def keep(self, lease: int) -> None:
+        """Renew a lease."""
+
+    async def end(self, lease: int) -> None:
+        """End a lease, which removes its keys."""
+
+    async def register(self, instance: EntryInstance, lease: int) -> None:
+        """Write the entry of an instance under its lease."""
--- /dev/null
+++ b/src/turmericlug/entry/view.py
@@ -0,0 +1,206 @@
+"""
+What this instance believes: configuration, replicas, other instances, each with its age.
+
+Decisions of recovery are here: a configuration never goes back; entries that vanish while the
+source is away or just back are not taken for gone at once.
+"""
+
+from __future__ import annotations
+
+from collections import abc
+
+import attrs
+
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import routes
+from turmericlug.entry import news
+from turmericlug.telemetry import decisions
+
+RETURN_HOLD_S = 2.2
+"""Entries whose leases lapsed while the source was away are back within 2 s of its return."""
+MASS_REMOVAL_SHARE = 0.25
+MASS_REMOVAL_LEAST = 5
+"""So many entries gone at once are a lapse of leases that this instance has not noticed otherwise,
+not so many replicas that ended in the same moment."""
+INSTANCES_MEMORY_S = 15.0
+"""An instance that is gone counts for this long among those that share connections and budgets: its
+connections and sends still do."""
+
+
+@attrs.define
+class _Held:
+    """An entry that vanished while that may mean nothing."""
+
+    until_s: float
+
+
+class View:
+    """The beliefs, changed by news only."""
+
+    def __init__(
+        self,
+        own_name: str,
+        replicas: replicas_module.Replicas,
+        now_s: abc.Callable[[], float],
+    ) -> None:
+        self.configuration: routes.Configuration | None = None
+        self.replicas = replicas
+        self.instances: dict[str, news.EntryInstance] = {}
+        self.own_entry_removed = False
+        self._own_name = own_name
+        self._now_s = now_s
+        self._keys: dict[str, news.Written] = {}
+        self._held: dict[str, _Held] = {}
+        self._away_since_s: float | None = None
+        self._returned_s = float("-inf")
+        self._heard_s = float("-inf")
+        self._counts: list[tuple[float, int]] = []
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be served."""
+        return self.configuration is not None
+
+    def source_lost(self, reason: str) -> None:
+        """Take note that the source does not answer."""
+        if self._away_since_s is None:
+            self._away_since_s = self._now_s()
+            decisions.log("source.lost", reason=reason)
+
+    def source_regained(self) -> None:
+        """Take note that the source answers."""
+        self._heard_s = self._now_s()
+        if self._away_since_s is None:
+            return
+        now_s = self._now_s()
+        decisions.log("source.regained", away_ms=round((now_s - self._away_since_s) * 1000))
+        self._away_since_s = None
+        self._returned_s = now_s
+
+    def source_age_s(self) -> float:
+        """Return how old the last answer of the source is."""
+        return self._now_s() - self._heard_s
+
+    def instances_count(self) -> int:
+        """Return how many instances share connections and budgets, the largest of late."""
+        now_s = self._now_s()
+        current = max(len(self.instances), 1)
+        self._counts = [each for each in self._counts if each[0] > now_s - INSTANCES_MEMORY_S]
+        return max([current, *(count for _, count in self._counts)])
+
+    def _note_count(self) -> None:
+        self._counts.append((self._now_s(), len(self.instances)))
+
+    def take_snapshot(self, snapshot: news.Snapshot) -> None:
+        """Take over a whole reading: what is missing in it has been removed."""
+        present = {written.key for written in snapshot.written}
+        missing = [key for key in self._keys if key not in present]
+        for written in snapshot.written:
+            self._write(written)
+        self._remove([key for key in missing if key not in self._held], snapshot.revision)
+
+    def take_changes(self, changes: news.Changes) -> None:
+        """Take over what has changed, in order."""
+        removed = []
+        for change in changes.changes:
+            if isinstance(change, news.Written):
+                if change.key in removed:
+                    removed.remove(change.key)
+                self._write(change)
+            elif change.key in self._keys:
+                removed.append(change.key)
+        self._remove(removed, changes.revision)
+
+    def _write(self, written: news.Written) -> None:
+        known = self._keys.get(written.key)
+        if known is not None and known.revision >= written.revision:
+            self._held.pop(written.key, None)
+            self._restore(known)
+            return
+        self._keys[written.key] = written
+        self._held.pop(written.key, None)
+        self._restore(written)
+
+    def _restore(self, written: news.Written) -> None:
+        match written.value:
+            case routes.Configuration():
+                self._configure(written.value, written.revision)
+            case routes.ReplicaEntry():
+                if self.replicas.put(written.value):
+                    entry = written.value
+                    decisions.log(
+                        "view.replica",
+                        replica=entry.instance,
+                        service=entry.service,
+                        draining=entry.draining,
+                        revision=written.revision,
+                    )
+            case news.EntryInstance():
+                if self.instances.get(written.value.name) != written.value:
+                    decisions.log(
+                        "view.instance", name=written.value.name, revision=written.revision
+                    )
+                self.instances[written.value.name] = written.value
+                self._note_count()
+
+    def _configure(self, configuration: routes.Configuration, revision: int) -> None:
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            # A reading that was on its way while a newer version arrived must not bring back the
+            # older one: callers have seen the newer one in force.
+            return
+        self.configuration = configuration
+        decisions.log(
+            "view.configuration",
+            version=configuration.version,
+            before=current.version if current else None,
+            routes=len(configuration.routes),
+            revision=revision,
+        )
+
+    def _remove(self, keys: list[str], revision: int) -> None:
+        if not keys:
+            return
+        hold = self._away_since_s is not None or (self._now_s() - self._returned_s < RETURN_HOLD_S)
+        kept = sum(isinstance(each.value, routes.ReplicaEntry) for each in self._keys.values())
+        if len(keys) >= max(MASS_REMOVAL_LEAST, MASS_REMOVAL_SHARE * kept):
+            hold = True
+        for key in keys:
+            written = self._keys.get(key)
+            if written is None:
+                continue
+            if isinstance(written.value, news.EntryInstance) and (
+                written.value.name == self._own_name
+            ):
+                self.own_entry_removed = True
+                continue
+            if hold:
+                self._hold(key, written, revision)
+            else:
+                self._forget(key, revision)
+
+    def _hold(self, key: str, written: news.Written, revision: int) -> None:
+        self._held[key] = _Held(self._now_s() + RETURN_HOLD_S)
+        if isinstance(written.value, routes.ReplicaEntry):
+            decisions.log("view.replica_held", replica=written.value.instance, revision=revision)
+
+    def _forget(self, key: str, revision: int) -> None:
+        written = self._keys.pop(key)
+        self._held.pop(key, None)
+        match written.value:
+            case routes.ReplicaEntry():
+                self.replicas.remove(written.value.instance)
+                decisions.log(
+                    "view.replica_gone", replica=written.value.instance, revision=revision
+                )
+            case news.EntryInstance():
+                self.instances.pop(written.value.name, None)
+                decisions.log("view.instance_gone", name=written.value.name, revision=revision)
+
+    def settle(self) -> None:
+        """Take for gone what was held long enough, while the source is there."""
+        if self._away_since_s is not None:
+            return
+        now_s = self._now_s()
+        for key in [key for key, held in self._held.items() if now_s >= held.until_s]:
+            self._forget(key, self._keys[key].revision)
--- a/src/turmericlug/kernel/tasks.py
+++ b/src/turmericlug/kernel/tasks.py
@@ -7,8 +7,6 @@
 import typing
 from collections import abc
 
-from turmericlug.telemetry import events
-
 Work = abc.Coroutine[typing.Any, typing.Any, typing.Any]
 
 
@@ -31,8 +29,10 @@
     def _ended(self, task: asyncio.Task[typing.Any]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            error = task.exception()
-            events.emit("task.failed", "error", reason=f"{type(error).__name__}: {error}"[:500])
+            # Each daemon sets a handler that writes the failure to its own log.
+            task.get_loop().call_exception_handler(
+                {"message": "task failed", "exception": task.exception()}
+            )
 
     async def finish(self) -> None:
         """Wait for all tasks to end by themselves."""
--- a/src/turmericlug/membership/detector.py
+++ b/src/turmericlug/membership/detector.py
@@ -15,7 +15,7 @@
 from turmericlug.membership import freshness as freshness_module
 from turmericlug.membership import members as members_module
 from turmericlug.membership import mesh as mesh_module
-from turmericlug.platform import instances
+from turmericlug.storage import instances
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import events
 from turmericlug.wire import link as link_module
--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -21,8 +21,8 @@
 from turmericlug.owner import replica as replica_module
 from turmericlug.owner import service_queue
 from turmericlug.owner import target
-from turmericlug.platform import instances
 from turmericlug.rules import configuration
+from turmericlug.storage import instances
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import events
 from turmericlug.wire import server as server_module
--- a/src/turmericlug/platform/__init__.py
+++ b/src/turmericlug/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform: its key-value store and its instance list."""
+"""Adapter to the platform that instances run on: its names, its store, its settings."""
--- /dev/null
+++ b/src/turmericlug/platform/interfaces.py
@@ -0,0 +1,41 @@
+"""The platform's two questions to an instance: where callers may connect, and is it ready."""
+
+from __future__ import annotations
+
+import json
+import urllib.parse
+from collections import abc
+
+from turmericlug.entry import directory as directory_module
+from turmericlug.http1 import server
+from turmericlug.platform import names
+
+
+def resolve_handler(directory: directory_module.Directory) -> server.Handler:
+    """Return the handler of the question which addresses a caller may use."""
+
+    async def handle(request: server.Request) -> server.Answer:
+        path, _, query = request.target.partition(b"?")
+        if path != names.RESOLVE_PATH:
+            return server.Answer(404)
+        asked = urllib.parse.parse_qs(query.decode("latin-1"))
+        addresses = directory.addresses(
+            (asked.get("Region") or [""])[0], (asked.get("Zone") or [""])[0]
+        )
+        if not addresses:
+            return server.Answer(503)
+        body = json.dumps({"addrs": addresses, "ttl_s": directory.lifetime_s}).encode()
+        return server.Answer(200, ((b"content-type", b"application/json"),), body)
+
+    return handle
+
+
+def ready_handler(ready: abc.Callable[[], bool]) -> server.Handler:
+    """Return the handler of the question whether this instance may get callers."""
+
+    async def handle(request: server.Request) -> server.Answer:
+        if request.target.partition(b"?")[0] != names.READY_PATH:
+            return server.Answer(404)
+        return server.Answer(200 if ready() else 503)
+
+    return handle
--- /dev/null
+++ b/src/turmericlug/platform/start.py
@@ -0,0 +1,42 @@
+"""Start of an entry instance on the platform: settings file, store, interfaces, names."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import sys
+
+import uvloop
+
+from turmericlug.config import ini
+from turmericlug.entry import daemon
+from turmericlug.entry import settings as settings_module
+from turmericlug.platform import interfaces
+from turmericlug.platform import names
+from turmericlug.platform import store
+from turmericlug.telemetry import counters as counters_module
+
+SETTINGS_VARIABLE = "TURMERICLUG_NODE_FILE"
+EXIT_SETTINGS = 2
+
+
+def _source(settings: settings_module.Source, counters: counters_module.Counters) -> store.Store:
+    return store.Store(*settings.address, counters)
+
+
+ADAPTER = daemon.Adapter(
+    names.HEADERS, _source, interfaces.resolve_handler, interfaces.ready_handler
+)
+
+
+def run() -> None:
+    """Run an entry instance with the settings file that the platform names."""
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, "entry.ini"))
+    try:
+        settings = settings_module.load(path)
+    except ini.SettingsError as error:
+        for problem in error.problems:
+            print(problem, file=sys.stderr)
+        raise SystemExit(EXIT_SETTINGS) from error
+    uvloop.install()
+    daemon.run(settings, ADAPTER, path)
--- a/src/turmericlug/platform/store.py
+++ b/src/turmericlug/platform/store.py
@@ -1,166 +1,198 @@
-"""Client of the platform's key-value store, by the etcd v3 HTTP/JSON gateway protocol."""
+"""
+The one client of the platform's store: its calls, and its items as the product's news.
+
+Two connections: questions for changes wait on one, everything else goes over the other. The store
+answers nothing further on a connection on which an answer was lost, so that a call without an
+answer ends its connection.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import base64
-import contextlib
 import json
 import typing
-from collections import abc
+import urllib.parse
 
-import aiohttp
 import attrs
 
+from turmericlug.entry import news
+from turmericlug.http1 import client
+from turmericlug.platform import decode
+from turmericlug.platform import names
 from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import decisions
 
-
-class StoreError(Exception):
-    """The store gave no usable answer; ``reason`` is ``timeout``, ``unreachable``, ``refused``."""
-
-    def __init__(self, reason: str) -> None:
-        super().__init__(reason)
-        self.reason = reason
+CALL_TIMEOUT_S = 1.2
+"""Three hundred times the usual answer of 4 ms: a slow store (240 ms were seen) still answers."""
+WATCH_SLACK_S = 0.8
+_CONNECT_TIMEOUT_S = 0.6
+_REASONS = {429: "rate", 503: "busy"}
 
 
-@attrs.frozen
-class Value:
-    """One key as read; ``revision`` is 0 for a key that does not exist."""
+@attrs.define
+class _Lane:
+    """One kept connection, used by one call at a time."""
 
-    key: str
-    text: str
-    revision: int
+    connection: client.Connection | None = None
+    lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
 
 class Store:
-    """Reads, compare-and-swaps and watches, each counted."""
+    """Implements ``news.Source`` on the platform's store."""
 
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        url: str,
-        timeout_ms: int,
-        counters: counters_module.Counters,
-    ) -> None:
-        self._session = session
-        self._url = url
-        self._timeout_s = timeout_ms / 1000
+    def __init__(self, host: str, port: int, counters: counters_module.Counters) -> None:
+        self._host = host
+        self._port = port
         self._counters = counters
+        self._calls = _Lane()
+        self._watch = _Lane()
 
-    async def read(self, key: str) -> Value:
+    async def read_all(self) -> news.Snapshot:
         """
-        Read one key, linearizably.
+        Read every key, page by page; changes since the first page are followed from there.
 
-        :raises StoreError: no answer
+        :raises SourceError: no answer
         """
-        found = await self._call("range", {"key": _pack(key)})
-        values = _values(found)
-        return values[0] if values else Value(key, "", 0)
-
-    async def read_prefix(self, prefix: str) -> list[Value]:
+        written: list[news.Written] = []
+        revision, after = 0, ""
+        while True:
+            query = {"Prefix": "", "after": after} if after else {"Prefix": ""}
+            page = await self._get("kv-range", query)
+            revision = revision or page["AsOf"]
+            for item in page["items"]:
+                after = item["Key"]
+                change = _written(item)
+                if change is not None:
+                    written.append(change)
+            if not page.get("HasMore"):
+                return news.Snapshot(tuple(written), revision)
+
+    async def changes(self, after: int, wait_s: float) -> news.Changes:
         """
-        Read every key that starts with a prefix, in order.
+        Wait for changes.
 
-        :raises StoreError: no answer
+        :raises HistoryLostError: the changes since then are not known any more
+        :raises SourceError: no answer
         """
-        end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
-        found = await self._call("range", {"key": _pack(prefix), "range_end": _pack(end)})
-        return _values(found)
-
-    async def swap(self, expected: dict[str, int], puts: dict[str, str]) -> int:
+        query = {"Prefix": "", "after": str(after), "WaitMs": str(int(wait_s * 1000))}
+        page = await self._get("kv-watch", query, self._watch, wait_s + WATCH_SLACK_S)
+        changes: list[news.Change] = []
+        for event in page["events"]:
+            if event.get("Tombstone"):
+                changes.append(news.Removed(event["Key"], event["Revision"]))
+                continue
+            written = _written(event)
+            if written is not None:
+                changes.append(written)
+        return news.Changes(tuple(changes), page["AsOf"])
+
+    async def lease(self, ttl_s: float) -> int:
+        """Open a lease."""
+        body = await self._call(b"POST", "kv-lease", {"TtlMs": int(ttl_s * 1000)})
+        return body["Lease"]
+
+    async def keep(self, lease: int) -> None:
         """
-        Write all keys if each expected key still has its revision; else write none.
+        Renew a lease.
 
-        :param expected: revision by key, 0 for a key that must not exist
-        :returns: the revision that the written keys have now; 0: nothing was written
-        :raises StoreError: no answer; **the write may have taken effect**
+        :raises LeaseEndedError: it has ended
         """
-        compare = [
-            {"key": _pack(key), "target": "MOD", "result": "EQUAL", "mod_revision": str(revision)}
-            for key, revision in expected.items()
-        ]
-        success = [
-            {"request_put": {"key": _pack(key), "value": _pack(text)}} for key, text in puts.items()
-        ]
-        answer = await self._call("txn", {"compare": compare, "success": success})
-        if not answer.get("succeeded", False):
-            return 0
-        try:
-            return int(answer["header"]["revision"])
-        except (KeyError, TypeError, ValueError) as error:
-            raise self._failed(ValueError()) from error
+        await self._call(b"POST", f"kv-keep/{lease}", {})
 
-    async def delete(self, key: str) -> None:
-        """
-        Remove one key.
+    async def end(self, lease: int) -> None:
+        """End a lease."""
+        await self._call(b"DELETE", f"kv-lease-end/{lease}", None)
 
-        :raises StoreError: no answer; the key may be gone
+    async def register(self, instance: news.EntryInstance, lease: int) -> None:
         """
-        await self._call("deleterange", {"key": _pack(key)})
+        Write an instance's entry under its lease.
 
-    async def watch(self, prefix: str) -> abc.AsyncIterator[Value]:
+        :raises LeaseEndedError: the lease has ended
         """
-        Yield each write below a prefix, until the stream breaks.
+        value = base64.b64encode(decode.instance_value(instance)).decode()
+        put = {"Key": names.INSTANCES_PREFIX + instance.name, "Value": value, "Lease": lease}
+        await self._call(b"POST", "kv-txn", {"ExpectedRev": [], "Puts": [put], "Remove": []})
 
-        :raises StoreError: the stream could not be opened or broke
-        """
-        end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
-        body = {"create_request": {"key": _pack(prefix), "range_end": _pack(end)}}
-        self._counters.add("store.call.watch")
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_s)
-        try:
-            async with self._session.post(
-                f"{self._url}/v3/watch", json=body, timeout=timeout
-            ) as response:
-                async for line in response.content:
-                    for event in json.loads(line).get("result", {}).get("events", []):
-                        yield _value(event["kv"])
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError) as error:
-            raise self._failed(error) from error
-        raise self._failed(ConnectionResetError())
-
-    async def _call(self, operation: str, body: dict[str, typing.Any]) -> dict[str, typing.Any]:
-        self._counters.add(f"store.call.{operation}")
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, str],
+        lane: _Lane | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> typing.Any:
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        return await self._call(b"GET", target, None, lane, timeout_s)
+
+    async def _call(
+        self,
+        method: bytes,
+        path: str,
+        body: typing.Any,
+        lane: _Lane | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> typing.Any:
+        lane = lane or self._calls
+        operation = path.partition("?")[0].partition("/")[0]
+        self._counters.add(f"source.call.{operation}")
+        async with lane.lock:
+            response = await self._exchange(lane, method, path, body, timeout_s)
+        if response.status == 200:
+            return _parsed(response.body)
+        if response.status == 410:
+            raise news.HistoryLostError
+        if response.status == 404:
+            raise news.LeaseEndedError
+        raise news.SourceError(_REASONS.get(response.status, f"status_{response.status}"))
+
+    async def _exchange(
+        self, lane: _Lane, method: bytes, path: str, body: typing.Any, timeout_s: float
+    ) -> client.Response:
+        content = b"" if body is None else json.dumps(body).encode()
+        headers = [(b"host", f"{self._host}:{self._port}".encode())]
+        if content:
+            headers.append((b"content-type", b"application/json"))
+        request = client.request_bytes(method, b"/turmericlug/" + path.encode(), headers, content)
         try:
-            async with asyncio.timeout(self._timeout_s):
-                async with self._session.post(
-                    f"{self._url}/v3/kv/{operation}", json=body
-                ) as response:
-                    if response.status != 200:
-                        raise aiohttp.ClientError(f"status {response.status}")
-                    return await response.json(content_type=None)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-            raise self._failed(error) from error
-
-    def _failed(self, error: BaseException) -> StoreError:
-        if isinstance(error, TimeoutError):
-            reason = "timeout"
-        elif isinstance(error, OSError):
-            reason = "unreachable"
-        else:
-            reason = "refused"
-        self._counters.add(f"store.error.{reason}")
-        return StoreError(reason)
-
-
-@contextlib.asynccontextmanager
-async def connected(
-    url: str, timeout_ms: int, counters: counters_module.Counters
-) -> abc.AsyncIterator[Store]:
-    """Hold a client with its few connections for the length of the block."""
-    connector = aiohttp.TCPConnector(limit=8)
-    async with aiohttp.ClientSession(connector=connector) as session:
-        yield Store(session, url, timeout_ms, counters)
-
-
-def _pack(text: str) -> str:
-    return base64.b64encode(text.encode()).decode()
-
-
-def _values(answer: dict[str, typing.Any]) -> list[Value]:
-    return [_value(item) for item in answer.get("kvs", [])]
-
-
-def _value(item: dict[str, typing.Any]) -> Value:
-    text = base64.b64decode(item.get("value", "")).decode()
-    return Value(base64.b64decode(item["key"]).decode(), text, int(item["mod_revision"]))
+            async with asyncio.timeout(timeout_s):
+                if lane.connection is None or lane.connection.closed:
+                    lane.connection = await client.connect(
+                        self._host, self._port, _CONNECT_TIMEOUT_S
+                    )
+                return await lane.connection.exchange(request)
+        except TimeoutError:
+            self._drop(lane)
+            raise news.SourceError("timeout") from None
+        except client.ConnectError:
+            raise news.SourceError("unreachable") from None
+        except client.ExchangeError:
+            self._drop(lane)
+            raise news.SourceError("cut") from None
+
+    def _drop(self, lane: _Lane) -> None:
+        if lane.connection is not None:
+            lane.connection.close()
+            lane.connection = None
+
+    def close(self) -> None:
+        """Close both connections."""
+        self._drop(self._calls)
+        self._drop(self._watch)
+
+
+def _parsed(body: bytes) -> typing.Any:
+    try:
+        return json.loads(body) if body else {}
+    except ValueError:
+        raise news.SourceError("unreadable") from None
+
+
+def _written(item: dict[str, typing.Any]) -> news.Written | None:
+    """Return what an item says, ``None`` for keys of others or a value that can't be read."""
+    key = item["Key"]
+    try:
+        value = decode.value(key, base64.b64decode(item["Value"]))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        decisions.log("source.unreadable", key=key, reason=f"{type(error).__name__}: {error}")
+        return None
+    return None if value is None else news.Written(key, value, item["Revision"])
--- a/src/turmericlug/records/ledger.py
+++ b/src/turmericlug/records/ledger.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from turmericlug.platform import store as store_module
+from turmericlug.storage import store as store_module
 from turmericlug.telemetry import counters as counters_module
 
 CLAIM, SETTLE, RELEASE = "claim", "settle", "release"
--- a/src/turmericlug/records/records.py
+++ b/src/turmericlug/records/records.py
@@ -13,8 +13,8 @@
 from turmericlug.kernel import tasks
 from turmericlug.membership import members as members_module
 from turmericlug.membership import mesh as mesh_module
-from turmericlug.platform import store as store_module
 from turmericlug.records import ledger
+from turmericlug.storage import store as store_module
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.wire import codec
 from turmericlug.wire import link as link_module
--- a/src/turmericlug/rules/distribution.py
+++ b/src/turmericlug/rules/distribution.py
@@ -13,9 +13,9 @@
 from turmericlug.membership import detector as detector_module
 from turmericlug.membership import freshness as freshness_module
 from turmericlug.membership import members as members_module
-from turmericlug.platform import store as store_module
 from turmericlug.rules import configuration
 from turmericlug.rules import repository as repository_module
+from turmericlug.storage import store as store_module
 from turmericlug.telemetry import events
 from turmericlug.wire import codec
 from turmericlug.wire import link as link_module
--- a/src/turmericlug/rules/repository.py
+++ b/src/turmericlug/rules/repository.py
@@ -10,11 +10,11 @@
 import attrs
 
 from turmericlug.catalog import catalog as catalog_module
-from turmericlug.platform import store as store_module
 from turmericlug.rules import configuration
 from turmericlug.rules import edits
 from turmericlug.rules import model
 from turmericlug.rules import text as text_module
+from turmericlug.storage import store as store_module
 
 _TRIES = 12
 _EMPTY_CATALOG = json.dumps({"services": {}, "groups": {}, "snapshots": []})
--- /dev/null
+++ b/src/turmericlug/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the general key-value store and instance list, by their published protocols."""
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from turmericlug.platform import store as store_module
+from turmericlug.storage import store as store_module
 
 
 class FakeStore:
