--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -210,8 +210,7 @@
 def _why(part: asyncio.Task[sending.Outcome]) -> str:
     if not part.done() or part.cancelled():
         return "not in time"
-    outcome = part.result()
-    return getattr(outcome, "reason", "replica failed")
+    return sending.reason(part.result())
 
 
 def _too_few(sender: obtaining.Sender, call: sending.Call, parts: Parts) -> Ending:
--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -165,7 +165,7 @@
         return
     if not call.route.idempotent and not isinstance(failure, sending.NotRun):
         return
-    reason = getattr(failure, "reason", "replica_failed").partition(":")[0]
+    reason = sending.reason(failure).partition(":")[0]
     if effort.attempts and not sender.replicas.extra_sends(effort.service).spend(
         now_s, sender.instances()
     ):
@@ -259,7 +259,7 @@
         times.add(duration_ms)
         sender.counters.time_ms("direct.send_ms", duration_ms)
         return
-    reason = getattr(outcome, "reason", "replica_failed").partition(":")[0]
+    reason = sending.reason(outcome).partition(":")[0]
     sender.counters.add(f"direct.send_failed.{reason}")
     if isinstance(outcome, sending.NotRun) and outcome.sent:
         replica.full_until_s = now_s + replicas_module.SHED_PAUSE_S
@@ -271,11 +271,7 @@
         request=call.request_id,
         service=replica.entry.service,
         replica=replica.entry.instance,
-        reason=(
-            getattr(outcome, "reason", f"status {outcome.response.status}")
-            if not isinstance(outcome, sending.Failed)
-            else f"status {outcome.response.status}"
-        ),
+        reason=sending.reason(outcome),
         age_ms=round(duration_ms, 1),
         set_aside=set_aside,
     )
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -118,6 +118,17 @@
     return Failed(response, replica)
 
 
+def reason(outcome: Outcome) -> str:
+    """Return why there is no answer, as a short text; empty for an answer."""
+    match outcome:
+        case Answered():
+            return ""
+        case Failed():
+            return f"replica_status_{outcome.response.status}"
+        case NotRun() | Unknown():
+            return outcome.reason
+
+
 def promises_not_run(status: int) -> bool:
     """Whether callers take a status for the promise that their request did not run."""
     return status in _PROMISE_STATUSES
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import math
 import random
 from collections import abc
 
@@ -179,7 +180,7 @@
             "query.refused",
             request=request.header(self.sender.names.request_id),
             reason=reason,
-            source_age_ms=round(self._source_age_s() * 1000),
+            source_age_s=round(self._source_age_s(), 3),
         )
         return answering.refusal(self.sender, reason).answer
 
@@ -217,7 +218,9 @@
 
 
 def _time_left_ms(value: bytes | None) -> float:
+    """Return the stated time; one that is missing or no number leaves the route's timeout."""
     try:
-        return max(float(value), 0.0) if value else float("inf")
+        stated_ms = float(value or b"inf")
     except ValueError:
-        return float("inf")
+        return math.inf
+    return math.inf if math.isnan(stated_ms) else max(stated_ms, 0.0)
