--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -9,8 +9,6 @@
 
 from collections import abc
 
-import attrs
-
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.entry import news
@@ -27,13 +25,6 @@
 connections and sends still do."""
 
 
-@attrs.define
-class _Held:
-    """An entry that vanished while that may mean nothing."""
-
-    until_s: float
-
-
 class View:
     """The beliefs, changed by news only."""
 
@@ -50,7 +41,8 @@
         self._own_name = own_name
         self._now_s = now_s
         self._keys: dict[str, news.Written] = {}
-        self._held: dict[str, _Held] = {}
+        self._held: dict[str, float] = {}
+        """When entries vanished that may come back, by key."""
         self._away_since_s: float | None = None
         self._returned_s = float("-inf")
         self._heard_s = float("-inf")
@@ -180,7 +172,7 @@
                 self._forget(key, revision)
 
     def _hold(self, key: str, written: news.Written, revision: int) -> None:
-        self._held[key] = _Held(self._now_s() + RETURN_HOLD_S)
+        self._held[key] = self._now_s()
         if isinstance(written.value, routes.ReplicaEntry):
             decisions.log("view.replica_held", replica=written.value.instance, revision=revision)
 
@@ -198,9 +190,19 @@
                 decisions.log("view.instance_gone", name=written.value.name, revision=revision)
 
     def settle(self) -> None:
-        """Take for gone what was held long enough, while the source is there."""
+        """
+        Take for gone what had its time to come back while the source was there.
+
+        The time counts from the source's return, not from the lapse: entries lapse early in an
+        outage, and would be taken for gone in the moment in which they are written again.
+        """
         if self._away_since_s is not None:
             return
         now_s = self._now_s()
-        for key in [key for key, held in self._held.items() if now_s >= held.until_s]:
+        due = [
+            key
+            for key, gone_s in self._held.items()
+            if now_s >= max(gone_s, self._returned_s) + RETURN_HOLD_S
+        ]
+        for key in due:
             self._forget(key, self._keys[key].revision)
--- /dev/null
+++ b/tests/direct/test_answering.py
@@ -0,0 +1,127 @@
+"""From a request to its one answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+import scripted
+
+from turmericlug.direct import answering
+from turmericlug.http1 import client
+
+RESET = client.ExchangeError("connection reset")
+
+
+def part(number):
+    return scripted.response(body=number.to_bytes(16, "big"), signed=b"sig%d" % number)
+
+
+def query(scripts, **changes):
+    """Ask all shards; each has two replicas with the same script."""
+
+    async def main():
+        shards = {
+            name: {f"{name}-{n}": scripted.Scripted(*script) for n in range(2)}
+            for name, script in scripts.items()
+        }
+        sender = scripted.make_sender(shards)
+        values = {"shards": tuple(scripts), "top_records": 2, "min_coverage": 0.6} | changes
+        call = scripted.make_call(services=(), **values)
+        ending = await answering.all_shards(sender, call)
+        await sender.tasks.close()
+        return ending
+
+    return asyncio.run(main())
+
+
+def header(answer, name):
+    return dict(answer.headers).get(name)
+
+
+def test_all_shards_are_merged():
+    ending = query({"x": [part(1)], "y": [part(3)], "z": [part(2)]})
+    assert ending.outcome == "answered"
+    assert header(ending.answer, b"parts") == b"sig1, sig3, sig2"
+    assert header(ending.answer, b"missing") == b"0"
+    assert ending.answer.body == (3).to_bytes(16, "big") + (2).to_bytes(16, "big")
+
+
+@pytest.mark.parametrize(
+    ("lost", "status", "outcome"),
+    [
+        ([30.0], 200, "partial"),
+        ([RESET], 200, "partial"),
+        ([scripted.response(500)], 200, "partial"),
+        ([scripted.SHED], 200, "partial"),
+    ],
+    ids=["silent", "reset", "failed", "shed"],
+)
+def test_missing_shards_are_told(lost, status, outcome):
+    """
+    One shard does not answer in time. The caller gets the others' records before its goal has
+    passed, and is told that one shard is missing; nothing of the lost one is in the answer.
+    """
+    ending = query({"x": [part(1)], "y": [part(2)], "z": lost})
+    assert (ending.answer.status, ending.outcome) == (status, outcome)
+    assert header(ending.answer, b"missing") == b"1"
+    assert header(ending.answer, b"parts") == b"sig1, sig2"
+
+
+@pytest.mark.parametrize(
+    ("scripts", "status", "outcome"),
+    [
+        ({"x": [part(1)], "y": [scripted.SHED], "z": [scripted.SHED]}, 502, "failed"),
+        ({"x": [scripted.SHED], "y": [scripted.SHED], "z": [scripted.SHED]}, 503, "refused"),
+        ({"x": [part(1)], "y": [RESET], "z": [RESET]}, 502, "failed"),
+        ({"x": [part(1)], "y": [30.0], "z": [30.0]}, 504, "failed"),
+    ],
+    ids=["some ran", "none ran", "lost", "deadline"],
+)
+def test_too_few_shards(scripts, status, outcome):
+    ending = query(scripts, deadline_ms=300.0)
+    assert (ending.answer.status, ending.outcome) == (status, outcome)
+    assert (header(ending.answer, b"retry-after") is not None) == (status == 503)
+
+
+def test_a_query_without_enough_replicas_is_refused_before_anything_is_sent():
+    async def main():
+        sent = scripted.Scripted(part(1))
+        sender = scripted.make_sender({"x": {"x-0": sent}})
+        call = scripted.make_call(shards=("x", "y", "z"), min_coverage=0.6, services=())
+        ending = await answering.all_shards(sender, call)
+        assert (ending.answer.status, ending.reason) == (503, "no_replica")
+        assert not sent.requests
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("script", "status", "signed"),
+    [
+        ([scripted.response(200, body=b"b")], 200, True),
+        ([scripted.response(404, body=b"b")], 404, True),
+        ([scripted.response(500, body=b"b")], 500, True),
+        ([scripted.response(503, body=b"b")], 502, False),
+        ([scripted.SHED], 503, False),
+        ([RESET], 502, False),
+        ([30.0], 504, False),
+    ],
+    ids=["good", "404", "500", "ran 503", "shed", "reset", "deadline"],
+)
+def test_single(script, status, signed):
+    """
+    A replica answers 503 although it ran the request. Callers take 503 for the promise that it did
+    not run and send it again; passed on, a voucher would be issued twice.
+    """
+
+    async def main():
+        sender = scripted.make_sender({"s": {"a": scripted.Scripted(*script)}})
+        call = scripted.make_call(idempotent=False, deadline_ms=200.0)
+        ending = await answering.single(sender, call, "s")
+        await sender.tasks.close()
+        return ending.answer
+
+    answer = asyncio.run(main())
+    assert answer.status == status
+    assert (header(answer, b"signed") is not None) == signed
--- /dev/null
+++ b/tests/direct/test_merge.py
@@ -0,0 +1,39 @@
+"""Merging parts."""
+
+from __future__ import annotations
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from turmericlug.direct import merge
+
+
+def record(number):
+    return number.to_bytes(16, "big")
+
+
+@pytest.mark.parametrize(
+    ("bodies", "count", "expected"),
+    [
+        ([], 3, []),
+        ([record(1) + record(9), record(5)], 2, [9, 5]),
+        ([record(7), record(7)], 5, [7, 7]),
+        ([record(3) + b"remainder"], 5, [3]),
+        ([b"", record(2)], 1, [2]),
+    ],
+    ids=["none", "greatest", "equal ones count", "remainder", "empty part"],
+)
+def test_greatest(bodies, count, expected):
+    assert merge.greatest(bodies, count) == b"".join(map(record, expected))
+
+
+@hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+@hypothesis.given(
+    strategies.lists(strategies.lists(strategies.binary(min_size=16, max_size=16))),
+    strategies.integers(1, 20),
+)
+def test_greatest_is_the_head_of_the_sorted_whole(parts, count):
+    found = merge.greatest([b"".join(part) for part in parts], count)
+    everything = sorted((each for part in parts for each in part), reverse=True)
+    assert found == b"".join(everything[:count])
--- /dev/null
+++ b/tests/direct/test_obtaining.py
@@ -0,0 +1,146 @@
+"""First send, hedge and repeat against scripted replicas."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+import scripted
+
+from turmericlug.direct import obtaining
+from turmericlug.direct import sending
+from turmericlug.http1 import client
+
+GOOD = scripted.response(body=b"good")
+FAILED = scripted.response(500, body=b"failed")
+FOREIGN = scripted.response(headers=[(b"request-id", b"other")])
+FOREIGN = client.Response(200, b"", ((b"request-id", b"other"), (b"signed", b"x")), b"", True)
+RESET = client.ExchangeError("connection reset")
+REFUSED = client.ConnectError("refused")
+MOVED = client.Response(421, b"", (), b"", True)
+
+
+def obtain(scripts, slack=100.0, **changes):
+    """Return the outcome and how many requests reached each replica."""
+
+    async def main():
+        sender = scripted.make_sender({"s": scripts}, slack)
+        call = scripted.make_call(**changes)
+        outcome = await obtaining.obtain(sender, call, "s")
+        await sender.tasks.close()
+        return outcome
+
+    outcome = asyncio.run(main())
+    return outcome, [len(script.requests) for script in scripts.values()]
+
+
+def two(first, second):
+    return {"a": scripted.Scripted(*first), "b": scripted.Scripted(*second)}
+
+
+@pytest.mark.parametrize(
+    ("first", "idempotent", "expected", "sent"),
+    [
+        ([GOOD], True, sending.Answered, [1, 0]),
+        ([RESET], True, sending.Answered, [1, 1]),
+        ([FAILED], True, sending.Answered, [1, 1]),
+        ([FOREIGN], True, sending.Answered, [1, 1]),
+        ([scripted.SHED], True, sending.Answered, [1, 1]),
+        ([MOVED], True, sending.Answered, [1, 1]),
+        ([REFUSED], True, sending.Answered, [0, 1]),
+        ([5.0, GOOD], True, sending.Answered, [1, 1]),
+        ([GOOD], False, sending.Answered, [1, 0]),
+        ([scripted.SHED], False, sending.Answered, [1, 1]),
+        ([MOVED], False, sending.Answered, [1, 1]),
+        ([REFUSED], False, sending.Answered, [0, 1]),
+        ([RESET], False, sending.Unknown, [1, 0]),
+        ([FOREIGN], False, sending.Unknown, [1, 0]),
+        ([FAILED], False, sending.Failed, [1, 0]),
+        ([0.2, GOOD], False, sending.Answered, [1, 0]),
+    ],
+)
+def test_what_is_sent_again(first, idempotent, expected, sent):
+    """
+    A voucher is requested once and a replica loses its answer: sent again, it is issued twice.
+    So a request that must not run twice goes to a second replica only when the first one certainly
+    did not run it; any other goes on to the next replica, early when the first one is late.
+    """
+    outcome, requests = obtain(two(first, [GOOD]), idempotent=idempotent)
+    assert isinstance(outcome, expected)
+    assert requests == sent
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "reason"),
+    [
+        ([scripted.SHED], [scripted.SHED], "shed"),
+        ([REFUSED], [REFUSED], "connect: refused"),
+        ([MOVED], [REFUSED], "connect: refused"),
+    ],
+)
+def test_not_run_is_said_only_when_true(first, second, reason):
+    outcome, _ = obtain(two(first, second))
+    assert outcome == sending.NotRun(reason, sent=outcome.sent)
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [([RESET], [scripted.SHED]), ([5.0], [scripted.SHED]), ([RESET], [REFUSED])],
+)
+def test_after_a_run_that_may_have_begun_nothing_is_promised(first, second):
+    """
+    The first replica loses its answer, the second one refuses. "Not run" would be true of the
+    second send only; a caller that believes it pays twice.
+    """
+    outcome, _ = obtain(two(first, second), deadline_ms=300.0)
+    assert isinstance(outcome, sending.Unknown)
+
+
+def test_no_replica():
+    outcome, _ = obtain({})
+    assert outcome == sending.NotRun("no_replica", sent=False)
+
+
+def test_no_more_replicas_than_the_route_allows():
+    scripts = {name: scripted.Scripted(RESET) for name in "abcd"}
+    _, requests = obtain(scripts, max_attempts=3)
+    assert sum(requests) == 3
+
+
+@pytest.mark.parametrize("first", [[RESET], [5.0]])
+def test_a_spent_budget_sends_nothing_again(first):
+    outcome, requests = obtain(two(first, [GOOD]), slack=0.0, deadline_ms=250.0)
+    assert isinstance(outcome, sending.Unknown)
+    assert requests == [1, 0]
+
+
+def test_the_time_handed_on_is_what_is_left():
+    scripts = two([RESET], [GOOD])
+    obtain(scripts, deadline_ms=500.0)
+    for script in scripts.values():
+        (request,) = script.requests
+        left_ms = int(request.split(b"time-left: ")[1].split(b"\r")[0])
+        assert left_ms <= 500
+    assert b"expected: a" in scripts["a"].requests[0]
+
+
+def test_an_abandoned_call_ends_its_sends():
+    """
+    The caller leaves while a late part has two sends under way. Both connections close, so that
+    neither replica works on for nobody.
+    """
+    scripts = two([30.0], [30.0])
+
+    async def main():
+        sender = scripted.make_sender({"s": scripts})
+        call = scripted.make_call()
+        task = asyncio.create_task(obtaining.obtain(sender, call, "s"))
+        while not all(script.requests for script in scripts.values()):
+            await asyncio.sleep(0.005)
+        task.cancel()
+        call.abandon()
+        await asyncio.gather(task, return_exceptions=True)
+        await sender.tasks.finish()
+
+    asyncio.run(main())
+    assert [script.cancelled for script in scripts.values()] == [1, 1]
--- /dev/null
+++ b/tests/direct/test_routes.py
@@ -0,0 +1,59 @@
+"""Which route a request takes."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import pytest
+
+from turmericlug.direct import routes
+
+
+def route(name, host, prefix, **changes):
+    values = {
+        "idempotent": True,
+        "timeout_ms": 1000.0,
+        "goal_ms": 100.0,
+        "priority": 1,
+        "max_attempts": 2,
+        "services": (routes.Share("s", 1.0),),
+    } | changes
+    return routes.Route(name, host, prefix, **values)
+
+
+TABLE = routes.Configuration(
+    7,
+    (
+        route("short", "a.example", "/x/"),
+        route("long", "A.example", "/x/y/"),
+        route("other", "b.example", "/"),
+    ),
+    {},
+    routes.CallerLimits(),
+)
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "expected"),
+    [
+        ("a.example", "/x/1", "short"),
+        ("a.example", "/x/y/1", "long"),
+        ("A.EXAMPLE", "/x/y/", "long"),
+        ("a.example", "/x/y", "short"),
+        ("a.example", "/x", None),
+        ("a.example", "/", None),
+        ("b.example", "/x/y/1", "other"),
+        ("c.example", "/x/", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_decides(host, path, expected):
+    found = TABLE.match(host, path)
+    assert (found.name if found else None) == expected
+
+
+def test_services_are_drawn_by_weight():
+    split = route("r", "h", "/", services=(routes.Share("a", 3), routes.Share("b", 1)))
+    rng = random.Random(1)
+    counts = collections.Counter(split.pick_service(rng) for _ in range(4000))
+    assert 0.72 < counts["a"] / 4000 < 0.78
--- /dev/null
+++ b/tests/direct/test_timing.py
@@ -0,0 +1,28 @@
+"""When a part counts as late, and when a query answers without it."""
+
+from __future__ import annotations
+
+import pytest
+
+from turmericlug.direct import timing
+
+
+@pytest.mark.parametrize(
+    ("slow_ms", "goal_ms", "expected_ms"),
+    [(None, 200.0, 90.0), (50.0, 300.0, 60.0), (1.0, 300.0, 8.0), (400.0, 300.0, 135.0)],
+    ids=["nothing known", "late for a part", "not before a turn", "while it still helps"],
+)
+def test_hedge_age(slow_ms, goal_ms, expected_ms):
+    assert timing.hedge_after_ms(slow_ms, goal_ms) == pytest.approx(expected_ms)
+
+
+@pytest.mark.parametrize(("goal_ms", "expected_ms"), [(300.0, 270.0), (120.0, 106.0), (20.0, 10.0)])
+def test_answer_age_leaves_time_for_the_way_back(goal_ms, expected_ms):
+    assert timing.answer_after_ms(goal_ms) == pytest.approx(expected_ms)
+
+
+@pytest.mark.parametrize(
+    ("slow_ms", "expected_ms"), [(None, 700.0), (50.0, 700.0), (500.0, 2000.0)]
+)
+def test_a_pause_is_not_taken_for_a_dead_connection(slow_ms, expected_ms):
+    assert timing.stuck_after_ms(slow_ms) == pytest.approx(expected_ms)
--- /dev/null
+++ b/tests/entry/test_callers.py
@@ -0,0 +1,95 @@
+"""Checks on callers' requests before anything is sent."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+
+import pytest
+import scripted
+
+from turmericlug.direct import routes
+from turmericlug.entry import callers as callers_module
+from turmericlug.entry import view as view_module
+from turmericlug.http1 import server
+
+HOST, ID = (b"host", b"h.example"), (b"request-id", b"q1")
+
+
+def ask(headers, target=b"/x/1", age_s=0.0, configured=True, leaving=False, script=None):
+    async def main():
+        replica = scripted.Scripted(*(script or [scripted.response(body=b"good")]))
+        sender = scripted.make_sender({"s": {"a": replica}})
+        view = view_module.View("own", sender.replicas, lambda: 0.0)
+        if configured:
+            route = routes.Route(
+                "r", "h.example", "/x/", True, 2000, 100, 1, 2, (routes.Share("s", 1.0),)
+            )
+            view.configuration = routes.Configuration(3, (route,), {}, routes.CallerLimits())
+        callers = callers_module.Callers(view, sender, lambda: age_s)
+        callers.refusing = leaving
+        now_s = asyncio.get_running_loop().time()
+        answer = await callers.handle(server.Request(b"GET", target, tuple(headers), b"", now_s))
+        return answer, replica.requests
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("headers", "options", "status"),
+    [
+        ([HOST, ID], {}, 200),
+        ([(b"host", b"H.example:8104"), ID], {}, 200),
+        ([HOST, ID], {"target": b"http://h.example/x/1"}, 200),
+        ([HOST, ID, (b"time-left", b"500")], {}, 200),
+        ([HOST, ID, (b"time-left", b"soon")], {}, 200),
+        ([HOST, ID, (b"time-left", b"nan")], {}, 200),
+        ([HOST, ID, (b"time-left", b"inf")], {}, 200),
+        ([HOST, ID, (b"time-left", b"1")], {}, 503),
+        ([HOST, ID, (b"time-left", b"-5")], {}, 503),
+        ([ID], {}, 400),
+        ([HOST, HOST, ID], {}, 400),
+        ([HOST], {}, 400),
+        ([HOST, ID], {"target": b"/y/1"}, 404),
+        ([(b"host", b"other"), ID], {}, 404),
+        ([HOST, ID], {"target": b"/y/1", "age_s": 10.0}, 503),
+        ([HOST, ID], {"configured": False}, 503),
+        ([HOST, ID], {"leaving": True}, 503),
+    ],
+)
+def test_status(headers, options, status):
+    answer, requests = ask(headers, **options)
+    assert answer.status == status
+    assert bool(requests) == (status == 200)
+    assert (b"retry-after" in dict(answer.headers)) == (status == 503)
+
+
+@pytest.mark.parametrize(
+    ("header", "passed"),
+    [
+        ((b"x-own", b"1"), True),
+        ((b"connection", b"close"), False),
+        ((b"expected", b"somebody"), False),
+        ((b"time-left", b"77777"), False),
+    ],
+)
+def test_headers_passed_on(header, passed):
+    """
+    A caller sends the header that names the expected instance, or one about its connection.
+    Passed on, the first sends its request to a replica that must refuse it.
+    """
+    _, (request,) = ask([HOST, ID, header])
+    assert (b"%s: %s\r\n" % header in request) == passed
+
+
+def test_each_service_gets_its_share():
+    """
+    A route is split 3 to 1. Drawn at random, a few hundred requests miss the shares by several
+    points; the operator takes that for a broken split.
+    """
+    split = (routes.Share("a", 3.0), routes.Share("b", 1.0))
+    route = routes.Route("r", "h", "/", True, 1000, 100, 1, 2, split)
+    spread, rng = callers_module.Spread(), random.Random(1)
+    counts = collections.Counter(spread.pick(route, rng) for _ in range(400))
+    assert abs(counts["a"] - 300) <= 1
--- /dev/null
+++ b/tests/entry/test_directory.py
@@ -0,0 +1,41 @@
+"""Which instances callers are told."""
+
+from __future__ import annotations
+
+import pytest
+
+from turmericlug.direct import budget
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.entry import directory
+from turmericlug.entry import news
+from turmericlug.entry import view as view_module
+
+
+def make_directory(*instances):
+    replicas = replicas_module.Replicas(lambda entry: None, {}, "r", budget.Allowance())
+    view = view_module.View("own", replicas, lambda: 0.0)
+    for name in instances:
+        region, data_centre, _ = name.split("/")
+        view.instances[name] = news.EntryInstance(name, name, data_centre, region)
+    return directory.Directory(view)
+
+
+@pytest.mark.parametrize(
+    ("instances", "expected"),
+    [
+        (["r/d/1", "r/d/2", "r/e/3", "q/f/4"], ["r/d/1", "r/d/2"]),
+        (["r/d/1", "r/e/3", "q/f/4"], ["r/d/1", "r/e/3"]),
+        (["r/d/1", "q/f/4"], ["q/f/4", "r/d/1"]),
+        (["q/f/4", "q/f/5"], ["q/f/4", "q/f/5"]),
+        (["q/f/4"], ["q/f/4"]),
+        ([], []),
+    ],
+    ids=["own data centre", "region", "a second choice", "elsewhere", "the only one", "none"],
+)
+def test_addresses(instances, expected):
+    assert make_directory(*instances).addresses("r", "d") == expected
+
+
+def test_at_most_so_many():
+    instances = [f"r/d/{number:03d}" for number in range(200)]
+    assert len(make_directory(*instances).addresses("r", "d")) == directory.MOST
--- /dev/null
+++ b/tests/entry/test_settings.py
@@ -0,0 +1,73 @@
+"""Settings of an entry instance, and the template that renders them."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+
+import pytest
+
+from turmericlug.config import ini
+from turmericlug.entry import settings as settings_module
+
+TEMPLATE = pathlib.Path(__file__).parents[2] / "deploy" / "entry.ini"
+PLATFORM = {
+    "NodeName": "front-1",
+    "Zone": "dc-1",
+    "Region": "r-1",
+    "Ip": "10.1.0.9",
+    "ListenAddrs.Front": "10.1.0.9:8104",
+    "ListenAddrs.Ready": "10.1.0.9:8108",
+    "ListenAddrs.directory": "10.1.0.9:8100",
+    "platform.Address": "10.200.1.7:8102",
+    "Limits.MaxFds": "4100",
+    "Bounds.RetryBudgetRatio": "0.2",
+    "Bounds.RetrySlack": "54",
+    "Bounds.RetryWindowS": "10",
+    "Bounds.GraceS": "6",
+}
+ZONES = {"dc-1": "r-1", "dc-2": "r-2"}
+
+
+def render(**changes):
+    """Fill the template in as the platform does."""
+    fields = PLATFORM | changes
+    text = TEMPLATE.read_text()
+    pairs = ",".join(f"{zone}={region}" for zone, region in ZONES.items())
+    text = re.sub(r"\{\{#Zones\}\}.*\{\{/Zones\}\}", pairs, text)
+    return re.sub(r"\{\{([A-Za-z.]+)\}\}", lambda found: fields[found[1]], text)
+
+
+def load(tmp_path, text):
+    path = tmp_path / "entry.ini"
+    path.write_text(text)
+    return settings_module.load(path)
+
+
+def test_the_template_renders_usable_settings(tmp_path):
+    settings = load(tmp_path, render())
+    assert settings.entry.callers_address == ("10.1.0.9", 8104)
+    assert settings.entry.data_centres == ZONES
+    assert settings.source.address == ("10.200.1.7", 8102)
+    assert settings.policy == settings_module.Policy(0.2, 54.0, 10.0, 6.0)
+    assert settings.limits.descriptors == 4100
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "problems"),
+    [
+        ("name = front-1", "", ["[entry] name: missing"]),
+        ("10.1.0.9:8104", "10.1.0.9", ["[entry] callers_address: '10.1.0.9' is not HOST:PORT"]),
+        ("grace_s = 6", "grace_s = soon", ["[policy] grace_s: 'soon' is not a number"]),
+        ("grace_s = 6", "surplus = 6", ["[policy] surplus: unknown key"]),
+        ("[policy]", "[polcy]", ["[polcy]: unknown section"]),
+        ("dc-1=r-1,dc-2=r-2", "dc-1", ["[entry] data_centres: must list"]),
+    ],
+)
+def test_every_problem_is_reported(tmp_path, old, new, problems):
+    text = render().replace(old, new)
+    assert new in text
+    with pytest.raises(ini.SettingsError) as error:
+        load(tmp_path, text)
+    for problem in problems:
+        assert any(found.startswith(problem) for found in error.value.problems)
--- /dev/null
+++ b/tests/entry/test_view.py
@@ -0,0 +1,238 @@
+"""What an instance believes, as news come in any order."""
+
+from __future__ import annotations
+
+import hypothesis
+import pytest
+import scripted
+from hypothesis import stateful
+from hypothesis import strategies
+
+from turmericlug.direct import budget
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import routes
+from turmericlug.entry import news
+from turmericlug.entry import view as view_module
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class NoPool:
+    limit = None
+    waiting = 0
+
+    def close(self):
+        pass
+
+    def trim(self):
+        pass
+
+
+def make_view():
+    clock = Clock()
+    replicas = replicas_module.Replicas(
+        lambda entry: NoPool(), {"dc": "r"}, "r", budget.Allowance()
+    )
+    return view_module.View("own", replicas, clock), clock
+
+
+def configured(version, revision):
+    configuration = routes.Configuration(version, (), {}, routes.CallerLimits())
+    return news.Written("config", configuration, revision)
+
+
+def replica(instance, revision, draining=False):
+    return news.Written(f"r/{instance}", scripted.entry(instance, draining=draining), revision)
+
+
+def instance(name, revision):
+    return news.Written(f"e/{name}", news.EntryInstance(name, name, "dc", "r"), revision)
+
+
+@pytest.mark.parametrize(("versions", "final"), [([1, 2], 2), ([2, 1], 2), ([5, 5, 3, 9, 8], 9)])
+def test_a_configuration_never_goes_back(versions, final):
+    """
+    A slow reading arrives after a newer version came by another way. Taken over, callers would be
+    handled by rules that they have already seen replaced.
+    """
+    view, _ = make_view()
+    for revision, version in enumerate(versions):
+        view.take_snapshot(news.Snapshot((configured(version, revision + 1),), revision + 1))
+    assert view.configuration.version == final
+
+
+def test_a_removed_replica_is_gone_at_once_in_calm():
+    view, _ = make_view()
+    view.take_snapshot(news.Snapshot(tuple(replica(f"i{n}", 1) for n in range(8)), 1))
+    view.take_changes(news.Changes((news.Removed("r/i0", 2),), 2))
+    assert "i0" not in view.replicas.instances()
+
+
+@pytest.mark.parametrize("away", [True, False], ids=["store away", "lapse not noticed"])
+def test_entries_that_lapse_with_the_store_are_kept_for_their_return(away):
+    """
+    The store is down and leases run out; when it is back, all replicas seem gone and register again
+    within two seconds. Taken for gone at once, every query is refused for these two seconds.
+    """
+    view, clock = make_view()
+    written = tuple(replica(f"i{n}", 1) for n in range(8))
+    view.take_snapshot(news.Snapshot(written, 1))
+    if away:
+        view.source_lost("timeout")
+        clock.now_s += 5
+        view.source_regained()
+    removed = tuple(news.Removed(each.key, 2) for each in written)
+    view.take_changes(news.Changes(removed, 2))
+    view.settle()
+    assert len(view.replicas) == 8
+    back = tuple(replica(f"i{n}", 3) for n in range(6))
+    view.take_changes(news.Changes(back, 3))
+    clock.now_s += view_module.RETURN_HOLD_S + 0.1
+    view.settle()
+    assert view.replicas.instances() == {f"i{n}" for n in range(6)}
+    assert not any(each.leaving for each in view.replicas.all())
+
+
+def test_nothing_is_taken_for_gone_while_the_store_is_away():
+    view, clock = make_view()
+    view.take_snapshot(news.Snapshot((replica("a", 1), replica("b", 1)), 1))
+    view.source_lost("timeout")
+    view.take_changes(news.Changes((news.Removed("r/a", 2),), 2))
+    clock.now_s += 60
+    view.settle()
+    assert "a" in view.replicas.instances()
+
+
+def test_the_time_to_return_counts_from_the_return():
+    """
+    Entries lapse early in a long outage of which this instance hears through an open question.
+    Counted from the lapse, the time to return is over before the store is back, and every replica
+    is taken for gone in the moment in which they all register again.
+    """
+    view, clock = make_view()
+    view.take_snapshot(news.Snapshot((replica("a", 1),), 1))
+    view.source_lost("timeout")
+    view.take_changes(news.Changes((news.Removed("r/a", 2),), 2))
+    clock.now_s += 30
+    view.source_regained()
+    view.settle()
+    assert "a" in view.replicas.instances()
+    clock.now_s += view_module.RETURN_HOLD_S + 0.1
+    view.settle()
+    assert "a" not in view.replicas.instances()
+
+
+def test_a_draining_replica_gets_nothing_new():
+    view, clock = make_view()
+    view.take_snapshot(news.Snapshot((replica("a", 1), replica("b", 1)), 1))
+    view.take_changes(news.Changes((replica("a", 2, draining=True),), 2))
+    route = routes.Route("r", "h", "/", True, 1000, 100, 1, 2)
+    assert view.replicas.choose("s", route, (), clock.now_s).entry.instance == "b"
+
+
+def test_the_own_entry_is_missed_but_not_forgotten():
+    """
+    The platform ends an instance's lease while the instance runs on. Unnoticed, callers would not
+    be told of it any more, though it serves.
+    """
+    view, _ = make_view()
+    view.take_snapshot(news.Snapshot((instance("own", 1), instance("x", 1)), 1))
+    view.take_changes(news.Changes((news.Removed("e/own", 2), news.Removed("e/x", 3)), 3))
+    assert view.own_entry_removed
+    assert set(view.instances) == {"own"}
+
+
+def test_instances_that_left_count_for_a_while():
+    view, clock = make_view()
+    view.take_snapshot(news.Snapshot(tuple(instance(f"x{n}", 1) for n in range(7)), 1))
+    for number in range(5):
+        view.take_changes(news.Changes((news.Removed(f"e/x{number}", 2 + number),), 2 + number))
+    assert (len(view.instances), view.instances_count()) == (2, 7)
+    clock.now_s += view_module.INSTANCES_MEMORY_S + 1
+    assert view.instances_count() == 2
+
+
+class Following(stateful.RuleBasedStateMachine):
+    """The store's true content and a view that follows it, with outages and lost history."""
+
+    def __init__(self):
+        super().__init__()
+        self.view, self.clock = make_view()
+        self.revision = 0
+        self.content = {}
+        self.pending = []
+        self.highest = 0
+        self.synced = False
+
+    def _write(self, written):
+        self.revision += 1
+        key = written(self.revision).key
+        self.content[key] = written(self.revision)
+        self.pending.append(self.content[key])
+
+    @stateful.rule(number=strategies.integers(0, 5), draining=strategies.booleans())
+    def write_replica(self, number, draining):
+        self._write(lambda revision: replica(f"i{number}", revision, draining))
+
+    @stateful.rule(step=strategies.integers(1, 3))
+    def write_configuration(self, step):
+        version = self.highest + step
+        self.highest = version
+        self._write(lambda revision: configured(version, revision))
+
+    @stateful.rule(number=strategies.integers(0, 5))
+    def remove_replica(self, number):
+        if self.content.pop(f"r/i{number}", None) is not None:
+            self.revision += 1
+            self.pending.append(news.Removed(f"r/i{number}", self.revision))
+
+    @stateful.rule()
+    def deliver_changes(self):
+        if self.synced:
+            self.view.source_regained()
+            self.view.take_changes(news.Changes(tuple(self.pending), self.revision))
+            self.pending = []
+
+    @stateful.rule()
+    def read_anew(self):
+        self.view.source_regained()
+        self.view.take_snapshot(news.Snapshot(tuple(self.content.values()), self.revision))
+        self.pending, self.synced = [], True
+
+    @stateful.rule()
+    def lose_the_store(self):
+        self.view.source_lost("timeout")
+
+    @stateful.rule(seconds=strategies.floats(0.1, 5.0))
+    def wait(self, seconds):
+        self.clock.now_s += seconds
+        self.view.settle()
+
+    @stateful.invariant()
+    def versions_only_rise(self):
+        now = self.view.configuration.version if self.view.configuration else 0
+        assert now >= getattr(self, "seen", 0)
+        self.seen = now
+
+    @stateful.invariant()
+    def settles_on_the_truth(self):
+        if self.pending or not self.synced or self.view._away_since_s is not None:
+            return
+        if self.view._held:
+            return
+        expected = {key[2:] for key in self.content if key.startswith("r/")}
+        assert self.view.replicas.instances() == expected
+        for each in self.view.replicas.all():
+            assert each.leaving == self.content[f"r/{each.entry.instance}"].value.draining
+
+
+TestFollowing = Following.TestCase
+TestFollowing.settings = hypothesis.settings(
+    derandomize=True, max_examples=60, stateful_step_count=40, deadline=None
+)
--- /dev/null
+++ b/tests/http1/test_client.py
@@ -0,0 +1,214 @@
+"""The connection towards targets against scripted servers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import pytest
+
+from turmericlug.http1 import client
+
+REQUEST = client.request_bytes(b"GET", b"/a/1", [(b"host", b"h")], b"")
+WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody"
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nbody"
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+
+
+@contextlib.asynccontextmanager
+async def scripted(script):
+    """Serve connections by a coroutine function of (reader, writer)."""
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await script(reader, writer)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()
+    finally:
+        server.close()
+
+
+def answering(answer, then="wait"):
+    """Answer the first request with some bytes and then close, reset, or go on waiting."""
+
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await writer.drain()
+        if then == "reset":
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+        elif then == "wait":
+            await reader.read()
+
+    return script
+
+
+@pytest.mark.parametrize(
+    ("answer", "then", "reusable"),
+    [
+        (WHOLE, "wait", True),
+        (CHUNKED, "wait", True),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE, "wait", True),
+        (WHOLE.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"), "wait", False),
+        (UNFRAMED, "close", False),
+        (WHOLE + b"surplus", "wait", False),
+        (WHOLE + WHOLE, "wait", False),
+        (WHOLE + WHOLE[:20], "wait", False),
+    ],
+    ids=["length", "chunked", "1xx", "closing", "unframed", "surplus", "doubled", "half-doubled"],
+)
+def test_whole_answers(answer, then, reusable):
+    """
+    A replica sends more than one answer to one request, or garbage behind it.
+    The caller's answer is whole all the same; the next caller on that connection would get the
+    surplus as its own. So the connection is not used again.
+    """
+
+    async def main():
+        async with scripted(answering(answer, then)) as address:
+            connection = await client.connect(*address)
+            response = await connection.exchange(REQUEST)
+            assert (response.status, response.body) == (200, b"body")
+            assert response.reusable == reusable
+            assert connection.closed != reusable
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("answer", "then"),
+    [
+        (WHOLE[:-1], "close"),
+        (WHOLE[:-1], "reset"),
+        (CHUNKED[:-5], "close"),
+        (UNFRAMED, "reset"),
+        (b"no answer at all\r\n\r\n", "wait"),
+        (b"", "close"),
+        (WHOLE[:30], "close"),
+    ],
+    ids=["short", "short-reset", "chunks", "unframed-reset", "garbage", "nothing", "head"],
+)
+def test_broken_answers(answer, then):
+    """
+    A replica breaks its answer off. A caller that takes the rest for the whole gets wrong records.
+    So an answer counts only when its framing says that it is whole; one without framing only when
+    the connection was closed in order, not reset.
+    """
+
+    async def main():
+        async with scripted(answering(answer, then)) as address:
+            connection = await client.connect(*address)
+            with pytest.raises(client.ExchangeError):
+                await connection.exchange(REQUEST)
+            assert connection.closed
+
+    asyncio.run(main())
+
+
+def test_bytes_that_come_while_idle_close_the_connection():
+    """
+    A second answer arrives after the first was taken, while the connection lies idle.
+    The next request on it would be answered by those bytes before its replica has seen it.
+    """
+    unasked = []
+
+    async def main():
+        sent = asyncio.Event()
+
+        async def script(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(WHOLE)
+            await sent.wait()
+            writer.write(WHOLE)
+            await reader.read()
+
+        async with scripted(script) as address:
+            connection = await client.connect(*address, on_unasked=lambda: unasked.append(1))
+            await connection.exchange(REQUEST)
+            assert not connection.closed
+            sent.set()
+            while not connection.closed:
+                await asyncio.sleep(0.005)
+
+    asyncio.run(main())
+    assert unasked == [1]
+
+
+def test_an_early_answer_to_a_long_body_ends_the_connection():
+    """
+    A replica refuses a long body before it has read it, and keeps the connection.
+    What is left of the body in our buffer would reach it as the start of the next request.
+    """
+
+    async def main():
+        async def script(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 413 Too Large\r\ncontent-length: 0\r\n\r\n")
+            await writer.drain()
+            await asyncio.sleep(5)
+
+        async with scripted(script) as address:
+            connection = await client.connect(*address)
+            body = b"x" * (32 * 1024 * 1024)
+            response = await connection.exchange(client.request_bytes(b"POST", b"/", [], body))
+            assert response.status == 413
+            assert not response.reusable
+
+    asyncio.run(main())
+
+
+def test_a_cancelled_exchange_closes_the_connection():
+    """
+    A caller leaves while its request runs. The replica drops the work when the connection closes;
+    kept open, the connection would hand the abandoned answer to the next request.
+    """
+    closed = []
+
+    async def main():
+        async def script(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            closed.append(await reader.read() == b"")
+
+        async with scripted(script) as address:
+            connection = await client.connect(*address)
+            task = asyncio.create_task(connection.exchange(REQUEST))
+            await asyncio.sleep(0.02)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            assert connection.closed
+            while not closed:
+                await asyncio.sleep(0.005)
+
+    asyncio.run(main())
+    assert closed == [True]
+
+
+def test_a_port_without_listener_is_a_connect_error():
+    async def main():
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        with pytest.raises(client.ConnectError):
+            await client.connect("127.0.0.1", port)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("headers", "kept"),
+    [
+        ([(b"x-a", b"1"), (b"connection", b"close")], [(b"x-a", b"1")]),
+        ([(b"x-a", b"1"), (b"connection", b"x-a, keep-alive")], []),
+        ([(b"te", b"trailers"), (b"upgrade", b"h2c"), (b"content-length", b"3")], []),
+    ],
+)
+def test_headers_of_one_connection_are_not_passed_on(headers, kept):
+    assert client.end_to_end(headers) == kept
--- /dev/null
+++ b/tests/http1/test_server.py
@@ -0,0 +1,178 @@
+"""The callers' side against raw bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from turmericlug.http1 import server
+
+GOOD = b"GET /a/1 HTTP/1.1\r\nhost: h\r\n\r\n"
+LIMITS = server.Limits(
+    header_bytes=2000, body_bytes=5000, header_timeout_s=0.1, idle_timeout_s=30.0
+)
+
+
+@contextlib.asynccontextmanager
+async def serving(handler, limits=LIMITS, most=100):
+    entrance = server.Server(handler, lambda: limits, most)
+    listener = await server.listen(entrance, "127.0.0.1", 0)
+    try:
+        yield entrance, listener.sockets[0].getsockname()
+    finally:
+        listener.close()
+        entrance.close()
+
+
+async def echo(request):
+    body = b"%s %s %s" % (request.method, request.target, request.body)
+    return server.Answer(200, body=body)
+
+
+async def talk(address, *pieces):
+    """Send pieces and return all that comes until the connection closes."""
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        for piece in pieces:
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        async with asyncio.timeout(10):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+CLOSING = GOOD.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("pieces", "statuses"),
+    [
+        ([CLOSING], [b"200"]),
+        ([GOOD, CLOSING], [b"200", b"200"]),
+        ([GOOD + CLOSING], [b"200", b"200"]),
+        ([CLOSING[:9], CLOSING[9:]], [b"200"]),
+        ([b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nab" + CLOSING], [b"200"] * 2),
+        ([b"nonsense\r\n\r\n"], [b"400"]),
+        ([b"GET /a HTTP/1.1\r\nhost: h\r\nx y: 1\r\n\r\n"], [b"400"]),
+        ([b"GET /a HTTP/1.1\r\nhost: h\r\nx: " + b"v" * 3000 + b"\r\n\r\n"], [b"431"]),
+        ([b"GET /" + b"v" * 3000 + b" HTTP/1.1\r\nhost: h\r\n\r\n"], [b"431"]),
+        ([b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 9999\r\n\r\n"], [b"413"]),
+        (
+            [b"POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n1770\r\n", b"x" * 6000],
+            [b"413"],
+        ),
+        (
+            [
+                b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n"
+                b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+            ],
+            [b"400"],
+        ),
+        (
+            [b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nab"],
+            [b"400"],
+        ),
+        ([b"GET /a HTTP/1.1\r\nhost:"], [b"408"]),
+    ],
+    ids=[
+        "one", "kept", "pipelined", "pieces", "body", "nonsense", "bad-header", "large-header",
+        "large-target", "large-body", "large-chunks", "two-framings", "two-lengths", "slow-head",
+    ],
+)  # fmt: skip
+def test_input_gets_a_clear_status(pieces, statuses):
+    async def main():
+        async with serving(echo) as (_, address):
+            answer = await talk(address, *pieces)
+            found = [part.split(b" ")[0] for part in answer.split(b"HTTP/1.1 ")[1:]]
+            assert found == statuses
+            # The server goes on.
+            assert (await talk(address, CLOSING)).startswith(b"HTTP/1.1 200")
+
+    asyncio.run(main())
+
+
+def test_a_caller_that_leaves_cancels_its_request():
+    """
+    A caller closes its connection while its request runs: nobody reads the answer any more, and
+    replicas that go on with it lose their slots to nobody.
+    """
+    events = []
+
+    async def main():
+        async def slow(request):
+            try:
+                events.append("began")
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                events.append("cancelled")
+                raise
+
+        async with serving(slow) as (_, address):
+            _, writer = await asyncio.open_connection(*address)
+            writer.write(GOOD)
+            while not events:
+                await asyncio.sleep(0.005)
+            writer.close()
+            while len(events) < 2:
+                await asyncio.sleep(0.005)
+
+    asyncio.run(main())
+    assert events == ["began", "cancelled"]
+
+
+def test_a_leaving_server_answers_and_asks_to_close():
+    async def main():
+        async with serving(echo) as (entrance, address):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(GOOD)
+            assert b"keep-alive" in await reader.readuntil(b"GET /a/1 ")
+            entrance.leave()
+            writer.write(GOOD)
+            assert b"connection: close" in await reader.read()
+            writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_fault_of_ours_is_an_answer():
+    async def main():
+        async def broken(request):
+            raise KeyError("bug")
+
+        async with serving(broken) as (_, address):
+            assert (await talk(address, GOOD)).startswith(b"HTTP/1.1 500")
+
+    asyncio.run(main())
+
+
+def test_too_many_connections_are_told_so():
+    async def main():
+        async with serving(echo, most=1) as (_, address):
+            _, writer = await asyncio.open_connection(*address)
+            await asyncio.sleep(0.02)
+            assert (await talk(address)).startswith(b"HTTP/1.1 503")
+            writer.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("limits_s", "at_s", "kept_s"),
+    [([15.0], 0.0, 16.0), ([15.0, 5.0], 10.0, 16.0), ([15.0, 5.0], 60.0, 6.0)],
+    ids=["usual", "just shortened", "long since shortened"],
+)
+def test_a_shorter_idle_limit_applies_once_callers_can_know_it(limits_s, at_s, kept_s):
+    """
+    A new configuration shortens the idle limit. Callers go by the old one for a while; a request
+    that they send on a connection that we close by the new one gets no answer.
+    """
+    current = [limits_s[0]]
+    entrance = server.Server(echo, lambda: server.Limits(idle_timeout_s=current[0]), 1)
+    entrance.idle_timeout_s(0.0)
+    current[0] = limits_s[-1]
+    entrance.idle_timeout_s(1.0)
+    assert entrance.idle_timeout_s(at_s) == kept_s
--- /dev/null
+++ b/tests/integration/test_entry.py
@@ -0,0 +1,286 @@
+"""Real entry instances against the stand-in of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import sys
+
+import attrs
+import pytest
+import standin_platform
+
+from turmericlug.http1 import client
+from turmericlug.http1 import server
+from turmericlug_lab import fleet_spec
+
+ROOT = pathlib.Path(__file__).parents[2]
+SHARDS = ["s0", "s1", "s2"]
+SETTINGS = """
+[entry]
+name = {name}
+data_centre = dc-1
+region = r-1
+data_centres = dc-1=r-1
+callers_address = 127.0.0.1:{ports[0]}
+ready_address = 127.0.0.1:{ports[1]}
+directory_address = 127.0.0.1:{ports[2]}
+metrics_address = 127.0.0.1:{ports[3]}
+
+[source]
+address = 127.0.0.1:{store_port}
+
+[policy]
+grace_s = {grace_s}
+"""
+
+
+@attrs.define
+class Instance:
+    """A running entry instance."""
+
+    process: asyncio.subprocess.Process
+    ports: list[int]
+    log: pathlib.Path
+
+    def lines(self, event):
+        """Return its log lines of one event."""
+        lines = [json.loads(line) for line in self.log.read_text().splitlines()]
+        return [line for line in lines if line["event"] == event]
+
+
+async def ask(port, target, request_id, headers=(), method=b"GET", body=b""):
+    """Send one request on a connection of its own."""
+    connection = await client.connect("127.0.0.1", port)
+    try:
+        pairs = [(b"host", b"h.example"), (b"x-request-id", request_id), *headers]
+        return await connection.exchange(client.request_bytes(method, target, pairs, body))
+    finally:
+        connection.close()
+
+
+@contextlib.asynccontextmanager
+async def platform():
+    """Run a store and two replicas of each service; yields both."""
+    store = standin_platform.Store()
+    replicas = {}
+    async with contextlib.AsyncExitStack() as stack:
+        for service in [*SHARDS, "one"]:
+            for number in range(2):
+                name = f"i-{service}-{number}"
+                body = bytes(15) + bytes([len(replicas)])
+                replica = standin_platform.Replica(name, service, body)
+                replica.address = await stack.enter_async_context(
+                    standin_platform.listening(replica.handle)
+                )
+                replicas[name] = replica
+                store.put(f"servers/{name}", replica.entry())
+        address = await stack.enter_async_context(standin_platform.listening(store.handle))
+        configure(store, 1)
+        yield store, replicas, address[1]
+
+
+def configure(store, version, extra=()):
+    """Write a configuration version."""
+    routes = [
+        standin_platform.route("all", "/all/", Gather=SHARDS, TopK=2, MinCoverage=0.6),
+        standin_platform.route("one", "/one/", Service="one", RouteType="non_idempotent"),
+        *extra,
+    ]
+    services = [*SHARDS, "one"]
+    store.put("op/config", standin_platform.configuration(version, routes, services))
+
+
+@contextlib.asynccontextmanager
+async def started(tmp_path, store_port, name="e-1", grace_s=3.0):
+    """Run an instance until the block ends."""
+    ports = fleet_spec.free_ports(4)
+    path, log = tmp_path / f"{name}.ini", tmp_path / f"{name}.log"
+    path.write_text(SETTINGS.format(name=name, ports=ports, store_port=store_port, grace_s=grace_s))
+    with log.open("wb") as output:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "src" / "turmericlug_entry.py"),
+            env=os.environ | {"TURMERICLUG_NODE_FILE": str(path)},
+            stdout=output,
+            stderr=output,
+        )
+    try:
+        yield Instance(process, ports, log)
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+async def until(condition, limit_s=20.0):
+    """Wait for a condition, given as a function or a coroutine function."""
+    async with asyncio.timeout(limit_s):
+        while True:
+            found = condition()
+            if asyncio.iscoroutine(found):
+                found = await found
+            if found:
+                return
+            await asyncio.sleep(0.02)
+
+
+async def ready(instance):
+    """Whether the instance says that it is ready."""
+    try:
+        return (await ask(instance.ports[1], b"/turmericlug/ready", b"r")).status == 200
+    except (client.ConnectError, client.ExchangeError):
+        return False
+
+
+def play(tmp_path, scenario, **options):
+    """Run a scenario with one instance."""
+
+    async def main():
+        async with platform() as (store, replicas, store_port):
+            async with started(tmp_path, store_port, **options) as instance:
+                await until(lambda: ready(instance))
+                async with asyncio.timeout(60):
+                    await scenario(store, replicas, instance)
+
+    asyncio.run(main())
+
+
+def test_the_whole_path(tmp_path):
+    async def scenario(store, replicas, instance):
+        answer = await ask(instance.ports[0], b"/all/1", b"q1", [(b"x-deadline-ms", b"2000")])
+        assert answer.status == 200
+        assert len(answer.header(b"x-part-stamps").split(b", ")) == 3
+        assert answer.header(b"x-missing-parts") == b"0"
+        assert len(answer.body) == 32
+        answer = await ask(instance.ports[0], b"/one/1", b"q2", method=b"POST", body=b"voucher")
+        assert answer.status == 200
+        assert sum(replica.runs.count(b"q2") for replica in replicas.values()) == 1
+        assert (await ask(instance.ports[0], b"/none/", b"q3")).status == 404
+        await until(lambda: any(key.endswith("/e-1") for key in store.items))
+        target = b"/turmericlug/resolve?Name=h.example&Region=r-1&Zone=dc-1"
+        found = json.loads((await ask(instance.ports[2], target, b"r")).body)
+        assert found["addrs"] == [f"127.0.0.1:{instance.ports[0]}"]
+        metrics = await ask(instance.ports[3], b"/metrics", b"m")
+        assert b"turmericlug_entry_answered 2" in metrics.body
+
+    play(tmp_path, scenario)
+
+
+def test_a_new_configuration_is_in_force_at_once_and_through_lost_history(tmp_path):
+    """
+    The operator adds a route while the store drops its history. Followed change by change only,
+    the instance would refuse the new route's callers for ever.
+    """
+
+    async def scenario(store, replicas, instance):
+        async def served(path):
+            return (await ask(instance.ports[0], path, b"q")).status == 200
+
+        for version, prefix in ((2, "/new/"), (3, "/newer/")):
+            configure(store, version, [standin_platform.route("n", prefix, Service="s0")])
+            store.forget_history()
+            await until(lambda: served(prefix.encode()))  # noqa: B023
+        assert not await served(b"/new/")
+
+    play(tmp_path, scenario)
+
+
+def test_an_address_that_was_taken_over_gets_nothing(tmp_path):
+    """
+    A replica ends and another service's replica starts at its address before the entry is gone.
+    Without the expected instance, a bill would be run by the wrong service.
+    """
+
+    async def scenario(store, replicas, instance):
+        taken = replicas["i-one-0"]
+        taken.instance = "i-other"
+        for number in range(6):
+            answer = await ask(instance.ports[0], b"/one/1", b"q%d" % number, method=b"POST")
+            assert answer.status == 200
+        assert not taken.runs
+
+    play(tmp_path, scenario)
+
+
+def test_a_lost_answer_to_a_request_that_must_not_run_twice(tmp_path):
+    """
+    Every replica runs a bill and its answer is lost. The caller must not be told that it did not
+    run, and no second replica may get it.
+    """
+
+    async def scenario(store, replicas, instance):
+        async def garbled(request):
+            replica = next(each for each in replicas.values() if each.service == "one")
+            replica.runs.append(request.header(b"x-request-id"))
+            return server.Answer(200, ((b"x-request-id", b"other"),), b"x")
+
+        for each in replicas.values():
+            each.script = garbled
+        answer = await ask(instance.ports[0], b"/one/1", b"q1", method=b"POST")
+        assert answer.status == 502
+        assert sum(replica.runs.count(b"q1") for replica in replicas.values()) == 1
+
+    play(tmp_path, scenario)
+
+
+def test_a_planned_stop_cuts_no_request(tmp_path):
+    """
+    An instance gets SIGTERM while callers keep their connections and go on asking.
+    Each request that it has read is answered; the answers ask the callers to go elsewhere, the
+    directory forgets the instance, and readiness ends at once.
+    """
+
+    async def scenario(store, replicas, instance):
+        for replica in replicas.values():
+            replica.delay_s = 0.05
+        await until(lambda: any(key.endswith("/e-1") for key in store.items))
+        connection = await client.connect("127.0.0.1", instance.ports[0])
+        request = client.request_bytes(
+            b"GET", b"/all/1", [(b"host", b"h.example"), (b"x-request-id", b"q1")], b""
+        )
+        under_way = asyncio.create_task(connection.exchange(request))
+        await asyncio.sleep(0.02)
+        instance.process.send_signal(signal.SIGTERM)
+        answer = await under_way
+        assert answer.status == 200
+        await until(lambda: not any(key.endswith("/e-1") for key in store.items))
+        assert not await ready(instance)
+        late = await ask(instance.ports[0], b"/all/1", b"q2")
+        assert late.status == 200
+        assert late.header(b"connection") == b"close"
+        assert await instance.process.wait() == 0
+        assert instance.lines("instance.stopped")
+
+    play(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("fault", ["busy", "silent"])
+def test_the_store_goes_away_and_comes_back(tmp_path, fault):
+    """
+    The store is away for some seconds; all leases lapse meanwhile, so that on its return every
+    replica seems gone for a moment. Callers are served all the while.
+    """
+
+    async def scenario(store, replicas, instance):
+        async def served():
+            return (await ask(instance.ports[0], b"/all/1", b"q")).status == 200
+
+        store.fault = fault
+        await until(lambda: instance.lines("source.lost"))
+        for name in replicas:
+            store.remove(f"servers/{name}")
+        assert await served()
+        store.fault = None
+        await until(lambda: instance.lines("source.regained"))
+        assert await served()
+        for name, replica in replicas.items():
+            store.put(f"servers/{name}", replica.entry())
+        await asyncio.sleep(2.5)
+        assert await served()
+
+    play(tmp_path, scenario)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,127 @@
+"""The client of the platform's store against the stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+import standin_platform
+
+from turmericlug.entry import news
+from turmericlug.platform import store as store_module
+from turmericlug.telemetry import counters
+
+OWN = news.EntryInstance("e-1", "10.0.0.1:80", "dc-1", "region-1")
+
+
+@contextlib.asynccontextmanager
+async def connected():
+    standin = standin_platform.Store()
+    async with standin_platform.listening(standin.handle) as address:
+        store = store_module.Store(*address, counters.Counters())
+        try:
+            yield standin, store
+        finally:
+            store.close()
+
+
+def write_some(standin, count):
+    standin.put("op/config", standin_platform.configuration(3, [], []))
+    for number in range(count):
+        replica = standin_platform.Replica(f"i-{number}", "s")
+        replica.address = ("127.0.0.1", 9000 + number)
+        standin.put(f"servers/i-{number}", replica.entry())
+    standin.put("other/key", b"not ours")
+
+
+@pytest.mark.parametrize("page", [2, 3, 500])
+def test_a_reading_takes_every_page(page):
+    async def main():
+        async with connected() as (standin, store):
+            write_some(standin, 5)
+            standin.page = page
+            snapshot = await store.read_all()
+            assert len(snapshot.written) == 6
+            assert snapshot.revision == standin.revision
+
+    asyncio.run(main())
+
+
+def test_changes_are_followed_from_a_reading():
+    async def main():
+        async with connected() as (standin, store):
+            write_some(standin, 1)
+            snapshot = await store.read_all()
+            waiting = asyncio.create_task(store.changes(snapshot.revision, 20.0))
+            await asyncio.sleep(0.02)
+            standin.remove("servers/i-0")
+            changes = await waiting
+            assert changes.changes == (news.Removed("servers/i-0", standin.revision),)
+            assert (await store.changes(changes.revision, 0.01)).changes == ()
+
+    asyncio.run(main())
+
+
+def test_lost_history_is_told():
+    async def main():
+        async with connected() as (standin, store):
+            write_some(standin, 1)
+            standin.forget_history()
+            with pytest.raises(news.HistoryLostError):
+                await store.changes(1, 0.01)
+
+    asyncio.run(main())
+
+
+def test_a_registration_lives_with_its_lease():
+    async def main():
+        async with connected() as (standin, store):
+            lease = await store.lease(3.0)
+            await store.register(OWN, lease)
+            (written,) = (await store.read_all()).written
+            assert written.value == OWN
+            await store.keep(lease)
+            await store.end(lease)
+            assert (await store.read_all()).written == ()
+            for call in (store.keep(lease), store.register(OWN, lease)):
+                with pytest.raises(news.LeaseEndedError):
+                    await call
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(("fault", "reason"), [("busy", "busy"), ("lost", "timeout")])
+def test_a_store_without_answers(fault, reason, monkeypatch):
+    """
+    The store does a write and its answer is lost. The connection is useless from then on: a client
+    that keeps it waits for ever. So it is closed, and the next call opens another one.
+    """
+    monkeypatch.setattr(store_module, "CALL_TIMEOUT_S", 0.1)
+
+    async def main():
+        async with connected() as (standin, store):
+            lease = await store.lease(3.0)
+            standin.fault = fault
+            with pytest.raises(news.SourceError) as error:
+                await store._call(b"POST", f"kv-keep/{lease}", {}, timeout_s=0.1)
+            assert error.value.reason == reason
+            standin.fault = None
+            await store.keep(lease)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "value", [b"no json", b"[]", b'{"Version":1}', b'{"Service":"s","Address":"nowhere"}']
+)
+def test_values_that_cannot_be_read_are_passed_over(value):
+    async def main():
+        async with connected() as (standin, store):
+            write_some(standin, 1)
+            standin.put("op/config", value)
+            standin.put("servers/i-9", value)
+            snapshot = await store.read_all()
+            assert [written.key for written in snapshot.written] == ["servers/i-0"]
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,117 @@
+"""Scripted replicas behind the real sending code."""
+
+from __future__ import annotations
+
+import asyncio
+
+from turmericlug.direct import budget
+from turmericlug.direct import dialect
+from turmericlug.direct import obtaining
+from turmericlug.direct import pool as pool_module
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import routes
+from turmericlug.direct import sending
+from turmericlug.http1 import client
+from turmericlug.kernel import tasks
+from turmericlug.telemetry import counters
+
+NAMES = dialect.Dialect(
+    request_id=b"request-id",
+    time_left=b"time-left",
+    expected_instance=b"expected",
+    not_run=b"not-run",
+    signature=b"signed",
+    part_signatures=b"parts",
+    missing_parts=b"missing",
+    retry_after=b"retry-after",
+)
+
+
+def response(status=200, headers=(), body=b"", signed=b"sig"):
+    pairs = [(b"request-id", b"q1"), *headers]
+    if signed:
+        pairs.append((b"signed", signed))
+    return client.Response(status, b"", tuple(pairs), body, True)
+
+
+SHED = response(503, [(b"not-run", b"1")], signed=b"")
+
+
+class Connection:
+    """Plays one step: a response, an error, or seconds to wait before the next step."""
+
+    def __init__(self, replica):
+        self.replica = replica
+        self.closed = False
+        self.idle_since_s = 0.0
+        self.keep_idle_s = None
+        self.exchanges = 0
+
+    async def exchange(self, request):
+        self.exchanges += 1
+        self.replica.requests.append(request)
+        try:
+            while True:
+                script = self.replica.script
+                step = script.pop(0) if len(script) > 1 else script[0]
+                if isinstance(step, float):
+                    await asyncio.sleep(step)
+                elif isinstance(step, Exception):
+                    raise step
+                else:
+                    return step
+        except asyncio.CancelledError:
+            self.replica.cancelled += 1
+            raise
+
+    def close(self):
+        self.closed = True
+
+
+class Scripted:
+    """A replica that plays its steps in turn, the last one for ever."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.requests = []
+        self.cancelled = 0
+
+    async def connect(self):
+        if isinstance(self.script[0], client.ConnectError):
+            raise self.script[0]
+        return Connection(self)
+
+
+def entry(instance, service="s", data_centre="dc", draining=False, slots=2):
+    return routes.ReplicaEntry(instance, service, "h", 1, data_centre, slots, draining, 0)
+
+
+def make_sender(scripts, slack=100.0):
+    """Make a sender over scripted replicas by service and instance."""
+    by_instance = {name: script for each in scripts.values() for name, script in each.items()}
+    loop = asyncio.get_running_loop()
+
+    def make_pool(item):
+        return pool_module.Pool(by_instance[item.instance].connect, lambda: 3, loop.time)
+
+    known = replicas_module.Replicas(
+        make_pool, {"dc": "r"}, "r", budget.Allowance(0.2, slack, 10.0)
+    )
+    for service, replicas in scripts.items():
+        for instance in replicas:
+            known.put(entry(instance, service))
+    return obtaining.Sender(known, NAMES, counters.Counters(), tasks.Tasks(), lambda: 1)
+
+
+def make_call(deadline_ms=2000.0, **changes):
+    values = {
+        "idempotent": True,
+        "timeout_ms": 2000.0,
+        "goal_ms": 100.0,
+        "priority": 1,
+        "max_attempts": 2,
+        "services": (routes.Share("s", 1.0),),
+    } | changes
+    route = routes.Route("r", "h", "/", **values)
+    now_s = asyncio.get_running_loop().time()
+    return sending.Call(b"q1", b"GET", b"/a", [], b"", route, 1, now_s, now_s + deadline_ms / 1000)
--- /dev/null
+++ b/tests/standin_platform.py
@@ -0,0 +1,218 @@
+"""A stand-in of the platform's store, and replicas, with faults that tests switch on."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import itertools
+import json
+import urllib.parse
+
+from turmericlug.http1 import server
+
+OK = 200
+
+
+class Store:
+    """Keys with revisions, leases and history, as the platform's page describes them."""
+
+    def __init__(self):
+        self.items = {}
+        self.history = []
+        self.revision = 100
+        self.first_known = 0
+        self.leases = {}
+        self.calls = []
+        self.fault = None
+        """``busy``, ``silent`` or ``lost``: every call is refused, hangs, or is done unanswered."""
+        self.page = 500
+        self._changed = asyncio.Event()
+        self._numbers = itertools.count(7000)
+
+    def put(self, key, value, lease=0):
+        """Write a key as the operator or a replica would."""
+        self.revision += 1
+        content = value if isinstance(value, bytes) else json.dumps(value).encode()
+        created = self.items[key]["Created"] if key in self.items else self.revision
+        item = {
+            "Key": key,
+            "Value": base64.b64encode(content).decode(),
+            "Revision": self.revision,
+            "Created": created,
+            "Lease": lease,
+        }
+        self.items[key] = item
+        self._tell(item)
+
+    def remove(self, key):
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._tell({"Key": key, "Revision": self.revision, "Tombstone": True})
+
+    def _tell(self, event):
+        self.history.append(event)
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def forget_history(self):
+        """Drop the history; watches from before get 410."""
+        self.first_known = self.revision
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def end_lease(self, lease):
+        """End a lease with its keys."""
+        self.leases.pop(lease, None)
+        for key in [key for key, item in self.items.items() if item["Lease"] == lease]:
+            self.remove(key)
+
+    async def handle(self, request):
+        """Answer one call."""
+        path, _, query = request.target.decode().partition("?")
+        call = path.removeprefix("/turmericlug/")
+        asked = {key: values[0] for key, values in urllib.parse.parse_qs(query).items()}
+        self.calls.append(call)
+        if self.fault == "busy":
+            return server.Answer(503)
+        if self.fault == "silent":
+            await asyncio.sleep(60)
+        status, body = await self._answer(call, asked, json.loads(request.body or b"{}"))
+        if self.fault == "lost":
+            await asyncio.sleep(60)
+        return server.Answer(status, (), json.dumps(body).encode())
+
+    async def _answer(self, call, asked, body):
+        name, _, rest = call.partition("/")
+        return await getattr(self, "_" + name.replace("-", "_"))(asked, body, rest)
+
+    async def _kv_range(self, asked, body, rest):
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(asked.get("Prefix", "")) and key > asked.get("after", "")
+        )
+        items = [self.items[key] for key in keys[: self.page]]
+        more = len(keys) > self.page
+        return OK, {"items": items, "HasMore": more, "AsOf": self.revision}
+
+    async def _kv_watch(self, asked, body, rest):
+        after = int(asked["after"])
+        until = asyncio.get_running_loop().time() + int(asked["WaitMs"]) / 1000
+        while True:
+            if after < self.first_known:
+                return 410, {}
+            events = [each for each in self.history if each["Revision"] > after]
+            left_s = until - asyncio.get_running_loop().time()
+            if events or left_s <= 0:
+                return OK, {"events": events, "AsOf": self.revision}
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+
+    async def _kv_lease(self, asked, body, rest):
+        lease = next(self._numbers)
+        self.leases[lease] = body["TtlMs"]
+        return OK, {"Lease": lease, "TtlMs": body["TtlMs"]}
+
+    async def _kv_keep(self, asked, body, rest):
+        return (OK, {"TtlMs": 3000}) if int(rest) in self.leases else (404, {})
+
+    async def _kv_lease_end(self, asked, body, rest):
+        self.end_lease(int(rest))
+        return OK, {}
+
+    async def _kv_txn(self, asked, body, rest):
+        for put in body["Puts"]:
+            if put["Lease"] and put["Lease"] not in self.leases:
+                return 404, {}
+            self.put(put["Key"], base64.b64decode(put["Value"]), put["Lease"])
+        return OK, {"Revision": self.revision}
+
+
+class Replica:
+    """A replica that answers every request with its own signature; ``script`` changes that."""
+
+    def __init__(self, instance, service, body=b"", delay_s=0.0):
+        self.instance = instance
+        self.service = service
+        self.body = body
+        self.delay_s = delay_s
+        self.runs = []
+        self.address = None
+        self.script = None
+
+    async def handle(self, request):
+        """Answer one request as the page says."""
+        expected = request.header(b"x-expect-instance")
+        request_id = request.header(b"x-request-id") or b""
+        if expected and expected != self.instance.encode():
+            return server.Answer(421, ((b"x-instance-id", self.instance.encode()),))
+        if self.script is not None:
+            answer = await self.script(request)
+            if answer is not None:
+                return answer
+        self.runs.append(request_id)
+        await asyncio.sleep(self.delay_s)
+        stamp = b"%s.%d.%s" % (self.instance.encode(), len(self.runs), request_id)
+        headers = ((b"x-request-id", request_id), (b"x-server-stamp", stamp))
+        return server.Answer(200, headers, self.body)
+
+    def entry(self, state="ready"):
+        """Return what the replica writes of itself."""
+        return {
+            "Service": self.service,
+            "Address": "{}:{}".format(*self.address),
+            "Zone": "dc-1",
+            "Version": "v1",
+            "Slots": 2,
+            "State": state,
+            "WarmupLeftMs": 0,
+            "Sequence": 1,
+        }
+
+
+@contextlib.asynccontextmanager
+async def listening(handler, port=0):
+    """Serve a handler on loopback; yields its address."""
+    entrance = server.Server(handler, server.Limits, 1000)
+    listener = await server.listen(entrance, "127.0.0.1", port)
+    try:
+        yield listener.sockets[0].getsockname()
+    finally:
+        listener.close()
+        entrance.close()
+
+
+def route(name, prefix, **changes):
+    """Return a route as the operator writes it."""
+    return {
+        "Name": name,
+        "Host": "h.example",
+        "Prefix": prefix,
+        "RouteType": "idempotent",
+        "TimeoutMs": 2000,
+        "GoalMs": 200,
+        "Priority": 1,
+        "MaxAttempts": 2,
+    } | changes
+
+
+def configuration(version, routes, services):
+    """Return a configuration as the operator writes it."""
+    limits = {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 262144,
+        "HeaderTimeoutMs": 3000,
+        "IdleTimeoutMs": 15000,
+    }
+    return {
+        "Version": version,
+        "Routes": routes,
+        "Services": [
+            {"Name": name, "HealthPath": "/health", "MaxConns": 26, "Protocol": "h1", "Tls": False}
+            for name in services
+        ],
+        "Limits": limits,
+    }
