--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from turmericlug.direct import handover
 from turmericlug.direct import merge
 from turmericlug.direct import obtaining
 from turmericlug.direct import sending
@@ -94,13 +95,10 @@
     """
     if _reachable(sender, call) < least_parts(call):
         return refusal(sender, "no_replica")
-    loop = asyncio.get_running_loop()
-    parts = {
-        shard: loop.create_task(obtaining.obtain(sender, call, shard))
-        for shard in call.route.shards
-    }
+    answer_at_s = call.arrived_s + timing.answer_after_ms(call.route.goal_ms) / 1000
+    parts = _started(sender, call, answer_at_s)
     try:
-        await _enough(call, parts)
+        await _enough(call, parts, answer_at_s)
     finally:
         # Sends under way finish by themselves, which keeps their connections usable.
         for part in parts.values():
@@ -111,6 +109,24 @@
 Parts = dict[str, asyncio.Task[sending.Outcome]]
 
 
+def _started(sender: obtaining.Sender, call: sending.Call, answer_at_s: float) -> Parts:
+    """Start every part: in a batch with others where its replicas are far, else from here."""
+    loop = asyncio.get_running_loop()
+    batches = sender.handover.plan(sender, call, loop.time()) if sender.handover else []
+    in_batch: dict[str, handover.Handed] = {}
+    for handed in batches:
+        sender.handover.start(sender, call, handed, answer_at_s)
+        in_batch.update(dict.fromkeys(handed.shards, handed))
+    return {
+        shard: loop.create_task(
+            handover.part(sender, call, in_batch[shard], shard)
+            if shard in in_batch
+            else obtaining.obtain(sender, call, shard)
+        )
+        for shard in call.route.shards
+    }
+
+
 def _reachable(sender: obtaining.Sender, call: sending.Call) -> int:
     """Count the shards that have a replica: when too few do, nothing needs to be sent."""
     now_s = asyncio.get_running_loop().time()
@@ -120,13 +136,12 @@
     )
 
 
-async def _enough(call: sending.Call, parts: Parts) -> None:
+async def _enough(call: sending.Call, parts: Parts, answer_at_s: float) -> None:
     """Wait until the query should be answered with the parts that are in."""
     loop = asyncio.get_running_loop()
     progress = _Progress(len(parts), least_parts(call), loop.create_future())
     for part in parts.values():
         part.add_done_callback(progress.ended)
-    answer_at_s = call.arrived_s + timing.answer_after_ms(call.route.goal_ms) / 1000
     goal_near = loop.call_at(answer_at_s, progress.goal_near)
     deadline = loop.call_at(call.deadline_s, progress.decide)
     try:
@@ -179,11 +194,14 @@
     return max(1, math.ceil(call.route.min_coverage * len(call.route.shards) - 1e-9))
 
 
-def _answered(part: asyncio.Task[sending.Outcome]) -> sending.Answered | None:
+Good = sending.Answered | sending.AnsweredInBatch
+
+
+def _answered(part: asyncio.Task[sending.Outcome]) -> Good | None:
     if not part.done() or part.cancelled():
         return None
     outcome = part.result()
-    return outcome if isinstance(outcome, sending.Answered) else None
+    return outcome if isinstance(outcome, Good) else None
 
 
 def _merged(sender: obtaining.Sender, call: sending.Call, parts: Parts) -> Ending:
@@ -198,7 +216,7 @@
         (sender.names.request_id, call.request_id),
         (b"content-type", b"application/octet-stream"),
     ]
-    body = merge.greatest((each.response.body for each in present), call.route.top_records)
+    body = merge.greatest(_bodies(present), call.route.top_records)
     answer = server.Answer(200, tuple(headers), body)
     if not missing:
         return Ending(answer, "answered")
@@ -207,6 +225,17 @@
     return Ending(answer, "partial", why)
 
 
+def _bodies(answers: list[Good]) -> list[bytes]:
+    """Return the records of all answers; those of a batch, which its shards share, once."""
+    single = [each.response.body for each in answers if isinstance(each, sending.Answered)]
+    shared = {id(each.records): each.records for each in answers if not _is_single(each)}
+    return [*single, *shared.values()]
+
+
+def _is_single(answer: Good) -> bool:
+    return isinstance(answer, sending.Answered)
+
+
 def _why(part: asyncio.Task[sending.Outcome]) -> str:
     if not part.done() or part.cancelled():
         return "not in time"
--- /dev/null
+++ b/src/turmericlug/direct/handover_codec.py
@@ -0,0 +1,155 @@
+"""Messages between instances about parts that are handed over, as Cap'n Proto."""
+
+from __future__ import annotations
+
+import pathlib
+
+import attrs
+import capnp
+
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("handover.capnp")))
+_TRAVERSAL_LIMIT_WORDS = 4 << 20
+
+
+class MessageError(Exception):
+    """Bytes from another instance that are no message of this protocol."""
+
+
+@attrs.frozen
+class Batch:
+    """Parts of one query for an instance near their replicas."""
+
+    request_id: bytes
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    route: str
+    goal_ms: float
+    priority: int
+    max_attempts: int
+    top_records: int
+    shards: tuple[str, ...]
+    answer_in_ms: float
+    """When to come back with what there is by then."""
+    time_left_ms: float
+
+
+@attrs.frozen
+class Failure:
+    """Why a shard has no answer."""
+
+    reason: str
+    may_have_run: bool
+
+
+@attrs.frozen
+class Answer:
+    """What came of a batch; shards in neither field come in a later answer."""
+
+    records: bytes
+    """The greatest records of all answered shards."""
+    signatures: dict[str, bytes]
+    failures: dict[str, Failure]
+    spent_ms: float
+    first: bool = True
+    """Whether it is the first answer to its batch."""
+
+
+def encode_batch(batch: Batch) -> bytes:
+    """Write a batch."""
+    message = _SCHEMA.Batch.new_message(
+        requestId=batch.request_id,
+        method=batch.method,
+        target=batch.target,
+        headers=[{"name": name, "value": value} for name, value in batch.headers],
+        body=batch.body,
+        route=batch.route,
+        goalMs=batch.goal_ms,
+        priority=batch.priority,
+        maxAttempts=batch.max_attempts,
+        topRecords=batch.top_records,
+        shards=list(batch.shards),
+        answerInMs=batch.answer_in_ms,
+        timeLeftMs=batch.time_left_ms,
+    )
+    return message.to_bytes_packed()
+
+
+def decode_batch(content: bytes) -> Batch:
+    """
+    Read a batch.
+
+    :raises MessageError: the bytes are none
+    """
+    try:
+        message = _SCHEMA.Batch.from_bytes_packed(
+            content, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
+        )
+        return Batch(
+            request_id=message.requestId,
+            method=message.method,
+            target=message.target,
+            headers=[(header.name, header.value) for header in message.headers],
+            body=message.body,
+            route=message.route,
+            goal_ms=message.goalMs,
+            priority=message.priority,
+            max_attempts=message.maxAttempts,
+            top_records=message.topRecords,
+            shards=tuple(message.shards),
+            answer_in_ms=message.answerInMs,
+            time_left_ms=message.timeLeftMs,
+        )
+    except Exception as error:  # the library raises its own type for each kind of damage
+        raise MessageError(str(error).splitlines()[0][:200]) from error
+
+
+def encode_answer(answer: Answer, shards: tuple[str, ...]) -> bytes:
+    """
+    Write an answer.
+
+    :param shards: those of the batch, by whose order shards are named
+    """
+    numbers = {shard: number for number, shard in enumerate(shards)}
+    message = _SCHEMA.Answer.new_message(
+        records=answer.records,
+        answered=[
+            {"shard": numbers[shard], "signature": signature}
+            for shard, signature in answer.signatures.items()
+        ],
+        failed=[
+            {
+                "shard": numbers[shard],
+                "reason": failure.reason,
+                "mayHaveRun": failure.may_have_run,
+            }
+            for shard, failure in answer.failures.items()
+        ],
+        spentMs=answer.spent_ms,
+        first=answer.first,
+    )
+    return message.to_bytes_packed()
+
+
+def decode_answer(content: bytes, shards: tuple[str, ...]) -> Answer:
+    """
+    Read an answer to a batch of these shards.
+
+    :raises MessageError: the bytes are none
+    """
+    try:
+        message = _SCHEMA.Answer.from_bytes_packed(
+            content, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
+        )
+        return Answer(
+            records=message.records,
+            signatures={shards[each.shard]: each.signature for each in message.answered},
+            failures={
+                shards[each.shard]: Failure(each.reason, each.mayHaveRun) for each in message.failed
+            },
+            spent_ms=message.spentMs,
+            first=message.first,
+        )
+    except Exception as error:  # as above, and shards that the batch didn't have
+        raise MessageError(str(error).splitlines()[0][:200]) from error
--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import typing
 from collections import abc
 
 import attrs
@@ -16,6 +17,9 @@
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
 
+if typing.TYPE_CHECKING:
+    from turmericlug.direct import handover as handover_module
+
 MOST_UNSENT = 3
 """Sends that found no connection do not count as attempts; a service whose replicas all refuse
 connections is given up after this many."""
@@ -31,6 +35,8 @@
     tasks: tasks_module.Tasks
     instances: abc.Callable[[], int]
     """How many instances share the budget of extra sends."""
+    handover: handover_module.Handover | None = None
+    """Hands far parts to other instances; ``None``: every part is sent from here."""
     rng: random.Random = attrs.field(factory=random.Random)
 
 
@@ -58,18 +64,30 @@
     """The last failure, or one after which the request may have run, if there was any."""
 
 
-async def obtain(sender: Sender, call: sending.Call, service: str) -> sending.Outcome:
+async def obtain(
+    sender: Sender, call: sending.Call, service: str, again: bool = False
+) -> sending.Outcome:
     """
     Get one answer from a service.
 
     Cancelling it leaves sends under way to finish by themselves, so that their connections can be
     used again; ``call.abandon`` ends them.
 
+    :param again: whether another instance may have sent the request to the service before; one
+        send is left then, within the budget of extra sends
     :returns: the first answer, or the failure; ``NotRun`` only when no attempt can have run
     """
     loop = asyncio.get_running_loop()
     effort = _Effort(sender, call, service)
-    sender.replicas.extra_sends(service).count_request(loop.time())
+    budget = sender.replicas.extra_sends(service)
+    if not again:
+        budget.count_request(loop.time())
+    elif call.route.max_attempts < 2 or not budget.spend(loop.time(), sender.instances()):
+        sender.counters.add("direct.repeat_denied.budget")
+        return sending.Unknown("budget")
+    else:
+        effort.attempts = call.route.max_attempts - 1
+        effort.failure = sending.Unknown("batch_lost")
     _start(effort, loop.time())
     while effort.pending:
         done, _ = await asyncio.wait(
@@ -200,6 +218,8 @@
 def _send_to(effort: _Effort, replica: replicas_module.Replica, now_s: float) -> None:
     sender, call = effort.sender, effort.call
     task = sender.tasks.start(_tracked(sender, call, replica, now_s))
+    near = sender.replicas.is_near(replica.entry.data_centre)
+    sender.counters.add("direct.sent.near" if near else "direct.sent.far")
     call.sends.add(task)
     task.add_done_callback(call.sends.discard)
     effort.tried.append(replica)
--- a/src/turmericlug/direct/pool.py
+++ b/src/turmericlug/direct/pool.py
@@ -22,9 +22,9 @@
 """Idle time within which a connection may carry a request that must not run twice: a reset on an
 idle connection leaves it unknown whether the request ran."""
 SPARE_IDLE_S = 1.0
-"""Idle time after which a connection beyond the first is closed. Instances that lose power leave their
-connections behind at the replica, which then resets the new ones of the restarted instances: with
-three kept each, 621 connections were reset in such a day."""
+"""Idle time after which a connection beyond the first is closed. Instances that lose power leave
+their connections behind at the replica, which then resets the new ones of the restarted instances:
+with three kept each, 621 connections were reset in such a day."""
 CONNECTIONS_SHARE = 0.85
 """Part of a replica's connections that the instances divide: those of an instance that was killed
 stay open at the replica for a while."""
@@ -52,6 +52,7 @@
     connect: Connect
     limit: abc.Callable[[], int]
     now_s: abc.Callable[[], float]
+    spare_idle_s: float = SPARE_IDLE_S
     open_count: int = 0
     opened: int = 0
     _idle: collections.deque[client.Connection] = attrs.field(factory=collections.deque)
@@ -153,11 +154,23 @@
         connection.close()
         self.open_count -= 1
 
+    async def warm(self) -> None:
+        """
+        Open a first connection ahead of need, if there is none.
+
+        :raises ConnectError: it could not be opened
+        """
+        if self.open_count == 0 and self.limit() > 0:
+            connection = await self._open()
+            connection.idle_since_s = self.now_s()
+            self._idle.append(connection)
+            self._wake()
+
     def trim(self) -> None:
         """Close what is idle for longer than it is trusted, and spare ones sooner."""
         for connection in list(self._idle):
             age_s = self.now_s() - connection.idle_since_s
-            spare = self.open_count > 1 and age_s > SPARE_IDLE_S
+            spare = self.open_count > 1 and age_s > self.spare_idle_s
             if connection.closed or spare or age_s > _trusted_s(connection):
                 self._idle.remove(connection)
                 self._drop(connection)
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -13,8 +13,14 @@
 from turmericlug.direct import timing
 from turmericlug.owner import policy
 
-PACE_GAIN = 0.3
-"""Weight of a new time in a replica's pace: about the last five sends count."""
+PACE_GAIN = 0.2
+"""Weight of a new time in a replica's pace: about the last nine sends count."""
+LOAD_FACTOR = 0.3
+"""Slow-down that each send under way to a replica adds to the next one, as a share of its usual
+time: with two slots and other instances' sends a third of it is felt on average."""
+FAR_FACTOR = 1.25
+"""A replica of another region is taken only where it is clearly faster: bytes between regions are
+what the platform charges most for."""
 PACE_HALF_LIFE_S = 3.0
 """A replica rated slow is hardly tried; its rating fades so that it is tried again."""
 OVERDUE_FACTOR = 6.0
@@ -48,8 +54,8 @@
 
     @property
     def slow_ms(self) -> float | None:
-        """The 90th percentile, or ``None`` before there are enough."""
-        return self._recent.percentile_ms(90)
+        """The 85th percentile, or ``None`` before there are enough."""
+        return self._recent.percentile_ms(85)
 
 
 @attrs.define(eq=False)
@@ -191,10 +197,14 @@
         """Return the recent times of a route's sends to a data centre."""
         key = (route, data_centre)
         if key not in self._times:
-            near = self._regions.get(data_centre) == self._region
+            near = self.is_near(data_centre)
             self._times[key] = Times(LOCAL_GUESS_MS if near else REMOTE_GUESS_MS)
         return self._times[key]
 
+    def is_near(self, data_centre: str) -> bool:
+        """Whether a data centre is in this instance's region."""
+        return self._regions.get(data_centre) == self._region
+
     def extra_sends(self, service: str) -> budget.ExtraSends:
         """Return the budget of a service."""
         if service not in self._budgets:
@@ -227,8 +237,10 @@
     def expected_ms(self, replica: Replica, route: routes.Route, now_s: float) -> float:
         """Estimate how long a replica takes for one more request."""
         usual_ms = self.times(route.name, replica.entry.data_centre).usual_ms
-        load = 1 + (len(replica.sends) + replica.pool.waiting) / max(replica.entry.slots, 1)
+        load = 1 + LOAD_FACTOR * (len(replica.sends) + replica.pool.waiting)
         expected_ms = usual_ms * replica.current_pace(now_s) * load
+        if not self.is_near(replica.entry.data_centre):
+            expected_ms *= FAR_FACTOR
         expected_ms *= 1 + TROUBLE_FACTOR * replica.trouble
         if replica.overdue(now_s):
             expected_ms *= OVERDUE_FACTOR
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -52,6 +52,15 @@
     replica: replicas_module.Replica
 
 
+@dataclasses.dataclass(frozen=True)
+class AnsweredInBatch:
+    """A replica's answer, merged with others by the instance that sent to it."""
+
+    signature: bytes
+    records: bytes
+    """The greatest of all shards of the batch; one object for all of them."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Failed:
     """A replica's own answer that says it failed; the request ran."""
@@ -76,7 +85,7 @@
     reason: str
 
 
-Outcome = Answered | Failed | NotRun | Unknown
+Outcome = Answered | AnsweredInBatch | Failed | NotRun | Unknown
 
 
 def request_for(
@@ -121,7 +130,7 @@
 def reason(outcome: Outcome) -> str:
     """Return why there is no answer, as a short text; empty for an answer."""
     match outcome:
-        case Answered():
+        case Answered() | AnsweredInBatch():
             return ""
         case Failed():
             return f"replica_status_{outcome.response.status}"
--- a/src/turmericlug/direct/timing.py
+++ b/src/turmericlug/direct/timing.py
@@ -8,11 +8,11 @@
 
 from __future__ import annotations
 
-HEDGE_FACTOR = 1.2
-"""Multiple of the usual slow part (90th percentile) at which a part counts as late."""
+HEDGE_FACTOR = 1.1
+"""Multiple of the usual slow part (85th percentile) at which a part counts as late."""
 HEDGE_AT_LEAST_MS = 8.0
 """A turn of a busy event loop: below it, lateness is our own."""
-HEDGE_LATEST_SHARE = 0.45
+HEDGE_LATEST_SHARE = 0.36
 """Share of the goal after which a second send would come back too late to help."""
 PARTIAL_SHARE = 0.9
 """Share of the goal at which a query answers with the parts it has."""
@@ -29,7 +29,7 @@
     """
     Return the age at which a part is sent to a second replica.
 
-    :param slow_ms: 90th percentile of recent parts; ``None`` before there are enough
+    :param slow_ms: 85th percentile of recent parts; ``None`` before there are enough
     """
     latest_ms = HEDGE_LATEST_SHARE * goal_ms
     if slow_ms is None:
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -16,6 +16,7 @@
 
 from turmericlug.direct import budget
 from turmericlug.direct import dialect as dialect_module
+from turmericlug.direct import handover
 from turmericlug.direct import obtaining
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import replicas as replicas_module
@@ -23,6 +24,7 @@
 from turmericlug.entry import callers as callers_module
 from turmericlug.entry import directory as directory_module
 from turmericlug.entry import follower
+from turmericlug.entry import helping
 from turmericlug.entry import metrics
 from turmericlug.entry import news
 from turmericlug.entry import settings as settings_module
@@ -36,8 +38,16 @@
 
 RESERVED_DESCRIPTORS = 900
 """Descriptors kept from callers: files (200), connections to replicas, the store, listeners."""
+PEER_CONNECTIONS = 16
+"""Batches under way to one instance at a time; a query has one for each region."""
+PEER_IDLE_S = 60.0
+"""Connections between instances are kept: a new one costs a batch a round trip."""
+ALIVE = b"HTTP/1.1 102 Processing\r\n\r\n"
+"""Tells an instance that hands parts over that they are being worked on."""
 HOUSEKEEPING_S = 0.1
 TRIM_EVERY_S = 1.0
+TOTALS_EVERY_S = 10.0
+"""One line of about a kilobyte: a thousandth of what a busy second may log."""
 REFUSE_AFTER_SHARE = 0.6
 """Share of the grace period after which a leaving instance refuses: what it takes later could be
 cut off by the forced end."""
@@ -144,16 +154,32 @@
         )
         return pool_module.Pool(connect, functools.partial(limit, entry), loop.time)
 
+    def make_peer_pool(entry: routes.ReplicaEntry) -> pool_module.Pool:
+        connect = functools.partial(client.connect, entry.host, entry.port)
+        return pool_module.Pool(
+            connect, lambda: PEER_CONNECTIONS, loop.time, spare_idle_s=PEER_IDLE_S
+        )
+
     policy = settings.policy
     allowance = budget.Allowance(policy.extra_ratio, policy.extra_slack, policy.extra_window_s)
     replicas = replicas_module.Replicas(
         make_pool, settings.entry.data_centres, settings.entry.region, allowance
     )
-    view = view_module.View(settings.entry.name, replicas, loop.time)
-    async with tasks.background(_keep_house(view)):
+    peers = replicas_module.Replicas(
+        make_peer_pool, settings.entry.data_centres, settings.entry.region, allowance
+    )
+    view = view_module.View(settings.entry.name, replicas, peers, loop.time)
+    async with tasks.background(_keep_house(view), _log_totals(counters)):
         yield view
 
 
+async def _log_totals(counters: counters_module.Counters) -> None:
+    """Keep the counters in the log as well: metrics of an instance that ended can't be read."""
+    while True:
+        await asyncio.sleep(TOTALS_EVERY_S)
+        decisions.log("instance.totals", **counters.totals)
+
+
 async def _keep_house(view: view_module.View) -> None:
     rounds = 0
     while True:
@@ -184,16 +210,32 @@
         kernel.find("counters"),
         sends,
         view.instances_count,
+        handover.Handover(
+            view.peers,
+            settings.entry.data_centres,
+            settings.entry.region,
+            settings.entry.name,
+        ),
     )
+    kernel.provide("sender", sender)
     callers = callers_module.Callers(view, sender, view.source_age_s)
     kernel.provide("handler", callers)
     most = settings.limits.descriptors - RESERVED_DESCRIPTORS
     entrance = server.Server(callers.handle, lambda: _limits(view), max(most, 64))
-    async with _listening(entrance, settings.entry.callers_address):
+    async with (
+        _listening(entrance, settings.entry.callers_address),
+        tasks.background(_keep_warm(sender.handover)),
+    ):
         yield entrance
     await sends.close()
 
 
+async def _keep_warm(handing: handover.Handover) -> None:
+    while True:
+        await handing.warm()
+        await asyncio.sleep(HOUSEKEEPING_S)
+
+
 def _limits(view: view_module.View) -> server.Limits:
     if view.configuration is None:
         return server.Limits()
@@ -220,9 +262,9 @@
 
 @contextlib.asynccontextmanager
 async def _questions(kernel: Kernel) -> abc.AsyncIterator[None]:
-    """Answer readiness, addresses and metrics."""
+    """Answer readiness, addresses, metrics and other instances' batches."""
     settings, view = kernel.find("settings"), kernel.find("view")
-    adapter, entrance = kernel.find("adapter"), kernel.find("callers")
+    adapter = kernel.find("adapter")
     handlers = [
         (adapter.ready_handler(lambda: _ready(kernel)), settings.entry.ready_address),
         (
@@ -231,11 +273,17 @@
         ),
         (metrics.handler(kernel.find("counters")), settings.entry.metrics_address),
     ]
-    del entrance
     async with contextlib.AsyncExitStack() as stack:
         for handler, address in handlers:
             questions = server.Server(handler, server.Limits, settings.limits.descriptors // 8)
             await stack.enter_async_context(_listening(questions, address))
+        peers = server.Server(
+            helping.handler(kernel.find("sender")),
+            lambda: server.Limits(idle_timeout_s=PEER_IDLE_S),
+            settings.limits.descriptors // 8,
+            interim=ALIVE,
+        )
+        await stack.enter_async_context(_listening(peers, settings.entry.peers_address))
         yield
 
 
@@ -247,7 +295,14 @@
 async def _registration(kernel: Kernel) -> abc.AsyncIterator[tasks.Tasks]:
     entry = kernel.find("settings").entry
     host, port = entry.callers_address
-    own = news.EntryInstance(entry.name, f"{host}:{port}", entry.data_centre, entry.region)
+    peers_host, peers_port = entry.peers_address
+    own = news.EntryInstance(
+        entry.name,
+        f"{host}:{port}",
+        entry.data_centre,
+        entry.region,
+        f"{peers_host}:{peers_port}",
+    )
     work = follower.stay_registered(
         kernel.find("source"), kernel.find("view"), own, lambda: _ready(kernel), random.Random()
     )
--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -11,9 +11,12 @@
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
 
-WAIT_S = 2.0
+WAIT_S = 3.0
 """How long one question for changes waits. A connection that went silent is found out after it,
-within the 3 to 4 s in which a configuration has to be in force."""
+about as soon as a configuration has to be in force (3 to 4 s)."""
+PAUSE_S = 0.25
+"""Least time between two questions. Each change otherwise costs a call of every instance: with 54
+replicas starting at once, 430 of the 560 calls of a day."""
 RETRY_LEAST_S = 0.1
 RETRY_MOST_S = 0.5
 """Pause after a failure: short against the bound of a configuration, and drawn at random so that
@@ -42,6 +45,7 @@
             view.source_regained()
             view.take_changes(changes)
             revision = max(changes.revision, revision)
+            await asyncio.sleep(PAUSE_S)
         except news.HistoryLostError:
             decisions.log("source.history_lost", after=revision)
             counters.add("source.history_lost")
--- /dev/null
+++ b/src/turmericlug/entry/helping.py
@@ -0,0 +1,136 @@
+"""Taking parts that another instance hands over, and coming back with what they gave."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+
+from turmericlug.direct import handover
+from turmericlug.direct import handover_codec
+from turmericlug.direct import merge
+from turmericlug.direct import obtaining
+from turmericlug.direct import routes
+from turmericlug.direct import sending
+from turmericlug.http1 import server
+from turmericlug.telemetry import decisions
+
+Part = asyncio.Task[sending.Outcome]
+Parts = dict[Part, str]
+
+
+def handler(sender: obtaining.Sender) -> server.Handler:
+    """Return the handler of batches."""
+
+    async def handle(request: server.Request) -> server.Answer:
+        if request.target != handover.PATH:
+            return server.Answer(404)
+        try:
+            batch = handover_codec.decode_batch(request.body)
+        except handover_codec.MessageError as error:
+            decisions.log("helping.unreadable", reason=str(error))
+            return server.Answer(400)
+        return server.Answer(200, chunks=_answers(sender, batch, request.arrived_s))
+
+    return handle
+
+
+async def _answers(
+    sender: obtaining.Sender, batch: handover_codec.Batch, arrived_s: float
+) -> abc.AsyncIterator[bytes]:
+    """
+    Give what there is when it is asked for, then each straggler by itself.
+
+    Whether the query can do without the stragglers only the other instance knows, from what its
+    other parts gave.
+    """
+    loop = asyncio.get_running_loop()
+    call = _call(batch, arrived_s)
+    parts = {
+        loop.create_task(obtaining.obtain(sender, call, shard)): shard for shard in batch.shards
+    }
+    answer_at_s = min(arrived_s + batch.answer_in_ms / 1000, call.deadline_s)
+    pending = set(parts)
+    try:
+        done, pending = await asyncio.wait(pending, timeout=max(answer_at_s - loop.time(), 0.0))
+        answer = _answer(parts, done, batch, (loop.time() - arrived_s) * 1000, first=True)
+        _log(sender, call, batch, answer)
+        yield handover_codec.encode_answer(answer, batch.shards)
+        while pending and loop.time() < call.deadline_s:
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=max(call.deadline_s - loop.time(), 0.0),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            answer = _answer(parts, done, batch, (loop.time() - arrived_s) * 1000, first=False)
+            yield handover_codec.encode_answer(answer, batch.shards)
+    except (asyncio.CancelledError, GeneratorExit):
+        # The other instance closed the connection: its caller left, or it takes us for dead.
+        call.abandon()
+        raise
+    finally:
+        for part in parts:
+            part.cancel()
+
+
+def _log(
+    sender: obtaining.Sender,
+    call: sending.Call,
+    batch: handover_codec.Batch,
+    answer: handover_codec.Answer,
+) -> None:
+    sender.counters.add("helping.answered")
+    decisions.log(
+        "helping.answered",
+        request=batch.request_id,
+        route=batch.route,
+        shards=len(batch.shards),
+        answered=len(answer.signatures),
+        failed=[f"{shard}: {each.reason}" for shard, each in answer.failures.items()][:5],
+        duration_ms=round(answer.spent_ms, 1),
+        hedges=call.hedges,
+    )
+
+
+def _call(batch: handover_codec.Batch, arrived_s: float) -> sending.Call:
+    route = routes.Route(
+        name=batch.route,
+        host="",
+        prefix="",
+        idempotent=True,
+        timeout_ms=batch.time_left_ms,
+        # What is left of the query's goal here: late parts are sent a second time by it.
+        goal_ms=batch.answer_in_ms,
+        priority=batch.priority,
+        max_attempts=batch.max_attempts,
+        shards=batch.shards,
+        top_records=batch.top_records,
+    )
+    return sending.Call(
+        request_id=batch.request_id,
+        method=batch.method,
+        target=batch.target,
+        headers=batch.headers,
+        body=batch.body,
+        route=route,
+        version=0,
+        arrived_s=arrived_s,
+        deadline_s=arrived_s + batch.time_left_ms / 1000,
+    )
+
+
+def _answer(
+    parts: Parts, done: set[Part], batch: handover_codec.Batch, spent_ms: float, first: bool
+) -> handover_codec.Answer:
+    signatures: dict[str, bytes] = {}
+    failures: dict[str, handover_codec.Failure] = {}
+    bodies = []
+    for part in done:
+        outcome, shard = part.result(), parts[part]
+        if isinstance(outcome, sending.Answered):
+            signatures[shard] = outcome.signature
+            bodies.append(outcome.response.body)
+        else:
+            may_have_run = not isinstance(outcome, sending.NotRun)
+            failures[shard] = handover_codec.Failure(sending.reason(outcome), may_have_run)
+    records = merge.greatest(bodies, batch.top_records)
+    return handover_codec.Answer(records, signatures, failures, spent_ms, first)
--- a/src/turmericlug/entry/news.py
+++ b/src/turmericlug/entry/news.py
@@ -18,6 +18,8 @@
     """``host:port`` for callers."""
     data_centre: str
     region: str
+    peers_address: str = ""
+    """``host:port`` for other instances."""
 
 
 Value = routes.Configuration | routes.ReplicaEntry | EntryInstance
--- a/src/turmericlug/entry/settings.py
+++ b/src/turmericlug/entry/settings.py
@@ -35,6 +35,7 @@
     callers_address: tuple[str, int] = ini.key(_address, None, "where callers connect")
     ready_address: tuple[str, int] = ini.key(_address, None, "where readiness is asked")
     directory_address: tuple[str, int] = ini.key(_address, None, "where addresses are asked")
+    peers_address: tuple[str, int] = ini.key(_address, None, "where other instances connect")
     metrics_address: tuple[str, int] = ini.key(_address, None, "where metrics are read")
 
 
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -32,10 +32,13 @@
         self,
         own_name: str,
         replicas: replicas_module.Replicas,
+        peers: replicas_module.Replicas,
         now_s: abc.Callable[[], float],
     ) -> None:
         self.configuration: routes.Configuration | None = None
         self.replicas = replicas
+        self.peers = peers
+        """The other instances, as replicas of the service of taking parts in their region."""
         self.instances: dict[str, news.EntryInstance] = {}
         self.own_entry_removed = False
         self._own_name = own_name
@@ -133,6 +136,8 @@
                         "view.instance", name=written.value.name, revision=written.revision
                     )
                 self.instances[written.value.name] = written.value
+                if written.value.name != self._own_name:
+                    self.peers.put(_as_replica(written.value))
                 self._note_count()
 
     def _configure(self, configuration: routes.Configuration, revision: int) -> None:
@@ -187,6 +192,7 @@
                 )
             case news.EntryInstance():
                 self.instances.pop(written.value.name, None)
+                self.peers.remove(written.value.name)
                 decisions.log("view.instance_gone", name=written.value.name, revision=revision)
 
     def settle(self) -> None:
@@ -206,3 +212,17 @@
         ]
         for key in due:
             self._forget(key, self._keys[key].revision)
+
+
+def _as_replica(instance: news.EntryInstance) -> routes.ReplicaEntry:
+    host, _, port = instance.peers_address.rpartition(":")
+    return routes.ReplicaEntry(
+        instance=instance.name,
+        service=instance.region,
+        host=host,
+        port=int(port or 0),
+        data_centre=instance.data_centre,
+        slots=1,
+        draining=False,
+        warmup_left_ms=0,
+    )
--- a/src/turmericlug/http1/client.py
+++ b/src/turmericlug/http1/client.py
@@ -90,6 +90,8 @@
         self.keep_idle_s: float | None = None
         """How long the other side says that it keeps an idle connection."""
         self.exchanges = 0
+        self._on_interim: abc.Callable[[], None] | None = None
+        self._on_chunk: abc.Callable[[bytes], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -150,6 +152,12 @@
             return
         self._part.body.append(body)
 
+    def on_chunk_complete(self) -> None:
+        """Parser callback: a chunk of the body is whole."""
+        if self._on_chunk is not None and self._part.body:
+            self._on_chunk(b"".join(self._part.body))
+            self._part.body.clear()
+
     def on_message_begin(self) -> None:
         """Parser callback: a response begins; a second one spoils the connection."""
         if self._complete is not None:
@@ -163,6 +171,8 @@
             return
         if 100 <= self._parser.get_status_code() < 200:
             self._part = _Partial([], [])
+            if self._on_interim is not None:
+                self._on_interim()
             return
         # An early answer to a long body: what is left of the body would be read as a request.
         unsent = self._transport.get_write_buffer_size() if self._transport else 0
@@ -207,17 +217,26 @@
             waiting.set_exception(ExchangeError(reason))
         self.close()
 
-    async def exchange(self, request: bytes) -> Response:
+    async def exchange(
+        self,
+        request: bytes,
+        on_interim: abc.Callable[[], None] | None = None,
+        on_chunk: abc.Callable[[bytes], None] | None = None,
+    ) -> Response:
         """
         Send one request and wait for its response.
 
         A cancelled exchange closes the connection, which also tells the target to drop the work.
 
+        :param on_interim: called for each informational response (1xx)
+        :param on_chunk: called for each chunk of the body as it arrives
         :raises ExchangeError: the request may have run
         """
         if self.closed or self._transport is None:
             raise ExchangeError("connection closed before sending")
         self.exchanges += 1
+        self._on_interim = on_interim
+        self._on_chunk = on_chunk
         self._waiting = asyncio.get_running_loop().create_future()
         self._transport.write(request)
         try:
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -60,12 +60,14 @@
 
 @attrs.frozen
 class Answer:
-    """What the caller gets; ``reset`` ends the connection instead of answering."""
+    """What the caller gets."""
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...] = ()
     body: bytes = b""
     close: bool = False
+    chunks: abc.AsyncIterator[bytes] | None = None
+    """The body in pieces, each sent when it is there; ``body`` is not used then."""
 
 
 Handler = abc.Callable[[Request], abc.Awaitable[Answer]]
@@ -75,8 +77,18 @@
     """The connections of one listening address and what they share."""
 
     def __init__(
-        self, handler: Handler, limits: abc.Callable[[], Limits], max_connections: int
+        self,
+        handler: Handler,
+        limits: abc.Callable[[], Limits],
+        max_connections: int,
+        interim: bytes = b"",
     ) -> None:
+        """
+        Make a server.
+
+        :param interim: what is written at once when a request was read, before its answer
+        """
+        self.interim = interim
         self.handler = handler
         self.limits = limits
         self.max_connections = max_connections
@@ -242,6 +254,8 @@
         )
         if not self._parser.should_keep_alive():
             self._last = True
+        if self._server.interim:
+            self._transport.write(self._server.interim)
         self._begin_message()
         self._queue.append(request)
         if self._work is None:
@@ -257,7 +271,7 @@
                 request = self._queue.popleft()
                 answer = await self._handled(request)
                 close = answer.close or self._server.leaving or (self._last and not self._queue)
-                self._write(request, answer, close)
+                await self._write(request, answer, close)
                 if close:
                     self._linger()
                     return
@@ -278,9 +292,14 @@
             decisions.log("caller.failed", reason=f"{type(error).__name__}: {error}"[:300])
             return Answer(500, close=True)
 
-    def _write(self, request: Request, answer: Answer, close: bool) -> None:
+    async def _write(self, request: Request, answer: Answer, close: bool) -> None:
         idle_s = int(self._server.limits().idle_timeout_s)
         self._transport.write(_answer_bytes(request.method, answer, close, idle_s))
+        if answer.chunks is None:
+            return
+        async for chunk in answer.chunks:
+            self._transport.write(b"%x\r\n%s\r\n" % (len(chunk), chunk))
+        self._transport.write(b"0\r\n\r\n")
 
     def _refuse(self, status: int, reason: str) -> None:
         """Answer what can't be read as a request, and close once the caller had time to read it."""
@@ -352,14 +371,16 @@
         phrase = b"Unknown"
     lines = [b"HTTP/1.1 %d %s\r\n" % (answer.status, phrase)]
     lines += [name + b": " + value + b"\r\n" for name, value in answer.headers]
-    if answer.status not in _BODILESS:
+    if answer.chunks is not None:
+        lines.append(b"transfer-encoding: chunked\r\n")
+    elif answer.status not in _BODILESS:
         lines.append(b"content-length: %d\r\n" % len(answer.body))
     if close:
         lines.append(b"connection: close\r\n")
     elif idle_s:
         lines.append(b"keep-alive: timeout=%d\r\n" % idle_s)
     lines.append(b"\r\n")
-    if method != b"HEAD" and answer.status not in _BODILESS:
+    if method != b"HEAD" and answer.status not in _BODILESS and answer.chunks is None:
         lines.append(answer.body)
     return b"".join(lines)
 
--- a/src/turmericlug/platform/decode.py
+++ b/src/turmericlug/platform/decode.py
@@ -104,7 +104,9 @@
 
 
 def _instance(name: str, item: Plain) -> news.EntryInstance:
-    return news.EntryInstance(name, item["address"], item["data_centre"], item["region"])
+    return news.EntryInstance(
+        name, item["address"], item["data_centre"], item["region"], item["peers_address"]
+    )
 
 
 def instance_value(instance: news.EntryInstance) -> bytes:
@@ -113,5 +115,6 @@
         "address": instance.address,
         "data_centre": instance.data_centre,
         "region": instance.region,
+        "peers_address": instance.peers_address,
     }
     return json.dumps(plain).encode()
--- /dev/null
+++ b/tests/direct/test_handover.py
@@ -0,0 +1,309 @@
+"""Batches handed to other instances: planned, answered, lost."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+import scripted
+
+from turmericlug.direct import answering
+from turmericlug.direct import budget
+from turmericlug.direct import handover
+from turmericlug.direct import handover_codec
+from turmericlug.direct import pool as pool_module
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import routes
+from turmericlug.entry import helping
+from turmericlug.http1 import client
+from turmericlug.http1 import server
+
+REGIONS = {"near": "here", "far": "there", "further": "elsewhere"}
+BATCH = handover_codec.Batch(
+    request_id=b"q1",
+    method=b"GET",
+    target=b"/a?b",
+    headers=[(b"host", b"h")],
+    body=b"x",
+    route="r",
+    goal_ms=100.0,
+    priority=1,
+    max_attempts=2,
+    top_records=3,
+    shards=("x", "y"),
+    answer_in_ms=50.0,
+    time_left_ms=500.0,
+)
+ANSWER = handover_codec.Answer(
+    records=b"r" * 16,
+    signatures={"x": b"sig"},
+    failures={"y": handover_codec.Failure("shed", False)},
+    spent_ms=12.0,
+    first=False,
+)
+
+
+def part(number):
+    return scripted.response(body=number.to_bytes(16, "big"), signed=b"sig%d" % number)
+
+
+def test_messages_survive_the_wire():
+    assert handover_codec.decode_batch(handover_codec.encode_batch(BATCH)) == BATCH
+    content = handover_codec.encode_answer(ANSWER, BATCH.shards)
+    assert handover_codec.decode_answer(content, BATCH.shards) == ANSWER
+
+
+@pytest.mark.parametrize("content", [b"\x00", b"garbage" * 9, b"\xff" * 300])
+def test_damaged_messages_are_told(content):
+    with pytest.raises(handover_codec.MessageError):
+        handover_codec.decode_batch(content)
+
+
+def test_an_answer_with_unknown_shards_is_refused():
+    content = handover_codec.encode_answer(ANSWER, BATCH.shards)
+    with pytest.raises(handover_codec.MessageError):
+        handover_codec.decode_answer(content, ("x",))
+
+
+@contextlib.asynccontextmanager
+async def peer(handler, interim=b"HTTP/1.1 102 Processing\r\n\r\n"):
+    """Run another instance of the region ``there``; yields the handover towards it."""
+    entrance = server.Server(handler, server.Limits, 10, interim=interim)
+    listener = await server.listen(entrance, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    loop = asyncio.get_running_loop()
+
+    def make_pool(entry):
+        return pool_module.Pool(
+            lambda: client.connect(entry.host, entry.port), lambda: 3, loop.time
+        )
+
+    peers = replicas_module.Replicas(make_pool, REGIONS, "here", budget.Allowance())
+    peers.put(routes.ReplicaEntry("e-2", "there", host, port, "far", 1, False, 0))
+    try:
+        yield handover.Handover(peers, REGIONS, "here", "e-1")
+    finally:
+        listener.close()
+        entrance.close()
+
+
+def make_sender(scripts):
+    """Make a sender whose replicas are in the data centres that their names begin with."""
+    sender = scripted.make_sender(scripts)
+    fresh = replicas_module.Replicas(
+        sender.replicas._make_pool, REGIONS, "here", budget.Allowance(0.2, 100.0, 10.0)
+    )
+    for service, replicas in scripts.items():
+        for name in replicas:
+            fresh.put(scripted.entry(name, service, data_centre=name.partition("-")[0]))
+    sender.replicas = fresh
+    return sender
+
+
+FAR = {"x": ["far-1"], "y": ["far-2", "further-2"], "z": ["near-3", "far-3"]}
+
+
+def scripts(number_of=None):
+    return {
+        service: {name: scripted.Scripted(part(ord(service))) for name in names}
+        for service, names in FAR.items()
+    }
+
+
+def query_call(**changes):
+    values = {"shards": ("x", "y", "z"), "top_records": 2, "min_coverage": 0.3, "services": ()}
+    return scripted.make_call(**(values | changes))
+
+
+def ask(handler, min_coverage=1.0, **options):
+    """Answer a query at an instance that has a peer; returns the ending and the near replicas."""
+
+    async def main():
+        replicas = scripts()
+        sender = make_sender(replicas)
+        async with peer(handler, **options) as sender.handover:
+            call = query_call(min_coverage=min_coverage)
+            ending = await answering.all_shards(sender, call)
+            await sender.tasks.close()
+        sent = {
+            name: len(script.requests)
+            for each in replicas.values()
+            for name, script in each.items()
+        }
+        return ending, sent, sender.counters.totals
+
+    return asyncio.run(main())
+
+
+def helper(replicas):
+    """Return the handler of another instance with its own way to the replicas."""
+    holder = {}
+
+    async def handle(request):
+        if "handler" not in holder:
+            holder["handler"] = helping.handler(make_sender(replicas))
+        return await holder["handler"](request)
+
+    return handle
+
+
+def test_far_parts_come_back_merged():
+    """The caller's answer is the same as with direct sends; no far replica was asked from here."""
+    elsewhere = scripts()
+    ending, sent, _ = ask(helper(elsewhere))
+    assert ending.outcome == "answered"
+    assert dict(ending.answer.headers)[b"parts"] == b"sig120, sig121, sig122"
+    assert ending.answer.body == b"".join(n.to_bytes(16, "big") for n in (122, 121))
+    assert sent == {"far-1": 0, "far-2": 0, "further-2": 0, "near-3": 1, "far-3": 0}
+    assert len(elsewhere["x"]["far-1"].requests) == 1
+
+
+def test_a_straggler_comes_by_itself_when_the_query_needs_it():
+    """
+    One shard of a batch is slow. The batch comes back without it when asked for; the query lacks
+    too many shards and waits. Sent directly as well, the part would run on a third replica.
+    """
+    elsewhere = scripts()
+    elsewhere["x"]["far-1"].script = [0.25, part(120)]
+
+    async def main():
+        sender = make_sender(scripts())
+        async with peer(helper(elsewhere)) as sender.handover:
+            call = query_call(min_coverage=1.0)
+            ending = await answering.all_shards(sender, call)
+            await sender.tasks.close()
+        return ending, sender.counters.totals
+
+    ending, totals = asyncio.run(main())
+    assert ending.outcome == "answered"
+    assert totals["handover.lost"] == 0
+
+
+async def silent(request):
+    await asyncio.sleep(30)
+
+
+async def failing(request):
+    return server.Answer(500)
+
+
+async def garbage(request):
+    return server.Answer(200, body=b"garbage")
+
+
+async def incomplete(request):
+    async def chunks():
+        yield handover_codec.encode_answer(
+            handover_codec.Answer(bytes(16), {"y": b"sigy"}, {}, 1.0), ("x", "y")
+        )
+
+    return server.Answer(200, chunks=chunks())
+
+
+@pytest.mark.parametrize(
+    ("handler", "interim"),
+    [
+        (silent, b""),
+        (failing, b"HTTP/1.1 102 Processing\r\n\r\n"),
+        (garbage, b"HTTP/1.1 102 Processing\r\n\r\n"),
+        (silent, b"HTTP/1.1 102 Processing\r\n\r\n"),
+        (incomplete, b"HTTP/1.1 102 Processing\r\n\r\n"),
+    ],
+    ids=["dead", "failing", "garbage", "stuck", "incomplete"],
+)
+def test_a_lost_batch_is_made_up_for_directly(handler, interim):
+    """
+    The other instance is dead, fails or stalls while it holds a batch. Its parts are sent directly,
+    so that no caller's answer hangs on one instance.
+    """
+    ending, sent, totals = ask(handler, interim=interim)
+    assert ending.answer.status == 200
+    assert totals["handover.lost"] == 1
+    assert sent["far-1"] == 1
+
+
+def test_an_instance_that_lost_batches_gets_no_more_for_a_while():
+    async def main():
+        sender = make_sender(scripts())
+        async with peer(failing) as sender.handover:
+            for _ in range(4):
+                await answering.all_shards(sender, query_call())
+            await sender.tasks.close()
+        return sender.counters.totals
+
+    assert asyncio.run(main())["handover.sent"] == 2
+
+
+@pytest.mark.parametrize(
+    ("names", "batches"),
+    [
+        (FAR, [("x", "y")]),
+        ({"x": ["near-1", "far-1"], "y": ["near-2"], "z": ["near-3"]}, []),
+        ({"x": ["far-1"], "y": ["near-2"], "z": ["near-3"]}, []),
+        ({"x": ["further-1"], "y": ["further-2"], "z": ["further-3"]}, []),
+        ({"x": [], "y": ["far-2"], "z": ["far-3"]}, [("y", "z")]),
+    ],
+    ids=["far ones", "all near", "one alone", "nobody there", "no replica"],
+)
+def test_plan(names, batches):
+    async def main():
+        sender = make_sender(
+            {service: {name: scripted.Scripted(part(1)) for name in each}
+             for service, each in names.items()}
+        )  # fmt: skip
+        async with peer(silent) as handing:
+            now_s = asyncio.get_running_loop().time()
+            found = handing.plan(sender, query_call(), now_s)
+            assert [handed.shards for handed in found] == batches
+
+    asyncio.run(main())
+
+
+def test_a_caller_that_leaves_stops_the_helping_instance():
+    """
+    The caller leaves while another instance works on its batch. The connection between them closes,
+    and that instance closes its connections to the replicas.
+    """
+    elsewhere = scripts()
+    elsewhere["x"]["far-1"].script = [30.0]
+
+    async def main():
+        sender = make_sender(scripts())
+        async with peer(helper(elsewhere)) as sender.handover:
+            call = query_call(min_coverage=1.0)
+            task = asyncio.create_task(answering.all_shards(sender, call))
+            while not elsewhere["x"]["far-1"].requests:
+                await asyncio.sleep(0.005)
+            task.cancel()
+            call.abandon()
+            await asyncio.gather(task, return_exceptions=True)
+            async with asyncio.timeout(10):
+                while not elsewhere["x"]["far-1"].cancelled:
+                    await asyncio.sleep(0.005)
+
+    asyncio.run(main())
+
+
+def test_connections_are_opened_ahead():
+    async def main():
+        async with peer(silent) as handing:
+            await handing.warm()
+            (usual,) = handing.usual_peers("there")
+            assert usual.pool.open_count == 1
+
+    asyncio.run(main())
+
+
+def test_the_usual_peers_are_a_fixed_few():
+    peers = replicas_module.Replicas(lambda entry: None, REGIONS, "here", budget.Allowance())
+    for number in range(30):
+        peers.put(routes.ReplicaEntry(f"e-{number}", "there", "h", 1, "far", 1, False, 0))
+    drawn = {
+        tuple(each.entry.instance for each in handover.Handover(
+            peers, REGIONS, "here", f"own-{own}"
+        ).usual_peers("there"))
+        for own in range(20)
+    }  # fmt: skip
+    assert all(len(each) == handover.PEERS_PER_REGION for each in drawn)
+    assert len({name for each in drawn for name in each}) > 20
