--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -11,14 +11,13 @@
 
 import asyncio
 import collections
-import heapq
-import zlib
 from collections import abc
 
 import attrs
 
 from turmericlug.direct import handover_codec
 from turmericlug.direct import obtaining
+from turmericlug.direct import placement
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.direct import sending
@@ -26,7 +25,7 @@
 from turmericlug.telemetry import decisions
 
 PATH = b"/parts"
-PEERS_PER_REGION = 4
+PEERS_PER_DATA_CENTRE = 4
 """Enough that one that is lost or slow leaves others; few enough to keep a connection to each."""
 LEAST_SHARDS = 2
 """One part alone costs less bytes on its own than in a batch."""
@@ -72,99 +71,150 @@
 class Handover:
     """Hands batches to the other instances and learns how they do."""
 
-    def __init__(
-        self,
-        peers: replicas_module.Replicas,
-        regions: abc.Mapping[str, str],
-        region: str,
-        own_name: str = "",
-    ) -> None:
-        self._own_name = own_name
+    def __init__(self, peers: replicas_module.Replicas, place: placement.Place) -> None:
         self._peers = peers
-        self._regions = regions
-        self._region = region
+        self._place = place
         self._round_trips_ms: dict[str, float] = {}
+        self._owners: dict[str, list[list[str]]] = {}
+
+    def round_trip_ms(self, data_centre: str) -> float:
+        """Return the recent round trip to the instances of a data centre."""
+        return self._round_trips_ms.get(data_centre, ROUND_TRIP_GUESS_MS)
+
+    def forget_owners(self) -> None:
+        """Work out anew who owns what: instances have come or gone."""
+        self._owners.clear()
+
+    def _names(self, data_centre: str) -> list[str]:
+        names = [each.entry.instance for each in self._peers.of(data_centre)]
+        return [*names, self._place.name] if data_centre == self._place.data_centre else names
+
+    def owners(self, data_centre: str, shard: str) -> list[str]:
+        """Return the instances that send to a shard's replicas in a data centre."""
+        if data_centre not in self._owners:
+            self._owners[data_centre] = placement.owners_by_group(self._names(data_centre))
+        groups = self._owners[data_centre]
+        return groups[placement.group_of(shard, len(groups))]
 
-    def round_trip_ms(self, region: str) -> float:
-        """Return the recent round trip to the instances of a region."""
-        return self._round_trips_ms.get(region, ROUND_TRIP_GUESS_MS)
+    def sends_from_here(self, sender: obtaining.Sender, shard: str) -> bool:
+        """Whether this instance is to send to a shard's replicas in its own data centre."""
+        if placement.everyone_sends(sender.instances()):
+            return True
+        return self._place.name in self.owners(self._place.data_centre, shard)
 
     def plan(self, sender: obtaining.Sender, call: sending.Call, now_s: float) -> list[Handed]:
-        """Group the shards whose best replica is far by regions that can take them."""
-        wanted: dict[str, set[str]] = {}
+        """Group the shards that others should send to by the instance that is to do it."""
+        by_place = self._places(sender, call, now_s)
+        shared = not placement.everyone_sends(sender.instances())
+        batches: list[Handed] = []
+        for data_centre, shards in by_place.items():
+            if shared:
+                batches += self._to_owners(data_centre, shards, call.route, now_s)
+            elif data_centre != self._place.data_centre and len(shards) >= LEAST_SHARDS:
+                names = placement.usual(
+                    self._place.name, self._names(data_centre), PEERS_PER_DATA_CENTRE
+                )
+                peer = self._peer(data_centre, names, call.route, now_s)
+                if peer is not None:
+                    batches.append(Handed(peer, tuple(shards)))
+        return batches
+
+    def _places(
+        self, sender: obtaining.Sender, call: sending.Call, now_s: float
+    ) -> dict[str, list[str]]:
+        """
+        Choose the data centre in which each shard is asked.
+
+        That of its best replica; of those that are equally far, as few as possible, since a batch
+        costs about as much as a part by itself.
+        """
+        places: dict[str, list[str]] = {}
+        open_choice: dict[str, set[str]] = {}
         for shard in call.route.shards:
             best = sender.replicas.choose(shard, call.route, (), now_s)
-            if best is None or self._region_of(best) == self._region:
+            if best is None:
                 continue
-            wanted[shard] = {
-                self._region_of(each)
+            distance = self._place.distance(best.entry.data_centre)
+            if distance == placement.HERE:
+                places.setdefault(best.entry.data_centre, []).append(shard)
+                continue
+            open_choice[shard] = {best.entry.data_centre} | {
+                each.entry.data_centre
                 for each in sender.replicas.of(shard)
-                if not each.leaving and not each.set_aside(now_s) and not each.overdue(now_s)
+                if self._place.distance(each.entry.data_centre) == distance
+                and not (each.leaving or each.set_aside(now_s) or each.overdue(now_s))
             }
-        batches = []
-        excluded = {self._region}
-        while wanted:
+        while open_choice:
             counts = collections.Counter(
-                region for regions in wanted.values() for region in regions - excluded
+                each for data_centres in open_choice.values() for each in data_centres
             )
-            if not counts:
-                break
-            region = min(counts, key=lambda each: (-counts[each], self.round_trip_ms(each), each))
-            excluded.add(region)
-            peer = self._peer(region, call.route, now_s)
-            if counts[region] < LEAST_SHARDS or peer is None:
-                continue
-            shards = tuple(shard for shard, regions in wanted.items() if region in regions)
-            batches.append(Handed(peer, shards))
+            chosen = min(counts, key=lambda each: (-counts[each], self.round_trip_ms(each), each))
+            shards = [shard for shard, each in open_choice.items() if chosen in each]
+            places[chosen] = shards
             for shard in shards:
-                del wanted[shard]
+                del open_choice[shard]
+        return places
+
+    def _to_owners(
+        self, data_centre: str, shards: list[str], route: routes.Route, now_s: float
+    ) -> list[Handed]:
+        by_owners: dict[tuple[str, ...], list[str]] = {}
+        for shard in shards:
+            owners = self.owners(data_centre, shard)
+            if self._place.name not in owners:
+                by_owners.setdefault(tuple(owners), []).append(shard)
+        batches = []
+        for owners, owned in by_owners.items():
+            peer = self._peer(data_centre, owners, route, now_s)
+            if peer is not None:
+                batches.append(Handed(peer, tuple(owned)))
         return batches
 
-    def _region_of(self, replica: replicas_module.Replica) -> str:
-        return self._regions.get(replica.entry.data_centre, replica.entry.data_centre)
-
     def _peer(
-        self, region: str, route: routes.Route, now_s: float
+        self, data_centre: str, names: abc.Collection[str], route: routes.Route, now_s: float
     ) -> replicas_module.Replica | None:
-        usual = self.usual_peers(region)
-        others = [each for each in self._peers.of(region) if each not in usual]
-        peer = self._peers.choose(region, route, others, now_s)
+        others = [each for each in self._peers.of(data_centre) if each.entry.instance not in names]
+        peer = self._peers.choose(data_centre, route, others, now_s)
         if peer is None or peer.set_aside(now_s) or peer.overdue(now_s):
             return None
         return peer
 
-    def usual_peers(self, region: str) -> list[replicas_module.Replica]:
+    def usual_peers(self, shared: bool) -> list[replicas_module.Replica]:
         """
-        Return the instances of a region that this one hands batches to.
+        Return the instances that this one hands batches to.
 
-        A fixed few, drawn by hash: connections stay warm, and their number does not grow with the
-        fleet.
+        A fixed few of each data centre, so that connections stay warm and their number does not
+        grow with the fleet.
         """
-        return heapq.nsmallest(
-            PEERS_PER_REGION, self._peers.of(region), key=lambda each: self._rank(each)
-        )
-
-    def _rank(self, peer: replicas_module.Replica) -> int:
-        return zlib.crc32(f"{self._own_name}/{peer.entry.instance}".encode())
+        found = []
+        for data_centre in {each.entry.data_centre for each in self._peers.all()}:
+            names = self._names(data_centre)
+            if shared:
+                usual = {name for owners in placement.owners_by_group(names) for name in owners}
+            elif data_centre == self._place.data_centre:
+                continue
+            else:
+                usual = set(placement.usual(self._place.name, names, PEERS_PER_DATA_CENTRE))
+            found += [each for each in self._peers.of(data_centre) if each.entry.instance in usual]
+        return found
 
-    async def warm(self) -> None:
+    async def warm(self, shared: bool) -> None:
         """
         Open connections to the usual instances ahead of need.
 
         The first batch on a new connection is a round trip late, which misses a goal of 135 ms.
+
+        :param shared: whether instances are so many that each shard has owners
         """
         now_s = asyncio.get_running_loop().time()
-        for region in {self._region_of(each) for each in self._peers.all()} - {self._region}:
-            for peer in self.usual_peers(region):
-                if peer.set_aside(now_s) or peer.pool.open_count:
-                    continue
-                try:
-                    await peer.pool.warm()
-                except client.ConnectError as error:
-                    peer.failed(now_s)
-                    decisions.log(
-                        "handover.not_connected", peer=peer.entry.instance, reason=str(error)
-                    )
+        for peer in self.usual_peers(shared):
+            if peer.set_aside(now_s) or peer.pool.open_count:
+                continue
+            try:
+                await peer.pool.warm()
+            except client.ConnectError as error:
+                peer.failed(now_s)
+                decisions.log("handover.not_connected", peer=peer.entry.instance, reason=str(error))
 
     def start(
         self, sender: obtaining.Sender, call: sending.Call, handed: Handed, answer_at_s: float
@@ -182,7 +232,7 @@
         self, sender: obtaining.Sender, call: sending.Call, handed: Handed, answer_at_s: float
     ) -> None:
         loop = asyncio.get_running_loop()
-        send = replicas_module.Send(loop.time(), self._alive_after_s(handed.peer.entry.service))
+        send = replicas_module.Send(loop.time(), self._alive_after_s(handed.peer.entry.data_centre))
         handed.peer.sends.add(send)
         try:
             await self._sent(sender, call, handed, answer_at_s, send)
@@ -205,12 +255,14 @@
         send: replicas_module.Send,
     ) -> None:
         loop = asyncio.get_running_loop()
-        region = handed.peer.entry.service
-        async with asyncio.timeout(self._alive_after_s(region)) as limit:
+        data_centre = handed.peer.entry.data_centre
+        async with asyncio.timeout(self._alive_after_s(data_centre)) as limit:
             async with handed.peer.pool.connection(call.route.priority) as connection:
                 send.began_s = now_s = loop.time()
-                batch = _batch(call, handed.shards, now_s, answer_at_s, self.round_trip_ms(region))
-                first_by_s = now_s + batch.answer_in_ms / 1000 + self._alive_after_s(region)
+                batch = _batch(
+                    call, handed.shards, now_s, answer_at_s, self.round_trip_ms(data_centre)
+                )
+                first_by_s = now_s + batch.answer_in_ms / 1000 + self._alive_after_s(data_centre)
 
                 def alive() -> None:
                     # From now on it is late only when it does not come back as asked.
@@ -221,14 +273,14 @@
                     answer = handover_codec.decode_answer(chunk, handed.shards)
                     if answer.first:
                         duration_ms = (loop.time() - now_s) * 1000
-                        self._learn(region, duration_ms - answer.spent_ms)
+                        self._learn(data_centre, duration_ms - answer.spent_ms)
                         sender.counters.time_ms("handover.total_ms", duration_ms)
                         # The rest are stragglers, which the peer waits for as long as the caller.
                         limit.reschedule(call.deadline_s)
                         send.overdue_after_s = call.deadline_s - send.began_s
                     handed.take(answer)
 
-                limit.reschedule(now_s + self._alive_after_s(region))
+                limit.reschedule(now_s + self._alive_after_s(data_centre))
                 content = handover_codec.encode_batch(batch)
                 request = client.request_bytes(b"POST", PATH, [(b"host", b"instance")], content)
                 response = await connection.exchange(request, alive, came_back)
@@ -237,12 +289,12 @@
         if not all(outcome.done() for outcome in handed.outcomes.values()):
             raise handover_codec.MessageError("ended before every shard was told of")
 
-    def _alive_after_s(self, region: str) -> float:
-        return (ALIVE_FACTOR * self.round_trip_ms(region) + ALIVE_SLACK_MS) / 1000
+    def _alive_after_s(self, data_centre: str) -> float:
+        return (ALIVE_FACTOR * self.round_trip_ms(data_centre) + ALIVE_SLACK_MS) / 1000
 
-    def _learn(self, region: str, round_trip_ms: float) -> None:
-        known_ms = self.round_trip_ms(region)
-        self._round_trips_ms[region] = known_ms + ROUND_TRIP_GAIN * (
+    def _learn(self, data_centre: str, round_trip_ms: float) -> None:
+        known_ms = self.round_trip_ms(data_centre)
+        self._round_trips_ms[data_centre] = known_ms + ROUND_TRIP_GAIN * (
             max(round_trip_ms, 0.0) - known_ms
         )
 
--- /dev/null
+++ b/src/turmericlug/direct/placement.py
@@ -0,0 +1,93 @@
+"""
+Who sends to a replica: pure functions of the instances and the shards.
+
+The load pattern: 74 instances with a third of a query a second each, over 90 to 135 shards. Sending
+everything from everywhere opened a new connection for every third send, found replicas out of
+connections, and cost a half-core instance 80 ms of processor time a query. So where instances are
+many, a shard's replicas in one data centre are sent to by two instances of it; their connections
+stay warm, and a query's work is spread over several instances.
+"""
+
+from __future__ import annotations
+
+import collections
+import functools
+import heapq
+import zlib
+from collections import abc
+
+import attrs
+
+HERE, SAME_REGION, ELSEWHERE = 0, 1, 2
+SENDERS = 12
+"""Instances that may send to one replica: with at least 26 connections each has two of its own."""
+OWNERS = 2
+"""One that is lost or slow leaves the other."""
+LEAST_GROUPS = 4
+"""A query of 135 shards becomes batches of some 30 parts, 20 ms of a half-core instance."""
+GROUPS_STEP = 4
+MOST_INSTANCES_PER_GROUP = 6
+"""The number of groups rises in steps: if it followed the instances, each that comes or goes would
+move every shard to other owners, whose connections are cold."""
+
+
+@attrs.frozen
+class Place:
+    """Where this instance is."""
+
+    name: str
+    data_centre: str
+    regions: abc.Mapping[str, str]
+    """Region of each data centre."""
+
+    def distance(self, data_centre: str) -> int:
+        """Return ``HERE``, ``SAME_REGION`` or ``ELSEWHERE``."""
+        if data_centre == self.data_centre:
+            return HERE
+        own = self.regions.get(self.data_centre)
+        return SAME_REGION if self.regions.get(data_centre) == own else ELSEWHERE
+
+
+def everyone_sends(instances: int) -> bool:
+    """Whether instances are so few that each may send to every replica."""
+    return instances <= SENDERS
+
+
+def groups_count(instances: int) -> int:
+    """Return into how many groups the shards are divided in a data centre of so many instances."""
+    groups = LEAST_GROUPS
+    while instances > MOST_INSTANCES_PER_GROUP * groups:
+        groups *= GROUPS_STEP
+    return groups
+
+
+def group_of(shard: str, groups: int) -> int:
+    """Return the group that a shard belongs to."""
+    return zlib.crc32(shard.encode()) % groups
+
+
+def owners_by_group(names: abc.Collection[str]) -> list[list[str]]:
+    """
+    Return the owners of each group among the instances of a data centre.
+
+    By rendezvous hashing, so that a lost instance moves few groups; an instance owns a further
+    group only when there are not enough others.
+    """
+    groups = groups_count(len(names))
+    found: list[list[str]] = []
+    owned: collections.Counter[str] = collections.Counter()
+    for group in range(groups):
+        ranked = sorted(names, key=functools.partial(_rank, group))
+        owners = sorted(ranked, key=owned.__getitem__)[:OWNERS]
+        owned.update(owners)
+        found.append(owners)
+    return found
+
+
+def usual(own_name: str, names: abc.Collection[str], count: int) -> list[str]:
+    """Return a fixed few of some instances, others for each instance that asks."""
+    return heapq.nsmallest(count, names, key=lambda name: _rank(own_name, name))
+
+
+def _rank(salt: object, name: str) -> int:
+    return zlib.crc32(f"{salt}/{name}".encode())
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -9,6 +9,7 @@
 import attrs
 
 from turmericlug.direct import budget
+from turmericlug.direct import placement
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import routes
 from turmericlug.direct import timing
@@ -21,9 +22,9 @@
 LOAD_FACTOR = 0.3
 """Slow-down that each send under way to a replica adds to the next one, as a share of its usual
 time: with two slots and other instances' sends a third of it is felt on average."""
-FAR_FACTOR = 1.25
-"""A replica of another region is taken only where it is clearly faster: bytes between regions are
-what the platform charges most for."""
+DISTANCE_FACTORS = (1.0, 1.1, 1.25)
+"""A replica of another data centre or region is taken only where it is clearly faster: bytes
+between them are what the platform charges most for."""
 PACE_HALF_LIFE_S = 3.0
 """A replica rated slow is hardly tried; its rating fades so that it is tried again."""
 OVERDUE_FACTOR = 6.0
@@ -151,13 +152,11 @@
     def __init__(
         self,
         make_pool: MakePool,
-        data_centre_region: abc.Mapping[str, str],
-        region: str,
+        place: placement.Place,
         allowance: budget.Allowance,
     ) -> None:
         self._make_pool = make_pool
-        self._regions = data_centre_region
-        self._region = region
+        self._place = place
         self._allowance = allowance
         self._by_service: dict[str, dict[str, Replica]] = collections.defaultdict(dict)
         self._by_instance: dict[str, Replica] = {}
@@ -199,7 +198,7 @@
         if instance in self._by_instance:
             self._by_instance[instance].leaving = True
 
-    async def warm(self, now_s: float) -> None:
+    async def warm(self, now_s: float, wanted: abc.Callable[[str], bool]) -> None:
         """
         Open a first connection to replicas that have none.
 
@@ -207,6 +206,8 @@
         and a handshake, which between regions is 46 ms of a goal of 124 ms: a fifth of the urgent
         queries of a calm day lacked a part for it. Far replicas are left cold where instances are
         so many that each may keep one connection only.
+
+        :param wanted: whether this instance is to send to a service's replicas
         """
         cold = [
             each
@@ -214,6 +215,7 @@
             if each.pool.open_count == 0
             and not each.leaving
             and not each.set_aside(now_s)
+            and wanted(each.entry.service)
             and (self.is_near(each.entry.data_centre) or each.pool.limit() > 1)
         ]
         await asyncio.gather(*(self._warm(each, now_s) for each in cold[:WARM_AT_ONCE]))
@@ -253,7 +255,7 @@
 
     def is_near(self, data_centre: str) -> bool:
         """Whether a data centre is in this instance's region."""
-        return self._regions.get(data_centre) == self._region
+        return self._place.distance(data_centre) < placement.ELSEWHERE
 
     def extra_sends(self, service: str) -> budget.ExtraSends:
         """Return the budget of a service."""
@@ -289,8 +291,7 @@
         usual_ms = self.times(route.name, replica.entry.data_centre).usual_ms
         load = 1 + LOAD_FACTOR * (len(replica.sends) + replica.pool.waiting)
         expected_ms = usual_ms * replica.current_pace(now_s) * load
-        if not self.is_near(replica.entry.data_centre):
-            expected_ms *= FAR_FACTOR
+        expected_ms *= DISTANCE_FACTORS[self._place.distance(replica.entry.data_centre)]
         expected_ms *= 1 + TROUBLE_FACTOR * replica.trouble
         if replica.overdue(now_s):
             expected_ms *= OVERDUE_FACTOR
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -18,6 +18,7 @@
 from turmericlug.direct import dialect as dialect_module
 from turmericlug.direct import handover
 from turmericlug.direct import obtaining
+from turmericlug.direct import placement
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
@@ -139,7 +140,8 @@
         configuration = view.configuration
         service = configuration.services.get(entry.service) if configuration else None
         most = service.max_connections if service else entry.slots
-        return pool_module.connections_limit(most, view.instances_count())
+        senders = min(view.instances_count(), placement.SENDERS)
+        return pool_module.connections_limit(most, senders)
 
     def unasked(entry: routes.ReplicaEntry) -> None:
         counters.add("direct.unasked_bytes")
@@ -162,12 +164,9 @@
 
     policy = settings.policy
     allowance = budget.Allowance(policy.extra_ratio, policy.extra_slack, policy.extra_window_s)
-    replicas = replicas_module.Replicas(
-        make_pool, settings.entry.data_centres, settings.entry.region, allowance
-    )
-    peers = replicas_module.Replicas(
-        make_peer_pool, settings.entry.data_centres, settings.entry.region, allowance
-    )
+    place = _place(settings)
+    replicas = replicas_module.Replicas(make_pool, place, allowance)
+    peers = replicas_module.Replicas(make_peer_pool, place, allowance)
     view = view_module.View(settings.entry.name, replicas, peers, loop.time)
     async with tasks.background(_keep_house(view), _log_totals(counters)):
         yield view
@@ -210,13 +209,9 @@
         kernel.find("counters"),
         sends,
         view.instances_count,
-        handover.Handover(
-            view.peers,
-            settings.entry.data_centres,
-            settings.entry.region,
-            settings.entry.name,
-        ),
+        handover.Handover(view.peers, _place(settings)),
     )
+    view.on_instances = sender.handover.forget_owners
     kernel.provide("sender", sender)
     callers = callers_module.Callers(view, sender, view.source_age_s)
     kernel.provide("handler", callers)
@@ -224,20 +219,29 @@
     entrance = server.Server(callers.handle, lambda: _limits(view), max(most, 64))
     async with (
         _listening(entrance, settings.entry.callers_address),
-        tasks.background(_keep_warm(sender.handover, view.replicas)),
+        tasks.background(_keep_warm(sender)),
     ):
         yield entrance
     await sends.close()
 
 
-async def _keep_warm(handing: handover.Handover, replicas: replicas_module.Replicas) -> None:
+async def _keep_warm(sender: obtaining.Sender) -> None:
     loop = asyncio.get_running_loop()
+    handing = sender.handover
     while True:
-        await handing.warm()
-        await replicas.warm(loop.time())
+        await handing.warm(not placement.everyone_sends(sender.instances()))
+        await sender.replicas.warm(
+            loop.time(),
+            lambda service: handing.sends_from_here(sender, service),
+        )
         await asyncio.sleep(HOUSEKEEPING_S)
 
 
+def _place(settings: settings_module.Settings) -> placement.Place:
+    entry = settings.entry
+    return placement.Place(entry.name, entry.data_centre, entry.data_centres)
+
+
 def _limits(view: view_module.View) -> server.Limits:
     if view.configuration is None:
         return server.Limits()
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -38,9 +38,11 @@
         self.configuration: routes.Configuration | None = None
         self.replicas = replicas
         self.peers = peers
-        """The other instances, as replicas of the service of taking parts in their region."""
+        """The other instances, as replicas of a service that takes parts in their data centre."""
         self.instances: dict[str, news.EntryInstance] = {}
         self.own_entry_removed = False
+        self.on_instances: abc.Callable[[], None] = lambda: None
+        """Called when an instance has come or gone."""
         self._own_name = own_name
         self._now_s = now_s
         self._keys: dict[str, news.Written] = {}
@@ -138,6 +140,7 @@
                 self.instances[written.value.name] = written.value
                 if written.value.name != self._own_name:
                     self.peers.put(_as_replica(written.value))
+                    self.on_instances()
                 self._note_count()
 
     def _configure(self, configuration: routes.Configuration, revision: int) -> None:
@@ -193,6 +196,7 @@
             case news.EntryInstance():
                 self.instances.pop(written.value.name, None)
                 self.peers.remove(written.value.name)
+                self.on_instances()
                 decisions.log("view.instance_gone", name=written.value.name, revision=revision)
 
     def settle(self) -> None:
@@ -218,7 +222,7 @@
     host, _, port = instance.peers_address.rpartition(":")
     return routes.ReplicaEntry(
         instance=instance.name,
-        service=instance.region,
+        service=instance.data_centre,
         host=host,
         port=int(port or 0),
         data_centre=instance.data_centre,
--- a/tests/direct/test_handover.py
+++ b/tests/direct/test_handover.py
@@ -12,6 +12,7 @@
 from turmericlug.direct import budget
 from turmericlug.direct import handover
 from turmericlug.direct import handover_codec
+from turmericlug.direct import placement
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
@@ -20,6 +21,7 @@
 from turmericlug.http1 import server
 
 REGIONS = {"near": "here", "far": "there", "further": "elsewhere"}
+PLACE = placement.Place("e-1", "near", REGIONS)
 BATCH = handover_codec.Batch(
     request_id=b"q1",
     method=b"GET",
@@ -66,9 +68,13 @@
         handover_codec.decode_answer(content, ("x",))
 
 
+class NoPool:
+    waiting = 0
+
+
 @contextlib.asynccontextmanager
 async def peer(handler, interim=b"HTTP/1.1 102 Processing\r\n\r\n"):
-    """Run another instance of the region ``there``; yields the handover towards it."""
+    """Run another instance of the data centre ``far``; yields the handover towards it."""
     entrance = server.Server(handler, server.Limits, 10, interim=interim)
     listener = await server.listen(entrance, "127.0.0.1", 0)
     host, port = listener.sockets[0].getsockname()
@@ -79,10 +85,10 @@
             lambda: client.connect(entry.host, entry.port), lambda: 3, loop.time
         )
 
-    peers = replicas_module.Replicas(make_pool, REGIONS, "here", budget.Allowance())
-    peers.put(routes.ReplicaEntry("e-2", "there", host, port, "far", 1, False, 0))
+    peers = replicas_module.Replicas(make_pool, PLACE, budget.Allowance())
+    peers.put(routes.ReplicaEntry("e-2", "far", host, port, "far", 1, False, 0))
     try:
-        yield handover.Handover(peers, REGIONS, "here", "e-1")
+        yield handover.Handover(peers, PLACE)
     finally:
         listener.close()
         entrance.close()
@@ -92,7 +98,7 @@
     """Make a sender whose replicas are in the data centres that their names begin with."""
     sender = scripted.make_sender(scripts)
     fresh = replicas_module.Replicas(
-        sender.replicas._make_pool, REGIONS, "here", budget.Allowance(0.2, 100.0, 10.0)
+        sender.replicas._make_pool, PLACE, budget.Allowance(0.2, 100.0, 10.0)
     )
     for service, replicas in scripts.items():
         for name in replicas:
@@ -288,22 +294,46 @@
 def test_connections_are_opened_ahead():
     async def main():
         async with peer(silent) as handing:
-            await handing.warm()
-            (usual,) = handing.usual_peers("there")
+            await handing.warm(shared=False)
+            (usual,) = handing.usual_peers(shared=False)
             assert usual.pool.open_count == 1
 
     asyncio.run(main())
 
 
-def test_the_usual_peers_are_a_fixed_few():
-    peers = replicas_module.Replicas(lambda entry: None, REGIONS, "here", budget.Allowance())
-    for number in range(30):
-        peers.put(routes.ReplicaEntry(f"e-{number}", "there", "h", 1, "far", 1, False, 0))
-    drawn = {
-        tuple(each.entry.instance for each in handover.Handover(
-            peers, REGIONS, "here", f"own-{own}"
-        ).usual_peers("there"))
-        for own in range(20)
-    }  # fmt: skip
-    assert all(len(each) == handover.PEERS_PER_REGION for each in drawn)
-    assert len({name for each in drawn for name in each}) > 20
+@pytest.mark.parametrize(
+    ("instances", "shared", "least", "most"),
+    [(4, False, 4, 4), (30, False, 4, 4), (24, True, 8, 8), (3, True, 3, 3)],
+)
+def test_the_usual_peers_are_few(instances, shared, least, most):
+    peers = replicas_module.Replicas(lambda entry: None, PLACE, budget.Allowance())
+    for number in range(instances):
+        peers.put(routes.ReplicaEntry(f"e{number}", "far", "h", 1, "far", 1, False, 0))
+    usual = handover.Handover(peers, PLACE).usual_peers(shared)
+    assert least <= len(usual) <= most
+
+
+def test_where_instances_are_many_a_shard_is_sent_to_by_its_owners():
+    """
+    Seventy-four instances ask 135 shards. If each sends to each replica, replicas run out of
+    connections and each send opens a new one; so all of them hand a shard's part to the same two.
+    """
+    shards = [f"s{number}" for number in range(40)]
+
+    async def main():
+        scripts = {shard: {f"far-{shard}": scripted.Scripted(part(1))} for shard in shards}
+        sender = make_sender(scripts)
+        sender.instances = lambda: 74
+        peers = replicas_module.Replicas(lambda entry: NoPool(), PLACE, budget.Allowance())
+        for number in range(12):
+            peers.put(routes.ReplicaEntry(f"e{number}", "far", "h", 1, "far", 1, False, 0))
+        handing = handover.Handover(peers, PLACE)
+        call = query_call(shards=tuple(shards))
+        batches = handing.plan(sender, call, asyncio.get_running_loop().time())
+        assert sorted(shard for each in batches for shard in each.shards) == sorted(shards)
+        for each in batches:
+            for shard in each.shards:
+                assert each.peer.entry.instance in handing.owners("far", shard)
+        assert 2 <= len(batches) <= 4
+
+    asyncio.run(main())
--- a/tests/entry/test_directory.py
+++ b/tests/entry/test_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+import scripted
 
 from turmericlug.direct import budget
 from turmericlug.direct import replicas as replicas_module
@@ -12,7 +13,7 @@
 
 
 def make_directory(*instances):
-    replicas = replicas_module.Replicas(lambda entry: None, {}, "r", budget.Allowance())
+    replicas = replicas_module.Replicas(lambda entry: None, scripted.PLACE, budget.Allowance())
     view = view_module.View("own", replicas, replicas, lambda: 0.0)
     for name in instances:
         region, data_centre, _ = name.split("/")
--- a/tests/entry/test_follower.py
+++ b/tests/entry/test_follower.py
@@ -7,6 +7,7 @@
 import random
 
 import pytest
+import scripted
 
 from turmericlug.direct import budget
 from turmericlug.direct import replicas as replicas_module
@@ -63,7 +64,7 @@
 
 
 def make_view():
-    replicas = replicas_module.Replicas(lambda entry: None, {}, "r", budget.Allowance())
+    replicas = replicas_module.Replicas(lambda entry: None, scripted.PLACE, budget.Allowance())
     return view_module.View("own", replicas, replicas, lambda: 0.0)
 
 
--- a/tests/entry/test_view.py
+++ b/tests/entry/test_view.py
@@ -37,7 +37,7 @@
 def make_view():
     clock = Clock()
     replicas, peers = (
-        replicas_module.Replicas(lambda entry: NoPool(), {"dc": "r"}, "r", budget.Allowance())
+        replicas_module.Replicas(lambda entry: NoPool(), scripted.PLACE, budget.Allowance())
         for _ in range(2)
     )
     return view_module.View("own", replicas, peers, clock), clock
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -7,6 +7,7 @@
 from turmericlug.direct import budget
 from turmericlug.direct import dialect
 from turmericlug.direct import obtaining
+from turmericlug.direct import placement
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
@@ -27,6 +28,9 @@
 )
 
 
+PLACE = placement.Place("own", "dc", {"dc": "r"})
+
+
 def response(status=200, headers=(), body=b"", signed=b"sig"):
     pairs = [(b"request-id", b"q1"), *headers]
     if signed:
@@ -94,9 +98,7 @@
     def make_pool(item):
         return pool_module.Pool(by_instance[item.instance].connect, lambda: 3, loop.time)
 
-    known = replicas_module.Replicas(
-        make_pool, {"dc": "r"}, "r", budget.Allowance(0.2, slack, 10.0)
-    )
+    known = replicas_module.Replicas(make_pool, PLACE, budget.Allowance(0.2, slack, 10.0))
     for service, replicas in scripts.items():
         for instance in replicas:
             known.put(entry(instance, service))
