--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -155,10 +155,10 @@
         return
     (pending,) = effort.pending.values()
     other = sender.replicas.choose(effort.service, call.route, effort.tried, now_s)
-    budget = sender.replicas.extra_sends(effort.service)
-    if other is None or not budget.spend(now_s, sender.instances()):
+    denied = _hedge_denied(effort, other, now_s)
+    if denied:
         effort.hedge_denied = True
-        sender.counters.add("direct.hedge_denied." + ("no_replica" if other is None else "budget"))
+        sender.counters.add(f"direct.hedge_denied.{denied}")
         return
     call.hedges += 1
     sender.counters.add("direct.hedge.sent")
@@ -173,6 +173,21 @@
     _send_to(effort, other, now_s)
 
 
+def _hedge_denied(effort: _Effort, other: replicas_module.Replica | None, now_s: float) -> str:
+    """
+    Return why a late part is not sent a second time; empty when it may be.
+
+    Where the other replicas are late as well the cause is load, not a pause, and more sends make
+    all answers later.
+    """
+    if other is None:
+        return "no_replica"
+    if other.overdue(now_s):
+        return "all_late"
+    budget = effort.sender.replicas.extra_sends(effort.service)
+    return "" if budget.spend(now_s, effort.sender.instances()) else "budget"
+
+
 def _repeat(effort: _Effort, now_s: float) -> None:
     """Send once more after a failure, if that can't make the request run twice by our doing."""
     sender, call = effort.sender, effort.call
--- a/tests/direct/test_obtaining.py
+++ b/tests/direct/test_obtaining.py
@@ -8,6 +8,7 @@
 import scripted
 
 from turmericlug.direct import obtaining
+from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import sending
 from turmericlug.http1 import client
 
@@ -144,3 +145,24 @@
 
     asyncio.run(main())
     assert [script.cancelled for script in scripts.values()] == [1, 1]
+
+
+def test_no_hedge_where_every_replica_is_late():
+    """
+    After an outage all callers return at once, and every replica is late with many sends.
+    A second send of each part then doubles the queue that makes them late.
+    """
+
+    async def main():
+        scripts = two([0.3, GOOD], [0.3, GOOD])
+        sender = scripted.make_sender({"s": scripts})
+        loop = asyncio.get_running_loop()
+        for replica in sender.replicas.all():
+            replica.sends.add(replicas_module.Send(loop.time() - 1.0, 0.05))
+        outcome = await obtaining.obtain(sender, scripted.make_call(), "s")
+        await sender.tasks.close()
+        assert isinstance(outcome, sending.Answered)
+        assert sum(len(script.requests) for script in scripts.values()) == 1
+        assert sender.counters.totals["direct.hedge_denied.all_late"] == 1
+
+    asyncio.run(main())
