--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -221,10 +221,7 @@
     if not missing:
         return Ending(answer, "answered")
     sender.counters.add("direct.missing_parts", len(missing))
-    now_s = asyncio.get_running_loop().time()
-    why = "; ".join(
-        f"{shard}: {_why(parts[shard])} ({call.told(shard, now_s)})" for shard in missing[:5]
-    )
+    why = _told(call, parts, missing, asyncio.get_running_loop().time())
     return Ending(answer, "partial", why)
 
 
@@ -239,6 +236,13 @@
     return isinstance(answer, sending.Answered)
 
 
+def _told(call: sending.Call, parts: Parts, missing: list[str], now_s: float) -> str:
+    """Describe the first missing shards: why, and which replicas were asked."""
+    return "; ".join(
+        f"{shard}: {_why(parts[shard])} ({call.told(shard, now_s)})" for shard in missing[:5]
+    )
+
+
 def _why(part: asyncio.Task[sending.Outcome]) -> str:
     if not part.done() or part.cancelled():
         return "not in time"
@@ -253,6 +257,8 @@
     if all(isinstance(outcome, sending.NotRun) for outcome in outcomes):
         reasons = {outcome.reason.partition(":")[0] for outcome in outcomes}
         return refusal(sender, ", ".join(sorted(reasons)))
-    late = asyncio.get_running_loop().time() >= call.deadline_s
-    why = ", ".join(sorted({_why(part) for part in parts.values() if not _answered(part)})[:5])
-    return failure(504 if late else 502, f"too few shards: {why}")
+    now_s = asyncio.get_running_loop().time()
+    missing = [shard for shard, part in parts.items() if not _answered(part)]
+    why = _told(call, parts, missing, now_s)
+    late = now_s >= call.deadline_s
+    return failure(504 if late else 502, f"too few shards ({len(missing)} missing): {why}")
