A stored catalogue is "accepted" only once the answering instance itself has it

The answer to a stored catalogue was a twin of the one for rules without its check: with the store failing between write and read it said accepted too early. One method serves both; the test failed before.

--- a/src/turmericlug/operators/http.py
+++ b/src/turmericlug/operators/http.py
@@ -116,7 +116,7 @@
         events.emit("rules.edit", edit=change.edit, outcome=type(outcome).__name__.lower())
         match outcome:
             case repository_module.Stored(revision=revision):
-                return await self._accepted(revision, change.edit)
+                return await self._accepted(configuration.RULES, revision, edit=change.edit)
             case edits.Conflict():
                 who = f"{outcome.operator} did {outcome.operation} {outcome.rule} in revision"
                 return web.json_response(
@@ -145,19 +145,27 @@
                     status=503,
                 )
 
-    async def _accepted(self, revision: int, edit: str) -> web.Response:
-        """Answer a stored edit: accepted once in force everywhere, else who is waited for."""
+    async def _accepted(self, document: str, revision: int, **fields: typing.Any) -> web.Response:
+        """
+        Answer a stored document: accepted once in force everywhere, else who is waited for.
+
+        This instance counts like any other: when the store fails between the write and the next
+        read, it still answers callers by the older revision.
+
+        :param fields: what the answer says besides
+        """
         await self._distribution.refresh()
-        waiting = await self._distribution.confirm({configuration.RULES})
-        if self._config.freshness.held.rules < revision:
+        waiting = await self._distribution.confirm({document})
+        held = self._config.freshness.held
+        if (held.rules if document == configuration.RULES else held.catalog) < revision:
             waiting = [*waiting, self._settings.instance.name]
         return web.json_response(
             {
                 "outcome": "stored" if waiting else "accepted",
-                "edit": edit,
                 "revision": revision,
                 "waiting_for": waiting,
-            },
+            }
+            | fields,
             status=202 if waiting else 200,
         )
 
@@ -165,7 +173,7 @@
         """Ask again whether what is stored is in force everywhere."""
         if not await self._distribution.refresh():
             raise repository_module.RepositoryError("unreachable")
-        return await self._accepted(self._config.rules.revision, "")
+        return await self._accepted(configuration.RULES, self._config.rules.revision, edit="")
 
     async def _explain(self, request: web.Request) -> web.Response:
         plain = await _body(request)
@@ -201,16 +209,7 @@
         outcome = await self._repository.put_catalog((await request.read()).decode())
         match outcome:
             case repository_module.Stored(revision=revision):
-                await self._distribution.refresh()
-                waiting = await self._distribution.confirm({configuration.CATALOG})
-                return web.json_response(
-                    {
-                        "outcome": "stored" if waiting else "accepted",
-                        "revision": revision,
-                        "waiting_for": waiting,
-                    },
-                    status=202 if waiting else 200,
-                )
+                return await self._accepted(configuration.CATALOG, revision)
             case repository_module.Rejected(problems=problems):
                 return web.json_response({"outcome": "rejected", "problems": problems}, status=422)
             case _:
