A batch that may be old is refused, and its parts are sent directly

It now sees by its own event loop that it stood still, and refuses; a lost batch leaves one direct send, a refused one all.

--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -27,6 +27,8 @@
 PATH = b"/parts"
 PEERS_PER_DATA_CENTRE = 4
 """Enough that one that is lost or slow leaves others; few enough to keep a connection to each."""
+REFUSED = 503
+"""The peer ran nothing of a batch: it had stood still and could not tell how old the batch was."""
 LEAST_SHARDS = 2
 """One part alone costs less bytes on its own than in a batch."""
 ROUND_TRIP_GUESS_MS = 30.0
@@ -45,6 +47,8 @@
 
     peer: replicas_module.Replica
     shards: tuple[str, ...]
+    refused: bool = False
+    """Whether the peer said that it ran nothing of it."""
     outcomes: dict[str, asyncio.Future[sending.Outcome | None]] = attrs.field(factory=dict)
     """``None`` for a shard whose batch has to be taken for lost."""
 
@@ -241,7 +245,10 @@
         try:
             await self._sent(sender, call, handed, answer_at_s, send)
             handed.peer.succeeded(1.0, 1.0, loop.time())
-        except (client.ConnectError, client.ExchangeError, handover_codec.MessageError) as error:
+        except client.ConnectError as error:
+            handed.refused = True
+            self._lost(sender, call, handed, str(error), send.began_s)
+        except (client.ExchangeError, handover_codec.MessageError) as error:
             self._lost(sender, call, handed, str(error), send.began_s)
         except TimeoutError:
             self._lost(sender, call, handed, "silent", send.began_s)
@@ -288,6 +295,8 @@
                 content = handover_codec.encode_batch(batch)
                 request = client.request_bytes(b"POST", PATH, [(b"host", b"instance")], content)
                 response = await connection.exchange(request, alive, came_back)
+        if response.status == REFUSED:
+            handed.refused = True
         if response.status != 200:
             raise handover_codec.MessageError(f"status {response.status}")
         if not all(outcome.done() for outcome in handed.outcomes.values()):
@@ -355,5 +364,5 @@
     """Return what a batch brought for one of its shards; a direct send makes up for a lost one."""
     outcome = await asyncio.shield(handed.outcomes[shard])
     if outcome is None:
-        return await obtaining.obtain(sender, call, shard, again=True)
+        return await obtaining.obtain(sender, call, shard, again=not handed.refused)
     return outcome
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -30,6 +30,7 @@
 from turmericlug.entry import news
 from turmericlug.entry import relay
 from turmericlug.entry import settings as settings_module
+from turmericlug.entry import stalls as stalls_module
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import client
 from turmericlug.http1 import server
@@ -283,6 +284,7 @@
 @contextlib.asynccontextmanager
 async def _questions(kernel: Kernel) -> abc.AsyncIterator[None]:
     """Answer readiness, addresses, metrics and other instances' batches."""
+    stalls = stalls_module.Stalls()
     settings, view = kernel.find("settings"), kernel.find("view")
     adapter = kernel.find("adapter")
     handlers = [
@@ -302,8 +304,10 @@
             lambda: server.Limits(idle_timeout_s=PEER_IDLE_S),
             settings.limits.descriptors // 8,
             interim=ALIVE,
+            stalled_s=stalls.overdue_s,
         )
         await stack.enter_async_context(_listening(peers, settings.entry.peers_address))
+        await stack.enter_async_context(tasks.background(stalls.watch()))
         yield
 
 
--- a/src/turmericlug/entry/helping.py
+++ b/src/turmericlug/entry/helping.py
@@ -19,6 +19,12 @@
 Parts = dict[Part, str]
 
 
+MOST_STALL_S = 0.03
+"""A batch may have waited for as long as this process stood still. Later than this the other
+instance may have taken it for lost and sent its parts directly. Run as well, a part reaches more
+replicas than its route allows."""
+
+
 def handler(sender: obtaining.Sender) -> server.Handler:
     """Return the handler of batches."""
 
@@ -30,6 +36,13 @@
         except handover_codec.MessageError as error:
             decisions.log("helping.unreadable", reason=str(error))
             return server.Answer(400)
+        waited_s = request.stalled_s
+        if waited_s > MOST_STALL_S:
+            sender.counters.add("helping.refused")
+            decisions.log(
+                "helping.refused", request=batch.request_id, stalled_ms=round(waited_s * 1000)
+            )
+            return server.Answer(503)
         return server.Answer(200, chunks=_answers(sender, batch, request.arrived_s))
 
     return handle
--- /dev/null
+++ b/src/turmericlug/entry/stalls.py
@@ -0,0 +1,27 @@
+"""Noticing that this process stood still, by its own event loop."""
+
+from __future__ import annotations
+
+import asyncio
+
+TICK_S = 0.02
+"""Fifty wake-ups a second cost about a thousandth of a core."""
+
+
+class Stalls:
+    """Tells for how long the event loop did not turn before the present turn."""
+
+    def __init__(self) -> None:
+        self._ticked_s = asyncio.get_running_loop().time()
+
+    async def watch(self) -> None:
+        """Tick for ever."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self._ticked_s = loop.time()
+            await asyncio.sleep(TICK_S)
+
+    def overdue_s(self) -> float:
+        """Return how late the tick is that should have come by now."""
+        late_s = asyncio.get_running_loop().time() - self._ticked_s - TICK_S
+        return max(late_s, 0.0)
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -53,6 +53,8 @@
     """When the caller probably began, with the time to open the connection."""
     way_back_s: float = 0.0
     """What an answer probably takes to the caller."""
+    stalled_s: float = 0.0
+    """For how long this process stood still before it read the request."""
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, by its lower-case name."""
@@ -86,12 +88,15 @@
         limits: abc.Callable[[], Limits],
         max_connections: int,
         interim: bytes = b"",
+        stalled_s: abc.Callable[[], float] = lambda: 0.0,
     ) -> None:
         """
         Make a server.
 
         :param interim: what is written at once when a request was read, before its answer
+        :param stalled_s: tells for how long the process has just stood still
         """
+        self.stalled_s = stalled_s
         self.interim = interim
         self.handler = handler
         self.limits = limits
@@ -283,6 +288,7 @@
             arrived_s,
             arrived_s - trips * round_trip_s,
             round_trip_s / 2,
+            self._server.stalled_s(),
         )
 
     async def _serve(self) -> None:
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -79,6 +79,7 @@
     "handover.shards": "parts in those batches",
     "handover.lost": "batches taken for lost, whose parts were sent directly",
     "handover.total_ms": "timer: a batch, from sending to its answer",
+    "helping.refused": "batches of other instances that were not run: this one had stood still",
     "helping.answered": "batches of other instances that were answered",
     "relay.answered": "questions for news that another instance answered",
     "relay.failed": "times a relay failed and the store was asked directly",
--- a/tests/direct/test_handover.py
+++ b/tests/direct/test_handover.py
@@ -194,6 +194,10 @@
     return server.Answer(500)
 
 
+async def refusing(request):
+    return server.Answer(503)
+
+
 async def garbage(request):
     return server.Answer(200, body=b"garbage")
 
@@ -337,3 +341,46 @@
         assert 2 <= len(batches) <= 4
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("handler", "first", "sent"),
+    [(failing, [client.ExchangeError("reset")], 1), (refusing, [client.ExchangeError("reset")], 2)],
+    ids=["lost", "refused"],
+)
+def test_attempts_after_a_batch(handler, first, sent):
+    """
+    A batch is lost after the other instance may have sent its parts. Sent directly as often as
+    from the start, a part reaches more replicas than its route allows; a refused batch sent none.
+    """
+
+    async def main():
+        replicas = {
+            "x": {"far-1": scripted.Scripted(*first), "further-1": scripted.Scripted(*first)},
+            "y": {"far-2": scripted.Scripted(part(121))},
+        }
+        sender = make_sender(replicas)
+        async with peer(handler) as sender.handover:
+            await answering.all_shards(sender, query_call(shards=("x", "y"), min_coverage=1.0))
+            await sender.tasks.close()
+        return sum(len(script.requests) for script in replicas["x"].values())
+
+    assert asyncio.run(main()) == sent
+
+
+def test_a_batch_that_may_be_old_is_refused():
+    """
+    An instance stands still with a batch in its socket, while the one that handed it over takes it
+    for lost and sends the parts itself. Run as well, they reach a third replica.
+    """
+
+    async def main():
+        elsewhere = scripts()
+        handle = helping.handler(make_sender(elsewhere))
+        body = handover_codec.encode_batch(BATCH)
+        request = server.Request(b"POST", handover.PATH, (), body, 0.0, stalled_s=0.2)
+        answer = await handle(request)
+        assert answer.status == handover.REFUSED
+        assert not any(each.requests for service in elsewhere.values() for each in service.values())
+
+    asyncio.run(main())
