Mutants of the entry instance's mechanisms; a late send is not hedged beyond the route's attempts (test)

Twenty mechanisms taken away one by one: their tests fail then. One had passed (hedge-without-limit): the test's replicas failed at once, so that no hedge came up; a stricter one stands beside it.

--- a/tests/direct/test_obtaining.py
+++ b/tests/direct/test_obtaining.py
@@ -166,3 +166,18 @@
         assert sender.counters.totals["direct.hedge_denied.all_late"] == 1
 
     asyncio.run(main())
+
+
+def test_a_late_send_is_not_hedged_beyond_the_routes_attempts():
+    """
+    The first replica is silent and the second one fails. With two attempts allowed, a hedge for the
+    first one would reach a third replica.
+    """
+    scripts = {
+        "a": scripted.Scripted(30.0),
+        "b": scripted.Scripted(RESET),
+        "c": scripted.Scripted(GOOD),
+        "d": scripted.Scripted(GOOD),
+    }
+    _, requests = obtain(scripts, max_attempts=2, deadline_ms=400.0)
+    assert requests == [1, 1, 0, 0]
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -135,8 +135,9 @@
             await connection.exchange(REQUEST)
             assert not connection.closed
             sent.set()
-            while not connection.closed:
-                await asyncio.sleep(0.005)
+            async with asyncio.timeout(10):
+                while not connection.closed:
+                    await asyncio.sleep(0.005)
 
     asyncio.run(main())
     assert unasked == [1]
@@ -184,8 +185,9 @@
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
             assert connection.closed
-            while not closed:
-                await asyncio.sleep(0.005)
+            async with asyncio.timeout(10):
+                while not closed:
+                    await asyncio.sleep(0.005)
 
     asyncio.run(main())
     assert closed == [True]
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -120,8 +120,9 @@
             while not events:
                 await asyncio.sleep(0.005)
             writer.close()
-            while len(events) < 2:
-                await asyncio.sleep(0.005)
+            async with asyncio.timeout(10):
+                while len(events) < 2:
+                    await asyncio.sleep(0.005)
 
     asyncio.run(main())
     assert events == ["began", "cancelled"]
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -15,6 +15,8 @@
 import attrs
 
 ROOT = pathlib.Path(__file__).parents[1]
+LIMIT_S = 120
+"""Some tests wait for what the mechanism brings about, and never end without it."""
 
 
 @attrs.frozen
@@ -202,6 +204,154 @@
     ),
 )
 
+ENTRY_MUTANTS = (
+    one(
+        "take-surplus-bytes",
+        "http1/client.py",
+        "        if self._waiting is None:\n            if self._on_unasked",
+        "        if self._waiting is None and not data:\n            if self._on_unasked",
+        "http1/test_client.py::test_bytes_that_come_while_idle_close_the_connection",
+    ),
+    one(
+        "keep-a-spoilt-connection",
+        "http1/client.py",
+        "            self._complete = attrs.evolve(self._complete, reusable=False)\n"
+        "        self.closed = True",
+        "            pass",
+        "http1/test_client.py::test_whole_answers[doubled]",
+    ),
+    one(
+        "reset-ends-an-unframed-answer",
+        "http1/client.py",
+        '        self._fail("connection reset" if error else "connection closed")',
+        "        if self._part.head_done and self._waiting:\n"
+        "            self._finish(reusable=False)\n            self._deliver()\n"
+        '        self._fail("closed")',
+        "http1/test_client.py::test_broken_answers",
+    ),
+    one(
+        "any-answer-is-ours",
+        "direct/sending.py",
+        "if echoed is not None and echoed != call.request_id:",
+        "if echoed is None:",
+        "direct/test_obtaining.py::test_what_is_sent_again",
+    ),
+    one(
+        "repeat-what-may-have-run",
+        "direct/obtaining.py",
+        "    if not call.route.idempotent and not isinstance(failure, sending.NotRun):\n"
+        "        return\n",
+        "",
+        "direct/test_obtaining.py::test_what_is_sent_again",
+    ),
+    one(
+        "refuse-what-may-have-run",
+        "direct/obtaining.py",
+        "    if isinstance(effort.failure, sending.NotRun):\n        effort.failure = outcome",
+        "    effort.failure = outcome",
+        "direct/test_obtaining.py::test_after_a_run_that_may_have_begun_nothing_is_promised",
+    ),
+    one(
+        "pass-on-a-false-promise",
+        "direct/answering.py",
+        "    if sending.promises_not_run(status):\n",
+        "    if not status:\n",
+        "direct/test_answering.py::test_single",
+    ),
+    one(
+        "budget-for-each-instance",
+        "direct/budget.py",
+        "allowance.slack / max(instances, 1)",
+        "allowance.slack",
+        "direct/test_budget.py::test_no_window_exceeds_the_allowance_of_all_instances",
+    ),
+    one(
+        "hedge-without-limit",
+        "direct/obtaining.py",
+        "        and effort.attempts < call.route.max_attempts\n",
+        "",
+        "direct/test_obtaining.py::test_a_late_send_is_not_hedged_beyond_the_routes_attempts",
+    ),
+    one(
+        "hedge-into-load",
+        "direct/obtaining.py",
+        "    if other.overdue(now_s):",
+        "    if not other.entry:",
+        "direct/test_obtaining.py::test_no_hedge_where_every_replica_is_late",
+    ),
+    one(
+        "no-expected-instance",
+        "direct/sending.py",
+        "        (names.expected_instance, replica.entry.instance.encode()),\n",
+        "",
+        f"{I}test_entry.py::test_an_address_that_was_taken_over_gets_nothing",
+    ),
+    one(
+        "configuration-goes-back",
+        "entry/view.py",
+        "if current is not None and configuration.version <= current.version:",
+        "if current is not None and configuration.version == current.version:",
+        "entry/test_view.py::test_a_configuration_never_goes_back",
+    ),
+    one(
+        "gone-at-once",
+        "entry/view.py",
+        "            if hold:\n",
+        "            if not key:\n",
+        "entry/test_view.py::test_entries_that_lapse_with_the_store_are_kept_for_their_return",
+    ),
+    one(
+        "history-lost-for-good",
+        "entry/follower.py",
+        "            revision = None\n        except news.SourceError",
+        "            revision = revision or 0\n        except news.SourceError",
+        "entry/test_follower.py::test_following",
+    ),
+    one(
+        "drain-ignored",
+        "direct/replicas.py",
+        "            if not each.leaving and each not in tried\n",
+        "            if each not in tried\n",
+        "entry/test_view.py::test_a_draining_replica_gets_nothing_new",
+    ),
+    one(
+        "leave-without-asking-to-close",
+        "http1/server.py",
+        "close = answer.close or self._server.leaving or",
+        "close = answer.close or",
+        "http1/test_server.py::test_a_leaving_server_answers_and_asks_to_close",
+    ),
+    one(
+        "work-for-nobody",
+        "http1/server.py",
+        "        if self._work is not None:\n            self._work.cancel()\n",
+        "",
+        "http1/test_server.py::test_a_caller_that_leaves_cancels_its_request",
+    ),
+    one(
+        "run-old-batches",
+        "entry/helping.py",
+        "if waited_s > MOST_STALL_S:",
+        "if waited_s < 0:",
+        "direct/test_handover.py::test_a_batch_that_may_be_old_is_refused",
+    ),
+    one(
+        "lost-batch-starts-over",
+        "direct/obtaining.py",
+        "        effort.attempts = call.route.max_attempts - 1\n",
+        "",
+        "direct/test_handover.py::test_attempts_after_a_batch",
+    ),
+    one(
+        "trust-a-stale-relay",
+        "entry/relay.py",
+        "        if age_ms > STALE_S * 1000:",
+        "        if age_ms < 0:",
+        "entry/test_relay.py::test_a_relay_that_fails_is_passed_by",
+    ),
+)
+MUTANTS += ENTRY_MUTANTS
+
 
 def run(mutant):
     """Return how the test ended without the mechanism: ``failed`` is what is wanted."""
@@ -218,9 +368,12 @@
         path.write_text(text)
         environment = os.environ | {"PYTHONPATH": str(copy / "src")}
         command = [sys.executable, "-m", "pytest", "-x", "-q", mutant.test]
-        done = subprocess.run(
-            command, cwd=copy, env=environment, capture_output=True, text=True, timeout=300
-        )
+        try:
+            done = subprocess.run(
+                command, cwd=copy, env=environment, capture_output=True, text=True, timeout=LIMIT_S
+            )
+        except subprocess.TimeoutExpired:
+            return f"failed: no end within {LIMIT_S} s"
         if done.returncode == 0:
             return "passed, although the mechanism is gone"
         reasons = [line for line in done.stdout.splitlines() if line.startswith("E  ")]
