--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -14,7 +14,7 @@
 from turmericlug.direct import sending
 from turmericlug.direct import timing
 from turmericlug.http1 import client
-from turmericlug.http1 import server
+from turmericlug.http1 import messages
 
 COME_BACK_LEAST_S = 0.05
 COME_BACK_MOST_S = 0.4
@@ -26,7 +26,7 @@
 class Ending:
     """The answer to a request and why it is that one."""
 
-    answer: server.Answer
+    answer: messages.Answer
     outcome: str
     """``answered``, ``partial``, ``refused`` (nothing ran), ``failed`` (may have run)."""
     reason: str = ""
@@ -40,13 +40,13 @@
 def refusal(sender: obtaining.Sender, reason: str) -> Ending:
     """Refuse: nothing ran and nothing will; the caller learns when to come back."""
     seconds = b"%.3f" % come_back_s(sender.rng)
-    answer = server.Answer(503, ((sender.names.retry_after, seconds),), reason.encode())
+    answer = messages.Answer(503, ((sender.names.retry_after, seconds),), reason.encode())
     return Ending(answer, "refused", reason)
 
 
 def failure(status: int, reason: str) -> Ending:
     """Fail: the request may have run, nothing is promised."""
-    return Ending(server.Answer(status, (), reason.encode()), "failed", reason)
+    return Ending(messages.Answer(status, (), reason.encode()), "failed", reason)
 
 
 async def single(sender: obtaining.Sender, call: sending.Call, service: str) -> Ending:
@@ -77,13 +77,13 @@
     return Ending(_passed_on(outcome.response, status), "failed", f"replica_status_{status}")
 
 
-def _passed_on(response: client.Response, status: int) -> server.Answer:
+def _passed_on(response: client.Response, status: int) -> messages.Answer:
     headers = tuple(
         (name, value)
         for name, value in client.end_to_end(response.headers)
         if name not in _RESPONSE_OWN
     )
-    return server.Answer(status, headers, response.body)
+    return messages.Answer(status, headers, response.body)
 
 
 async def all_shards(sender: obtaining.Sender, call: sending.Call) -> Ending:
@@ -219,7 +219,7 @@
         (b"content-type", b"application/octet-stream"),
     ]
     body = merge.greatest(_bodies(present), call.route.top_records)
-    answer = server.Answer(200, tuple(headers), body)
+    answer = messages.Answer(200, tuple(headers), body)
     if not missing:
         return Ending(answer, "answered")
     sender.counters.add("direct.missing_parts", len(missing))
--- a/src/turmericlug/direct/routes.py
+++ b/src/turmericlug/direct/routes.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from turmericlug.http1 import messages
+
 
 @attrs.frozen
 class Share:
@@ -65,16 +67,6 @@
     """Connections that one replica takes from all callers together."""
 
 
-@attrs.frozen
-class CallerLimits:
-    """What a caller may send and how long it may take."""
-
-    header_bytes: int = 16384
-    body_bytes: int = 262144
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
-
-
 @attrs.define
 class Configuration:
     """One version of all routes and services."""
@@ -82,7 +74,7 @@
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
-    limits: CallerLimits
+    limits: messages.Limits
     _by_host: dict[str, list[Route]] = attrs.field(init=False, factory=dict)
 
     def __attrs_post_init__(self) -> None:
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -16,7 +16,7 @@
 from turmericlug.direct import sending
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import client
-from turmericlug.http1 import server
+from turmericlug.http1 import messages
 from turmericlug.telemetry import decisions
 
 STALE_S = 1.5
@@ -70,7 +70,7 @@
         self._spread = Spread()
         self.in_progress: collections.Counter[str] = collections.Counter()
 
-    async def handle(self, request: server.Request) -> server.Answer:
+    async def handle(self, request: messages.Request) -> messages.Answer:
         """Answer one request."""
         configuration = self.view.configuration
         if configuration is None:
@@ -92,7 +92,7 @@
 
     def _call(
         self,
-        request: server.Request,
+        request: messages.Request,
         request_id: bytes,
         target: bytes,
         route: routes.Route,
@@ -115,7 +115,7 @@
             way_back_s=request.way_back_s,
         )
 
-    async def _answered(self, call: sending.Call) -> server.Answer:
+    async def _answered(self, call: sending.Call) -> messages.Answer:
         loop = asyncio.get_running_loop()
         decisions.log(
             "query.routed",
@@ -183,7 +183,7 @@
             repeats=call.repeats,
         )
 
-    def _refused(self, request: server.Request, reason: str) -> server.Answer:
+    def _refused(self, request: messages.Request, reason: str) -> messages.Answer:
         self.sender.counters.add(f"entry.refused.{reason}")
         decisions.log(
             "query.refused",
@@ -198,18 +198,18 @@
         age_s = self._source_age_s()
         return round(age_s, 3) if math.isfinite(age_s) else None
 
-    def _bad_request(self, request: server.Request, lacking: str) -> server.Answer:
+    def _bad_request(self, request: messages.Request, lacking: str) -> messages.Answer:
         self.sender.counters.add(f"entry.bad_request.{lacking}")
         decisions.log("query.bad_request", lacking=lacking)
-        return server.Answer(400, body=f"{lacking} is missing or stands twice".encode())
+        return messages.Answer(400, body=f"{lacking} is missing or stands twice".encode())
 
     def _no_route(
         self,
-        request: server.Request,
+        request: messages.Request,
         configuration: routes.Configuration,
         host: str,
         path: str,
-    ) -> server.Answer:
+    ) -> messages.Answer:
         if self._source_age_s() > STALE_S:
             return self._refused(request, "route_perhaps_new")
         self.sender.counters.add("entry.no_route")
@@ -220,7 +220,7 @@
             path=path[:100],
             version=configuration.version,
         )
-        return server.Answer(404, body=b"no route")
+        return messages.Answer(404, body=b"no route")
 
 
 def _origin_form(target: bytes) -> bytes:
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -33,6 +33,7 @@
 from turmericlug.entry import stalls as stalls_module
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import client
+from turmericlug.http1 import messages
 from turmericlug.http1 import server
 from turmericlug.kernel import kernel as kernel_module
 from turmericlug.kernel import tasks
@@ -71,9 +72,9 @@
 
     names: dialect_module.Dialect
     source: abc.Callable[[settings_module.Source, counters_module.Counters], news.Source]
-    resolve_handler: abc.Callable[[directory_module.Directory], server.Handler]
+    resolve_handler: abc.Callable[[directory_module.Directory], messages.Handler]
     decode: relay.Decode
-    ready_handler: abc.Callable[[abc.Callable[[], bool]], server.Handler]
+    ready_handler: abc.Callable[[abc.Callable[[], bool]], messages.Handler]
 
 
 def run(settings: settings_module.Settings, adapter: Adapter, settings_file: pathlib.Path) -> None:
@@ -257,16 +258,8 @@
     return placement.Place(entry.name, entry.data_centre, entry.data_centres)
 
 
-def _limits(view: view_module.View) -> server.Limits:
-    if view.configuration is None:
-        return server.Limits()
-    limits = view.configuration.limits
-    return server.Limits(
-        limits.header_bytes,
-        limits.body_bytes,
-        limits.header_timeout_ms / 1000,
-        limits.idle_timeout_ms / 1000,
-    )
+def _limits(view: view_module.View) -> messages.Limits:
+    return view.configuration.limits if view.configuration else messages.Limits()
 
 
 @contextlib.asynccontextmanager
@@ -297,11 +290,11 @@
     ]
     async with contextlib.AsyncExitStack() as stack:
         for handler, address in handlers:
-            questions = server.Server(handler, server.Limits, settings.limits.descriptors // 8)
+            questions = server.Server(handler, messages.Limits, settings.limits.descriptors // 8)
             await stack.enter_async_context(_listening(questions, address))
         peers = server.Server(
             _peers_handler(kernel),
-            lambda: server.Limits(idle_timeout_s=PEER_IDLE_S),
+            lambda: messages.Limits(idle_timeout_s=PEER_IDLE_S),
             settings.limits.descriptors // 8,
             interim=ALIVE,
             stalled_s=stalls.overdue_s,
@@ -311,11 +304,11 @@
         yield
 
 
-def _peers_handler(kernel: Kernel) -> server.Handler:
+def _peers_handler(kernel: Kernel) -> messages.Handler:
     help_with = helping.handler(kernel.find("sender"))
     tell_news = relay.handler(kernel.find("journal"), kernel.find("view").source_age_s)
 
-    async def handle(request: server.Request) -> server.Answer:
+    async def handle(request: messages.Request) -> messages.Answer:
         if request.target.startswith(relay.PATH):
             return await tell_news(request)
         return await help_with(request)
--- a/src/turmericlug/entry/helping.py
+++ b/src/turmericlug/entry/helping.py
@@ -12,7 +12,7 @@
 from turmericlug.direct import routes
 from turmericlug.direct import sending
 from turmericlug.direct import timing
-from turmericlug.http1 import server
+from turmericlug.http1 import messages
 from turmericlug.telemetry import decisions
 
 Part = asyncio.Task[sending.Outcome]
@@ -25,25 +25,25 @@
 replicas than its route allows."""
 
 
-def handler(sender: obtaining.Sender) -> server.Handler:
+def handler(sender: obtaining.Sender) -> messages.Handler:
     """Return the handler of batches."""
 
-    async def handle(request: server.Request) -> server.Answer:
+    async def handle(request: messages.Request) -> messages.Answer:
         if request.target != handover.PATH:
-            return server.Answer(404)
+            return messages.Answer(404)
         try:
             batch = handover_codec.decode_batch(request.body)
         except handover_codec.MessageError as error:
             decisions.log("helping.unreadable", reason=str(error))
-            return server.Answer(400)
+            return messages.Answer(400)
         waited_s = request.stalled_s
         if waited_s > MOST_STALL_S:
             sender.counters.add("helping.refused")
             decisions.log(
                 "helping.refused", request=batch.request_id, stalled_ms=round(waited_s * 1000)
             )
-            return server.Answer(503)
-        return server.Answer(200, chunks=_answers(sender, batch, request.arrived_s))
+            return messages.Answer(503)
+        return messages.Answer(200, chunks=_answers(sender, batch, request.arrived_s))
 
     return handle
 
--- a/src/turmericlug/entry/metrics.py
+++ b/src/turmericlug/entry/metrics.py
@@ -2,19 +2,19 @@
 
 from __future__ import annotations
 
-from turmericlug.http1 import server
+from turmericlug.http1 import messages
 from turmericlug.telemetry import counters as counters_module
 
 PATH = b"/metrics"
 
 
-def handler(counters: counters_module.Counters) -> server.Handler:
+def handler(counters: counters_module.Counters) -> messages.Handler:
     """Return the handler of the metrics address."""
 
-    async def handle(request: server.Request) -> server.Answer:
+    async def handle(request: messages.Request) -> messages.Answer:
         if request.target.partition(b"?")[0] != PATH:
-            return server.Answer(404)
-        return server.Answer(200, ((b"content-type", b"text/plain"),), text(counters).encode())
+            return messages.Answer(404)
+        return messages.Answer(200, ((b"content-type", b"text/plain"),), text(counters).encode())
 
     return handle
 
--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -22,7 +22,7 @@
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.entry import news
 from turmericlug.http1 import client
-from turmericlug.http1 import server
+from turmericlug.http1 import messages
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
 
@@ -84,13 +84,13 @@
         return news.Changes(found, max(self.revision, after))
 
 
-def handler(journal: Journal, source_age_s: abc.Callable[[], float]) -> server.Handler:
+def handler(journal: Journal, source_age_s: abc.Callable[[], float]) -> messages.Handler:
     """Return the handler of questions for news: ``/news/REVISION``."""
 
-    async def handle(request: server.Request) -> server.Answer:
+    async def handle(request: messages.Request) -> messages.Answer:
         number = request.target.removeprefix(PATH)
         if not number.isdigit():
-            return server.Answer(404)
+            return messages.Answer(404)
         message = _SCHEMA.News.new_message()
         try:
             changes = await journal.since(int(number), WAIT_S)
@@ -100,7 +100,7 @@
             message.revision = changes.revision
             message.changes = [_plain(change) for change in changes.changes]
         message.sourceAgeMs = min(int(source_age_s() * 1000), 2**31)
-        return server.Answer(200, body=message.to_bytes_packed())
+        return messages.Answer(200, body=message.to_bytes_packed())
 
     return handle
 
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -13,10 +13,10 @@
 import typing
 from collections import abc
 
-import attrs
 import httptools
 
 from turmericlug.http1 import client as client_module
+from turmericlug.http1 import messages
 from turmericlug.telemetry import decisions
 
 LINGER_S = 1.0
@@ -27,65 +27,13 @@
 _IDLE_MEMORY_S = 30.0
 
 
-@attrs.frozen
-class Limits:
-    """Bounds on what a caller may send and how long it may take."""
-
-    header_bytes: int = 16384
-    body_bytes: int = 262144
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
-@attrs.frozen
-class Request:
-    """A request that was read whole."""
-
-    method: bytes
-    target: bytes
-    """Path and query as sent."""
-    headers: tuple[tuple[bytes, bytes], ...]
-    """Names in lower case."""
-    body: bytes
-    arrived_s: float
-    """When its head began to arrive, on the loop's clock."""
-    began_s: float = 0.0
-    """When the caller probably began, with the time to open the connection."""
-    way_back_s: float = 0.0
-    """What an answer probably takes to the caller."""
-    stalled_s: float = 0.0
-    """For how long this process stood still before it read the request."""
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header, by its lower-case name."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-
-@attrs.frozen
-class Answer:
-    """What the caller gets."""
-
-    status: int
-    headers: tuple[tuple[bytes, bytes], ...] = ()
-    body: bytes = b""
-    close: bool = False
-    chunks: abc.AsyncIterator[bytes] | None = None
-    """The body in pieces, each sent when it is there; ``body`` is not used then."""
-
-
-Handler = abc.Callable[[Request], abc.Awaitable[Answer]]
-
-
 class Server:
     """The connections of one listening address and what they share."""
 
     def __init__(
         self,
-        handler: Handler,
-        limits: abc.Callable[[], Limits],
+        handler: messages.Handler,
+        limits: abc.Callable[[], messages.Limits],
         max_connections: int,
         interim: bytes = b"",
         stalled_s: abc.Callable[[], float] = lambda: 0.0,
@@ -144,7 +92,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport = None  # type: ignore[assignment]
         self._parser = httptools.HttpRequestParser(self)
-        self._queue: collections.deque[Request] = collections.deque()
+        self._queue: collections.deque[messages.Request] = collections.deque()
         self._work: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._refused = False
@@ -269,7 +217,7 @@
             # A caller that sends many requests ahead waits, instead of filling the memory.
             self._transport.pause_reading()
 
-    def _request(self) -> Request:
+    def _request(self) -> messages.Request:
         """
         Make the request that was read.
 
@@ -280,7 +228,7 @@
         round_trip_s = client_module.round_trip_s(self._transport)
         trips = 0.5 if self._requests else 1.5
         self._requests += 1
-        return Request(
+        return messages.Request(
             self._parser.get_method(),
             self._target,
             tuple(self._headers),
@@ -310,15 +258,15 @@
             else:
                 self._limit_head()
 
-    async def _handled(self, request: Request) -> Answer:
+    async def _handled(self, request: messages.Request) -> messages.Answer:
         try:
             return await self._server.handler(request)
         except Exception as error:
             # A fault of ours must not end the connection without an answer; nothing is promised.
             decisions.log("caller.failed", reason=f"{type(error).__name__}: {error}"[:300])
-            return Answer(500, close=True)
+            return messages.Answer(500, close=True)
 
-    async def _write(self, request: Request, answer: Answer, close: bool) -> None:
+    async def _write(self, request: messages.Request, answer: messages.Answer, close: bool) -> None:
         idle_s = int(self._server.limits().idle_timeout_s)
         self._transport.write(_answer_bytes(request.method, answer, close, idle_s))
         if answer.chunks is None:
@@ -342,7 +290,7 @@
         if self._transport.is_closing():
             return
         extra = ((b"retry-after", b"0.5"),) if status == 503 else ()
-        answer = Answer(status, extra, reason.encode())
+        answer = messages.Answer(status, extra, reason.encode())
         self._transport.write(_answer_bytes(b"GET", answer, True, 0))
         self._linger()
 
@@ -390,7 +338,7 @@
         self._transport.close()
 
 
-def _answer_bytes(method: bytes, answer: Answer, close: bool, idle_s: int) -> bytes:
+def _answer_bytes(method: bytes, answer: messages.Answer, close: bool, idle_s: int) -> bytes:
     try:
         phrase = http.HTTPStatus(answer.status).phrase.encode()
     except ValueError:
--- a/src/turmericlug/platform/decode.py
+++ b/src/turmericlug/platform/decode.py
@@ -7,6 +7,7 @@
 
 from turmericlug.direct import routes
 from turmericlug.entry import news
+from turmericlug.http1 import messages
 from turmericlug.platform import names
 
 _IDEMPOTENT = "idempotent"
@@ -79,13 +80,14 @@
     return (routes.Share(item["Service"], 1.0),) if item.get("Service") else ()
 
 
-def _limits(item: Plain) -> routes.CallerLimits:
-    default = routes.CallerLimits()
-    return routes.CallerLimits(
+def _limits(item: Plain) -> messages.Limits:
+    default = messages.Limits()
+    header_ms, idle_ms = item.get("HeaderTimeoutMs"), item.get("IdleTimeoutMs")
+    return messages.Limits(
         header_bytes=item.get("MaxHeaderBytes") or default.header_bytes,
         body_bytes=item.get("MaxBodyBytes") or default.body_bytes,
-        header_timeout_ms=item.get("HeaderTimeoutMs") or default.header_timeout_ms,
-        idle_timeout_ms=item.get("IdleTimeoutMs") or default.idle_timeout_ms,
+        header_timeout_s=header_ms / 1000 if header_ms else default.header_timeout_s,
+        idle_timeout_s=idle_ms / 1000 if idle_ms else default.idle_timeout_s,
     )
 
 
--- a/src/turmericlug/platform/interfaces.py
+++ b/src/turmericlug/platform/interfaces.py
@@ -7,35 +7,35 @@
 from collections import abc
 
 from turmericlug.entry import directory as directory_module
-from turmericlug.http1 import server
+from turmericlug.http1 import messages
 from turmericlug.platform import names
 
 
-def resolve_handler(directory: directory_module.Directory) -> server.Handler:
+def resolve_handler(directory: directory_module.Directory) -> messages.Handler:
     """Return the handler of the question which addresses a caller may use."""
 
-    async def handle(request: server.Request) -> server.Answer:
+    async def handle(request: messages.Request) -> messages.Answer:
         path, _, query = request.target.partition(b"?")
         if path != names.RESOLVE_PATH:
-            return server.Answer(404)
+            return messages.Answer(404)
         asked = urllib.parse.parse_qs(query.decode("latin-1"))
         addresses = directory.addresses(
             (asked.get("Region") or [""])[0], (asked.get("Zone") or [""])[0]
         )
         if not addresses:
-            return server.Answer(503)
+            return messages.Answer(503)
         body = json.dumps({"addrs": addresses, "ttl_s": directory.lifetime_s}).encode()
-        return server.Answer(200, ((b"content-type", b"application/json"),), body)
+        return messages.Answer(200, ((b"content-type", b"application/json"),), body)
 
     return handle
 
 
-def ready_handler(ready: abc.Callable[[], bool]) -> server.Handler:
+def ready_handler(ready: abc.Callable[[], bool]) -> messages.Handler:
     """Return the handler of the question whether this instance may get callers."""
 
-    async def handle(request: server.Request) -> server.Answer:
+    async def handle(request: messages.Request) -> messages.Answer:
         if request.target.partition(b"?")[0] != names.READY_PATH:
-            return server.Answer(404)
-        return server.Answer(200 if ready() else 503)
+            return messages.Answer(404)
+        return messages.Answer(200 if ready() else 503)
 
     return handle
--- a/tests/direct/test_handover.py
+++ b/tests/direct/test_handover.py
@@ -18,6 +18,7 @@
 from turmericlug.direct import routes
 from turmericlug.entry import helping
 from turmericlug.http1 import client
+from turmericlug.http1 import messages
 from turmericlug.http1 import server
 
 REGIONS = {"near": "here", "far": "there", "further": "elsewhere"}
@@ -75,7 +76,7 @@
 @contextlib.asynccontextmanager
 async def peer(handler, interim=b"HTTP/1.1 102 Processing\r\n\r\n"):
     """Run another instance of the data centre ``far``; yields the handover towards it."""
-    entrance = server.Server(handler, server.Limits, 10, interim=interim)
+    entrance = server.Server(handler, messages.Limits, 10, interim=interim)
     listener = await server.listen(entrance, "127.0.0.1", 0)
     host, port = listener.sockets[0].getsockname()
     loop = asyncio.get_running_loop()
@@ -191,15 +192,15 @@
 
 
 async def failing(request):
-    return server.Answer(500)
+    return messages.Answer(500)
 
 
 async def refusing(request):
-    return server.Answer(503)
+    return messages.Answer(503)
 
 
 async def garbage(request):
-    return server.Answer(200, body=b"garbage")
+    return messages.Answer(200, body=b"garbage")
 
 
 async def incomplete(request):
@@ -208,7 +209,7 @@
             handover_codec.Answer(bytes(16), {"y": b"sigy"}, {}, 1.0), ("x", "y")
         )
 
-    return server.Answer(200, chunks=chunks())
+    return messages.Answer(200, chunks=chunks())
 
 
 @pytest.mark.parametrize(
@@ -378,7 +379,7 @@
         elsewhere = scripts()
         handle = helping.handler(make_sender(elsewhere))
         body = handover_codec.encode_batch(BATCH)
-        request = server.Request(b"POST", handover.PATH, (), body, 0.0, stalled_s=0.2)
+        request = messages.Request(b"POST", handover.PATH, (), body, 0.0, stalled_s=0.2)
         answer = await handle(request)
         assert answer.status == handover.REFUSED
         assert not any(each.requests for service in elsewhere.values() for each in service.values())
--- a/tests/direct/test_routes.py
+++ b/tests/direct/test_routes.py
@@ -8,6 +8,7 @@
 import pytest
 
 from turmericlug.direct import routes
+from turmericlug.http1 import messages
 
 
 def route(name, host, prefix, **changes):
@@ -30,7 +31,7 @@
         route("other", "b.example", "/"),
     ),
     {},
-    routes.CallerLimits(),
+    messages.Limits(),
 )
 
 
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -12,7 +12,7 @@
 from turmericlug.direct import routes
 from turmericlug.entry import callers as callers_module
 from turmericlug.entry import view as view_module
-from turmericlug.http1 import server
+from turmericlug.http1 import messages
 
 HOST, ID = (b"host", b"h.example"), (b"request-id", b"q1")
 
@@ -26,12 +26,12 @@
             route = routes.Route(
                 "r", "h.example", "/x/", True, 2000, 100, 1, 2, (routes.Share("s", 1.0),)
             )
-            view.configuration = routes.Configuration(3, (route,), {}, routes.CallerLimits())
+            view.configuration = routes.Configuration(3, (route,), {}, messages.Limits())
         callers = callers_module.Callers(view, sender, lambda: age_s)
         callers.refusing = leaving
         now_s = asyncio.get_running_loop().time()
         answer = await callers.handle(
-            server.Request(b"GET", target, tuple(headers), b"", now_s, now_s)
+            messages.Request(b"GET", target, tuple(headers), b"", now_s, now_s)
         )
         return answer, replica.requests
 
--- a/tests/entry/test_follower.py
+++ b/tests/entry/test_follower.py
@@ -16,13 +16,14 @@
 from turmericlug.entry import news
 from turmericlug.entry import relay
 from turmericlug.entry import view as view_module
+from turmericlug.http1 import messages
 from turmericlug.telemetry import counters
 
 OWN = news.EntryInstance("own", "10.0.0.1:80", "dc", "r")
 
 
 def configured(version):
-    configuration = routes.Configuration(version, (), {}, routes.CallerLimits())
+    configuration = routes.Configuration(version, (), {}, messages.Limits())
     return news.Written("config", configuration, version)
 
 
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -16,6 +16,7 @@
 from turmericlug.entry import news
 from turmericlug.entry import relay
 from turmericlug.http1 import client
+from turmericlug.http1 import messages
 from turmericlug.http1 import server
 from turmericlug.telemetry import counters
 
@@ -76,7 +77,7 @@
 @contextlib.asynccontextmanager
 async def relayed(handler, instances=74):
     """Run the instance that follows the store for its data centre; yields a source that asks it."""
-    entrance = server.Server(handler, server.Limits, 10)
+    entrance = server.Server(handler, messages.Limits, 10)
     listener = await server.listen(entrance, "127.0.0.1", 0)
     host, port = listener.sockets[0].getsockname()
     loop = asyncio.get_running_loop()
@@ -126,11 +127,11 @@
 
 
 async def garbage(request):
-    return server.Answer(200, body=b"\xff" * 40)
+    return messages.Answer(200, body=b"\xff" * 40)
 
 
 async def failing(request):
-    return server.Answer(500)
+    return messages.Answer(500)
 
 
 async def stale(request):
--- a/tests/entry/test_view.py
+++ b/tests/entry/test_view.py
@@ -13,6 +13,7 @@
 from turmericlug.direct import routes
 from turmericlug.entry import news
 from turmericlug.entry import view as view_module
+from turmericlug.http1 import messages
 
 
 class Clock:
@@ -44,7 +45,7 @@
 
 
 def configured(version, revision):
-    configuration = routes.Configuration(version, (), {}, routes.CallerLimits())
+    configuration = routes.Configuration(version, (), {}, messages.Limits())
     return news.Written("config", configuration, revision)
 
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -7,10 +7,11 @@
 
 import pytest
 
+from turmericlug.http1 import messages
 from turmericlug.http1 import server
 
 GOOD = b"GET /a/1 HTTP/1.1\r\nhost: h\r\n\r\n"
-LIMITS = server.Limits(
+LIMITS = messages.Limits(
     header_bytes=2000, body_bytes=5000, header_timeout_s=0.1, idle_timeout_s=30.0
 )
 
@@ -28,7 +29,7 @@
 
 async def echo(request):
     body = b"%s %s %s" % (request.method, request.target, request.body)
-    return server.Answer(200, body=body)
+    return messages.Answer(200, body=body)
 
 
 async def talk(address, *pieces):
@@ -175,7 +176,7 @@
     that they send on a connection that we close by the new one gets no answer.
     """
     current = [limits_s[0]]
-    entrance = server.Server(echo, lambda: server.Limits(idle_timeout_s=current[0]), 1)
+    entrance = server.Server(echo, lambda: messages.Limits(idle_timeout_s=current[0]), 1)
     entrance.idle_timeout_s(0.0)
     current[0] = limits_s[-1]
     entrance.idle_timeout_s(1.0)
@@ -192,7 +193,7 @@
     async def main():
         async def note(request):
             seen.append(request)
-            return server.Answer(200)
+            return messages.Answer(200)
 
         async with serving(note) as (_, address):
             await talk(address, GOOD, CLOSING)
--- a/tests/integration/test_entry.py
+++ b/tests/integration/test_entry.py
@@ -15,7 +15,7 @@
 import standin_platform
 
 from turmericlug.http1 import client
-from turmericlug.http1 import server
+from turmericlug.http1 import messages
 from turmericlug.operators import trace
 from turmericlug_lab import fleet_spec
 
@@ -219,7 +219,7 @@
         async def garbled(request):
             replica = next(each for each in replicas.values() if each.service == "one")
             replica.runs.append(request.header(b"x-request-id"))
-            return server.Answer(200, ((b"x-request-id", b"other"),), b"x")
+            return messages.Answer(200, ((b"x-request-id", b"other"),), b"x")
 
         for each in replicas.values():
             each.script = garbled
@@ -289,12 +289,12 @@
 
 
 async def _shed(request):
-    return server.Answer(503, ((b"x-not-executed", b"1"),))
+    return messages.Answer(503, ((b"x-not-executed", b"1"),))
 
 
 async def _failing(request):
     headers = ((b"x-server-stamp", b"s"), (b"x-request-id", request.header(b"x-request-id")))
-    return server.Answer(500, headers)
+    return messages.Answer(500, headers)
 
 
 async def _hanging(request):
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -8,6 +8,7 @@
 import standin_platform
 
 from turmericlug.direct import routes
+from turmericlug.http1 import messages
 from turmericlug.platform import decode
 
 SPLIT = [{"Service": "a", "Weight": 3}, {"Service": "b", "Weight": 1}]
@@ -43,7 +44,7 @@
 def test_services_and_limits():
     found = decode.configuration(standin_platform.configuration(1, [], ["a"]))
     assert found.services == {"a": routes.Service("a", "/health", 26)}
-    assert found.limits == routes.CallerLimits(16384, 262144, 3000, 15000)
+    assert found.limits == messages.Limits(16384, 262144, 3.0, 15.0)
 
 
 @pytest.mark.parametrize(("state", "draining"), [("ready", False), ("draining", True)])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,7 +27,6 @@
 import standin_platform  # noqa: E402
 
 from turmericlug.http1 import client  # noqa: E402
-from turmericlug.http1 import server  # noqa: E402
 from turmericlug_lab import fleet_spec  # noqa: E402
 
 SHARDS = tuple(f"s{number}" for number in range(6))
@@ -364,35 +363,37 @@
                 self.broken.append(f"ROUTE {outcome.request_id!r}: {dict(ran)}")
 
 
-async def _shed(request: server.Request) -> server.Answer:
-    return server.Answer(503, ((b"x-not-executed", b"1"),))
+async def _shed(request: messages.Request) -> messages.Answer:
+    return messages.Answer(503, ((b"x-not-executed", b"1"),))
 
 
-async def _fail(request: server.Request) -> server.Answer:
+async def _fail(request: messages.Request) -> messages.Answer:
     request_id = request.header(b"x-request-id") or b""
-    return server.Answer(500, ((b"x-request-id", request_id), (b"x-server-stamp", b"i.1.f")))
+    return messages.Answer(500, ((b"x-request-id", request_id), (b"x-server-stamp", b"i.1.f")))
 
 
-async def _foreign(request: server.Request) -> server.Answer:
+async def _foreign(request: messages.Request) -> messages.Answer:
     headers = ((b"x-request-id", b"other"), (b"x-server-stamp", b"i.1.other"))
-    return server.Answer(200, headers, b"f" * 16)
+    return messages.Answer(200, headers, b"f" * 16)
 
 
-async def _slow(request: server.Request) -> None:
+async def _slow(request: messages.Request) -> None:
     await asyncio.sleep(0.25)
 
 
-async def _extra(request: server.Request) -> server.Answer:
+async def _extra(request: messages.Request) -> messages.Answer:
     """Answer and send a second answer behind it."""
     headers = ((b"x-request-id", b"other"), (b"x-server-stamp", b"i.1.other"))
-    return server.Answer(200, headers, b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", close=True)
+    return messages.Answer(
+        200, headers, b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", close=True
+    )
 
 
 def _lose(replica: standin_platform.Replica):
-    async def lose(request: server.Request) -> server.Answer:
+    async def lose(request: messages.Request) -> messages.Answer:
         """Run the request and lose the answer."""
         replica.runs.append(request.header(b"x-request-id") or b"")
-        return server.Answer(200, ((b"x-request-id", b"lost"),))
+        return messages.Answer(200, ((b"x-request-id", b"lost"),))
 
     return lose
 
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -9,6 +9,7 @@
 import json
 import urllib.parse
 
+from turmericlug.http1 import messages
 from turmericlug.http1 import server
 
 OK = 200
@@ -75,13 +76,13 @@
         asked = {key: values[0] for key, values in urllib.parse.parse_qs(query).items()}
         self.calls.append(call)
         if self.fault == "busy":
-            return server.Answer(503)
+            return messages.Answer(503)
         if self.fault == "silent":
             await asyncio.sleep(60)
         status, body = await self._answer(call, asked, json.loads(request.body or b"{}"))
         if self.fault == "lost":
             await asyncio.sleep(60)
-        return server.Answer(status, (), json.dumps(body).encode())
+        return messages.Answer(status, (), json.dumps(body).encode())
 
     async def _answer(self, call, asked, body):
         name, _, rest = call.partition("/")
@@ -148,7 +149,7 @@
         expected = request.header(b"x-expect-instance")
         request_id = request.header(b"x-request-id") or b""
         if expected and expected != self.instance.encode():
-            return server.Answer(421, ((b"x-instance-id", self.instance.encode()),))
+            return messages.Answer(421, ((b"x-instance-id", self.instance.encode()),))
         if self.script is not None:
             answer = await self.script(request)
             if answer is not None:
@@ -157,7 +158,7 @@
         await asyncio.sleep(self.delay_s)
         stamp = b"%s.%d.%s" % (self.instance.encode(), len(self.runs), request_id)
         headers = ((b"x-request-id", request_id), (b"x-server-stamp", stamp))
-        return server.Answer(200, headers, self.body)
+        return messages.Answer(200, headers, self.body)
 
     def entry(self, state="ready"):
         """Return what the replica writes of itself."""
@@ -176,7 +177,7 @@
 @contextlib.asynccontextmanager
 async def listening(handler, port=0):
     """Serve a handler on loopback; yields its address."""
-    entrance = server.Server(handler, server.Limits, 1000)
+    entrance = server.Server(handler, messages.Limits, 1000)
     listener = await server.listen(entrance, "127.0.0.1", port)
     try:
         yield listener.sockets[0].getsockname()
