Hedge a part as late as leaves the second send twice its usual time

Cause: the age at which a part counts as late is passed by one in eight, most of which come by themselves; the second sends were load, and most of them crossed regions.

--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -12,6 +12,7 @@
 from turmericlug.direct import dialect as dialect_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import sending
+from turmericlug.direct import timing
 from turmericlug.kernel import tasks as tasks_module
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
@@ -123,8 +124,18 @@
     if not _may_hedge(effort):
         return left_s
     (pending,) = effort.pending.values()
-    hedge_ms = effort.sender.replicas.hedge_after_ms(pending.replica, effort.call.route)
-    return min(max(pending.began_s + hedge_ms / 1000 - now_s, 0.0), left_s)
+    return min(max(pending.began_s + _hedge_ms(effort, pending) / 1000 - now_s, 0.0), left_s)
+
+
+def _hedge_ms(effort: _Effort, pending: _Pending) -> float:
+    """Return the age at which a pending send is hedged."""
+    replicas, call = effort.sender.replicas, effort.call
+    late_ms = replicas.hedge_after_ms(pending.replica, call.route)
+    if call.answer_at_s is None:
+        return late_ms
+    left_ms = (call.answer_at_s - pending.began_s) * 1000
+    second_ms = replicas.slowest_usual_ms(effort.service, call.route)
+    return timing.hedge_by_ms(late_ms, left_ms, second_ms)
 
 
 def _may_hedge(effort: _Effort) -> bool:
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -314,6 +314,16 @@
             expected_ms *= OVERDUE_FACTOR
         return expected_ms
 
+    def slowest_usual_ms(self, service: str, route: routes.Route) -> float:
+        """Return the usual time of the farthest replica of a service."""
+        return max(
+            (
+                self.times(route.name, each.entry.data_centre).usual_ms
+                for each in self._by_service.get(service, {}).values()
+            ),
+            default=0.0,
+        )
+
     def hedge_after_ms(self, replica: Replica, route: routes.Route) -> float:
         """Return the age at which a send to this replica counts as late."""
         slow_ms = self.times(route.name, replica.entry.data_centre).slow_ms
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -37,6 +37,8 @@
     sends: set[asyncio.Task[typing.Any]] = attrs.field(factory=set)
     way_back_s: float = 0.0
     """What an answer takes to the caller."""
+    answer_at_s: float | None = None
+    """When a query over shards answers with what it has."""
     asked: dict[str, list[replicas_module.Send]] = attrs.field(factory=dict)
     """The sends of each service, in order."""
     hedges: int = 0
--- a/src/turmericlug/direct/timing.py
+++ b/src/turmericlug/direct/timing.py
@@ -14,6 +14,8 @@
 """A turn of a busy event loop: below it, lateness is our own."""
 HEDGE_LATEST_SHARE = 0.36
 """Share of the goal after which a second send would come back too late to help."""
+SECOND_FACTOR = 2.0
+"""Multiple of its usual time that a second send is given before the query answers without it."""
 PARTIAL_SHARE = 0.94
 """Share of the goal at which a query answers with the parts it has, at the latest."""
 PARTIAL_MARGIN_MS = 13.0
@@ -36,6 +38,20 @@
     return min(max(HEDGE_FACTOR * slow_ms, HEDGE_AT_LEAST_MS), latest_ms)
 
 
+def hedge_by_ms(late_ms: float, left_ms: float, second_ms: float) -> float:
+    """
+    Return the age at which a late part is sent to a second replica.
+
+    As late as leaves the second send twice its usual time: most late parts come by themselves until
+    then, and the second sends of an early hedge are load and bytes between regions for nothing.
+
+    :param late_ms: the age at which the part counts as late
+    :param left_ms: what was left until the query's answer when the part was sent
+    :param second_ms: the usual time of the second replica
+    """
+    return max(late_ms, left_ms - SECOND_FACTOR * second_ms)
+
+
 def answer_after_ms(goal_ms: float, way_back_ms: float = 0.0) -> float:
     """
     Return the age at which a query with enough parts answers without the others.
--- a/src/turmericlug/entry/helping.py
+++ b/src/turmericlug/entry/helping.py
@@ -63,6 +63,7 @@
         loop.create_task(obtaining.obtain(sender, call, shard)): shard for shard in batch.shards
     }
     answer_at_s = min(arrived_s + batch.answer_in_ms / 1000, call.deadline_s)
+    call.answer_at_s = answer_at_s
     pending = set(parts)
     try:
         done, pending = await asyncio.wait(pending, timeout=max(answer_at_s - loop.time(), 0.0))
--- a/tests/direct/test_timing.py
+++ b/tests/direct/test_timing.py
@@ -22,3 +22,18 @@
 )
 def test_answer_age_leaves_time_for_the_way_back(goal_ms, way_back_ms, expected_ms):
     assert timing.answer_after_ms(goal_ms, way_back_ms) == pytest.approx(expected_ms)
+
+
+@pytest.mark.parametrize(
+    ("late_ms", "left_ms", "second_ms", "expected_ms"),
+    [(20.0, 277.0, 67.0, 143.0), (20.0, 120.0, 39.0, 42.0), (20.0, 50.0, 39.0, 20.0)],
+    ids=["ample", "short", "none to spare"],
+)
+def test_a_late_part_is_hedged_as_late_as_the_second_send_allows(
+    late_ms, left_ms, second_ms, expected_ms
+):
+    """
+    Parts that are late by a little come by themselves. Hedged at once, one send in eight was made
+    twice, most of them between regions, for answers that were on their way.
+    """
+    assert timing.hedge_by_ms(late_ms, left_ms, second_ms) == pytest.approx(expected_ms)
