A batch that was begun and lost is not sent again where a third replica could be reached

Ruled out: standing still (no instance.stalled line), an old batch. Such a batch is now waited for; only where a shard has no more replicas than attempts is it sent again.

--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -48,8 +48,10 @@
 
     peer: replicas_module.Replica
     shards: tuple[str, ...]
-    refused: bool = False
-    """Whether the peer said that it ran nothing of it."""
+    ran_nothing: bool = True
+    """Whether the peer certainly sent none of its parts."""
+    alive: bool = False
+    """Whether the peer said that it works on it."""
     outcomes: dict[str, asyncio.Future[sending.Outcome | None]] = attrs.field(factory=dict)
     """``None`` for a shard whose batch has to be taken for lost."""
 
@@ -246,10 +248,11 @@
         try:
             await self._sent(sender, call, handed, answer_at_s, send)
             handed.peer.succeeded(1.0, 1.0, loop.time())
-        except client.ConnectError as error:
-            handed.refused = True
-            self._lost(sender, call, handed, str(error), send.began_s)
-        except (client.ExchangeError, handover_codec.MessageError) as error:
+        except (
+            client.ConnectError,
+            client.ExchangeError,
+            handover_codec.MessageError,
+        ) as error:
             self._lost(sender, call, handed, str(error), send.began_s)
         except TimeoutError:
             self._lost(sender, call, handed, "silent", send.began_s)
@@ -277,8 +280,11 @@
                 first_by_s = now_s + batch.answer_in_ms / 1000 + self._alive_after_s(data_centre)
 
                 def alive() -> None:
-                    # From now on it is late only when it does not come back as asked.
-                    limit.reschedule(min(first_by_s, call.deadline_s))
+                    # From now on it is late only when it does not come back as asked. Where its
+                    # parts can't be sent again, it is waited for: it lives, and may only be busy.
+                    handed.alive = True
+                    again = all(may_send_again(sender, call, each) for each in handed.shards)
+                    limit.reschedule(min(first_by_s, call.deadline_s) if again else call.deadline_s)
                     send.overdue_after_s = first_by_s - send.began_s
 
                 def came_back(chunk: bytes) -> None:
@@ -295,9 +301,9 @@
                 limit.reschedule(now_s + self._alive_after_s(data_centre))
                 content = handover_codec.encode_batch(batch)
                 request = client.request_bytes(b"POST", PATH, [(b"host", b"instance")], content)
+                handed.ran_nothing = False
                 response = await connection.exchange(request, alive, came_back)
-        if response.status == REFUSED:
-            handed.refused = True
+        handed.ran_nothing = response.status == REFUSED
         if response.status != 200:
             raise handover_codec.MessageError(f"status {response.status}")
         if not all(outcome.done() for outcome in handed.outcomes.values()):
@@ -362,8 +368,20 @@
 async def part(
     sender: obtaining.Sender, call: sending.Call, handed: Handed, shard: str
 ) -> sending.Outcome:
-    """Return what a batch brought for one of its shards; a direct send makes up for a lost one."""
+    """
+    Return what a batch brought for one of its shards.
+
+    A direct send makes up for a lost one. But not where the peer had begun and the shard has more
+    replicas than a request may be sent to: the peer may have sent to as many as are allowed.
+    """
     outcome = await asyncio.shield(handed.outcomes[shard])
-    if outcome is None:
-        return await obtaining.obtain(sender, call, shard, again=not handed.refused)
-    return outcome
+    if outcome is not None:
+        return outcome
+    if handed.alive and not handed.ran_nothing and not may_send_again(sender, call, shard):
+        return sending.Unknown("batch_lost")
+    return await obtaining.obtain(sender, call, shard, again=not handed.ran_nothing)
+
+
+def may_send_again(sender: obtaining.Sender, call: sending.Call, shard: str) -> bool:
+    """Whether a shard has so few replicas that no send can reach too many."""
+    return len(sender.replicas.of(shard)) <= call.route.max_attempts
--- a/tests/direct/test_handover.py
+++ b/tests/direct/test_handover.py
@@ -385,3 +385,34 @@
         assert not any(each.requests for service in elsewhere.values() for each in service.values())
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("replicas", "sent", "outcome"), [(2, 1, "answered"), (3, 0, "failed")], ids=["few", "many"]
+)
+def test_a_batch_that_was_begun_and_lost(replicas, sent, outcome):
+    """
+    An instance has begun a batch, has perhaps sent a part to two replicas, and is killed. A direct
+    send would reach a third one where two are allowed; with two replicas in all it can't.
+    """
+
+    async def dying(request):
+        async def chunks():
+            raise ConnectionError
+            yield b""
+
+        return messages.Answer(200, chunks=chunks())
+
+    async def main():
+        names = [f"far-{number}" for number in range(replicas)]
+        scripts = {shard: {f"{name}{shard}": scripted.Scripted(part(120)) for name in names}
+                   for shard in ("x", "y")}  # fmt: skip
+        sender = make_sender(scripts)
+        async with peer(dying) as sender.handover:
+            call = query_call(shards=("x", "y"), min_coverage=1.0, deadline_ms=500.0)
+            ending = await answering.all_shards(sender, call)
+            await sender.tasks.close()
+        assert ending.outcome == outcome
+        return sum(len(script.requests) for script in scripts["x"].values())
+
+    assert asyncio.run(main()) == sent
