--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -19,7 +19,7 @@
 COME_BACK_LEAST_S = 0.05
 COME_BACK_MOST_S = 0.4
 """Callers refused together come back spread over some service times, not all at once."""
-_RESPONSE_OWN = frozenset((b"content-length", b"connection", b"keep-alive", b"date"))
+_DATE = b"date"
 
 
 @attrs.frozen
@@ -79,9 +79,7 @@
 
 def _passed_on(response: client.Response, status: int) -> messages.Answer:
     headers = tuple(
-        (name, value)
-        for name, value in client.end_to_end(response.headers)
-        if name not in _RESPONSE_OWN
+        (name, value) for name, value in client.end_to_end(response.headers) if name != _DATE
     )
     return messages.Answer(status, headers, response.body)
 
--- a/src/turmericlug/direct/pool.py
+++ b/src/turmericlug/direct/pool.py
@@ -7,7 +7,6 @@
 import contextlib
 import heapq
 import itertools
-import typing
 from collections import abc
 
 import attrs
@@ -188,6 +187,3 @@
 def _trusted_s(connection: client.Connection) -> float:
     stated_s = connection.keep_idle_s
     return IDLE_S if stated_s is None else min(stated_s * IDLE_SHARE, 60.0)
-
-
-PoolFactory = abc.Callable[[typing.Any], Pool]
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -210,11 +210,6 @@
             known.pool.trim()
         return changed
 
-    def suspect_gone(self, instance: str) -> None:
-        """Pass a replica over whose entry is missing, perhaps only for a moment."""
-        if instance in self._by_instance:
-            self._by_instance[instance].leaving = True
-
     async def warm(self, now_s: float, wanted: abc.Callable[[str], bool]) -> None:
         """
         Open a first connection to replicas that have none.
--- a/src/turmericlug/direct/routes.py
+++ b/src/turmericlug/direct/routes.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import random
-
 import attrs
 
 from turmericlug.http1 import messages
@@ -45,17 +43,6 @@
     top_records: int = 0
     min_coverage: float = 0.0
 
-    def pick_service(self, rng: random.Random) -> str:
-        """Draw one of the services by weight."""
-        if len(self.services) == 1:
-            return self.services[0].service
-        weights = [share.weight for share in self.services]
-        return rng.choices(self.services, weights)[0].service
-
-    def targets(self) -> tuple[str, ...]:
-        """Return every service that requests on this route may reach."""
-        return self.shards or tuple(share.service for share in self.services)
-
 
 @attrs.frozen
 class Service:
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -73,11 +73,6 @@
         """Ask each caller to close: every answer from now on says so."""
         self.leaving = True
 
-    async def finish(self) -> None:
-        """Wait until no connection has a request without an answer."""
-        while any(each.busy for each in self.connections):
-            await asyncio.sleep(0.02)
-
     def close(self) -> None:
         """End every connection."""
         for connection in list(self.connections):
