A query that too few shards answer is "not run" whenever no send can have run

Two refused parts settle that a query fails; the third part's sends had ended refused ("ended 2+0 ms, ended 1+0 ms") but its task had not had its turn, and an unfinished part was taken for one that may have run. Ruled out: a lost answer (both sends of the part had ended), the stand-in (it refuses all). Change: each send says whether its replica can have run it; a part whose task is not over is judged by its sends, one that was handed to another instance counts as perhaps run. A part that is really under way at that moment is still "failed": the caller is answered at once and nothing is promised. The integration row asks a query for which one shard is enough, so that all refusals are needed to settle it; the order of the last two is the new unit table (6 rows; the two that ask for the refusal fail when an unfinished part counts as perhaps run).

--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -103,7 +103,7 @@
         for part in parts.values():
             part.cancel()
         call.answered(timing.STUCK_AFTER_S)
-    return _merged(sender, call, parts)
+    return conclude(sender, call, parts)
 
 
 Parts = dict[str, asyncio.Task[sending.Outcome]]
@@ -197,14 +197,19 @@
 Good = sending.Answered | sending.AnsweredInBatch
 
 
+def _is_over(part: asyncio.Task[sending.Outcome]) -> bool:
+    return part.done() and not part.cancelled()
+
+
 def _answered(part: asyncio.Task[sending.Outcome]) -> Good | None:
-    if not part.done() or part.cancelled():
+    if not _is_over(part):
         return None
     outcome = part.result()
     return outcome if isinstance(outcome, Good) else None
 
 
-def _merged(sender: obtaining.Sender, call: sending.Call, parts: Parts) -> Ending:
+def conclude(sender: obtaining.Sender, call: sending.Call, parts: Parts) -> Ending:
+    """Answer with the parts that are in, or refuse or fail where they are too few."""
     answers = {shard: _answered(part) for shard, part in parts.items()}
     present = [answer for answer in answers.values() if answer is not None]
     missing = [shard for shard, answer in answers.items() if answer is None]
@@ -244,19 +249,24 @@
 
 
 def _why(part: asyncio.Task[sending.Outcome]) -> str:
-    if not part.done() or part.cancelled():
+    if not _is_over(part):
         return "not in time"
     return sending.reason(part.result())
 
 
 def _too_few(sender: obtaining.Sender, call: sending.Call, parts: Parts) -> Ending:
-    """Refuse when no part can have run, else fail."""
-    outcomes = [
-        part.result() if part.done() and not part.cancelled() else None for part in parts.values()
-    ]
-    if all(isinstance(outcome, sending.NotRun) for outcome in outcomes):
-        reasons = {outcome.reason.partition(":")[0] for outcome in outcomes}
-        return refusal(sender, ", ".join(sorted(reasons)))
+    """
+    Refuse when no part can have run, else fail.
+
+    The failures of some parts settle the query before the tasks of the others have had their turn;
+    what those have sent tells then whether they can have run.
+    """
+    ended = {shard: part.result() for shard, part in parts.items() if _is_over(part)}
+    refused = [each for each in ended.values() if isinstance(each, sending.NotRun)]
+    may_run = any(call.may_have_run(shard) for shard in parts if shard not in ended)
+    if len(refused) == len(ended) and not may_run:
+        reasons = {outcome.reason.partition(":")[0] for outcome in refused}
+        return refusal(sender, ", ".join(sorted(reasons)) or "not_sent")
     now_s = asyncio.get_running_loop().time()
     missing = [shard for shard, part in parts.items() if not _answered(part)]
     why = _told(call, parts, missing, now_s)
--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -236,6 +236,7 @@
         task = sender.tasks.start(self._exchange(sender, call, handed, answer_at_s))
         call.sends.add(task)
         task.add_done_callback(call.sends.discard)
+        call.handed_over.update(handed.shards)
         sender.counters.add("handover.sent")
         sender.counters.add("handover.shards", len(handed.shards))
 
--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -263,6 +263,7 @@
     call.asked.setdefault(replica.entry.service, []).append(send)
     try:
         outcome = await sending.send(call, replica, sender.names, send)
+        send.ran = not isinstance(outcome, sending.NotRun)
     except asyncio.CancelledError:
         # The caller left and the connection is closed: says nothing of the replica.
         return sending.Unknown("abandoned")
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -75,6 +75,8 @@
     written_s: float | None = None
     """When it had a connection and was written."""
     ended_s: float | None = None
+    ran: bool = True
+    """False once it has ended and the replica certainly did not run it."""
     limit: asyncio.Timeout | None = None
     """Ends it; moved forward once nobody waits for it."""
 
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -41,6 +41,8 @@
     """When a query over shards answers with what it has."""
     asked: dict[str, list[replicas_module.Send]] = attrs.field(factory=dict)
     """The sends of each service, in order."""
+    handed_over: set[str] = attrs.field(factory=set)
+    """Shards that another instance was asked to send to."""
     hedges: int = 0
     repeats: int = 0
 
@@ -48,6 +50,12 @@
         """Describe what was sent to a service, for the log."""
         return ", ".join(send.told(now_s) for send in self.asked.get(service, ())) or "not sent"
 
+    def may_have_run(self, service: str) -> bool:
+        """Whether a replica of a service may have run the request, or may still."""
+        if service in self.handed_over:
+            return True
+        return any(send.ran for send in self.asked.get(service, ()))
+
     def answered(self, stuck_after_s: float) -> None:
         """
         Leave the sends under way a little time only: the caller has its answer.
--- a/tests/direct/test_answering.py
+++ b/tests/direct/test_answering.py
@@ -8,6 +8,8 @@
 import scripted
 
 from turmericlug.direct import answering
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import sending
 from turmericlug.http1 import client
 
 RESET = client.ExchangeError("connection reset")
@@ -84,6 +86,44 @@
     assert (header(ending.answer, b"retry-after") is not None) == (status == 503)
 
 
+@pytest.mark.parametrize(
+    ("last", "handed_over", "status"),
+    [
+        ([replicas_module.Send(0.0, 1.0, written_s=0.0, ended_s=0.1, ran=False)], False, 503),
+        ([replicas_module.Send(0.0, 1.0, written_s=0.0, ended_s=0.1)], False, 502),
+        ([replicas_module.Send(0.0, 1.0, written_s=0.0)], False, 502),
+        ([replicas_module.Send(0.0, 1.0)], False, 502),
+        ([], False, 503),
+        ([], True, 502),
+    ],
+    ids=["refused", "failed", "under way", "not written yet", "not sent", "with another instance"],
+)
+def test_a_query_fails_before_the_task_of_its_last_part_has_had_its_turn(last, handed_over, status):
+    """
+    Every replica is full. The second refused part settles that the query fails, while the last
+    one's sends were refused as well but its task has not had its turn. The caller was told "failed"
+    where "not run, come back then" was true, by chance in one of some hundred runs.
+    """
+
+    async def main():
+        sender = scripted.make_sender({"x": {}, "y": {}, "z": {}})
+        call = scripted.make_call(services=(), shards=("x", "y", "z"), min_coverage=0.6)
+        parts = {shard: asyncio.create_task(_refused()) for shard in ("x", "y")}
+        parts["z"] = asyncio.create_task(asyncio.sleep(30))
+        await asyncio.wait([parts["x"], parts["y"]])
+        parts["z"].cancel()
+        call.asked["z"] = last
+        if handed_over:
+            call.handed_over.add("z")
+        return answering.conclude(sender, call, parts)
+
+    assert asyncio.run(main()).answer.status == status
+
+
+async def _refused():
+    return sending.NotRun("shed", sent=True)
+
+
 def test_a_query_without_enough_replicas_is_refused_before_anything_is_sent():
     async def main():
         sent = scripted.Scripted(part(1))
--- a/tests/integration/test_entry.py
+++ b/tests/integration/test_entry.py
@@ -90,6 +90,7 @@
     """Write a configuration version."""
     routes = [
         standin_platform.route("all", "/all/", Gather=SHARDS, TopK=2, MinCoverage=0.6),
+        standin_platform.route("any", "/any/", Gather=SHARDS, TopK=2, MinCoverage=0.3),
         standin_platform.route("one", "/one/", Service="one", RouteType="non_idempotent"),
         *extra,
     ]
@@ -305,7 +306,8 @@
     ("script", "target", "status", "outcome", "cause"),
     [
         (_shed, b"/one/1", 503, "refused", "shed"),
-        (_shed, b"/all/1", 503, "refused", "shed"),
+        # One shard is enough here: it takes the refusals of all of them to settle the query.
+        (_shed, b"/any/1", 503, "refused", "shed"),
         (_failing, b"/one/1", 500, "failed", "replica_status_500"),
         (_failing, b"/all/1", 502, "failed", "replica_status_500"),
         (_hanging, b"/one/1", 504, "failed", "silent"),
