--- /dev/null
+++ b/tests/entry_process.py
@@ -0,0 +1,90 @@
+"""An entry instance as a real process: its settings, start, signals and lines."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import pathlib
+import sys
+
+import attrs
+
+from turmericlug_lab import fleet_spec
+
+ROOT = pathlib.Path(__file__).parents[1]
+_SETTINGS = """\
+[entry]
+name = {name}
+data_centre = {data_centre}
+region = {region}
+data_centres = {data_centres}
+callers_address = 127.0.0.1:{ports[0]}
+ready_address = 127.0.0.1:{ports[1]}
+directory_address = 127.0.0.1:{ports[2]}
+metrics_address = 127.0.0.1:{ports[3]}
+peers_address = 127.0.0.1:{ports[4]}
+
+[source]
+address = 127.0.0.1:{store_port}
+
+[policy]
+grace_s = {grace_s}
+"""
+
+
+@attrs.define
+class Instance:
+    """An entry instance that can be started again and again on the same ports."""
+
+    name: str
+    settings: pathlib.Path
+    ports: list[int]
+    """Of callers, readiness, directory, metrics and peers."""
+    process: asyncio.subprocess.Process | None = None
+    leaving: bool = False
+    """Whether something is happening to it."""
+
+    @property
+    def log(self):
+        """The file that its lines go to."""
+        return self.settings.with_suffix(".log")
+
+    async def start(self):
+        """Start the program; its lines go to a file beside its settings."""
+        with self.log.open("ab") as output:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "src" / "turmericlug_entry.py"),
+                env=os.environ | {"TURMERICLUG_NODE_FILE": str(self.settings)},
+                stdout=output,
+                stderr=output,
+            )
+        self.leaving = False
+
+    def signal(self, number):
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def lines(self, event):
+        """Return its log lines of one event."""
+        lines = [json.loads(line) for line in self.log.read_text().splitlines()]
+        return [line for line in lines if line["event"] == event]
+
+
+def make(folder, name, store_port, regions=None, data_centre="dc-1", grace_s=3.0):
+    """Write the settings of an instance and return it, not yet started."""
+    regions = regions or {"dc-1": "r-1"}
+    instance = Instance(name, folder / f"{name}.ini", fleet_spec.free_ports(5))
+    text = _SETTINGS.format(
+        name=name,
+        data_centre=data_centre,
+        region=regions[data_centre],
+        data_centres=",".join(f"{key}={value}" for key, value in regions.items()),
+        ports=instance.ports,
+        store_port=store_port,
+        grace_s=grace_s,
+    )
+    instance.settings.write_text(text)
+    return instance
--- a/tests/integration/test_entry.py
+++ b/tests/integration/test_entry.py
@@ -5,54 +5,17 @@
 import asyncio
 import contextlib
 import json
-import os
-import pathlib
 import signal
-import sys
 
-import attrs
+import entry_process
 import pytest
 import standin_platform
 
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
 from turmericlug.operators import trace
-from turmericlug_lab import fleet_spec
 
-ROOT = pathlib.Path(__file__).parents[2]
 SHARDS = ["s0", "s1", "s2"]
-SETTINGS = """
-[entry]
-name = {name}
-data_centre = dc-1
-region = r-1
-data_centres = dc-1=r-1
-callers_address = 127.0.0.1:{ports[0]}
-ready_address = 127.0.0.1:{ports[1]}
-directory_address = 127.0.0.1:{ports[2]}
-metrics_address = 127.0.0.1:{ports[3]}
-peers_address = 127.0.0.1:{ports[4]}
-
-[source]
-address = 127.0.0.1:{store_port}
-
-[policy]
-grace_s = {grace_s}
-"""
-
-
-@attrs.define
-class Instance:
-    """A running entry instance."""
-
-    process: asyncio.subprocess.Process
-    ports: list[int]
-    log: pathlib.Path
-
-    def lines(self, event):
-        """Return its log lines of one event."""
-        lines = [json.loads(line) for line in self.log.read_text().splitlines()]
-        return [line for line in lines if line["event"] == event]
 
 
 async def ask(port, target, request_id, headers=(), method=b"GET", body=b""):
@@ -101,23 +64,13 @@
 @contextlib.asynccontextmanager
 async def started(tmp_path, store_port, name="e-1", grace_s=3.0):
     """Run an instance until the block ends."""
-    ports = fleet_spec.free_ports(5)
-    path, log = tmp_path / f"{name}.ini", tmp_path / f"{name}.log"
-    path.write_text(SETTINGS.format(name=name, ports=ports, store_port=store_port, grace_s=grace_s))
-    with log.open("wb") as output:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ROOT / "src" / "turmericlug_entry.py"),
-            env=os.environ | {"TURMERICLUG_NODE_FILE": str(path)},
-            stdout=output,
-            stderr=output,
-        )
+    instance = entry_process.make(tmp_path, name, store_port, grace_s=grace_s)
+    await instance.start()
     try:
-        yield Instance(process, ports, log)
+        yield instance
     finally:
-        if process.returncode is None:
-            process.kill()
-        await process.wait()
+        instance.signal(signal.SIGKILL)
+        await instance.process.wait()
 
 
 async def until(condition, limit_s=20.0):
