--- a/src/turmericlug_lab/fleet_spec.py
+++ b/src/turmericlug_lab/fleet_spec.py
@@ -71,21 +71,29 @@
     """A process did not come up, or a call to it failed."""
 
 
+_reserved: list[socket.socket] = []
+"""Sockets that keep the ports given out, until this process ends."""
+
+
 def free_ports(count: int) -> list[int]:
     """
-    Find ports that are free on loopback now.
+    Find ports that are free on loopback and keep them for processes of this one's fleets.
 
     Below the range that the system takes source ports from: one of those may become the source of
-    somebody's connection before the process that it was meant for listens there.
+    somebody's connection before the process that it was meant for listens there. Each port stays
+    bound here, not listening: nobody who looks for a free one is given it as well, while a server
+    that allows addresses to be used again, as the event loops do by default, can listen on it.
     """
     ports: list[int] = []
     while len(ports) < count:
         port = random.SystemRandom().randrange(*_PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("", port))
-            except OSError:
-                continue
-        if port not in ports:
-            ports.append(port)
+        probe = socket.socket()
+        try:
+            probe.bind(("", port))
+        except OSError:
+            probe.close()
+            continue
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _reserved.append(probe)
+        ports.append(port)
     return ports
--- a/src/turmericlug_lab/standin_proxy.py
+++ b/src/turmericlug_lab/standin_proxy.py
@@ -42,11 +42,20 @@
         self._host = host
         self.routes = {route.name: route for route in routes}
         self._tasks: dict[asyncio.Task[None], str] = {}
+        self._listeners: list[asyncio.Server] = []
 
     async def start(self) -> None:
         """Listen on every route."""
         for route in self.routes.values():
-            await asyncio.start_server(self._handler(route), self._host, route.listen)
+            listener = await asyncio.start_server(self._handler(route), self._host, route.listen)
+            self._listeners.append(listener)
+
+    def close(self) -> None:
+        """Listen no more and end every connection."""
+        for listener in self._listeners:
+            listener.close()
+        for task in list(self._tasks):
+            task.cancel()
 
     def _handler(self, route: Route) -> typing.Callable[..., typing.Any]:
         async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
