Fewer calls to the store: a first reading may be stale; in an outage the relay keeps the pace

Each start reads everything at full price, though a stale reading costs a tenth and the question for changes since then brings the rest at once. While the store is away the relay's news count as old, and each instance then asked the store itself about three times a second. Change: the first reading may be stale and is followed from its oldest page; a removal older than the entry known is passed over, since news may now repeat what a newer page has shown. When the store fails an asker too, it asks the relay again, which answers once a second. Also: a relay that never heard from the store answered 500 (int of infinity); it says so now.

--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -41,14 +41,20 @@
     """
     Keep the view up to date for ever.
 
+    The first reading may be stale: the question for changes since then brings the rest at once, and
+    it costs the source a tenth. A later one has to be fresh, as what is missing in it is taken for
+    gone.
+
     :param changes_of: asks for the changes after a revision, the source or an instance near by
     :param journal: told of all news, for passing them on
     """
     revision: int | None = None
+    known = False
     while True:
         try:
             if revision is None:
-                snapshot = await source.read_all()
+                snapshot = await source.read_all(may_be_stale=not known)
+                known = True
                 view.source_regained()
                 view.take_snapshot(snapshot)
                 revision = snapshot.revision
--- a/src/turmericlug/entry/news.py
+++ b/src/turmericlug/entry/news.py
@@ -49,10 +49,11 @@
 
 @attrs.frozen
 class Snapshot:
-    """Everything at one revision, from which changes can be followed."""
+    """Everything, and the revision from which changes have to be followed."""
 
     written: tuple[Written, ...]
     revision: int
+    """Of the oldest page; single entries may be newer."""
 
 
 @attrs.frozen
@@ -82,8 +83,12 @@
 class Source(typing.Protocol):
     """Where configuration, replicas and the other instances are kept."""
 
-    async def read_all(self) -> Snapshot:
-        """Read everything, as of now."""
+    async def read_all(self, may_be_stale: bool) -> Snapshot:
+        """
+        Read everything.
+
+        :param may_be_stale: whether seconds old will do, which costs the source less
+        """
 
     async def changes(self, after: int, wait_s: float) -> Changes:
         """Wait for changes after a revision; none when the time is over."""
--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -39,6 +39,10 @@
 """Time for which the source is asked directly after a relay failed: its lease has ended by then."""
 
 
+_OLDEST_S = 3600.0
+"""Told as the age of news that never came: far beyond what is trusted."""
+
+
 class Journal:
     """The latest changes, for those that ask what has happened since a revision."""
 
@@ -99,7 +103,7 @@
         else:
             message.revision = changes.revision
             message.changes = [_plain(change) for change in changes.changes]
-        message.sourceAgeMs = min(int(source_age_s() * 1000), 2**31)
+        message.sourceAgeMs = int(min(source_age_s(), _OLDEST_S) * 1000)
         return messages.Answer(200, body=message.to_bytes_packed())
 
     return handle
@@ -136,7 +140,7 @@
         loop = asyncio.get_running_loop()
         relay = self.relay()
         if relay is None or loop.time() < self._direct_until_s:
-            return await self.source.changes(after, wait_s)
+            return await self._direct(after, wait_s)
         try:
             changes = await self._ask(relay, after)
         except (client.ConnectError, client.ExchangeError, news.SourceError) as error:
@@ -146,7 +150,15 @@
         else:
             self.counters.add("relay.answered")
             return changes
-        return await self.source.changes(after, wait_s)
+        return await self._direct(after, wait_s)
+
+    async def _direct(self, after: int, wait_s: float) -> news.Changes:
+        """Ask the source; when it fails for this instance too, the relay's pace is kept."""
+        try:
+            return await self.source.changes(after, wait_s)
+        except news.SourceError:
+            self._direct_until_s = 0.0
+            raise
 
     def relay(self) -> replicas_module.Replica | None:
         """Return the instance to ask, ``None`` when this one asks the source itself."""
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -104,10 +104,15 @@
                 if change.key in removed:
                     removed.remove(change.key)
                 self._write(change)
-            elif change.key in self._keys:
+            elif self._is_newer(change):
                 removed.append(change.key)
         self._remove(removed, changes.revision)
 
+    def _is_newer(self, removed: news.Removed) -> bool:
+        """Whether a removal is not of an entry that has been written again since."""
+        known = self._keys.get(removed.key)
+        return known is not None and removed.revision > known.revision
+
     def _write(self, written: news.Written) -> None:
         known = self._keys.get(written.key)
         if known is not None and known.revision >= written.revision:
--- a/src/turmericlug/platform/store.py
+++ b/src/turmericlug/platform/store.py
@@ -48,25 +48,27 @@
         self._calls = _Lane()
         self._watch = _Lane()
 
-    async def read_all(self) -> news.Snapshot:
+    async def read_all(self, may_be_stale: bool) -> news.Snapshot:
         """
-        Read every key, page by page; changes since the first page are followed from there.
+        Read every key, page by page; changes since the oldest page are followed from there.
+
+        Stale pages lag by different times, so that any of them may be the oldest.
 
         :raises SourceError: no answer
         """
         written: list[news.Written] = []
-        revision, after = 0, ""
+        revisions: list[int] = []
+        query = {"Prefix": ""} | ({"Serializable": "1"} if may_be_stale else {})
         while True:
-            query = {"Prefix": "", "after": after} if after else {"Prefix": ""}
             page = await self._get("kv-range", query)
-            revision = revision or page["AsOf"]
+            revisions.append(page["AsOf"])
             for item in page["items"]:
-                after = item["Key"]
+                query["after"] = item["Key"]
                 change = _written(item)
                 if change is not None:
                     written.append(change)
             if not page.get("HasMore"):
-                return news.Snapshot(tuple(written), revision)
+                return news.Snapshot(tuple(written), min(revisions))
 
     async def changes(self, after: int, wait_s: float) -> news.Changes:
         """
--- a/tests/entry/test_follower.py
+++ b/tests/entry/test_follower.py
@@ -33,6 +33,7 @@
     def __init__(self, readings=(), questions=(), keeps=()):
         self.steps = {"read": list(readings), "changes": list(questions), "keep": list(keeps)}
         self.asked_after = []
+        self.stale_allowed = []
         self.registered = []
         self.ended = []
 
@@ -45,7 +46,8 @@
             await asyncio.sleep(3600)
         return step
 
-    async def read_all(self):
+    async def read_all(self, may_be_stale):
+        self.stale_allowed.append(may_be_stale)
         return await self._step("read")
 
     async def changes(self, after, wait_s):
@@ -126,6 +128,9 @@
     asyncio.run(main())
     assert view.configuration.version == version
     assert source.asked_after == asked_after
+    # Only while nothing is known yet: a later stale reading would take replicas for gone.
+    known = [isinstance(each, int) for each in readings]
+    assert source.stale_allowed == [not any(known[:n]) for n in range(len(source.stale_allowed))]
 
 
 @pytest.mark.parametrize(
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 
 import pytest
 import scripted
@@ -36,9 +37,12 @@
 
     def __init__(self):
         self.asked = 0
+        self.away = False
 
     async def changes(self, after, wait_s):
         self.asked += 1
+        if self.away:
+            raise news.SourceError("unreachable")
         return news.Changes((), after)
 
 
@@ -161,6 +165,45 @@
     asyncio.run(main())
 
 
+def test_the_relay_is_asked_again_while_the_store_is_away_for_all():
+    """
+    The store is down. The relay says that its news are old, and each of 74 instances asked the
+    store itself three times a second for as long as it was away: on its return it is met by all.
+    """
+
+    async def main():
+        asked = []
+
+        async def handler(request):
+            asked.append(1)
+            return await stale(request)
+
+        async with relayed(handler) as (source, store):
+            store.away = True
+            for _ in range(4):
+                with pytest.raises(news.SourceError):
+                    await source.changes(10, 5.0)
+            assert len(asked) == store.asked == 4
+            store.away = False
+            await source.changes(10, 5.0)
+            await source.changes(10, 5.0)
+            assert len(asked) == 5
+
+    asyncio.run(main())
+
+
+def test_a_relay_that_never_heard_from_the_store_says_that_it_knows_nothing():
+    """A new instance is asked for news before its first reading; it has no age to tell."""
+
+    async def main():
+        answer = await relay.handler(relay.Journal(), lambda: math.inf)(
+            messages.Request(b"GET", relay.PATH + b"5", (), b"", 0.0, 0.0, 0.0, 0.0)
+        )
+        assert answer.status == 200
+
+    asyncio.run(main())
+
+
 def test_few_instances_each_ask_the_store():
     async def main():
         async with relayed(silent, instances=9) as (source, store):
--- a/tests/entry/test_view.py
+++ b/tests/entry/test_view.py
@@ -76,6 +76,20 @@
     assert "i0" not in view.replicas.instances()
 
 
+def test_a_removal_older_than_the_entry_is_passed_over():
+    """
+    A first reading is followed from its oldest page, so that the news repeat what a newer page has
+    shown already: a replica's entry lapsed and was written again. Taken for gone, the replica gets
+    no requests until its entry changes again, which may be never.
+    """
+    view, _ = make_view()
+    view.take_snapshot(news.Snapshot((replica("a", 7),), 3))
+    view.take_changes(news.Changes((replica("a", 4), news.Removed("r/a", 5)), 5))
+    assert "a" in view.replicas.instances()
+    view.take_changes(news.Changes((news.Removed("r/a", 8),), 8))
+    assert "a" not in view.replicas.instances()
+
+
 @pytest.mark.parametrize("away", [True, False], ids=["store away", "lapse not noticed"])
 def test_entries_that_lapse_with_the_store_are_kept_for_their_return(away):
     """
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -41,18 +41,37 @@
         async with connected() as (standin, store):
             write_some(standin, 5)
             standin.page = page
-            snapshot = await store.read_all()
+            snapshot = await store.read_all(may_be_stale=False)
             assert len(snapshot.written) == 6
             assert snapshot.revision == standin.revision
 
     asyncio.run(main())
 
 
+def test_a_stale_reading_is_followed_from_its_oldest_page():
+    """
+    Pages that may be stale come from replicas of the store that lag by different times. Followed
+    from the first page's revision, what had changed before it but after the second page's would
+    never be learnt: a replica that left in between would go on getting requests.
+    """
+
+    async def main():
+        async with connected() as (standin, store):
+            write_some(standin, 5)
+            standin.page = 3
+            standin.lags = [1, 4]
+            snapshot = await store.read_all(may_be_stale=True)
+            assert snapshot.revision == standin.revision - 4
+            assert standin.stale_reads == 3
+
+    asyncio.run(main())
+
+
 def test_changes_are_followed_from_a_reading():
     async def main():
         async with connected() as (standin, store):
             write_some(standin, 1)
-            snapshot = await store.read_all()
+            snapshot = await store.read_all(may_be_stale=False)
             waiting = asyncio.create_task(store.changes(snapshot.revision, 20.0))
             await asyncio.sleep(0.02)
             standin.remove("servers/i-0")
@@ -79,11 +98,11 @@
         async with connected() as (standin, store):
             lease = await store.lease(3.0)
             await store.register(OWN, lease)
-            (written,) = (await store.read_all()).written
+            (written,) = (await store.read_all(may_be_stale=False)).written
             assert written.value == OWN
             await store.keep(lease)
             await store.end(lease)
-            assert (await store.read_all()).written == ()
+            assert (await store.read_all(may_be_stale=False)).written == ()
             for call in (store.keep(lease), store.register(OWN, lease)):
                 with pytest.raises(news.LeaseEndedError):
                     await call
@@ -121,7 +140,7 @@
             write_some(standin, 1)
             standin.put("op/config", value)
             standin.put("servers/i-9", value)
-            snapshot = await store.read_all()
+            snapshot = await store.read_all(may_be_stale=False)
             assert [written.key for written in snapshot.written] == ["servers/i-0"]
 
     asyncio.run(main())
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -28,6 +28,9 @@
         self.fault = None
         """``busy``, ``silent`` or ``lost``: every call is refused, hangs, or is done unanswered."""
         self.page = 500
+        self.lags = []
+        """Revisions by which the next stale reads say that they lag."""
+        self.stale_reads = 0
         self._changed = asyncio.Event()
         self._numbers = itertools.count(7000)
 
@@ -96,7 +99,10 @@
         )
         items = [self.items[key] for key in keys[: self.page]]
         more = len(keys) > self.page
-        return OK, {"items": items, "HasMore": more, "AsOf": self.revision}
+        stale = asked.get("Serializable") == "1"
+        self.stale_reads += stale
+        lag = self.lags.pop(0) if stale and self.lags else 0
+        return OK, {"items": items, "HasMore": more, "AsOf": self.revision - lag}
 
     async def _kv_watch(self, asked, body, rest):
         after = int(asked["after"])
