A relay tells large values compressed, once for all instances that ask

A relay's link carries 7 Mbit/s here, and it tells a configuration of tens of kilobytes to fourteen instances: most of a second of its link. Ruled out: peers that stood still (they log other requests then), stalls of the asker (no instance.stalled). Change: a value over 1 KB goes as zlib, compressed once for all. Test: 90 shards on 40 routes, told in less than a tenth of the bytes; fails without.

--- a/src/turmericlug/entry/relay.capnp
+++ b/src/turmericlug/entry/relay.capnp
@@ -11,4 +11,11 @@
   # The sender does not know the changes since the revision asked for.
 }
 
-struct Change { key @0 :Text; content @1 :Data; revision @2 :UInt64; removed @3 :Bool; }
+struct Change {
+  key @0 :Text;
+  content @1 :Data;
+  # The value as the source holds it, by zlib where that is shorter.
+  revision @2 :UInt64;
+  removed @3 :Bool;
+  compressed @4 :Bool;
+}
--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -12,7 +12,9 @@
 
 import asyncio
 import collections
+import functools
 import pathlib
+import zlib
 from collections import abc
 
 import attrs
@@ -39,6 +41,10 @@
 """Time for which the source is asked directly after a relay failed: its lease has ended by then."""
 
 
+COMPRESS_FROM_BYTES = 1000
+"""Less than a packet gains nothing; entries of replicas are some 200 bytes."""
+MOST_CONTENT_BYTES = 8 * 1024 * 1024
+"""Eight times what the source holds under one key."""
 _OLDEST_S = 3600.0
 """Told as the age of news that never came: far beyond what is trusted."""
 
@@ -112,7 +118,34 @@
 def _plain(change: news.Change) -> dict[str, object]:
     if isinstance(change, news.Removed):
         return {"key": change.key, "revision": change.revision, "removed": True}
-    return {"key": change.key, "revision": change.revision, "content": change.content}
+    packed = _packed(change.content)
+    compressed = len(packed) < len(change.content)
+    return {
+        "key": change.key,
+        "revision": change.revision,
+        "content": packed if compressed else change.content,
+        "compressed": compressed,
+    }
+
+
+@functools.lru_cache(maxsize=16)
+def _packed(content: bytes) -> bytes:
+    """
+    Compress a value once for all instances that ask for it.
+
+    A configuration of 90 shards is tens of kilobytes. Told plainly to fourteen instances it kept a
+    relay's link of 7 Mbit/s busy for some hundred milliseconds, in which the relay's own batches
+    went unanswered and were all taken for lost.
+    """
+    return zlib.compress(content, 1) if len(content) > COMPRESS_FROM_BYTES else content
+
+
+def _unpacked(content: bytes) -> bytes:
+    unpacking = zlib.decompressobj()
+    unpacked = unpacking.decompress(content, MOST_CONTENT_BYTES)
+    if not unpacking.eof:
+        raise ValueError("a value is cut or too large")
+    return unpacked
 
 
 Decode = abc.Callable[[str, bytes], news.Value | None]
@@ -196,7 +229,7 @@
     def _change(self, change: capnp.lib.capnp._DynamicStructReader) -> news.Change | None:
         if change.removed:
             return news.Removed(change.key, change.revision)
-        content = bytes(change.content)
+        content = _unpacked(change.content) if change.compressed else bytes(change.content)
         value = self.decode(change.key, content)
         if value is None:
             return None
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import json
 import math
+import zlib
 
 import pytest
 import scripted
@@ -126,6 +128,37 @@
     asyncio.run(main())
 
 
+def test_a_large_configuration_is_told_in_few_bytes():
+    """
+    A relay on a link of 7 Mbit/s tells a configuration of 60 KB to fourteen instances. For most of
+    a second nothing else got through: its own queries' batches were all taken for lost and sent
+    again from a machine of half a core, one part at a time.
+    """
+    shards = [f"service-{number:03}" for number in range(90)]
+    content = json.dumps([{"prefix": f"/r{each}/", "shards": shards} for each in range(40)])
+    told = news.Written("r/config", scripted.entry(content), 11, content.encode())
+
+    async def main():
+        sizes = []
+
+        async def handler(request):
+            answer = await relay.handler(journal_with(told), lambda: 0.5)(request)
+            sizes.append(len(answer.body))
+            return answer
+
+        async with relayed(handler) as (source, _):
+            assert await source.changes(10, 5.0) == news.Changes((told,), 12)
+        assert sizes[0] < 0.1 * len(content)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("content", [b"", b"x", zlib.compress(b"a" * 5000)[:-3]])
+def test_a_damaged_value_is_no_news(content):
+    with pytest.raises((ValueError, zlib.error)):
+        relay._unpacked(content)
+
+
 async def silent(request):
     await asyncio.sleep(30)
 
