A lost batch goes to the shards' other owner where instances are many

The shards' other owner in the data centre has warm connections. Change: what a lost batch left open is handed to the other owner, marked as perhaps sent before, so that it is sent once and within the budget; direct sends only when that is lost too. A begun batch stays lost where a shard has more replicas than attempts. direct/peers.py takes the choice of instances out of direct/handover.py. Tests: six rows fail without, among them that no part is sent directly.

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -18,6 +18,7 @@
 from turmericlug.direct import dialect as dialect_module
 from turmericlug.direct import handover
 from turmericlug.direct import obtaining
+from turmericlug.direct import peers as peers_module
 from turmericlug.direct import placement
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import replicas as replicas_module
@@ -219,15 +220,16 @@
 async def _callers(kernel: Kernel) -> abc.AsyncIterator[server.Server]:
     settings, view = kernel.find("settings"), kernel.find("view")
     sends = tasks.Tasks()
+    peers = peers_module.Peers(view.peers, _place(settings))
     sender = obtaining.Sender(
         view.replicas,
         kernel.find("adapter").names,
         kernel.find("counters"),
         sends,
         view.instances_count,
-        handover.Handover(view.peers, _place(settings)),
+        handover.Handover(peers),
     )
-    view.on_instances = sender.handover.forget_owners
+    view.on_instances = peers.forget_owners
     kernel.provide("sender", sender)
     callers = callers_module.Callers(view, sender, view.source_age_s)
     kernel.provide("handler", callers)
@@ -243,12 +245,12 @@
 
 async def _keep_warm(sender: obtaining.Sender) -> None:
     loop = asyncio.get_running_loop()
-    handing = sender.handover
+    peers = sender.handover.peers
     while True:
-        await handing.warm(not placement.everyone_sends(sender.instances()))
+        await peers.warm(not placement.everyone_sends(sender.instances()))
         await sender.replicas.warm(
             loop.time(),
-            lambda service: handing.sends_from_here(sender, service),
+            lambda service: peers.sends_from_here(sender, service),
         )
         await asyncio.sleep(WARM_EVERY_S)
 
--- a/src/turmericlug/entry/helping.py
+++ b/src/turmericlug/entry/helping.py
@@ -60,7 +60,8 @@
     loop = asyncio.get_running_loop()
     call = _call(batch, arrived_s)
     parts = {
-        loop.create_task(obtaining.obtain(sender, call, shard)): shard for shard in batch.shards
+        loop.create_task(obtaining.obtain(sender, call, shard, again=batch.again)): shard
+        for shard in batch.shards
     }
     answer_at_s = min(arrived_s + batch.answer_in_ms / 1000, call.deadline_s)
     call.answer_at_s = answer_at_s
--- a/tests/direct/test_handover.py
+++ b/tests/direct/test_handover.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 
+import attrs
 import pytest
 import scripted
 
@@ -12,6 +13,7 @@
 from turmericlug.direct import budget
 from turmericlug.direct import handover
 from turmericlug.direct import handover_codec
+from turmericlug.direct import peers as peers_module
 from turmericlug.direct import placement
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import replicas as replicas_module
@@ -37,6 +39,7 @@
     shards=("x", "y"),
     answer_in_ms=50.0,
     time_left_ms=500.0,
+    again=True,
 )
 ANSWER = handover_codec.Answer(
     records=b"r" * 16,
@@ -73,12 +76,16 @@
     waiting = 0
 
 
+ALIVE = b"HTTP/1.1 102 Processing\r\n\r\n"
+
+
 @contextlib.asynccontextmanager
-async def peer(handler, interim=b"HTTP/1.1 102 Processing\r\n\r\n"):
-    """Run another instance of the data centre ``far``; yields the handover towards it."""
-    entrance = server.Server(handler, messages.Limits, 10, interim=interim)
-    listener = await server.listen(entrance, "127.0.0.1", 0)
-    host, port = listener.sockets[0].getsockname()
+async def peer(handler, interim=ALIVE, others=()):
+    """
+    Run other instances of the data centre ``far``; yields the handover towards them.
+
+    :param others: handlers of further instances, which give a sign of life
+    """
     loop = asyncio.get_running_loop()
 
     def make_pool(entry):
@@ -87,12 +94,16 @@
         )
 
     peers = replicas_module.Replicas(make_pool, PLACE, budget.Allowance())
-    peers.put(routes.ReplicaEntry("e-2", "far", host, port, "far", 1, False, 0))
-    try:
-        yield handover.Handover(peers, PLACE)
-    finally:
-        listener.close()
-        entrance.close()
+    async with contextlib.AsyncExitStack() as stack:
+        kinds = [(handler, interim), *((other, ALIVE) for other in others)]
+        for number, (each, sign) in enumerate(kinds, 2):
+            entrance = server.Server(each, messages.Limits, 10, interim=sign)
+            listener = await server.listen(entrance, "127.0.0.1", 0)
+            stack.callback(entrance.close)
+            stack.callback(listener.close)
+            host, port = listener.sockets[0].getsockname()
+            peers.put(routes.ReplicaEntry(f"e-{number}", "far", host, port, "far", 1, False, 0))
+        yield handover.Handover(peers_module.Peers(peers, PLACE))
 
 
 def make_sender(scripts):
@@ -216,10 +227,10 @@
     ("handler", "interim"),
     [
         (silent, b""),
-        (failing, b"HTTP/1.1 102 Processing\r\n\r\n"),
-        (garbage, b"HTTP/1.1 102 Processing\r\n\r\n"),
-        (silent, b"HTTP/1.1 102 Processing\r\n\r\n"),
-        (incomplete, b"HTTP/1.1 102 Processing\r\n\r\n"),
+        (failing, ALIVE),
+        (garbage, ALIVE),
+        (silent, ALIVE),
+        (incomplete, ALIVE),
     ],
     ids=["dead", "failing", "garbage", "stuck", "incomplete"],
 )
@@ -234,6 +245,70 @@
     assert sent["far-1"] == 1
 
 
+def _shards(names):
+    return {
+        shard: {f"{name}{shard}": scripted.Scripted(part(120)) for name in names}
+        for shard in ("x", "y")
+    }
+
+
+@pytest.mark.parametrize(
+    ("first", "interim", "replicas", "moved"),
+    [
+        (silent, b"", 3, True),
+        (failing, b"", 3, True),
+        (refusing, ALIVE, 3, True),
+        (failing, ALIVE, 2, True),
+        (failing, ALIVE, 3, False),
+    ],
+    ids=["dead", "failing", "refused", "begun, few replicas", "begun, many replicas"],
+)
+def test_where_instances_are_many_a_lost_batch_goes_to_the_other_owner(
+    first, interim, replicas, moved
+):
+    """
+    An owner of forty shards does not answer. Sent directly, their parts all need new connections:
+    a machine of half a core opened sixty at once, none in time, and the query failed. The shards'
+    other owner has warm ones. Of a begun batch a part could reach a third replica of a shard.
+    """
+
+    async def main():
+        names = [f"far-{number}" for number in range(replicas)]
+        near, far = _shards(names), _shards(names)
+        sender = make_sender(near)
+        sender.instances = lambda: 74
+        async with peer(first, interim, others=[helper(far)]) as sender.handover:
+            call = query_call(shards=("x", "y"), min_coverage=1.0, deadline_ms=600.0)
+            ending = await answering.all_shards(sender, call)
+            await sender.tasks.close()
+        directly = sum(len(each.requests) for shard in near.values() for each in shard.values())
+        return ending.outcome, directly, "handover.moved" in sender.counters.totals
+
+    outcome = "answered" if moved else "failed"
+    assert asyncio.run(main()) == (outcome, 0, moved)
+
+
+def test_a_batch_that_was_lost_before_leaves_its_parts_one_send():
+    """
+    The first owner may have sent a part before it was taken for dead. The second one sends it once
+    and, when that fails, no more: a third replica where two are allowed.
+    """
+
+    async def main():
+        reset = client.ExchangeError("reset")
+        replicas = {name: scripted.Scripted(reset) for name in ("far-1", "far-2", "far-3")}
+        handle = helping.handler(make_sender({"x": replicas}))
+        batch = attrs.evolve(BATCH, shards=("x",), again=True)
+        body = handover_codec.encode_batch(batch)
+        now_s = asyncio.get_running_loop().time()
+        answer = await handle(messages.Request(b"POST", handover.PATH, (), body, now_s))
+        chunks = [handover_codec.decode_answer(each, ("x",)) async for each in answer.chunks]
+        assert chunks[0].failures["x"].may_have_run
+        return sum(len(each.requests) for each in replicas.values())
+
+    assert asyncio.run(main()) == 1
+
+
 def test_an_instance_that_lost_batches_gets_no_more_for_a_while():
     async def main():
         sender = make_sender(scripts())
@@ -299,8 +374,8 @@
 def test_connections_are_opened_ahead():
     async def main():
         async with peer(silent) as handing:
-            await handing.warm(shared=False)
-            (usual,) = handing.usual_peers(shared=False)
+            await handing.peers.warm(shared=False)
+            (usual,) = handing.peers.usual_peers(shared=False)
             assert usual.pool.open_count == 1
 
     asyncio.run(main())
@@ -314,7 +389,7 @@
     peers = replicas_module.Replicas(lambda entry: None, PLACE, budget.Allowance())
     for number in range(instances):
         peers.put(routes.ReplicaEntry(f"e{number}", "far", "h", 1, "far", 1, False, 0))
-    usual = handover.Handover(peers, PLACE).usual_peers(shared)
+    usual = peers_module.Peers(peers, PLACE).usual_peers(shared)
     assert least <= len(usual) <= most
 
 
@@ -332,13 +407,13 @@
         peers = replicas_module.Replicas(lambda entry: NoPool(), PLACE, budget.Allowance())
         for number in range(12):
             peers.put(routes.ReplicaEntry(f"e{number}", "far", "h", 1, "far", 1, False, 0))
-        handing = handover.Handover(peers, PLACE)
+        handing = handover.Handover(peers_module.Peers(peers, PLACE))
         call = query_call(shards=tuple(shards))
         batches = handing.plan(sender, call, asyncio.get_running_loop().time())
         assert sorted(shard for each in batches for shard in each.shards) == sorted(shards)
         for each in batches:
             for shard in each.shards:
-                assert each.peer.entry.instance in handing.owners("far", shard)
+                assert each.peer.entry.instance in handing.peers.owners("far", shard)
         assert 2 <= len(batches) <= 4
 
     asyncio.run(main())
@@ -405,8 +480,7 @@
 
     async def main():
         names = [f"far-{number}" for number in range(replicas)]
-        scripts = {shard: {f"{name}{shard}": scripted.Scripted(part(120)) for name in names}
-                   for shard in ("x", "y")}  # fmt: skip
+        scripts = _shards(names)
         sender = make_sender(scripts)
         async with peer(dying) as sender.handover:
             call = query_call(shards=("x", "y"), min_coverage=1.0, deadline_ms=500.0)
