--- /dev/null
+++ b/tests/direct/test_handover_codec.py
@@ -0,0 +1,34 @@
+"""Messages about parts that are handed over."""
+
+from __future__ import annotations
+
+import handing
+import pytest
+
+from turmericlug.direct import handover_codec
+
+ANSWER = handover_codec.Answer(
+    records=b"r" * 16,
+    signatures={"x": b"sig"},
+    failures={"y": handover_codec.Failure("shed", False)},
+    spent_ms=12.0,
+    first=False,
+)
+
+
+def test_messages_survive_the_wire():
+    assert handover_codec.decode_batch(handover_codec.encode_batch(handing.BATCH)) == handing.BATCH
+    content = handover_codec.encode_answer(ANSWER, handing.BATCH.shards)
+    assert handover_codec.decode_answer(content, handing.BATCH.shards) == ANSWER
+
+
+@pytest.mark.parametrize("content", [b"\x00", b"garbage" * 9, b"\xff" * 300])
+def test_damaged_messages_are_told(content):
+    with pytest.raises(handover_codec.MessageError):
+        handover_codec.decode_batch(content)
+
+
+def test_an_answer_with_unknown_shards_is_refused():
+    content = handover_codec.encode_answer(ANSWER, handing.BATCH.shards)
+    with pytest.raises(handover_codec.MessageError):
+        handover_codec.decode_answer(content, ("x",))
--- /dev/null
+++ b/tests/direct/test_peers.py
@@ -0,0 +1,92 @@
+"""Which instance sends to a shard's replicas."""
+
+from __future__ import annotations
+
+import asyncio
+
+import handing
+import pytest
+import scripted
+
+from turmericlug.direct import budget
+from turmericlug.direct import handover
+from turmericlug.direct import peers as peers_module
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import routes
+
+
+class NoPool:
+    waiting = 0
+
+
+@pytest.mark.parametrize(
+    ("names", "batches"),
+    [
+        (handing.FAR, [("x", "y")]),
+        ({"x": ["near-1", "far-1"], "y": ["near-2"], "z": ["near-3"]}, []),
+        ({"x": ["far-1"], "y": ["near-2"], "z": ["near-3"]}, []),
+        ({"x": ["further-1"], "y": ["further-2"], "z": ["further-3"]}, []),
+        ({"x": [], "y": ["far-2"], "z": ["far-3"]}, [("y", "z")]),
+    ],
+    ids=["far ones", "all near", "one alone", "nobody there", "no replica"],
+)
+def test_plan(names, batches):
+    async def main():
+        sender = handing.make_sender(
+            {service: {name: scripted.Scripted(handing.part(1)) for name in each}
+             for service, each in names.items()}
+        )  # fmt: skip
+        async with handing.peer(handing.silent) as towards:
+            now_s = asyncio.get_running_loop().time()
+            found = towards.plan(sender, handing.query_call(), now_s)
+            assert [handed.shards for handed in found] == batches
+
+    asyncio.run(main())
+
+
+def test_connections_are_opened_ahead():
+    async def main():
+        async with handing.peer(handing.silent) as towards:
+            await towards.peers.warm(shared=False)
+            (usual,) = towards.peers.usual_peers(shared=False)
+            assert usual.pool.open_count == 1
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("instances", "shared", "least", "most"),
+    [(4, False, 4, 4), (30, False, 4, 4), (24, True, 8, 8), (3, True, 3, 3)],
+)
+def test_the_usual_peers_are_few(instances, shared, least, most):
+    peers = replicas_module.Replicas(lambda entry: None, handing.PLACE, budget.Allowance())
+    for number in range(instances):
+        peers.put(routes.ReplicaEntry(f"e{number}", "far", "h", 1, "far", 1, False, 0))
+    usual = peers_module.Peers(peers, handing.PLACE).usual_peers(shared)
+    assert least <= len(usual) <= most
+
+
+def test_where_instances_are_many_a_shard_is_sent_to_by_its_owners():
+    """
+    Seventy-four instances ask 135 shards. If each sends to each replica, replicas run out of
+    connections and each send opens a new one; so all of them hand a shard's part to the same two.
+    """
+    shards = [f"s{number}" for number in range(40)]
+
+    async def main():
+        scripts = {shard: {f"far-{shard}": scripted.Scripted(handing.part(1))} for shard in shards}
+        sender = handing.make_sender(scripts)
+        sender.instances = lambda: 74
+        peers = replicas_module.Replicas(lambda entry: NoPool(), handing.PLACE, budget.Allowance())
+        for number in range(12):
+            peers.put(routes.ReplicaEntry(f"e{number}", "far", "h", 1, "far", 1, False, 0))
+        towards = handover.Handover(peers_module.Peers(peers, handing.PLACE))
+        call = handing.query_call(shards=tuple(shards))
+        batches = towards.plan(sender, call, asyncio.get_running_loop().time())
+        assert sorted(shard for each in batches for shard in each.shards) == sorted(shards)
+        for each in batches:
+            for shard in each.shards:
+                assert each.peer.entry.instance in towards.peers.owners("far", shard)
+        assert 2 <= len(batches) <= 4
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/handing.py
@@ -0,0 +1,118 @@
+"""Instances that hand parts to each other, over scripted replicas."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import scripted
+
+from turmericlug.direct import budget
+from turmericlug.direct import handover
+from turmericlug.direct import handover_codec
+from turmericlug.direct import peers as peers_module
+from turmericlug.direct import placement
+from turmericlug.direct import pool as pool_module
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import routes
+from turmericlug.entry import helping
+from turmericlug.http1 import client
+from turmericlug.http1 import messages
+from turmericlug.http1 import server
+
+REGIONS = {"near": "here", "far": "there", "further": "elsewhere"}
+PLACE = placement.Place("e-1", "near", REGIONS)
+BATCH = handover_codec.Batch(
+    request_id=b"q1",
+    method=b"GET",
+    target=b"/a?b",
+    headers=[(b"host", b"h")],
+    body=b"x",
+    route="r",
+    goal_ms=100.0,
+    priority=1,
+    max_attempts=2,
+    top_records=3,
+    shards=("x", "y"),
+    answer_in_ms=50.0,
+    time_left_ms=500.0,
+    again=True,
+)
+
+
+def part(number):
+    return scripted.response(body=number.to_bytes(16, "big"), signed=b"sig%d" % number)
+
+
+async def silent(request):
+    await asyncio.sleep(30)
+
+
+ALIVE = b"HTTP/1.1 102 Processing\r\n\r\n"
+
+
+@contextlib.asynccontextmanager
+async def peer(handler, interim=ALIVE, others=()):
+    """
+    Run other instances of the data centre ``far``; yields the handover towards them.
+
+    :param others: handlers of further instances, which give a sign of life
+    """
+    loop = asyncio.get_running_loop()
+
+    def make_pool(entry):
+        return pool_module.Pool(
+            lambda: client.connect(entry.host, entry.port), lambda: 3, loop.time
+        )
+
+    peers = replicas_module.Replicas(make_pool, PLACE, budget.Allowance())
+    async with contextlib.AsyncExitStack() as stack:
+        kinds = [(handler, interim), *((other, ALIVE) for other in others)]
+        for number, (each, sign) in enumerate(kinds, 2):
+            entrance = server.Server(each, messages.Limits, 10, interim=sign)
+            listener = await server.listen(entrance, "127.0.0.1", 0)
+            stack.callback(entrance.close)
+            stack.callback(listener.close)
+            host, port = listener.sockets[0].getsockname()
+            peers.put(routes.ReplicaEntry(f"e-{number}", "far", host, port, "far", 1, False, 0))
+        yield handover.Handover(peers_module.Peers(peers, PLACE))
+
+
+def make_sender(scripts):
+    """Make a sender whose replicas are in the data centres that their names begin with."""
+    sender = scripted.make_sender(scripts)
+    fresh = replicas_module.Replicas(
+        sender.replicas._make_pool, PLACE, budget.Allowance(0.2, 100.0, 10.0)
+    )
+    for service, replicas in scripts.items():
+        for name in replicas:
+            fresh.put(scripted.entry(name, service, data_centre=name.partition("-")[0]))
+    sender.replicas = fresh
+    return sender
+
+
+FAR = {"x": ["far-1"], "y": ["far-2", "further-2"], "z": ["near-3", "far-3"]}
+
+
+def scripts(number_of=None):
+    return {
+        service: {name: scripted.Scripted(part(ord(service))) for name in names}
+        for service, names in FAR.items()
+    }
+
+
+def query_call(**changes):
+    values = {"shards": ("x", "y", "z"), "top_records": 2, "min_coverage": 0.3, "services": ()}
+    return scripted.make_call(**(values | changes))
+
+
+def helper(replicas):
+    """Return the handler of another instance with its own way to the replicas."""
+    holder = {}
+
+    async def handle(request):
+        if "handler" not in holder:
+            holder["handler"] = helping.handler(make_sender(replicas))
+        return await holder["handler"](request)
+
+    return handle
