--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -25,8 +25,8 @@
 
 PATH = b"/parts"
 REFUSED = 503
-"""The peer ran nothing of a batch: it knows too few of the replicas, or it had stood still and could
-not tell how old the batch was."""
+"""The peer ran nothing of a batch: it knows too few of the replicas, or it had stood still and
+could not tell how old the batch was."""
 ALIVE_FACTOR = 1.5
 ALIVE_SLACK_MS = 50.0
 """A sign of life is overdue after one and a half round trips and some busy turns of the other side.
--- a/src/turmericlug/entry/helping.py
+++ b/src/turmericlug/entry/helping.py
@@ -25,7 +25,8 @@
 replicas than its route allows."""
 MOST_UNKNOWN_SHARE = 0.5
 """An instance that has just started may be asked before it knows the replicas. Answered "no
-replica" for all shards, queries failed in the second after a power loss while others knew them."""
+replica" for all shards, queries failed in the second after a power loss while others knew them.
+"""
 
 
 def handler(sender: obtaining.Sender) -> messages.Handler:
