turmericlug entry status and explain: what a running entry instance believes

Cause: an on-call engineer had logs and counters only; what an instance believes now (configuration, age of the news, which replicas it passes over and why, the route of a request) had to be inferred. Change: /status and /explain on the metrics address, two commands of the operators' client, tables in a module of their own. Tests: what is told before the first reading, order and states of replicas, and both commands against a real instance.

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -23,6 +23,7 @@
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
+from turmericlug.entry import beliefs
 from turmericlug.entry import callers as callers_module
 from turmericlug.entry import directory as directory_module
 from turmericlug.entry import follower
@@ -288,7 +289,7 @@
             adapter.resolve_handler(directory_module.Directory(view)),
             settings.entry.directory_address,
         ),
-        (metrics.handler(kernel.find("counters")), settings.entry.metrics_address),
+        (_operators_handler(kernel), settings.entry.metrics_address),
     ]
     async with contextlib.AsyncExitStack() as stack:
         for handler, address in handlers:
@@ -306,6 +307,20 @@
         yield
 
 
+def _operators_handler(kernel: Kernel) -> messages.Handler:
+    tell_metrics = metrics.handler(kernel.find("counters"))
+    tell_beliefs = beliefs.handler(
+        kernel.find("settings").entry.name, kernel.find("view"), lambda: _ready(kernel)
+    )
+
+    async def handle(request: messages.Request) -> messages.Answer:
+        if request.target.startswith(metrics.PATH):
+            return await tell_metrics(request)
+        return await tell_beliefs(request)
+
+    return handle
+
+
 def _peers_handler(kernel: Kernel) -> messages.Handler:
     help_with = helping.handler(kernel.find("sender"))
     tell_news = relay.handler(kernel.find("journal"), kernel.find("view").source_age_s)
--- a/src/turmericlug/operators/client.py
+++ b/src/turmericlug/operators/client.py
@@ -12,10 +12,10 @@
 
 import aiohttp
 import typer
-from rich import console as rich_console
-from rich import table as rich_table
 
 from turmericlug.config import version as version_module
+from turmericlug.operators import entry_commands
+from turmericlug.operators import tables
 from turmericlug.operators import trace as trace_module
 
 EXIT_REJECTED = 1
@@ -30,6 +30,7 @@
 catalog = typer.Typer(no_args_is_help=True, help="Services, groups and index snapshots.")
 application.add_typer(rules, name="rules")
 application.add_typer(catalog, name="catalog")
+application.add_typer(entry_commands.commands, name="entry")
 
 Plain = dict[str, typing.Any]
 RuleFile = typing.Annotated[
@@ -108,16 +109,6 @@
             people(answer)
 
 
-def _table(title: str, columns: list[str], rows: abc.Iterable[abc.Iterable[typing.Any]]) -> None:
-    table = rich_table.Table(title=title, title_justify="left")
-    for column in columns:
-        table.add_column(column, overflow="fold")
-    for row in rows:
-        table.add_row(*(str(cell) for cell in row))
-    width = None if sys.stdout.isatty() else 120
-    rich_console.Console(width=width, highlight=False).print(table)
-
-
 def _pairs(plain: Plain) -> str:
     return ", ".join(
         f"{key} = {'|'.join(value) if isinstance(value, list) else value}"
@@ -144,7 +135,7 @@
             (number, rule["name"], _pairs(rule["when"]) or "always", _pairs(rule["then"]))
             for number, rule in enumerate(answer["rules"], 1)
         ]
-        _table(f"Revision {answer['revision']}", ["#", "rule", "when", "then"], rows)
+        tables.show(f"Revision {answer['revision']}", ["#", "rule", "when", "then"], rows)
 
     context.obj.show(context.obj.call("GET", "/v1/rules"), people)
 
@@ -226,7 +217,7 @@
     def people(answer: Plain) -> None:
         columns = ["revision", "operator", "operation", "rule", "at_s", "edit"]
         rows = [[entry[column] for column in columns] for entry in answer["edits"]]
-        _table("History", columns, rows)
+        tables.show("History", columns, rows)
 
     context.obj.show(context.obj.call("GET", f"/v1/rules/history?limit={limit}"), people)
 
@@ -264,7 +255,7 @@
             (step["rule"], "matches" if step["matches"] else "no", step["because"])
             for step in answer["steps"]
         ]
-        _table(f"Revision {answer['revision']}", ["rule", "matches", "because"], rows)
+        tables.show(f"Revision {answer['revision']}", ["rule", "matches", "because"], rows)
         treatment = {key: each for key, each in answer["treatment"].items() if each is not None}
         typer.echo(f"treatment: {_pairs(treatment)}")
 
@@ -308,10 +299,10 @@
         for name in answer["listed_but_unreached"]:
             typer.echo(f"listed by the platform but not reached: {name}")
         columns = ["instance", "state", "data centre", "rules", "current", "store", "owns"]
-        _table("Instances", columns, (_instance_row(each) for each in answer["instances"]))
+        tables.show("Instances", columns, (_instance_row(each) for each in answer["instances"]))
         if targets:
             columns = ["target", "owner", "in flight", "limit", "slots", "latency ms", "state"]
-            _table("Targets", columns, _target_rows(answer["instances"]))
+            tables.show("Targets", columns, _target_rows(answer["instances"]))
 
     context.obj.show(context.obj.call("GET", "/v1/status"), people)
 
--- /dev/null
+++ b/tests/entry/test_beliefs.py
@@ -0,0 +1,96 @@
+"""What an instance tells an operator of its beliefs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+import scripted
+
+from turmericlug.direct import budget
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import routes
+from turmericlug.entry import beliefs
+from turmericlug.entry import news
+from turmericlug.entry import view as view_module
+from turmericlug.http1 import messages
+
+ROUTE = routes.Route("r", "h", "/a/", True, 2000.0, 100.0, 1, 2, shards=("x", "y"))
+CONFIGURATION = routes.Configuration(7, (ROUTE,), {}, messages.Limits())
+
+
+class NoPool:
+    waiting = open_count = opened = opened_ahead = 0
+
+    def trim(self):
+        pass
+
+
+def written(key, value):
+    return news.Written(key, value, 1)
+
+
+def ask(target, snapshot=()):
+    """Ask an instance that has read a snapshot; returns the status and the told beliefs."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        replicas, peers = (
+            replicas_module.Replicas(lambda entry: NoPool(), scripted.PLACE, budget.Allowance())
+            for _ in range(2)
+        )
+        view = view_module.View("e-1", replicas, peers, loop.time)
+        if snapshot:
+            view.source_regained()
+            view.take_snapshot(news.Snapshot(tuple(snapshot), 1))
+            replicas.of("x")[1].ejected_until_s = loop.time() + 60
+        handle = beliefs.handler("e-1", view, lambda: view.ready)
+        answer = await handle(messages.Request(b"GET", target, (), b"", 0.0))
+        return answer.status, json.loads(answer.body) if answer.status == 200 else None
+
+    return asyncio.run(main())
+
+
+SNAPSHOT = [
+    written("config", CONFIGURATION),
+    written("r/x1", scripted.entry("x1", "x")),
+    written("r/x2", scripted.entry("x2", "x")),
+    written("r/y1", scripted.entry("y1", "y", draining=True)),
+    written("e/e-2", news.EntryInstance("e-2", "h:1", "dc", "r", "h:2")),
+]
+
+
+def test_status():
+    status, told = ask(b"/status", SNAPSHOT)
+    assert status == 200
+    assert (told["ready"], told["configuration_version"]) == (True, 7)
+    assert told["replicas"] == {"in use": 1, "leaving": 1, "set aside": 1}
+    assert told["instances"] == ["e-2"]
+
+
+def test_status_before_the_first_reading():
+    _, told = ask(b"/status")
+    assert (told["ready"], told["configuration_version"], told["source_age_s"]) == (False,) + (
+        None,
+    ) * 2
+
+
+def test_explain_names_the_route_and_its_replicas_best_first():
+    _, told = ask(b"/explain?host=h&path=/a/1", SNAPSHOT)
+    assert told["route"]["name"] == "r"
+    assert [(each["replica"], each["state"]) for each in told["replicas"]] == [
+        ("x1", "in use"),
+        ("x2", "set aside"),
+        ("y1", "leaving"),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("target", "status"),
+    [(b"/explain?host=h&path=/b/", 200), (b"/explain?host=h", 400), (b"/other", 404)],
+)
+def test_questions_without_an_answer(target, status):
+    found, told = ask(target, SNAPSHOT)
+    assert found == status
+    assert told is None or told["route"] is None
--- a/tests/integration/test_entry.py
+++ b/tests/integration/test_entry.py
@@ -10,9 +10,11 @@
 import entry_process
 import pytest
 import standin_platform
+from typer import testing
 
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
+from turmericlug.operators import client as operators
 from turmericlug.operators import trace
 
 SHARDS = ["s0", "s1", "s2"]
@@ -146,6 +148,28 @@
     play(tmp_path, scenario)
 
 
+@pytest.mark.parametrize(
+    ("words", "exit_code", "told"),
+    [
+        (["status"], 0, ["e-1: ready, configuration version 1", "8 in use"]),
+        (["explain", "h.example", "/all/1"], 0, ["route all, prefix /all/", "i-s2-1"]),
+        (["explain", "h.example", "/none/1"], 1, ["no route matches"]),
+    ],
+    ids=["status", "explain", "no route"],
+)
+def test_an_operator_asks_a_running_instance(tmp_path, words, exit_code, told):
+    async def scenario(store, replicas, instance):
+        url = f"http://127.0.0.1:{instance.ports[3]}"
+        command = ["--url", url, "entry", *words]
+        runner = testing.CliRunner()
+        found = await asyncio.to_thread(runner.invoke, operators.application, command)
+        assert found.exit_code == exit_code
+        for each in told:
+            assert each in found.output
+
+    play(tmp_path, scenario)
+
+
 def test_an_address_that_was_taken_over_gets_nothing(tmp_path):
     """
     A replica ends and another service's replica starts at its address before the entry is gone.
