Choose the first replica of each shard once per query

Cause: the best replica was chosen up to three times for each shard of a query: to count the shards that have one, to plan the batches, and to send. Change: one choice, passed on. No decision changes; the tests of plans and sends stand.

--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -11,6 +11,7 @@
 from turmericlug.direct import handover
 from turmericlug.direct import merge
 from turmericlug.direct import obtaining
+from turmericlug.direct import peers as peers_module
 from turmericlug.direct import sending
 from turmericlug.direct import timing
 from turmericlug.http1 import client
@@ -90,13 +91,15 @@
     Waits for all of them until shortly before the goal. From then on it answers as soon as enough
     shards are in, with the number of those that are missing.
     """
-    if _reachable(sender, call) < least_parts(call):
-        return refusal(sender, "no_replica")
+    first = first_choices(sender, call)
+    if len(first) < least_parts(call):
+        # Too few shards have a replica: nothing needs to be sent.
+        return refusal(sender, obtaining.NO_REPLICA)
     answer_after_ms = timing.answer_after_ms(
         call.route.goal_ms, call.way_back_s * 1000, len(call.route.shards)
     )
     answer_at_s = call.answer_at_s = call.began_s + answer_after_ms / 1000
-    parts = _started(sender, call, answer_at_s)
+    parts = _started(sender, call, first, answer_at_s)
     try:
         await _enough(call, parts, answer_at_s)
     finally:
@@ -110,10 +113,15 @@
 Parts = dict[str, asyncio.Task[sending.Outcome]]
 
 
-def _started(sender: obtaining.Sender, call: sending.Call, answer_at_s: float) -> Parts:
+def _started(
+    sender: obtaining.Sender,
+    call: sending.Call,
+    first: peers_module.FirstChoices,
+    answer_at_s: float,
+) -> Parts:
     """Start every part: in a batch with others where its replicas are far, else from here."""
     loop = asyncio.get_running_loop()
-    batches = sender.handover.plan(sender, call, loop.time()) if sender.handover else []
+    batches = sender.handover.plan(sender, call, first, loop.time()) if sender.handover else []
     in_batch: dict[str, handover.Handed] = {}
     for handed in batches:
         sender.handover.start(sender, call, handed, answer_at_s)
@@ -122,19 +130,19 @@
         shard: loop.create_task(
             handover.part(sender, call, in_batch[shard], shard)
             if shard in in_batch
-            else obtaining.obtain(sender, call, shard)
+            else obtaining.obtain(sender, call, shard, first.get(shard))
         )
         for shard in call.route.shards
     }
 
 
-def _reachable(sender: obtaining.Sender, call: sending.Call) -> int:
-    """Count the shards that have a replica: when too few do, nothing needs to be sent."""
+def first_choices(sender: obtaining.Sender, call: sending.Call) -> peers_module.FirstChoices:
+    """Choose the best replica of each shard that has one."""
     now_s = asyncio.get_running_loop().time()
-    replicas = sender.replicas
-    return sum(
-        replicas.choose(shard, call.route, (), now_s) is not None for shard in call.route.shards
-    )
+    chosen = {
+        shard: sender.replicas.choose(shard, call.route, (), now_s) for shard in call.route.shards
+    }
+    return {shard: replica for shard, replica in chosen.items() if replica is not None}
 
 
 async def _enough(call: sending.Call, parts: Parts, answer_at_s: float) -> None:
--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -94,9 +94,15 @@
     def __init__(self, peers: peers_module.Peers) -> None:
         self.peers = peers
 
-    def plan(self, sender: obtaining.Sender, call: sending.Call, now_s: float) -> list[Handed]:
+    def plan(
+        self,
+        sender: obtaining.Sender,
+        call: sending.Call,
+        first: peers_module.FirstChoices,
+        now_s: float,
+    ) -> list[Handed]:
         """Group the shards that others should send to into batches, not yet sent."""
-        groups = self.peers.plan(sender, call, now_s)
+        groups = self.peers.plan(sender, call, first, now_s)
         return [Handed(each.peer, each.shards) for each in groups]
 
     def start(
--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -67,7 +67,11 @@
 
 
 async def obtain(
-    sender: Sender, call: sending.Call, service: str, again: bool = False
+    sender: Sender,
+    call: sending.Call,
+    service: str,
+    first: replicas_module.Replica | None = None,
+    again: bool = False,
 ) -> sending.Outcome:
     """
     Get one answer from a service.
@@ -75,6 +79,7 @@
     Cancelling it leaves sends under way to finish by themselves, so that their connections can be
     used again; ``call.abandon`` ends them.
 
+    :param first: the replica to send to first, where it has been chosen already
     :param again: whether another instance may have sent the request to the service before; one
         send is left then, within the budget of extra sends
     :returns: the first answer, or the failure; ``NotRun`` only when no attempt can have run
@@ -90,7 +95,10 @@
     else:
         effort.attempts = call.route.max_attempts - 1
         effort.failure = sending.Unknown("batch_lost")
-    _start(effort, loop.time())
+    if first is not None:
+        _send_to(effort, first, loop.time())
+    else:
+        _start(effort, loop.time())
     while effort.pending:
         done, _ = await asyncio.wait(
             effort.pending,
--- a/src/turmericlug/direct/peers.py
+++ b/src/turmericlug/direct/peers.py
@@ -26,6 +26,10 @@
 ROUND_TRIP_GAIN = 0.2
 
 
+FirstChoices = dict[str, replicas_module.Replica]
+"""The best replica of each shard that has one."""
+
+
 @attrs.frozen
 class Group:
     """Shards of one query that one instance is to send to."""
@@ -82,9 +86,11 @@
             max(round_trip_ms, 0.0) - known_ms
         )
 
-    def plan(self, sender: obtaining.Sender, call: sending.Call, now_s: float) -> list[Group]:
+    def plan(
+        self, sender: obtaining.Sender, call: sending.Call, first: FirstChoices, now_s: float
+    ) -> list[Group]:
         """Group the shards that others should send to by the instance that is to do it."""
-        by_place = self._places(sender, call, now_s)
+        by_place = self._places(sender, first, now_s)
         shared = not placement.everyone_sends(sender.instances())
         groups: list[Group] = []
         for data_centre, shards in by_place.items():
@@ -100,7 +106,7 @@
         return groups
 
     def _places(
-        self, sender: obtaining.Sender, call: sending.Call, now_s: float
+        self, sender: obtaining.Sender, first: FirstChoices, now_s: float
     ) -> dict[str, list[str]]:
         """
         Choose the data centre in which each shard is asked.
@@ -110,10 +116,7 @@
         """
         places: dict[str, list[str]] = {}
         open_choice: dict[str, set[str]] = {}
-        for shard in call.route.shards:
-            best = sender.replicas.choose(shard, call.route, (), now_s)
-            if best is None:
-                continue
+        for shard, best in first.items():
             distance = self._place.distance(best.entry.data_centre)
             if distance == placement.HERE:
                 places.setdefault(best.entry.data_centre, []).append(shard)
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -8,6 +8,7 @@
 import pytest
 import scripted
 
+from turmericlug.direct import answering
 from turmericlug.direct import budget
 from turmericlug.direct import handover
 from turmericlug.direct import peers as peers_module
@@ -38,7 +39,8 @@
         )  # fmt: skip
         async with handing.peer(handing.silent) as towards:
             now_s = asyncio.get_running_loop().time()
-            found = towards.plan(sender, handing.query_call(), now_s)
+            call = handing.query_call()
+            found = towards.plan(sender, call, answering.first_choices(sender, call), now_s)
             assert [handed.shards for handed in found] == batches
 
     asyncio.run(main())
@@ -82,7 +84,8 @@
             peers.put(routes.ReplicaEntry(f"e{number}", "far", "h", 1, "far", 1, False, 0))
         towards = handover.Handover(peers_module.Peers(peers, handing.PLACE))
         call = handing.query_call(shards=tuple(shards))
-        batches = towards.plan(sender, call, asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        batches = towards.plan(sender, call, answering.first_choices(sender, call), now_s)
         assert sorted(shard for each in batches for shard in each.shards) == sorted(shards)
         for each in batches:
             for shard in each.shards:
