What a query has not written when it is answered never is; a lost batch's parts go to the same replica

An instance cut off from the others (node_cut) took its batches for lost, opened connections to replicas itself, and its caller had a 502 at 0.45 s; at 0.91 s, after the answer, the connections were open and the parts were written. Ruled out: hedges beyond the attempts (one send each was left). Change 1: a send without a connection when its query is answered is not written any more; the connection is kept. Change 2: parts that another instance may have sent are sent only to the replica of that instance's data centre, which it began with, where a shard has more replicas than attempts; before, any replica was taken, or none once the batch was begun.

--- a/src/turmericlug/direct/handover.capnp
+++ b/src/turmericlug/direct/handover.capnp
@@ -19,8 +19,8 @@
   answerInMs @11 :Float32;
   # When to come back with what there is by then.
   timeLeftMs @12 :Float32;
-  again @13 :Bool;
-  # Another instance may have sent the parts before: one send each is left.
+  againIn @13 :Text;
+  # The data centre of an instance that may have sent the parts before; empty: there was none.
 }
 
 struct Answer {
--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import abc
 
 import attrs
 
@@ -44,10 +43,8 @@
     shards: tuple[str, ...]
     ran_nothing: bool = True
     """Whether the peer certainly sent none of its parts."""
-    alive: bool = False
-    """Whether the peer said that it works on it."""
-    again: bool = False
-    """Whether another peer before may have sent its parts."""
+    again_in: str = ""
+    """Data centre of a peer before that may have sent its parts."""
     outcomes: dict[str, asyncio.Future[sending.Outcome | None]] = attrs.field(factory=dict)
     """``None`` for a shard whose batch has to be taken for lost."""
 
@@ -67,21 +64,16 @@
             self._end(shard, None)
 
     @property
-    def begun(self) -> bool:
-        """Whether its parts may have been sent to as many replicas as are allowed."""
-        return not self.ran_nothing and (self.alive or self.again)
-
-    @property
-    def may_have_sent(self) -> bool:
-        """Whether any peer may have sent its parts."""
-        return self.again or not self.ran_nothing
+    def may_be_sent_in(self) -> str:
+        """Data centre of a peer that may have sent its parts; empty where none can have."""
+        return self.again_in if self.ran_nothing else self.peer.entry.data_centre
 
     def move_to(self, peer: replicas_module.Replica) -> None:
         """Hand what has not come back to another peer."""
-        self.again = self.may_have_sent
+        self.again_in = self.may_be_sent_in
         self.peer = peer
         self.shards = tuple(each for each in self.shards if not self.outcomes[each].done())
-        self.ran_nothing, self.alive = True, False
+        self.ran_nothing = True
 
     def _end(self, shard: str, outcome: sending.Outcome | None) -> None:
         if not self.outcomes[shard].done():
@@ -164,7 +156,7 @@
         if placement.everyone_sends(sender.instances()):
             return False
         left = [shard for shard, outcome in handed.outcomes.items() if not outcome.done()]
-        if not left or (handed.begun and not _all_may_be_sent_again(sender, call, left)):
+        if not left:
             return False
         lost = handed.peer.entry
         now_s = asyncio.get_running_loop().time()
@@ -203,9 +195,9 @@
 
                 def alive() -> None:
                     # From now on it is late only when it does not come back as asked. Where its
-                    # parts can't be sent again, it is waited for: it lives, and may only be busy.
-                    handed.alive = True
-                    again = _all_may_be_sent_again(sender, call, handed.shards)
+                    # parts can't be sent to just any replica again, it is waited for: it lives, and
+                    # may only be busy.
+                    again = all(_has_few_replicas(sender, call, each) for each in handed.shards)
                     limit.reschedule(min(first_by_s, call.deadline_s) if again else call.deadline_s)
                     send.overdue_after_s = first_by_s - send.began_s
 
@@ -278,7 +270,7 @@
         shards=handed.shards,
         answer_in_ms=max(left_ms, 1.0),
         time_left_ms=max((call.deadline_s - now_s) * 1000 - round_trip_ms / 2, 1.0),
-        again=handed.again,
+        again_in=handed.again_in,
     )
 
 
@@ -288,16 +280,14 @@
     """
     Return what a batch brought for one of its shards.
 
-    A direct send makes up for a lost one. But not where the peer had begun and the shard has more
-    replicas than a request may be sent to: the peer may have sent to as many as are allowed.
+    A direct send makes up for a lost one, within what the peer may have sent.
     """
     outcome = await asyncio.shield(handed.outcomes[shard])
-    if outcome is not None and not _unknown_there(outcome):
-        return outcome
-    if outcome is None and handed.begun and not may_send_again(sender, call, shard):
-        return sending.Unknown("batch_lost")
-    again = outcome is None and handed.may_have_sent
-    return await obtaining.obtain(sender, call, shard, again=again)
+    if outcome is None:
+        return await obtaining.obtain(sender, call, shard, again_in=handed.may_be_sent_in)
+    if _unknown_there(outcome):
+        return await obtaining.obtain(sender, call, shard)
+    return outcome
 
 
 def _unknown_there(outcome: sending.Outcome) -> bool:
@@ -305,12 +295,6 @@
     return isinstance(outcome, sending.NotRun) and outcome.reason == obtaining.NO_REPLICA
 
 
-def may_send_again(sender: obtaining.Sender, call: sending.Call, shard: str) -> bool:
+def _has_few_replicas(sender: obtaining.Sender, call: sending.Call, shard: str) -> bool:
     """Whether a shard has so few replicas that no send can reach too many."""
     return len(sender.replicas.of(shard)) <= call.route.max_attempts
-
-
-def _all_may_be_sent_again(
-    sender: obtaining.Sender, call: sending.Call, shards: abc.Iterable[str]
-) -> bool:
-    return all(may_send_again(sender, call, shard) for shard in shards)
--- a/src/turmericlug/direct/handover_codec.py
+++ b/src/turmericlug/direct/handover_codec.py
@@ -33,8 +33,8 @@
     answer_in_ms: float
     """When to come back with what there is by then."""
     time_left_ms: float
-    again: bool = False
-    """Whether another instance may have sent the parts before: one send each is left."""
+    again_in: str = ""
+    """Data centre of an instance that may have sent the parts before; empty where there is none."""
 
 
 @attrs.frozen
@@ -74,7 +74,7 @@
         shards=list(batch.shards),
         answerInMs=batch.answer_in_ms,
         timeLeftMs=batch.time_left_ms,
-        again=batch.again,
+        againIn=batch.again_in,
     )
     return message.to_bytes_packed()
 
@@ -103,7 +103,7 @@
             shards=tuple(message.shards),
             answer_in_ms=message.answerInMs,
             time_left_ms=message.timeLeftMs,
-            again=message.again,
+            again_in=message.againIn,
         )
     except Exception as error:  # the library raises its own type for each kind of damage
         raise MessageError(str(error).splitlines()[0][:200]) from error
--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -71,7 +71,7 @@
     call: sending.Call,
     service: str,
     first: replicas_module.Replica | None = None,
-    again: bool = False,
+    again_in: str = "",
 ) -> sending.Outcome:
     """
     Get one answer from a service.
@@ -80,14 +80,14 @@
     used again; ``call.abandon`` ends them.
 
     :param first: the replica to send to first, where it has been chosen already
-    :param again: whether another instance may have sent the request to the service before; one
-        send is left then, within the budget of extra sends
+    :param again_in: data centre of an instance that may have sent the request to the service
+        before; one send is left then, within the budget of extra sends
     :returns: the first answer, or the failure; ``NotRun`` only when no attempt can have run
     """
     loop = asyncio.get_running_loop()
     effort = _Effort(sender, call, service)
     budget = sender.replicas.extra_sends(service)
-    if not again:
+    if not again_in:
         budget.count_request(loop.time())
     elif call.route.max_attempts < 2 or not budget.spend(loop.time(), sender.instances()):
         sender.counters.add("direct.repeat_denied.budget")
@@ -95,6 +95,7 @@
     else:
         effort.attempts = call.route.max_attempts - 1
         effort.failure = sending.Unknown("batch_lost")
+        effort.tried = _closed_to_a_repeat(effort, again_in)
     if first is not None:
         _send_to(effort, first, loop.time())
     else:
@@ -121,6 +122,20 @@
     return effort.failure
 
 
+def _closed_to_a_repeat(effort: _Effort, again_in: str) -> list[replicas_module.Replica]:
+    """
+    Return the replicas that a request must not be sent to after another instance may have sent it.
+
+    That instance began with the replica of its own data centre, where there is one, and may have
+    gone on to as many as are allowed. Any other replica could be one too many; the same one can't.
+    """
+    replicas = effort.sender.replicas.of(effort.service)
+    if len(replicas) <= effort.call.route.max_attempts:
+        return []
+    there = [each for each in replicas if each.entry.data_centre == again_in]
+    return [each for each in replicas if len(there) != 1 or each not in there]
+
+
 def _at_deadline(effort: _Effort) -> sending.Outcome:
     """What is under way may still run, so that nothing can be promised any more."""
     if effort.pending and isinstance(effort.failure, sending.NotRun):
@@ -274,6 +289,8 @@
     try:
         outcome = await sending.send(call, replica, sender.names, send)
         send.ran = not isinstance(outcome, sending.NotRun)
+        if outcome == sending.UNWANTED:
+            return outcome
     except asyncio.CancelledError:
         # The caller left and the connection is closed: says nothing of the replica.
         return sending.Unknown("abandoned")
--- a/src/turmericlug/direct/pool.py
+++ b/src/turmericlug/direct/pool.py
@@ -105,6 +105,7 @@
             self._wake()
             raise
         self.opened += 1
+        connection.idle_since_s = self.now_s()
         return connection
 
     def _pop_idle(self, fresh: bool) -> client.Connection | None:
@@ -163,7 +164,6 @@
         if self.open_count == 0 and self.limit() > 0:
             connection = await self._open()
             self.opened_ahead += 1
-            connection.idle_since_s = self.now_s()
             self._idle.append(connection)
             self._wake()
 
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -77,6 +77,8 @@
     ended_s: float | None = None
     ran: bool = True
     """False once it has ended and the replica certainly did not run it."""
+    unwanted: bool = False
+    """Whether it is not to be written any more."""
     limit: asyncio.Timeout | None = None
     """Ends it; moved forward once nobody waits for it."""
 
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -60,11 +60,15 @@
         """
         Leave the sends under way a little time only: the caller has its answer.
 
+        What is not written yet never is: it would run for nobody, and perhaps on more replicas than
+        are allowed. Its connection may still open, and is kept.
+
         Those that end by themselves keep their connections usable. One that is silent for much
         longer than a pause has a dead connection, which would swallow the next part as well.
         """
         for sends in self.asked.values():
             for send in sends:
+                send.unwanted = send.written_s is None
                 send.end_by(send.began_s + stuck_after_s)
 
     def abandon(self) -> None:
@@ -115,6 +119,9 @@
     reason: str
 
 
+UNWANTED = NotRun("unwanted", sent=False)
+"""The query was answered before the part had a connection."""
+
 Outcome = Answered | AnsweredInBatch | Failed | NotRun | Unknown
 
 
@@ -203,6 +210,8 @@
         async with asyncio.timeout_at(call.deadline_s) as progress.limit:
             fresh = not call.route.idempotent
             async with replica.pool.connection(call.route.priority, fresh) as connection:
+                if progress.unwanted:
+                    return UNWANTED
                 now_s = loop.time()
                 left_ms = int((call.deadline_s - now_s) * 1000)
                 if left_ms < 1:
--- a/tests/direct/test_answering.py
+++ b/tests/direct/test_answering.py
@@ -222,3 +222,34 @@
         return ending.outcome, replica.failures
 
     assert asyncio.run(main()) == ("partial", 1)
+
+
+class SlowToConnect(scripted.Scripted):
+    """A replica whose connections take their time to open."""
+
+    async def connect(self):
+        await asyncio.sleep(0.15)
+        return await super().connect()
+
+
+def test_what_is_not_written_when_the_query_is_answered_never_is():
+    """
+    An instance is cut off, and opens connections to replicas itself that are not open when its
+    query has to be answered. Half a second after the answer they were, and each part was written
+    and run for nobody, on a third replica where two are allowed. The connections are kept.
+    """
+
+    async def main():
+        late = SlowToConnect(part(2))
+        sender = scripted.make_sender(
+            {"x": {"x-0": scripted.Scripted(part(1))}, "y": {"y-0": late}}
+        )
+        call = scripted.make_call(
+            services=(), shards=("x", "y"), top_records=1, min_coverage=0.5, deadline_ms=3000.0
+        )
+        ending = await answering.all_shards(sender, call)
+        await sender.tasks.finish()
+        (replica,) = sender.replicas.of("y")
+        return ending.outcome, len(late.requests), replica.failures, replica.pool.open_count
+
+    assert asyncio.run(main()) == ("partial", 0, 0, 1)
