--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -7,7 +7,6 @@
 import contextlib
 import random
 import time
-import typing
 from collections import abc
 
 import aiohttp
@@ -20,6 +19,7 @@
 from turmericlug.owner import part as part_module
 from turmericlug.owner import replica as replica_module
 from turmericlug.owner import service_queue
+from turmericlug.owner import submission
 from turmericlug.owner import target
 from turmericlug.rules import configuration
 from turmericlug.storage import instances
@@ -33,27 +33,11 @@
 _PARTS_PER_TURN = 16
 
 
-@attrs.frozen(slots=True)
-class PartsIn:
-    """A query's parts as a coordinator sends them; ``parts`` has number, service, shard."""
-
-    query_id: str
-    snapshot: str
-    remaining_s: float
-    priority: int
-    repeatable: bool
-    hedge: bool
-    retries: int
-    caller: str
-    body: bytes
-    parts: tuple[tuple[int, str, str], ...]
-
-
 @attrs.define(eq=False)
 class _Submission:
     """A coordinator's parts on their way into the queues."""
 
-    parts_in: PartsIn
+    parts_in: submission.PartsIn
     deadline_s: float
     reply: abc.Callable[[part_module.PartReply], None]
     made: list[tuple[service_queue.ServiceQueue, part_module.Part]] = attrs.field(factory=list)
@@ -126,7 +110,7 @@
         ranking = self.ranking(service, joining)
         return bool(ranking) and ranking[0].instance == self._mesh.members.own.instance
 
-    def submit(self, parts_in: PartsIn, on_replies: OnReplies) -> abc.Callable[[], None]:
+    def submit(self, parts_in: submission.PartsIn, on_replies: OnReplies) -> abc.Callable[[], None]:
         """
         Take parts; replies come in batches, those of one turn of the event loop together.
 
@@ -145,11 +129,11 @@
                 asyncio.get_running_loop().call_soon(flush)
             batch.append(part_reply)
 
-        submission = _Submission(parts_in, deadline_s, reply)
-        self._submit_some(submission)
-        return submission.cancel
+        pending = _Submission(parts_in, deadline_s, reply)
+        self._submit_some(pending)
+        return pending.cancel
 
-    def _submit_some(self, submission: _Submission) -> None:
+    def _submit_some(self, pending: _Submission) -> None:
         """
         Take a few parts, and the next few in the next turn of the event loop.
 
@@ -157,45 +141,45 @@
         pings for longer than its peers' silence limit, and they move the parts elsewhere.
         """
         for _ in range(_PARTS_PER_TURN):
-            if submission.cancelled or not submission.waiting:
+            if pending.cancelled or not pending.waiting:
                 return
-            number, service, shard = submission.waiting.popleft()
-            part = self._part(submission, number, shard)
+            number, service, shard = pending.waiting.popleft()
+            part = self._part(pending, number, shard)
             queue = self.queues.get(service)
             if self.leaving:
                 self._counters.add("owner.part.refused.owner_leaving")
                 part.reply(part_module.PartReply(number, part_module.REFUSED, "owner_leaving"))
             elif queue is None:
-                self._tasks.start(self._submit_later(service, part, submission))
+                self._tasks.start(self._submit_later(service, part, pending))
             else:
-                submission.made.append((queue, part))
+                pending.made.append((queue, part))
                 queue.submit(part)
-        asyncio.get_running_loop().call_soon(self._submit_some, submission)
+        asyncio.get_running_loop().call_soon(self._submit_some, pending)
 
-    def _part(self, submission: _Submission, number: int, shard: str) -> part_module.Part:
-        parts_in = submission.parts_in
+    def _part(self, pending: _Submission, number: int, shard: str) -> part_module.Part:
+        parts_in = pending.parts_in
         return part_module.Part(
             number=number,
             shard=shard,
             snapshot=parts_in.snapshot,
             caller=parts_in.caller,
             priority=parts_in.priority,
-            deadline_s=submission.deadline_s,
+            deadline_s=pending.deadline_s,
             repeatable=parts_in.repeatable,
             hedge=parts_in.hedge,
             retries=parts_in.retries,
             body=parts_in.body,
-            reply=submission.reply,
+            reply=pending.reply,
             attempt_prefix=f"{parts_in.query_id}.{number}.{self._settings.instance.name}",
         )
 
     async def _submit_later(
-        self, service: str, part: part_module.Part, submission: _Submission
+        self, service: str, part: part_module.Part, pending: _Submission
     ) -> None:
         """Open a service that we did not expect, as when the coordinator's view differs."""
         queue = await self._queue(service)
-        if not submission.cancelled:
-            submission.made.append((queue, part))
+        if not pending.cancelled:
+            pending.made.append((queue, part))
             queue.submit(part)
 
     async def _queue(self, service: str) -> service_queue.ServiceQueue:
@@ -312,23 +296,12 @@
 
     def on_parts(self, request: server_module.Request) -> None:
         """Serve a coordinator on another instance."""
-        message = request.message.parts
-        query_id = message.queryId
-        parts_in = PartsIn(
-            query_id=query_id,
-            snapshot=message.snapshot,
-            remaining_s=message.remainingMs / 1000,
-            priority=message.priority,
-            repeatable=message.repeatable,
-            hedge=message.hedge,
-            retries=message.retries,
-            caller=message.caller,
-            body=message.body,
-            parts=tuple((each.number, each.service, each.shard) for each in message.parts),
-        )
+        parts_in = submission.decode(request.message.parts)
 
         def on_replies(replies: list[part_module.PartReply]) -> None:
-            request.reply(lambda envelope: _fill_replies(envelope, query_id, replies))
+            request.reply(
+                lambda envelope: submission.fill_replies(envelope, parts_in.query_id, replies)
+            )
 
         if self._config.freshness.tick():
             # We were frozen: the time that remains was counted from before, so that nobody may
@@ -405,21 +378,3 @@
         await self._tasks.close()
         for service in list(self.queues):
             await self._close(service)
-
-
-def _fill_replies(
-    envelope: typing.Any, query_id: str, replies: list[part_module.PartReply]
-) -> None:
-    message = envelope.init("partsReply")
-    message.queryId = query_id
-    items = message.init("replies", len(replies))
-    for index, reply in enumerate(replies):
-        item = items[index]
-        item.number = reply.number
-        item.outcome = reply.outcome
-        item.reason = reply.reason
-        item.snapshot = reply.snapshot
-        item.comeBackMs = reply.come_back_ms
-        item.body = reply.body
-        item.attempts = reply.attempts
-        item.waitMs = reply.wait_ms
--- a/src/turmericlug/query/fan_out.py
+++ b/src/turmericlug/query/fan_out.py
@@ -13,6 +13,7 @@
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.owner import owner as owner_module
 from turmericlug.owner import part as part_module
+from turmericlug.owner import submission
 from turmericlug.query import outcome as outcome_module
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.wire import link as link_module
@@ -135,9 +136,9 @@
         cancel = self._owner.submit(self._parts_in(numbers), self._on_replies)
         self._cancels.append(cancel)
 
-    def _parts_in(self, numbers: list[int]) -> owner_module.PartsIn:
+    def _parts_in(self, numbers: list[int]) -> submission.PartsIn:
         plan = self._plan
-        return owner_module.PartsIn(
+        return submission.PartsIn(
             query_id=plan.query_id,
             snapshot=plan.snapshot.name,
             remaining_s=plan.deadline_s - time.monotonic(),
