--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -349,6 +349,70 @@
         "        if age_ms < 0:",
         "entry/test_relay.py::test_a_relay_that_fails_is_passed_by",
     ),
+    one(
+        "write-what-nobody-waits-for",
+        "direct/sending.py",
+        "                if progress.unwanted:\n                    return UNWANTED\n",
+        "",
+        "direct/test_answering.py::test_what_is_not_written_when_the_query_is_answered_never_is",
+    ),
+    one(
+        "repeat-to-any-replica",
+        "direct/obtaining.py",
+        "        effort.tried = _closed_to_a_repeat(effort, again_in)\n",
+        "",
+        "direct/test_handover.py::test_a_batch_that_was_lost_before_leaves_its_parts_one_send",
+    ),
+    one(
+        "lost-batch-stays-here",
+        "direct/handover.py",
+        "            if not came_back and self._moved(sender, call, handed):",
+        "            if False:",
+        "direct/test_handover.py"
+        "::test_where_instances_are_many_a_lost_batch_goes_to_the_other_owner",
+    ),
+    one(
+        "unknown-replicas-answered",
+        "entry/helping.py",
+        "        if unknown > MOST_UNKNOWN_SHARE * len(batch.shards):",
+        "        if False:",
+        "direct/test_handover.py::test_an_instance_that_does_not_know_the_replicas_yet",
+    ),
+    one(
+        "followed-from-the-first-page",
+        "platform/store.py",
+        "min(revisions)",
+        "revisions[0]",
+        "platform/test_store.py::test_a_stale_reading_is_followed_from_its_oldest_page",
+    ),
+    one(
+        "old-removals-count",
+        "entry/view.py",
+        "            elif self._is_newer(change):",
+        "            elif change.key in self._keys:",
+        "entry/test_view.py::test_a_removal_older_than_the_entry_is_passed_over",
+    ),
+    one(
+        "news-told-plainly",
+        "entry/relay.py",
+        "zlib.compress(content, 1) if len(content) > COMPRESS_FROM_BYTES else content",
+        "content",
+        "entry/test_relay.py::test_a_large_configuration_is_told_in_few_bytes",
+    ),
+    one(
+        "store-asked-by-all-while-away",
+        "entry/relay.py",
+        "            self._direct_until_s = 0.0\n            raise\n",
+        "            raise\n",
+        "entry/test_relay.py::test_the_relay_is_asked_again_while_the_store_is_away_for_all",
+    ),
+    one(
+        "same-margin-for-any-query",
+        "direct/timing.py",
+        "PARTIAL_MARGIN_MS + PARTIAL_MARGIN_PER_SHARD_MS * shards",
+        "13.0",
+        "direct/test_timing.py::test_answer_age_leaves_time_for_the_way_back",
+    ),
 )
 MUTANTS += ENTRY_MUTANTS
 
