A part that nobody waits for any more is never written

A caller that leaves while its once-only request waits for one: it was written up to its deadline later and ran for nobody; so was the loser of a hedge. Change: obtain drops what it has not written whenever it ends, in one place; a send is noted before its task runs, so that one given up in the same turn is found. Test: four ways in which a caller leaves; 'waits, once only' failed before.

--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -96,6 +96,17 @@
         effort.attempts = call.route.max_attempts - 1
         effort.failure = sending.Unknown("batch_lost")
         effort.tried = _closed_to_a_repeat(effort, again_in)
+    try:
+        return await _first_answer(effort, first)
+    finally:
+        # Also when the query or its caller waits no longer.
+        call.drop_unwritten(service)
+
+
+async def _first_answer(effort: _Effort, first: replicas_module.Replica | None) -> sending.Outcome:
+    """Send, hedge and repeat until there is an answer or nothing more may be sent."""
+    loop = asyncio.get_running_loop()
+    call = effort.call
     if first is not None:
         _send_to(effort, first, loop.time())
     else:
@@ -267,25 +278,29 @@
 
 def _send_to(effort: _Effort, replica: replicas_module.Replica, now_s: float) -> None:
     sender, call = effort.sender, effort.call
-    task = sender.tasks.start(_tracked(sender, call, replica, now_s))
+    late_ms = sender.replicas.hedge_after_ms(replica, call.route)
+    send = replicas_module.Send(now_s, late_ms / 1000, replica.entry.instance)
+    # Noted before its task runs: what is given up in the same turn must find it.
+    replica.sends.add(send)
+    call.asked.setdefault(effort.service, []).append(send)
+    task = sender.tasks.start(_tracked(sender, call, replica, send))
     near = sender.replicas.is_near(replica.entry.data_centre)
     sender.counters.add("direct.sent.near" if near else "direct.sent.far")
     call.sends.add(task)
     task.add_done_callback(call.sends.discard)
+    task.add_done_callback(lambda _: replica.sends.discard(send))
     effort.tried.append(replica)
     effort.pending[task] = _Pending(replica, now_s)
     effort.attempts += 1
 
 
 async def _tracked(
-    sender: Sender, call: sending.Call, replica: replicas_module.Replica, began_s: float
+    sender: Sender,
+    call: sending.Call,
+    replica: replicas_module.Replica,
+    send: replicas_module.Send,
 ) -> sending.Outcome:
     """Send, and let the replica's standing learn from the outcome."""
-    route = call.route
-    late_ms = sender.replicas.hedge_after_ms(replica, route)
-    send = replicas_module.Send(began_s, late_ms / 1000, replica.entry.instance)
-    replica.sends.add(send)
-    call.asked.setdefault(replica.entry.service, []).append(send)
     try:
         outcome = await sending.send(call, replica, sender.names, send)
         send.ran = not isinstance(outcome, sending.NotRun)
@@ -295,9 +310,8 @@
         # The caller left and the connection is closed: says nothing of the replica.
         return sending.Unknown("abandoned")
     finally:
-        replica.sends.discard(send)
         send.ended_s = asyncio.get_running_loop().time()
-    _learn(sender, call, replica, outcome, began_s)
+    _learn(sender, call, replica, outcome, send.began_s)
     return outcome
 
 
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -60,17 +60,23 @@
         """
         Leave the sends under way a little time only: the caller has its answer.
 
-        What is not written yet never is: it would run for nobody, and perhaps on more replicas than
-        are allowed. Its connection may still open, and is kept.
-
         Those that end by themselves keep their connections usable. One that is silent for much
         longer than a pause has a dead connection, which would swallow the next part as well.
         """
         for sends in self.asked.values():
             for send in sends:
-                send.unwanted = send.written_s is None
                 send.end_by(send.began_s + stuck_after_s)
 
+    def drop_unwritten(self, service: str) -> None:
+        """
+        Never write what has no connection to a service yet: nobody waits for it any more.
+
+        It would run for nobody, and perhaps on more replicas than are allowed. Its connection may
+        still open, and is kept.
+        """
+        for send in self.asked.get(service, ()):
+            send.unwanted = send.written_s is None
+
     def abandon(self) -> None:
         """Close the connections of all sends: the caller has left, replicas can drop the work."""
         for send in self.sends:
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -145,8 +145,8 @@
         """
         Stop the work for a caller that has left.
 
-        But for a request that must not run twice: breaking it off half done would leave its effect
-        unknown, and nobody could be told.
+        But for a request that must not run twice and was written: breaking it off half done would
+        leave its effect unknown, and nobody could be told.
         """
         if call.route.idempotent:
             call.abandon()
--- a/tests/direct/test_answering.py
+++ b/tests/direct/test_answering.py
@@ -224,14 +224,6 @@
     assert asyncio.run(main()) == ("partial", 1)
 
 
-class SlowToConnect(scripted.Scripted):
-    """A replica whose connections take their time to open."""
-
-    async def connect(self):
-        await asyncio.sleep(0.15)
-        return await super().connect()
-
-
 def test_what_is_not_written_when_the_query_is_answered_never_is():
     """
     An instance is cut off, and opens connections to replicas itself that are not open when its
@@ -240,7 +232,7 @@
     """
 
     async def main():
-        late = SlowToConnect(part(2))
+        late = scripted.SlowToConnect(part(2))
         sender = scripted.make_sender(
             {"x": {"x-0": scripted.Scripted(part(1))}, "y": {"y-0": late}}
         )
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -85,6 +85,43 @@
     assert (b"%s: %s\r\n" % header in request) == passed
 
 
+@pytest.mark.parametrize(
+    ("replica", "idempotent", "sent", "broken_off"),
+    [
+        (scripted.SlowToConnect, False, 0, 0),
+        (scripted.SlowToConnect, True, 0, 0),
+        (scripted.Scripted, False, 1, 0),
+        (scripted.Scripted, True, 1, 1),
+    ],
+    ids=["waits, once only", "waits", "under way, once only", "under way"],
+)
+def test_a_caller_leaves(replica, idempotent, sent, broken_off):
+    """
+    A caller leaves while its request waits for a connection. Written half a second later, it runs
+    for nobody. One that must not run twice and is under way already is left to end.
+    """
+
+    async def main():
+        slow = replica(0.2, scripted.response(body=b"good"))
+        sender = scripted.make_sender({"s": {"a": slow}})
+        view = view_module.View("own", sender.replicas, sender.replicas, lambda: 0.0)
+        route = routes.Route(
+            "r", "h.example", "/x/", idempotent, 2000, 100, 1, 2, (routes.Share("s", 1.0),)
+        )
+        view.configuration = routes.Configuration(3, (route,), {}, messages.Limits())
+        callers = callers_module.Callers(view, sender, lambda: 0.0)
+        now_s = asyncio.get_running_loop().time()
+        request = messages.Request(b"GET", b"/x/1", (HOST, ID), b"", now_s, now_s)
+        asking = asyncio.create_task(callers.handle(request))
+        await asyncio.sleep(0.05)
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+        await sender.tasks.finish()
+        return len(slow.requests), slow.cancelled
+
+    assert asyncio.run(main()) == (sent, broken_off)
+
+
 def test_each_service_gets_its_share():
     """
     A route is split 3 to 1. Drawn at random, a few hundred requests miss the shares by several
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -86,6 +86,14 @@
         return Connection(self)
 
 
+class SlowToConnect(Scripted):
+    """A replica whose connections take their time to open."""
+
+    async def connect(self):
+        await asyncio.sleep(0.15)
+        return await super().connect()
+
+
 def entry(instance, service="s", data_centre="dc", draining=False, slots=2):
     return routes.ReplicaEntry(instance, service, "h", 1, data_centre, slots, draining, 0)
 
