--- a/src/turmericlug/entry/beliefs.py
+++ b/src/turmericlug/entry/beliefs.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import json
-import math
 import typing
 import urllib.parse
 from collections import abc
@@ -73,7 +72,7 @@
         "instance": name,
         "ready": ready,
         "configuration_version": _version(view),
-        "source_age_s": _age_s(view),
+        "source_age_s": view_module.told_age_s(view.source_age_s()),
         "instances": sorted(view.instances),
         "instances_counted": view.instances_count(),
         "replicas": {state: states.count(state) for state in sorted(set(states))},
@@ -85,7 +84,11 @@
     """Tell the route of a request, and the replicas that could take it, best first."""
     configuration = view.configuration
     route = configuration.match(host, path) if configuration is not None else None
-    plain = {"configuration_version": _version(view), "source_age_s": _age_s(view), "route": None}
+    plain = {
+        "configuration_version": _version(view),
+        "source_age_s": view_module.told_age_s(view.source_age_s()),
+        "route": None,
+    }
     if route is None:
         return plain
     services = route.shards or tuple(each.service for each in route.services)
@@ -123,9 +126,3 @@
 
 def _version(view: view_module.View) -> int | None:
     return view.configuration.version if view.configuration is not None else None
-
-
-def _age_s(view: view_module.View) -> float | None:
-    """Return how old the last news are, ``None`` before the first."""
-    age_s = view.source_age_s()
-    return round(age_s, 3) if math.isfinite(age_s) else None
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -120,7 +120,7 @@
             request=call.request_id,
             route=call.route.name,
             version=call.version,
-            source_age_s=self._told_age_s(),
+            source_age_s=view_module.told_age_s(self._source_age_s()),
             left_ms=round((call.deadline_s - loop.time()) * 1000),
         )
         try:
@@ -184,15 +184,10 @@
             "query.refused",
             request=request.header(self.sender.names.request_id),
             reason=reason,
-            source_age_s=self._told_age_s(),
+            source_age_s=view_module.told_age_s(self._source_age_s()),
         )
         return answering.refusal(self.sender, reason).answer
 
-    def _told_age_s(self) -> float | None:
-        """Return how old the last news are, ``None`` before the first."""
-        age_s = self._source_age_s()
-        return round(age_s, 3) if math.isfinite(age_s) else None
-
     def _bad_request(self, request: messages.Request, lacking: str) -> messages.Answer:
         self.sender.counters.add(f"entry.bad_request.{lacking}")
         decisions.log("query.bad_request", lacking=lacking)
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import abc
 
 from turmericlug.direct import replicas as replicas_module
@@ -225,6 +226,11 @@
             self._forget(key, self._keys[key].revision)
 
 
+def told_age_s(age_s: float) -> float | None:
+    """Return an age as it is told in logs and answers, ``None`` where nothing was heard yet."""
+    return round(age_s, 3) if math.isfinite(age_s) else None
+
+
 def _as_replica(instance: news.EntryInstance) -> routes.ReplicaEntry:
     host, _, port = instance.peers_address.rpartition(":")
     return routes.ReplicaEntry(
