All instances that a part is handed to keep to the same replicas

Change: once a part is handed to a data centre, every instance that it may come to (both owners, the asker) works out the same replicas for it, as many as the route allows: those of that data centre first, the others by a hash of the request. The messages carry the data centre. A hedge has one replica less to choose from where a shard has three. Test: 16 rows, first owner with its own replica set aside, then the second: without the mechanism three replicas (mutant any-replica-of-a-handed-part). It replaces the test of the narrower rule; what that held (one send after a loss) is asserted here too.

--- a/src/turmericlug/direct/handover.capnp
+++ b/src/turmericlug/direct/handover.capnp
@@ -19,8 +19,10 @@
   answerInMs @11 :Float32;
   # When to come back with what there is by then.
   timeLeftMs @12 :Float32;
-  againIn @13 :Text;
-  # The data centre of an instance that may have sent the parts before; empty: there was none.
+  dataCentre @13 :Text;
+  # Of the instances that the parts are handed to; all of them keep to the same replicas.
+  again @14 :Bool;
+  # Another of them may have sent the parts before: one send each is left.
 }
 
 struct Answer {
--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -43,8 +43,8 @@
     shards: tuple[str, ...]
     ran_nothing: bool = True
     """Whether the peer certainly sent none of its parts."""
-    again_in: str = ""
-    """Data centre of a peer before that may have sent its parts."""
+    again: bool = False
+    """Whether another peer before may have sent its parts."""
     outcomes: dict[str, asyncio.Future[sending.Outcome | None]] = attrs.field(factory=dict)
     """``None`` for a shard whose batch has to be taken for lost."""
 
@@ -64,13 +64,13 @@
             self._end(shard, None)
 
     @property
-    def may_be_sent_in(self) -> str:
-        """Data centre of a peer that may have sent its parts; empty where none can have."""
-        return self.again_in if self.ran_nothing else self.peer.entry.data_centre
+    def may_have_sent(self) -> bool:
+        """Whether any peer may have sent its parts."""
+        return self.again or not self.ran_nothing
 
     def move_to(self, peer: replicas_module.Replica) -> None:
         """Hand what has not come back to another peer."""
-        self.again_in = self.may_be_sent_in
+        self.again = self.may_have_sent
         self.peer = peer
         self.shards = tuple(each for each in self.shards if not self.outcomes[each].done())
         self.ran_nothing = True
@@ -270,7 +270,8 @@
         shards=handed.shards,
         answer_in_ms=max(left_ms, 1.0),
         time_left_ms=max((call.deadline_s - now_s) * 1000 - round_trip_ms / 2, 1.0),
-        again_in=handed.again_in,
+        data_centre=handed.peer.entry.data_centre,
+        again=handed.again,
     )
 
 
@@ -283,9 +284,10 @@
     A direct send makes up for a lost one, within what the peer may have sent.
     """
     outcome = await asyncio.shield(handed.outcomes[shard])
-    if outcome is None:
-        return await obtaining.obtain(sender, call, shard, again_in=handed.may_be_sent_in)
-    if _unknown_there(outcome):
+    if outcome is None and handed.may_have_sent:
+        place = handed.peer.entry.data_centre
+        return await obtaining.obtain(sender, call, shard, handed_to=place, again=True)
+    if outcome is None or _unknown_there(outcome):
         return await obtaining.obtain(sender, call, shard)
     return outcome
 
--- a/src/turmericlug/direct/handover_codec.py
+++ b/src/turmericlug/direct/handover_codec.py
@@ -33,8 +33,10 @@
     answer_in_ms: float
     """When to come back with what there is by then."""
     time_left_ms: float
-    again_in: str = ""
-    """Data centre of an instance that may have sent the parts before; empty where there is none."""
+    data_centre: str
+    """Of the instances that the parts are handed to; all of them keep to the same replicas."""
+    again: bool = False
+    """Whether another of them may have sent the parts before: one send each is left."""
 
 
 @attrs.frozen
@@ -74,7 +76,8 @@
         shards=list(batch.shards),
         answerInMs=batch.answer_in_ms,
         timeLeftMs=batch.time_left_ms,
-        againIn=batch.again_in,
+        dataCentre=batch.data_centre,
+        again=batch.again,
     )
     return message.to_bytes_packed()
 
@@ -103,7 +106,8 @@
             shards=tuple(message.shards),
             answer_in_ms=message.answerInMs,
             time_left_ms=message.timeLeftMs,
-            again_in=message.againIn,
+            data_centre=message.dataCentre,
+            again=message.again,
         )
     except Exception as error:  # the library raises its own type for each kind of damage
         raise MessageError(str(error).splitlines()[0][:200]) from error
--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -10,6 +10,7 @@
 import attrs
 
 from turmericlug.direct import dialect as dialect_module
+from turmericlug.direct import placement
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import sending
 from turmericlug.direct import timing
@@ -71,7 +72,8 @@
     call: sending.Call,
     service: str,
     first: replicas_module.Replica | None = None,
-    again_in: str = "",
+    handed_to: str = "",
+    again: bool = False,
 ) -> sending.Outcome:
     """
     Get one answer from a service.
@@ -80,14 +82,18 @@
     used again; ``call.abandon`` ends them.
 
     :param first: the replica to send to first, where it has been chosen already
-    :param again_in: data centre of an instance that may have sent the request to the service
-        before; one send is left then, within the budget of extra sends
+    :param handed_to: data centre whose instances the part was handed to, if it was; all of them
+        keep to the same replicas
+    :param again: whether one of them may have sent it before; one send is left then, within the
+        budget of extra sends
     :returns: the first answer, or the failure; ``NotRun`` only when no attempt can have run
     """
     loop = asyncio.get_running_loop()
     effort = _Effort(sender, call, service)
     budget = sender.replicas.extra_sends(service)
-    if not again_in:
+    if handed_to:
+        effort.tried = _closed(effort, handed_to)
+    if not again:
         budget.count_request(loop.time())
     elif call.route.max_attempts < 2 or not budget.spend(loop.time(), sender.instances()):
         sender.counters.add("direct.repeat_denied.budget")
@@ -95,7 +101,6 @@
     else:
         effort.attempts = call.route.max_attempts - 1
         effort.failure = sending.Unknown("batch_lost")
-        effort.tried = _closed_to_a_repeat(effort, again_in)
     try:
         return await _first_answer(effort, first)
     finally:
@@ -133,18 +138,15 @@
     return effort.failure
 
 
-def _closed_to_a_repeat(effort: _Effort, again_in: str) -> list[replicas_module.Replica]:
-    """
-    Return the replicas that a request must not be sent to after another instance may have sent it.
-
-    That instance began with the replica of its own data centre, where there is one, and may have
-    gone on to as many as are allowed. Any other replica could be one too many; the same one can't.
-    """
+def _closed(effort: _Effort, handed_to: str) -> list[replicas_module.Replica]:
+    """Return the replicas that a part must not reach once it is handed to a data centre."""
     replicas = effort.sender.replicas.of(effort.service)
-    if len(replicas) <= effort.call.route.max_attempts:
+    most = effort.call.route.max_attempts
+    if len(replicas) <= most:
         return []
-    there = [each for each in replicas if each.entry.data_centre == again_in]
-    return [each for each in replicas if len(there) != 1 or each not in there]
+    places = {each.entry.instance: each.entry.data_centre for each in replicas}
+    allowed = placement.allowed(effort.call.request_id, places, handed_to, most)
+    return [each for each in replicas if each.entry.instance not in allowed]
 
 
 def _at_deadline(effort: _Effort) -> sending.Outcome:
--- a/src/turmericlug/direct/placement.py
+++ b/src/turmericlug/direct/placement.py
@@ -30,6 +30,10 @@
 """The number of groups rises in steps: if it followed the instances, each that comes or goes would
 move every shard to other owners, whose connections are cold."""
 
+_SPREAD = 2654435761
+"""Knuth's factor for multiplicative hashing. Without it two names keep their order for nearly all
+salts, as the checksums of texts that differ in the same place differ by the same bits."""
+
 
 @attrs.frozen
 class Place:
@@ -84,6 +88,28 @@
     return found
 
 
+def allowed(
+    request: bytes, data_centres: abc.Mapping[str, str], data_centre: str, most: int
+) -> set[str]:
+    """
+    Return the replicas of a shard that a part may reach once it is handed to a data centre.
+
+    All instances that it may come to work out the same ones, so that a part which one of them has
+    sent unnoticed can't reach too many replicas in all: first those of that data centre, then by
+    the request, so that the others get even shares.
+
+    :param data_centres: of each replica, by its instance
+    :param most: how many replicas a request may be sent to
+    """
+    salt = zlib.crc32(request)
+
+    def place_and_turn(name: str) -> tuple[bool, int]:
+        turn = (salt ^ zlib.crc32(name.encode())) * _SPREAD & 0xFFFFFFFF
+        return data_centres[name] != data_centre, turn
+
+    return set(sorted(data_centres, key=place_and_turn)[:most])
+
+
 def usual(own_name: str, names: abc.Collection[str], count: int) -> list[str]:
     """Return a fixed few of some instances, others for each instance that asks."""
     return heapq.nsmallest(count, names, key=lambda name: _rank(own_name, name))
--- a/src/turmericlug/entry/helping.py
+++ b/src/turmericlug/entry/helping.py
@@ -69,7 +69,9 @@
     loop = asyncio.get_running_loop()
     call = _call(batch, arrived_s)
     parts = {
-        loop.create_task(obtaining.obtain(sender, call, shard, again_in=batch.again_in)): shard
+        loop.create_task(
+            obtaining.obtain(sender, call, shard, handed_to=batch.data_centre, again=batch.again)
+        ): shard
         for shard in batch.shards
     }
     answer_at_s = min(arrived_s + batch.answer_in_ms / 1000, call.deadline_s)
--- a/tests/direct/test_handover.py
+++ b/tests/direct/test_handover.py
@@ -182,35 +182,44 @@
 
 
 @pytest.mark.parametrize(
-    ("names", "sent"),
+    "names",
     [
-        (["far-1", "further-2", "other-3"], {"far-1": 1}),
-        (["far-1", "far-2", "further-3"], {}),
-        (["far-1", "further-2"], {"far-1": 1}),
-        (["further-1", "further-2"], {"further-1": 1}),
+        ["far-1", "further-2", "other-3"],
+        ["far-1", "far-2", "further-3"],
+        ["further-1", "further-2", "other-3", "other-4"],
+        ["far-1", "further-2"],
     ],
-    ids=["one where it was lost", "two where it was lost", "few", "few elsewhere"],
+    ids=["one there", "two there", "none there", "few"],
 )
-def test_a_batch_that_was_lost_before_leaves_its_parts_one_send(names, sent):
+@pytest.mark.parametrize("request_id", [b"q1", b"q2", b"q3", b"q4"])
+def test_a_batch_that_is_run_twice_reaches_no_more_replicas_than_allowed(names, request_id):
     """
-    The first owner was slow, not dead: it sent a part to the replica of its data centre, and to a
-    second one. Taken for lost, the part may go to that first replica only, and once: any other of
-    three would be a third where two are allowed. Where it isn't clear which was first, to none.
+    The first owner is slow, not dead. It passes over the replica of its data centre, which was slow
+    lately, and sends a part to two others. Taken for lost, the part goes to the second owner, which
+    sends it to the first replica: a third one where two are allowed.
     """
 
-    async def main():
+    async def run(aside, again):
         reset = client.ExchangeError("reset")
         replicas = {name: scripted.Scripted(reset) for name in names}
-        handle = helping.handler(handing.make_sender({"x": replicas}))
-        batch = attrs.evolve(handing.BATCH, shards=("x",), again_in="far")
-        body = handover_codec.encode_batch(batch)
+        sender = handing.make_sender({"x": replicas})
         now_s = asyncio.get_running_loop().time()
-        answer = await handle(messages.Request(b"POST", handover.PATH, (), body, now_s))
+        for replica in sender.replicas.of("x")[:aside]:
+            replica.ejected_until_s = now_s + 60
+        batch = attrs.evolve(handing.BATCH, request_id=request_id, shards=("x",), again=again)
+        body = handover_codec.encode_batch(batch)
+        request = messages.Request(b"POST", handover.PATH, (), body, now_s)
+        answer = await helping.handler(sender)(request)
         chunks = [handover_codec.decode_answer(each, ("x",)) async for each in answer.chunks]
         assert chunks[0].failures["x"].may_have_run
-        return {name: len(each.requests) for name, each in replicas.items() if each.requests}
+        return [name for name, each in replicas.items() for _ in each.requests]
 
-    assert asyncio.run(main()) == sent
+    async def main():
+        return await run(aside=1, again=False), await run(aside=0, again=True)
+
+    first, second = asyncio.run(main())
+    assert len(second) == 1
+    assert len({*first, *second}) <= handing.BATCH.max_attempts
 
 
 def test_an_instance_that_lost_batches_gets_no_more_for_a_while():
--- a/tests/handing.py
+++ b/tests/handing.py
@@ -36,7 +36,8 @@
     shards=("x", "y"),
     answer_in_ms=50.0,
     time_left_ms=500.0,
-    again_in="further",
+    data_centre="far",
+    again=True,
 )
 
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -357,11 +357,12 @@
         "direct/test_answering.py::test_what_is_not_written_when_the_query_is_answered_never_is",
     ),
     one(
-        "repeat-to-any-replica",
+        "any-replica-of-a-handed-part",
         "direct/obtaining.py",
-        "        effort.tried = _closed_to_a_repeat(effort, again_in)\n",
-        "",
-        "direct/test_handover.py::test_a_batch_that_was_lost_before_leaves_its_parts_one_send",
+        "        effort.tried = _closed(effort, handed_to)\n",
+        "        pass\n",
+        "direct/test_handover.py"
+        "::test_a_batch_that_is_run_twice_reaches_no_more_replicas_than_allowed",
     ),
     one(
         "lost-batch-stays-here",
