Soak: cuts, delays and silence between instances as well

Cause: instances told each other the address that they listen on, so that nothing could be put between them; batches and relayed news were never cut in the soak. Change: the stand-in store names a proxy's address in the entry of an instance; each fault on links draws first whether it is on the way to the store, to replicas, or between instances.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -67,10 +67,16 @@
             await instance.start()
 
     async def _link(self, least_s, most_s, **fields):
-        """Change some connections for a while: of an instance to the store, or of a replica."""
+        """
+        Change some connections for a while.
+
+        Those of instances to the store, those to replicas, or those between instances.
+        """
         rng, links = self.world.rng, self.world.links
         plain = {"mode": "pass", "one_way": "", "delay_ms": 0.0}
-        names = rng.sample(sorted(links.routes), rng.randint(1, 3))
+        ends = rng.choice(("store/", "replica/", "peer/"))
+        names = [name for name in sorted(links.routes) if name.startswith(ends)]
+        names = rng.sample(names, rng.randint(1, min(3, len(names))))
         for name in names:
             links.change(name, fields)
         await asyncio.sleep(rng.uniform(least_s, most_s))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+import json
 import pathlib
 import random
 import signal
@@ -37,7 +38,7 @@
     replicas: list[standin_platform.Replica] = attrs.field(factory=list)
     instances: list[entry_process.Instance] = attrs.field(factory=list)
     links: standin_proxy.Proxy | None = None
-    """Proxied connections: ``store/INSTANCE`` and ``replica/REPLICA``."""
+    """Proxied connections: ``store/INSTANCE``, ``replica/REPLICA`` and ``peer/INSTANCE``."""
     version: int = 0
 
     @contextlib.asynccontextmanager
@@ -47,12 +48,8 @@
             address = await stack.enter_async_context(standin_platform.listening(self.store.handle))
             links = await self._replicas(stack)
             for number in range(self.instances_count):
-                (port,) = fleet_spec.free_ports(1)
-                name = f"e-{number}"
-                links.append(standin_proxy.Route(f"store/{name}", port, address[1]))
-                self.instances.append(
-                    entry_process.make(self.folder, name, port, REGIONS, f"dc-{number % 2}")
-                )
+                links += self._instance(f"e-{number}", f"dc-{number % 2}", address[1])
+            self.store.edit = self._by_proxy
             self.links = standin_proxy.Proxy("127.0.0.1", links)
             await self.links.start()
             stack.callback(self.links.close)
@@ -64,6 +61,23 @@
             await self.all_ready()
             yield
 
+    def _instance(self, name, data_centre, store_port):
+        """Make an instance, not yet started, and return the links to the store and from others."""
+        port, front = fleet_spec.free_ports(2)
+        instance = entry_process.make(self.folder, name, port, REGIONS, data_centre)
+        self.instances.append(instance)
+        return [
+            standin_proxy.Route(f"store/{name}", port, store_port),
+            standin_proxy.Route(f"peer/{name}", front, instance.ports[4]),
+        ]
+
+    def _by_proxy(self, key, content):
+        """Have other instances connect to an instance by way of its proxy."""
+        if not key.startswith("turmericlug/instances/"):
+            return content
+        front = self.links.routes[f"peer/{key.rpartition('/')[2]}"].listen
+        return json.dumps(json.loads(content) | {"peers_address": f"127.0.0.1:{front}"}).encode()
+
     async def _replicas(self, stack):
         links = []
         for service in (*SHARDS, BILLS):
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -31,6 +31,8 @@
         self.lags = []
         """Revisions by which the next stale reads say that they lag."""
         self.stale_reads = 0
+        self.edit = lambda key, content: content
+        """Changes what an instance writes: an address, so that others come by way of a proxy."""
         self._changed = asyncio.Event()
         self._numbers = itertools.count(7000)
 
@@ -134,7 +136,8 @@
         for put in body["Puts"]:
             if put["Lease"] and put["Lease"] not in self.leases:
                 return 404, {}
-            self.put(put["Key"], base64.b64decode(put["Value"]), put["Lease"])
+            content = self.edit(put["Key"], base64.b64decode(put["Value"]))
+            self.put(put["Key"], content, put["Lease"])
         return OK, {"Revision": self.revision}
 
 
