One start for all batches of a query, one refusal of a batch

Cause: Handover.plan only wrapped each group anew, what a lost batch left open was worked out twice, and a helping instance counted, logged and answered its two refusals in the same lines twice.

--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -121,11 +121,9 @@
 ) -> Parts:
     """Start every part: in a batch with others where its replicas are far, else from here."""
     loop = asyncio.get_running_loop()
-    batches = sender.handover.plan(sender, call, first, loop.time()) if sender.handover else []
     in_batch: dict[str, handover.Handed] = {}
-    for handed in batches:
-        sender.handover.start(sender, call, handed, answer_at_s)
-        in_batch.update(dict.fromkeys(handed.shards, handed))
+    if sender.handover is not None:
+        in_batch = sender.handover.start(sender, call, first, answer_at_s)
     return {
         shard: loop.create_task(
             handover.part(sender, call, in_batch[shard], shard)
--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -68,11 +68,16 @@
         """Whether any peer may have sent its parts."""
         return self.again or not self.ran_nothing
 
+    @property
+    def left(self) -> tuple[str, ...]:
+        """The shards that have not come back."""
+        return tuple(each for each in self.shards if not self.outcomes[each].done())
+
     def move_to(self, peer: replicas_module.Replica) -> None:
         """Hand what has not come back to another peer."""
         self.again = self.may_have_sent
         self.peer = peer
-        self.shards = tuple(each for each in self.shards if not self.outcomes[each].done())
+        self.shards = self.left
         self.ran_nothing = True
 
     def _end(self, shard: str, outcome: sending.Outcome | None) -> None:
@@ -86,29 +91,31 @@
     def __init__(self, peers: peers_module.Peers) -> None:
         self.peers = peers
 
-    def plan(
+    def start(
         self,
         sender: obtaining.Sender,
         call: sending.Call,
         first: peers_module.FirstChoices,
-        now_s: float,
-    ) -> list[Handed]:
-        """Group the shards that others should send to into batches, not yet sent."""
-        groups = self.peers.plan(sender, call, first, now_s)
-        return [Handed(each.peer, each.shards) for each in groups]
+        answer_at_s: float,
+    ) -> dict[str, Handed]:
+        """
+        Send the shards that others should send to in batches.
 
-    def start(
-        self, sender: obtaining.Sender, call: sending.Call, handed: Handed, answer_at_s: float
-    ) -> None:
-        """Send a batch."""
+        :returns: the batch of each shard that is in one
+        """
         loop = asyncio.get_running_loop()
-        handed.outcomes = {shard: loop.create_future() for shard in handed.shards}
-        task = sender.tasks.start(self._exchange(sender, call, handed, answer_at_s))
-        call.sends.add(task)
-        task.add_done_callback(call.sends.discard)
-        call.handed_over.update(handed.shards)
-        sender.counters.add("handover.sent")
-        sender.counters.add("handover.shards", len(handed.shards))
+        by_shard: dict[str, Handed] = {}
+        for group in self.peers.plan(sender, call, first, loop.time()):
+            handed = Handed(group.peer, group.shards)
+            handed.outcomes = {shard: loop.create_future() for shard in group.shards}
+            task = sender.tasks.start(self._exchange(sender, call, handed, answer_at_s))
+            call.sends.add(task)
+            task.add_done_callback(call.sends.discard)
+            by_shard.update(dict.fromkeys(group.shards, handed))
+            sender.counters.add("handover.sent")
+            sender.counters.add("handover.shards", len(group.shards))
+        call.handed_over.update(by_shard)
+        return by_shard
 
     async def _exchange(
         self, sender: obtaining.Sender, call: sending.Call, handed: Handed, answer_at_s: float
@@ -155,7 +162,7 @@
         """
         if placement.everyone_sends(sender.instances()):
             return False
-        left = [shard for shard, outcome in handed.outcomes.items() if not outcome.done()]
+        left = handed.left
         if not left:
             return False
         lost = handed.peer.entry
@@ -220,7 +227,7 @@
         handed.ran_nothing = response.status == REFUSED
         if response.status != 200:
             raise handover_codec.MessageError(f"status {response.status}")
-        if not all(outcome.done() for outcome in handed.outcomes.values()):
+        if handed.left:
             raise handover_codec.MessageError("ended before every shard was told of")
 
     def _alive_after_s(self, data_centre: str) -> float:
--- a/src/turmericlug/entry/helping.py
+++ b/src/turmericlug/entry/helping.py
@@ -40,23 +40,28 @@
         except handover_codec.MessageError as error:
             decisions.log("helping.unreadable", reason=str(error))
             return messages.Answer(400)
-        waited_s = request.stalled_s
-        if waited_s > MOST_STALL_S:
+        reason = _refusal(sender, batch, request.stalled_s)
+        if reason:
             sender.counters.add("helping.refused")
-            decisions.log(
-                "helping.refused", request=batch.request_id, stalled_ms=round(waited_s * 1000)
-            )
-            return messages.Answer(handover.REFUSED)
-        unknown = sum(not sender.replicas.of(shard) for shard in batch.shards)
-        if unknown > MOST_UNKNOWN_SHARE * len(batch.shards):
-            sender.counters.add("helping.refused")
-            decisions.log("helping.refused", request=batch.request_id, unknown_shards=unknown)
+            decisions.log("helping.refused", request=batch.request_id, **reason)
             return messages.Answer(handover.REFUSED)
         return messages.Answer(200, chunks=_answers(sender, batch, request.arrived_s))
 
     return handle
 
 
+def _refusal(
+    sender: obtaining.Sender, batch: handover_codec.Batch, stalled_s: float
+) -> dict[str, int]:
+    """Return why nothing of a batch is to be run, as a field of the log; empty when it is."""
+    if stalled_s > MOST_STALL_S:
+        return {"stalled_ms": round(stalled_s * 1000)}
+    unknown = sum(not sender.replicas.of(shard) for shard in batch.shards)
+    if unknown > MOST_UNKNOWN_SHARE * len(batch.shards):
+        return {"unknown_shards": unknown}
+    return {}
+
+
 async def _answers(
     sender: obtaining.Sender, batch: handover_codec.Batch, arrived_s: float
 ) -> abc.AsyncIterator[bytes]:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -331,8 +331,8 @@
     one(
         "run-old-batches",
         "entry/helping.py",
-        "if waited_s > MOST_STALL_S:",
-        "if waited_s < 0:",
+        "if stalled_s > MOST_STALL_S:",
+        "if stalled_s < 0:",
         "direct/test_handover.py::test_a_batch_that_may_be_old_is_refused",
     ),
     one(
@@ -375,8 +375,8 @@
     one(
         "unknown-replicas-answered",
         "entry/helping.py",
-        "        if unknown > MOST_UNKNOWN_SHARE * len(batch.shards):",
-        "        if False:",
+        "    if unknown > MOST_UNKNOWN_SHARE * len(batch.shards):",
+        "    if False:",
         "direct/test_handover.py::test_an_instance_that_does_not_know_the_replicas_yet",
     ),
     one(
