Owner: the choice of a replica in a module of functions; tables of mutants by program

Change: owner/choice.py (functions of the replicas, tables of tests); mutants_daemon.py and mutants_entry.py. No change of behaviour: tests of owner pass, six mutants run by hand fail as before.

--- a/src/turmericlug/owner/service_queue.py
+++ b/src/turmericlug/owner/service_queue.py
@@ -9,6 +9,7 @@
 from collections import abc
 
 from turmericlug.kernel import tasks
+from turmericlug.owner import choice
 from turmericlug.owner import fair_queue
 from turmericlug.owner import hedging
 from turmericlug.owner import part as part_module
@@ -55,17 +56,7 @@
 
     def slots(self) -> float:
         """Return the parts that all usable replicas take together."""
-        return sum(each.limit for each in self._usable(time.monotonic()))
-
-    def _usable(self, now_s: float) -> list[replica_module.Replica]:
-        """
-        Return the replicas that may get work.
-
-        When all that do not leave are ejected, they are all tried again: setting aside the last
-        replica would turn its trouble into certain loss, and nothing would wake the queue.
-        """
-        staying = [each for each in self.replicas.values() if not each.leaving]
-        return [each for each in staying if each.usable(now_s)] or staying
+        return choice.slots(self.replicas.values(), time.monotonic())
 
     def in_flight(self) -> int:
         """Return the attempts under way."""
@@ -89,7 +80,7 @@
         now_s = time.monotonic()
         wait_ms = self.wait_ms(part.priority, part.caller)
         reason = ""
-        if not any(not each.leaving for each in self.replicas.values()):
+        if not choice.staying(self.replicas.values()):
             reason = "no_replica"
         elif len(self._queue) >= self._most_queued:
             reason = "queue_full"
@@ -154,7 +145,7 @@
         now_s = time.monotonic()
         self._start_late(now_s)
         while len(self._queue):
-            replica = self._free(now_s, None)
+            replica = choice.free(self.replicas.values(), now_s, None)
             if replica is None:
                 return
             part = self._queue.pop()
@@ -163,7 +154,7 @@
             if part.deadline_s - now_s < _LEAST_TIME_S:
                 self._give_up(part, "expired_in_queue")
                 continue
-            chosen = self._free(now_s, part) or self._repeat_choice(now_s, part)
+            chosen = self._chosen(now_s, part)
             if chosen is None:
                 self._without_replica(part, now_s)
                 continue
@@ -181,38 +172,21 @@
             part = self._late.popleft()
             if part.done or not part.running:
                 continue
-            replica = self._free(now_s, part)
+            replica = choice.free(self.replicas.values(), now_s, part)
             if replica is None:
                 self._late.append(part)
                 continue
             self._counters.add("owner.hedge.sent")
             part.hedge_attempt = self._dispatch(part, replica, now_s)
 
-    def _free(self, now_s: float, part: part_module.Part | None) -> replica_module.Replica | None:
-        """Choose a replica with a free slot that this part was not sent to yet."""
-        return policy.choose(
-            each
-            for each in self._usable(now_s)
-            if part is None
-            or (each.instance not in part.tried and not each.lacks(part.snapshot, now_s))
-        )
-
-    def _repeat_choice(self, now_s: float, part: part_module.Part) -> replica_module.Replica | None:
-        """Choose a replica for a retry that has been to all of them."""
-        if not part.tried or part.running:
-            return None
-        return policy.choose(
-            each for each in self._usable(now_s) if not each.lacks(part.snapshot, now_s)
-        )
+    def _chosen(self, now_s: float, part: part_module.Part) -> replica_module.Replica | None:
+        """Choose a replica for a part, one that it has been to only when there is no other."""
+        replicas = self.replicas.values()
+        return choice.free(replicas, now_s, part) or choice.free_again(replicas, now_s, part)
 
     def _without_replica(self, part: part_module.Part, now_s: float) -> None:
         """Deal with a part at the head of the queue that no free replica can take."""
-        able = [
-            each
-            for each in self.replicas.values()
-            if not each.leaving and not each.lacks(part.snapshot, now_s)
-        ]
-        if not able:
+        if not choice.holds_snapshot(self.replicas.values(), now_s, part.snapshot):
             self._counters.add("owner.part.snapshot_absent")
             self._finish(
                 part,
@@ -328,12 +302,8 @@
 
     def _failed(self, replica: replica_module.Replica) -> None:
         now_s = time.monotonic()
-        others = [
-            each
-            for each in self.replicas.values()
-            if each is not replica and not each.leaving and each.ejected_until_s <= now_s
-        ]
-        if replica.failed(may_eject=bool(others)):
+        others = choice.has_another(self.replicas.values(), now_s, replica)
+        if replica.failed(may_eject=others):
             self._counters.add("owner.ejected")
 
     def leave(self, instance: str, reason: str) -> None:
--- /dev/null
+++ b/tests/mutants_daemon.py
@@ -0,0 +1,175 @@
+"""Mechanisms of the daemon that can be taken away."""
+
+from __future__ import annotations
+
+import mutant
+
+MUTANTS = (
+    mutant.Mutant(
+        "take-any-snapshot",
+        "src/turmericlug/owner/service_queue.py",
+        (
+            (
+                "case target.SnapshotAbsent():\n                self._again(part)",
+                "case target.SnapshotAbsent():\n                part.snapshot = "
+                '"s2" if part.snapshot == "s1" else "s1"\n                self._again(part)',
+            ),
+            ("snapshot=outcome.snapshot,", 'snapshot="s1",'),
+        ),
+        "tests/integration/test_snapshots.py::test_version_switch_under_queries",
+    ),
+    mutant.one(
+        "no-attempt-check",
+        "owner/target.py",
+        "if response.headers.get(ATTEMPT) != attempt:",
+        "if not attempt:",
+        "integration/test_own_answer.py::test_replies_go_wrong[crossed]",
+    ),
+    mutant.one(
+        "no-body-check",
+        "owner/target.py",
+        "or not _is_json(body)",
+        "",
+        "integration/test_own_answer.py::test_replies_go_wrong[garbage]",
+    ),
+    mutant.one(
+        "lost-owner-not-replaced",
+        "query/fan_out.py",
+        "        if self._plan.repeatable:\n            waiting.clear()",
+        "        if not self._plan.query_id:\n            waiting.clear()",
+        "integration/test_own_answer.py::test_owner_dies_and_comes_back",
+    ),
+    mutant.one(
+        "no-silence-check",
+        "wire/link.py",
+        "if now_s - since_s > limit_s:",
+        "if now_s - since_s > 3600:",
+        "integration/test_own_answer.py::test_owner_frozen",
+    ),
+    mutant.one(
+        "unknown-called-not-run",
+        "owner/service_queue.py",
+        "        if part.may_have_run:\n            self._fail(part, reason)",
+        "        if part.done:\n            self._fail(part, reason)",
+        "integration/test_at_most_once.py::test_key_runs_once[dying_targets]",
+    ),
+    mutant.one(
+        "run-without-claim",
+        "query/coordinator.py",
+        "if verdict.outcome != ledger.GRANTED:",
+        "if verdict.outcome in (ledger.MISMATCH, ledger.EXPIRED):",
+        "integration/test_at_most_once.py::test_key_runs_once[store_outage]",
+    ),
+    mutant.one(
+        "records-without-swap",
+        "records/ledger.py",
+        "expected = {self._head_key: self._head_revision}",
+        "expected = {}",
+        "records/test_ledger.py::TestWriters",
+    ),
+    mutant.one(
+        "late-claim-revives",
+        "records/ledger.py",
+        "if entry is not None and entry.attempt == wanted.attempt:",
+        "if entry is not None and not wanted.attempt:",
+        "records/test_ledger.py::test_late_claim_of_a_released_attempt_does_not_revive_it",
+    ),
+    mutant.one(
+        "drain-reply-ignored",
+        "owner/service_queue.py",
+        'case target.NotRun(reason="draining"):',
+        'case target.NotRun(reason="never"):',
+        "integration/test_leaving_target.py::test_drain_with_lagging_list_and_lying_health",
+    ),
+    mutant.one(
+        "no-ejection",
+        "owner/replica.py",
+        "if self.failures < enough or not may_eject:",
+        "if self.failures >= 0:",
+        "integration/test_leaving_target.py::test_crashed_target",
+    ),
+    mutant.one(
+        "stop-without-lifetime",
+        "daemon.py",
+        "await asyncio.sleep(settings.policy.address_lifetime_ms / 1000)",
+        "await asyncio.sleep(0)",
+        "integration/test_planned_stop.py::test_rolling_replacement[False]",
+    ),
+    mutant.one(
+        "ready-without-rules",
+        "membership/members.py",
+        "return self.ready and self.state in (ALIVE, SUSPECT)",
+        "return self.state in (ALIVE, SUSPECT)",
+        "membership/test_members.py::test_who_takes_new_work",
+    ),
+    mutant.one(
+        "always-current",
+        "membership/freshness.py",
+        "return self._now_s() - newest_at_s <= self._limit_s",
+        "return True",
+        "integration/test_rules.py::test_cut_from_both",
+    ),
+    mutant.one(
+        "no-gap-check",
+        "membership/freshness.py",
+        "gap = now_s - self._ticked_at_s > self._limit_s / 3",
+        "gap = False",
+        "membership/test_freshness.py::test_a_gap_voids_everything",
+    ),
+    mutant.one(
+        "revisions-may-fall",
+        "rules/configuration.py",
+        "if document.revision <= current:",
+        "if document.revision == current:",
+        "rules/test_configuration.py",
+    ),
+    mutant.one(
+        "accept-before-old-queries-end",
+        "query/coordinator.py",
+        "while any(each < revision for each in self._running.values()):",
+        "while False:",
+        "integration/test_rules.py::test_running_query_delays_acceptance",
+    ),
+    mutant.one(
+        "edit-not-found-again",
+        "rules/edits.py",
+        "if edit.edit == change.edit:",
+        "if not change.edit:",
+        "integration/test_rules.py::test_edit_with_troubled_store",
+    ),
+    mutant.one(
+        "death-not-refuted",
+        "membership/members.py",
+        "if member.state != self.own.state and member.incarnation >= self.own.incarnation:",
+        "if not member.instance:",
+        "membership/test_members.py::test_own_death_is_refuted",
+    ),
+    mutant.one(
+        "replayed-frames-run",
+        "wire/server.py",
+        "if message.requestId and message.requestId <= newest:",
+        "if message.requestId < 0:",
+        "integration/test_bad_input.py::test_replayed_frame_ends_connection",
+    ),
+    mutant.one(
+        "any-key-will-do",
+        "wire/handshake.py",
+        'reason = "wrong_key"',
+        'reason = ""',
+        "integration/test_bad_input.py::test_random_bytes[peers_port]",
+    ),
+    mutant.one(
+        "no-admission",
+        "owner/service_queue.py",
+        "elif not policy.admits((part.deadline_s - now_s) * 1000, wait_ms, self.times.mean_ms):",
+        "elif not part.shard:",
+        "owner/test_service_queue.py::test_refused_at_once_when_it_cannot_finish",
+    ),
+    mutant.one(
+        "hedge-behind-new-parts",
+        "owner/service_queue.py",
+        "        self._start_late(now_s)\n        while len(self._queue):",
+        "        while len(self._queue):",
+        "owner/test_service_queue.py::test_waiting_hedge_goes_before_new_parts",
+    ),
+)
