Entry instances take over changed settings while they run

Cause: SIGHUP only checked the file, and a file changed without a signal was not noticed; the budget of extra sends and the grace period stayed those of the start. Change: live settings (one look at the file a second, SIGHUP at once); extra_ratio, extra_slack and grace_s are in force, what else differs is named in the line as waiting for the next start.

--- a/src/turmericlug/direct/budget.py
+++ b/src/turmericlug/direct/budget.py
@@ -36,6 +36,10 @@
         self._requests: collections.Counter[int] = collections.Counter()
         self._extras: collections.Counter[int] = collections.Counter()
 
+    def allow(self, allowance: Allowance) -> None:
+        """Go by another ratio and slack from now on; the window stays as it is."""
+        self._allowance = allowance
+
     def count_request(self, now_s: float) -> None:
         """Take note of a request for the service."""
         self._requests[int(now_s / self._slice_s)] += 1
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -274,6 +274,12 @@
         """Whether a data centre is in this instance's region."""
         return self._place.distance(data_centre) < placement.ELSEWHERE
 
+    def allow(self, allowance: budget.Allowance) -> None:
+        """Go by another allowance of extra sends, for all services."""
+        self._allowance = allowance
+        for each in self._budgets.values():
+            each.allow(allowance)
+
     def extra_sends(self, service: str) -> budget.ExtraSends:
         """Return the budget of a service."""
         if service not in self._budgets:
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -28,6 +28,7 @@
 from turmericlug.entry import directory as directory_module
 from turmericlug.entry import follower
 from turmericlug.entry import helping
+from turmericlug.entry import live_settings
 from turmericlug.entry import metrics
 from turmericlug.entry import news
 from turmericlug.entry import relay
@@ -98,9 +99,11 @@
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, settings_file)
+    live = live_settings.LiveSettings(settings_file, settings)
+    loop.add_signal_handler(signal.SIGHUP, live.reload)
     kernel = kernel_module.Kernel()
     kernel.provide("settings", settings)
+    kernel.provide("live settings", live)
     kernel.provide("adapter", adapter)
     kernel.provide("counters", counters_module.Counters())
     decisions.log("instance.starting")
@@ -115,16 +118,6 @@
     decisions.log("instance.stopped")
 
 
-def _reload(settings_file: pathlib.Path) -> None:
-    """Check the changed settings; they take effect at the next start."""
-    try:
-        settings_module.load(settings_file)
-    except settings_module.ini.SettingsError as error:
-        decisions.log("instance.reload_failed", problems=error.problems)
-        return
-    decisions.log("instance.reloaded")
-
-
 def _report_failure(loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]) -> None:
     error = context.get("exception")
     reason = f"{type(error).__name__}: {error}" if error else str(context.get("message"))
@@ -170,16 +163,21 @@
             connect, lambda: PEER_CONNECTIONS, loop.time, spare_idle_s=PEER_IDLE_S
         )
 
-    policy = settings.policy
-    allowance = budget.Allowance(policy.extra_ratio, policy.extra_slack, policy.extra_window_s)
+    live = kernel.find("live settings")
+    allowance = _allowance(settings.policy)
     place = _place(settings)
     replicas = replicas_module.Replicas(make_pool, place, allowance)
+    live.on_policy = lambda policy: replicas.allow(_allowance(policy))
     peers = replicas_module.Replicas(make_peer_pool, place, allowance)
     view = view_module.View(settings.entry.name, replicas, peers, loop.time)
-    async with tasks.background(_keep_house(view), _log_totals(view, counters)):
+    async with tasks.background(_keep_house(view), _log_totals(view, counters), live.watch()):
         yield view
 
 
+def _allowance(policy: settings_module.Policy) -> budget.Allowance:
+    return budget.Allowance(policy.extra_ratio, policy.extra_slack, policy.extra_window_s)
+
+
 async def _log_totals(view: view_module.View, counters: counters_module.Counters) -> None:
     """Keep the counters in the log as well: metrics of an instance that ended can't be read."""
     while True:
@@ -366,9 +364,9 @@
     """
     loop = asyncio.get_running_loop()
     began_s = loop.time()
-    grace_s = kernel.find("settings").policy.grace_s
+    grace_s = kernel.find("live settings").policy.grace_s
     entrance, handler = kernel.find("callers"), kernel.find("handler")
-    decisions.log("instance.leaving", connections=len(entrance.connections))
+    decisions.log("instance.leaving", connections=len(entrance.connections), grace_s=grace_s)
     entrance.leave()
     await kernel.find("registration").close()
     refuse_at_s = began_s + REFUSE_AFTER_SHARE * grace_s
--- a/tests/direct/test_budget.py
+++ b/tests/direct/test_budget.py
@@ -48,3 +48,18 @@
         in_window = sum(end_s - 10.0 < each <= end_s for each in extras)
         asked = sum(end_s - 10.5 < each <= end_s for each in requests)
         assert in_window <= ALLOWANCE.ratio * asked + ALLOWANCE.slack
+
+
+@pytest.mark.parametrize(
+    ("ratio", "slack", "more"),
+    [
+        pytest.param(0.2, 50.0, 0, id="as before"),
+        pytest.param(0.2, 100.0, 40, id="more"),
+        pytest.param(0.1, 10.0, 0, id="less than was spent"),
+    ],
+)
+def test_another_allowance_counts_what_was_spent(ratio, slack, more):
+    sends = budget.ExtraSends(ALLOWANCE)
+    assert sum(sends.spend(100.0, 1) for _ in range(200)) == 40
+    sends.allow(budget.Allowance(ratio, slack, 10.0))
+    assert sum(sends.spend(100.0, 1) for _ in range(200)) == more
--- a/tests/integration/test_entry.py
+++ b/tests/integration/test_entry.py
@@ -239,6 +239,30 @@
     play(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("signaled", [True, False])
+def test_changed_settings_are_in_force_without_a_start(tmp_path, signaled):
+    """
+    The grace period is made shorter in the settings of a running instance, with or without a
+    signal. It must leave within the new one, or the platform cuts off what it still answers.
+    """
+
+    async def scenario(store, replicas, instance):
+        instance.settings.write_text(
+            instance.settings.read_text().replace("grace_s = 3.0", "grace_s = 1.25")
+        )
+        if signaled:
+            instance.signal(signal.SIGHUP)
+        await until(lambda: instance.lines("instance.reloaded"))
+        (line,) = instance.lines("instance.reloaded")
+        assert (line["in_force"], line["at_next_start"]) == ({"grace_s": 1.25}, [])
+        instance.signal(signal.SIGTERM)
+        await instance.process.wait()
+        (line,) = instance.lines("instance.leaving")
+        assert line["grace_s"] == 1.25
+
+    play(tmp_path, scenario)
+
+
 @pytest.mark.parametrize("fault", ["busy", "silent"])
 def test_the_store_goes_away_and_comes_back(tmp_path, fault):
     """
