The terms of a query's parts in one type, written and read side by side

Cause: seven fields stood in Plan, in PartsIn and again where the message was written, in two modules. Change: submission.Terms is part of both; submission.fill stands beside decode.

--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -157,20 +157,20 @@
         asyncio.get_running_loop().call_soon(self._submit_some, pending)
 
     def _part(self, pending: _Submission, number: int, shard: str) -> part_module.Part:
-        parts_in = pending.parts_in
+        terms = pending.parts_in.terms
         return part_module.Part(
             number=number,
             shard=shard,
-            snapshot=parts_in.snapshot,
-            caller=parts_in.caller,
-            priority=parts_in.priority,
+            snapshot=pending.parts_in.snapshot,
+            caller=terms.caller,
+            priority=terms.priority,
             deadline_s=pending.deadline_s,
-            repeatable=parts_in.repeatable,
-            hedge=parts_in.hedge,
-            retries=parts_in.retries,
-            body=parts_in.body,
+            repeatable=terms.repeatable,
+            hedge=terms.hedge,
+            retries=terms.retries,
+            body=terms.body,
             reply=pending.reply,
-            attempt_prefix=f"{parts_in.query_id}.{number}.{self._settings.instance.name}",
+            attempt_prefix=f"{terms.query_id}.{number}.{self._settings.instance.name}",
         )
 
     async def _submit_later(
@@ -300,7 +300,7 @@
 
         def on_replies(replies: list[part_module.PartReply]) -> None:
             request.reply(
-                lambda envelope: submission.fill_replies(envelope, parts_in.query_id, replies)
+                lambda envelope: submission.fill_replies(envelope, parts_in.terms.query_id, replies)
             )
 
         if self._config.freshness.tick():
--- a/src/turmericlug/query/coordinator.py
+++ b/src/turmericlug/query/coordinator.py
@@ -15,6 +15,7 @@
 from turmericlug.kernel import tasks
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.owner import owner as owner_module
+from turmericlug.owner import submission
 from turmericlug.query import admission as admission_module
 from turmericlug.query import fan_out as fan_out_module
 from turmericlug.query import outcome as outcome_module
@@ -220,19 +221,16 @@
             for service in catalog.members_of(query.service)
             for shard in snapshot.of(service)
         )
-        return fan_out_module.Plan(
+        terms = submission.Terms(
             query_id=query_id,
-            snapshot=snapshot,
-            parts=parts,
             caller=query.caller,
             priority=self._priority(query, treatment),
             repeatable=query.repeatable,
             hedge=treatment.hedge,
             retries=treatment.retries,
-            min_coverage=treatment.min_coverage,
             body=query.body,
-            deadline_s=deadline_s,
         )
+        return fan_out_module.Plan(terms, snapshot, parts, treatment.min_coverage, deadline_s)
 
     async def _run_parts(
         self,
@@ -268,7 +266,7 @@
             self._mesh,
             self._counters,
             lambda service, wait_ms: self._admission.note_wait(
-                service, plan.priority, plan.caller, wait_ms
+                service, plan.terms.priority, plan.terms.caller, wait_ms
             ),
         )
         try:
--- a/src/turmericlug/query/fan_out.py
+++ b/src/turmericlug/query/fan_out.py
@@ -29,17 +29,11 @@
 class Plan:
     """What a query asks of the owners."""
 
-    query_id: str
+    terms: submission.Terms
     snapshot: catalog_module.Snapshot
     parts: tuple[tuple[str, str], ...]
     """Service and shard of each part."""
-    caller: str
-    priority: int
-    repeatable: bool
-    hedge: bool
-    retries: int
     min_coverage: float
-    body: bytes
     deadline_s: float
     """On the monotonic clock."""
 
@@ -139,22 +133,16 @@
     def _parts_in(self, numbers: list[int]) -> submission.PartsIn:
         plan = self._plan
         return submission.PartsIn(
-            query_id=plan.query_id,
-            snapshot=plan.snapshot.name,
-            remaining_s=plan.deadline_s - time.monotonic(),
-            priority=plan.priority,
-            repeatable=plan.repeatable,
-            hedge=plan.hedge,
-            retries=plan.retries,
-            caller=plan.caller,
-            body=plan.body,
-            parts=tuple((number, *plan.parts[number]) for number in numbers),
+            plan.terms,
+            plan.snapshot.name,
+            plan.deadline_s - time.monotonic(),
+            tuple((number, *plan.parts[number]) for number in numbers),
         )
 
     def _send_peer(self, instance: str, numbers: list[int]) -> None:
         link = self._mesh.link(instance)
         # A silent owner may be frozen: new parts go to the next one until it speaks again.
-        if link is None or not link.is_up or (link.silent and self._plan.repeatable):
+        if link is None or not link.is_up or (link.silent and self._plan.terms.repeatable):
             self._move_on(numbers, "owner_unreachable")
             return
         waiting = set(numbers)
@@ -167,7 +155,9 @@
             return not waiting
 
         try:
-            request_id = link.send(lambda envelope: self._fill(envelope, numbers), on_reply)
+            request_id = link.send(
+                lambda envelope: submission.fill(envelope, self._parts_in(numbers)), on_reply
+            )
         except link_module.LinkError:
             self._move_on(numbers, "owner_unreachable")
             return
@@ -175,24 +165,6 @@
             self._parts[number].holders += 1
         self._cancels.append(lambda: link.cancel(request_id))
 
-    def _fill(self, envelope: typing.Any, numbers: list[int]) -> None:
-        plan = self._plan
-        message = envelope.init("parts")
-        message.queryId = plan.query_id
-        message.snapshot = plan.snapshot.name
-        message.remainingMs = max(0.0, (plan.deadline_s - time.monotonic()) * 1000)
-        message.priority = plan.priority
-        message.repeatable = plan.repeatable
-        message.hedge = plan.hedge
-        message.retries = plan.retries
-        message.caller = plan.caller
-        message.body = plan.body
-        parts = message.init("parts", len(numbers))
-        for index, number in enumerate(numbers):
-            item = parts[index]
-            item.number = number
-            item.service, item.shard = plan.parts[number]
-
     def _on_note(self, note: link_module.Note, waiting: set[int]) -> None:
         """
         Move what a frozen or lost owner still has to the next one, where repeating is safe.
@@ -200,7 +172,7 @@
         A part that may run only once stays: it may be running there, and its outcome is unknown.
         """
         open_numbers = sorted(waiting & self._open)
-        if self._plan.repeatable:
+        if self._plan.terms.repeatable:
             waiting.clear()
             if open_numbers:
                 self._counters.add("query.moved_parts", len(open_numbers))
@@ -216,7 +188,10 @@
         self._send(numbers)
 
     def _on_message(self, message: typing.Any, waiting: set[int]) -> None:
-        if message.which() != "partsReply" or message.partsReply.queryId != self._plan.query_id:
+        if (
+            message.which() != "partsReply"
+            or message.partsReply.queryId != self._plan.terms.query_id
+        ):
             self._counters.add("query.mismatched_reply")
             return
         replies = []
--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -35,8 +35,8 @@
     mutant.one(
         "lost-owner-not-replaced",
         "query/fan_out.py",
-        "        if self._plan.repeatable:\n            waiting.clear()",
-        "        if not self._plan.query_id:\n            waiting.clear()",
+        "        if self._plan.terms.repeatable:\n            waiting.clear()",
+        "        if not self._plan.terms.query_id:\n            waiting.clear()",
         "integration/test_own_answer.py::test_owner_dies_and_comes_back",
     ),
     mutant.one(
