Slow start: an instance that has just started takes few queries over shards at a time

Ruled out: the start itself (configuration known 14 to 140 ms after it), the store. Change: two queries over shards at a time, one more for each five answers within their goal, not limited from sixteen on; beyond, 503 with Retry-After between 0.25 and 2 s, nothing sent.

--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+from collections import abc
 
 import attrs
 
@@ -20,6 +21,10 @@
 COME_BACK_LEAST_S = 0.05
 COME_BACK_MOST_S = 0.4
 """Callers refused together come back spread over some service times, not all at once."""
+STORM_LEAST_S = 0.25
+STORM_MOST_S = 2.0
+"""While an instance starts: what an outage of two seconds has left waiting is worked off within
+about as long."""
 _DATE = b"date"
 
 
@@ -38,9 +43,18 @@
     return rng.uniform(COME_BACK_LEAST_S, COME_BACK_MOST_S)
 
 
-def refusal(sender: obtaining.Sender, reason: str) -> Ending:
+def storm_come_back_s(rng: random.Random) -> float:
+    """Draw when a caller should come back that was refused because too many came at once."""
+    return rng.uniform(STORM_LEAST_S, STORM_MOST_S)
+
+
+def refusal(
+    sender: obtaining.Sender,
+    reason: str,
+    draw_s: abc.Callable[[random.Random], float] = come_back_s,
+) -> Ending:
     """Refuse: nothing ran and nothing will; the caller learns when to come back."""
-    seconds = b"%.3f" % come_back_s(sender.rng)
+    seconds = b"%.3f" % draw_s(sender.rng)
     answer = messages.Answer(503, ((sender.names.retry_after, seconds),), reason.encode())
     return Ending(answer, "refused", reason)
 
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -13,6 +13,7 @@
 from turmericlug.direct import obtaining
 from turmericlug.direct import routes
 from turmericlug.direct import sending
+from turmericlug.direct import slow_start
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
@@ -21,6 +22,8 @@
 STALE_S = 1.5
 """Without the source for longer than this, an unknown path may be a new route: the caller is sent
 elsewhere instead of being told that there is none."""
+STARTING = "starting"
+"""Reason of a query that was refused because an instance that has just started takes only few."""
 LEAST_LEFT_S = 0.003
 """Less time than this can't reach a replica and come back."""
 
@@ -67,6 +70,7 @@
         """Whether this instance is about to end: new requests are refused, not run."""
         self._source_age_s = source_age_s
         self._spread = Spread()
+        self._slow_start = slow_start.SlowStart()
 
     async def handle(self, request: messages.Request) -> messages.Answer:
         """Answer one request."""
@@ -135,12 +139,22 @@
         if call.deadline_s - now_s < LEAST_LEFT_S:
             return answering.refusal(self.sender, "no_time_left")
         if call.route.shards:
-            return await answering.all_shards(self.sender, call)
+            return await self._all_shards(call)
         if not call.route.services:
             return answering.refusal(self.sender, "no_service")
         service = self._spread.pick(call.route, self.sender.rng)
         return await answering.single(self.sender, call, service)
 
+    async def _all_shards(self, call: sending.Call) -> answering.Ending:
+        if not self._slow_start.admits:
+            return answering.refusal(self.sender, STARTING, answering.storm_come_back_s)
+        with self._slow_start.query():
+            ending = await answering.all_shards(self.sender, call)
+        told_s = asyncio.get_running_loop().time() + call.way_back_s
+        if ending.answer.status == 200 and told_s <= call.began_s + call.route.goal_ms / 1000:
+            self._slow_start.answered_in_time()
+        return ending
+
     def _left(self, call: sending.Call, now_s: float) -> None:
         """
         Stop the work for a caller that has left.
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -9,6 +9,7 @@
 import pytest
 import scripted
 
+from turmericlug.direct import answering
 from turmericlug.direct import routes
 from turmericlug.entry import callers as callers_module
 from turmericlug.entry import view as view_module
@@ -132,3 +133,35 @@
     spread, rng = callers_module.Spread(), random.Random(1)
     counts = collections.Counter(spread.pick(route, rng) for _ in range(400))
     assert abs(counts["a"] - 300) <= 1
+
+
+def test_an_instance_that_has_just_started_takes_few_queries():
+    """
+    All instances come back after a loss of power, and their callers with them, all at once. Taken
+    together their queries are all late; so some are told at once that they have not run, and when
+    to come back.
+    """
+
+    async def main():
+        shard = scripted.Scripted(0.1, *[scripted.response(body=bytes(16))] * 3)
+        sender = scripted.make_sender({"s": {"a": shard}})
+        view = view_module.View("own", sender.replicas, sender.replicas, lambda: 0.0)
+        route = routes.Route(
+            "r", "h.example", "/x/", True, 2000, 900, 1, 2, shards=("s",), top_records=1
+        )
+        view.configuration = routes.Configuration(3, (route,), {}, messages.Limits())
+        callers = callers_module.Callers(view, sender, lambda: 0.0)
+        now_s = asyncio.get_running_loop().time()
+        asked = [
+            callers.handle(messages.Request(b"GET", b"/x/1", (HOST, ID), b"", now_s, now_s))
+            for _ in range(3)
+        ]
+        answers = await asyncio.gather(*asked)
+        await sender.tasks.finish()
+        return answers, len(shard.requests)
+
+    (*taken, refused), sent = asyncio.run(main())
+    assert [each.status for each in taken] == [200, 200]
+    assert (refused.status, refused.body, sent) == (503, b"starting", 2)
+    least_s = answering.STORM_LEAST_S
+    assert least_s <= float(dict(refused.headers)[b"retry-after"]) <= answering.STORM_MOST_S
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -236,4 +236,11 @@
         "",
         "entry/test_live_settings.py::test_what_is_taken_over",
     ),
+    mutant.one(
+        "storm-let-in",
+        "entry/callers.py",
+        "        if not self._slow_start.admits:",
+        "        if False:",
+        "entry/test_callers.py::test_an_instance_that_has_just_started_takes_few_queries",
+    ),
 )
