An address that is another replica's by now gets nothing more for ten seconds

A replica had ended at 2.51 s and its address went to another service while the store was away (0.5 to 7.3 s), so that no news told of it. Change: a replica whose address answers for another is never chosen, warmed or hedged to for ten seconds, also where it is the only one known. Test: fails without it (2 sends instead of 1).

--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -334,7 +334,10 @@
         return
     reason = sending.reason(outcome).partition(":")[0]
     sender.counters.add(f"direct.send_failed.{reason}")
-    if isinstance(outcome, sending.NotRun) and outcome.sent:
+    if isinstance(outcome, sending.NotRun) and outcome.reason == sending.MISDIRECTED:
+        replica.misdirected(now_s)
+        set_aside = True
+    elif isinstance(outcome, sending.NotRun) and outcome.sent:
         replica.full_until_s = now_s + replicas_module.SHED_PAUSE_S
         set_aside = True
     else:
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -34,6 +34,9 @@
 """A replica that fails all its requests counts as four times as slow before it is set aside."""
 SHED_PAUSE_S = 0.15
 """A replica that was full is passed over for a few service times, so that its queue can drain."""
+MISDIRECTED_S = 10.0
+"""Time for which nothing is sent to an address that was found to be another replica's. The news of
+the end is there by then, unless the store is away for longer; then one more is sent."""
 REMOTE_GUESS_MS = 60.0
 LOCAL_GUESS_MS = 30.0
 """Before there are measured times, replicas of the own region go first."""
@@ -113,6 +116,8 @@
     ejections: int = 0
     ejected_until_s: float = 0.0
     full_until_s: float = 0.0
+    elsewhere_until_s: float = 0.0
+    """Until when its address is taken for another replica's."""
     leaving: bool = False
     """It drains, or its entry is gone and perhaps only for a moment."""
 
@@ -127,10 +132,24 @@
 
     def set_aside(self, now_s: float) -> bool:
         """Whether it failed lately and is not due for its next trial."""
-        if now_s < self.ejected_until_s or now_s < self.full_until_s:
+        if now_s < self.ejected_until_s or now_s < self.full_until_s or self.elsewhere(now_s):
             return True
         return self.ejections > 0 and bool(self.sends)
 
+    def elsewhere(self, now_s: float) -> bool:
+        """Whether another replica has lately answered at its address."""
+        return now_s < self.elsewhere_until_s
+
+    def misdirected(self, now_s: float) -> None:
+        """
+        Take note that another replica answers at its address: this one has ended.
+
+        While the store is away nothing else tells so. Tried again like one that was full, its
+        address got a request every 0.15 s from each instance, each one more arrival at the service
+        that has the address now; those are counted against the extra sends of that service.
+        """
+        self.elsewhere_until_s = now_s + MISDIRECTED_S
+
     def succeeded(self, duration_ms: float, usual_ms: float, now_s: float) -> None:
         """Take note of an answer."""
         ratio = duration_ms / max(usual_ms, 0.1)
@@ -303,14 +322,14 @@
         Pick the replica that will probably answer first.
 
         Replicas set aside are taken only when there is no other: an answer of an unreliable one is
-        worth more than none.
+        worth more than none. One whose address is another's by now is never taken.
 
         :param tried: those that this request has been sent to
         """
         candidates = [
             each
             for each in self._by_service.get(service, {}).values()
-            if not each.leaving and each not in tried
+            if not each.leaving and not each.elsewhere(now_s) and each not in tried
         ]
         sound = [each for each in candidates if not each.set_aside(now_s)]
         return min(
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -14,7 +14,9 @@
 from turmericlug.http1 import client
 
 _PROMISE_STATUSES = (408, 421, 429, 503)
-_MISDIRECTED = 421
+_MISDIRECTED_STATUS = 421
+MISDIRECTED = "misdirected"
+"""Reason of a request that another replica got, which has the address by now."""
 
 
 @attrs.define(eq=False)
@@ -159,8 +161,9 @@
     echoed = response.header(names.request_id)
     if echoed is not None and echoed != call.request_id:
         return Unknown("response_of_another_request")
-    if response.header(names.not_run) is not None or response.status == _MISDIRECTED:
-        return NotRun("misdirected" if response.status == _MISDIRECTED else "shed", sent=True)
+    if response.header(names.not_run) is not None or response.status == _MISDIRECTED_STATUS:
+        misdirected = response.status == _MISDIRECTED_STATUS
+        return NotRun(MISDIRECTED if misdirected else "shed", sent=True)
     if echoed is None:
         return Unknown("response_without_request")
     signature = response.header(names.signature)
--- a/tests/direct/test_obtaining.py
+++ b/tests/direct/test_obtaining.py
@@ -181,3 +181,33 @@
     }
     _, requests = obtain(scripts, max_attempts=2, deadline_ms=400.0)
     assert requests == [1, 1, 0, 0]
+
+
+@pytest.mark.parametrize(
+    ("age_s", "sent"),
+    [
+        pytest.param(1.0, 1, id="soon after"),
+        pytest.param(replicas_module.MISDIRECTED_S + 1, 2, id="long after"),
+    ],
+)
+def test_an_address_that_is_anothers_gets_nothing_more(age_s, sent):
+    """
+    A replica has ended while the store is away, and a replica of another service has its address.
+    Nobody tells, so that every instance goes on sending there: each request is turned away, uses up
+    an attempt, and is one more arrival at a service that it was not meant for.
+    """
+
+    async def main():
+        ended = scripted.Scripted(MOVED)
+        sender = scripted.make_sender({"s": {"a": ended}})
+        first = await obtaining.obtain(sender, scripted.make_call(), "s")
+        (replica,) = sender.replicas.all()
+        replica.elsewhere_until_s -= age_s
+        second = await obtaining.obtain(sender, scripted.make_call(), "s")
+        await sender.tasks.close()
+        return first, second, len(ended.requests)
+
+    first, second, requests = asyncio.run(main())
+    assert first == sending.NotRun("misdirected", sent=True)
+    assert isinstance(second, sending.NotRun)
+    assert requests == sent
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -243,4 +243,11 @@
         "        if False:",
         "entry/test_callers.py::test_an_instance_that_has_just_started_takes_few_queries",
     ),
+    mutant.one(
+        "misdirected-tried-again",
+        "direct/obtaining.py",
+        "        replica.misdirected(now_s)\n",
+        "        replica.full_until_s = now_s + replicas_module.SHED_PAUSE_S\n",
+        "direct/test_obtaining.py::test_an_address_that_is_anothers_gets_nothing_more",
+    ),
 )
