--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -22,9 +22,10 @@
 from turmericlug.policy import slow_start
 from turmericlug.telemetry import decisions
 
-STALE_S = 1.5
+STALE_S = 2.5
 """Without the source for longer than this, an unknown path may be a new route: the caller is sent
-elsewhere instead of being told that there is none."""
+elsewhere instead of being told that there is none. News that another instance passes on are up to
+2.4 s old; the shortest time in which a route has to be in force is 3 s."""
 STARTING = "starting"
 """Reason of a query that was refused because an instance that has just started takes only few."""
 FIRST_READING_S = 0.3
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -25,14 +25,17 @@
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
+from turmericlug.entry import absence
 from turmericlug.entry import beliefs
 from turmericlug.entry import callers as callers_module
 from turmericlug.entry import directory as directory_module
 from turmericlug.entry import follower
 from turmericlug.entry import helping
+from turmericlug.entry import journal as journal_module
 from turmericlug.entry import live_settings
 from turmericlug.entry import metrics
 from turmericlug.entry import news
+from turmericlug.entry import news_codec
 from turmericlug.entry import relay
 from turmericlug.entry import settings as settings_module
 from turmericlug.entry import stalls as stalls_module
@@ -42,6 +45,7 @@
 from turmericlug.http1 import server
 from turmericlug.kernel import kernel as kernel_module
 from turmericlug.kernel import tasks
+from turmericlug.policy import attendance
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
 
@@ -78,7 +82,7 @@
     names: dialect_module.Dialect
     source: abc.Callable[[settings_module.Source, counters_module.Counters], news.Source]
     resolve_handler: abc.Callable[[directory_module.Directory], messages.Handler]
-    decode: relay.Decode
+    decode: news_codec.Decode
     ready_handler: abc.Callable[[abc.Callable[[], bool]], messages.Handler]
 
 
@@ -228,11 +232,14 @@
         _place(kernel.find("settings")),
         view.peers,
         counters,
+        attendance.Attendance(),
     )
-    journal = relay.Journal()
+    kernel.provide("relayed", relayed)
+    journal = journal_module.Journal()
     kernel.provide("journal", journal)
     work = follower.follow(source, relayed.changes, view, journal, counters, random.Random())
-    async with tasks.background(work) as running:
+    missing = absence.take_out_missed(source, view, relayed, counters)
+    async with tasks.background(work, missing) as running:
         yield running
 
 
@@ -349,7 +356,9 @@
 
 def _peers_handler(kernel: Kernel) -> messages.Handler:
     help_with = helping.handler(kernel.find("sender"))
-    tell_news = relay.handler(kernel.find("journal"), kernel.find("view").source_age_s)
+    tell_news = relay.handler(
+        kernel.find("journal"), kernel.find("view").source_age_s, kernel.find("relayed").attendance
+    )
 
     async def handle(request: messages.Request) -> messages.Answer:
         if request.target.startswith(relay.PATH):
@@ -380,7 +389,12 @@
         f"{peers_host}:{peers_port}",
     )
     work = follower.stay_registered(
-        kernel.find("source"), kernel.find("view"), own, lambda: _ready(kernel), random.Random()
+        kernel.find("source"),
+        kernel.find("view"),
+        own,
+        lambda: _ready(kernel),
+        kernel.find("relayed").tells_others,
+        random.Random(),
     )
     async with tasks.background(work) as running:
         yield running
--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -6,9 +6,11 @@
 import random
 from collections import abc
 
+import attrs
+
 from turmericlug.direct import placement
+from turmericlug.entry import journal as journal_module
 from turmericlug.entry import news
-from turmericlug.entry import relay
 from turmericlug.entry import view as view_module
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
@@ -25,16 +27,26 @@
 RETRY_MOST_S = 0.5
 """Pause after a failure: short against the bound of a configuration, and drawn at random so that
 instances that lost the source together do not return together."""
-LEASE_S = 3.0
-"""An instance that is killed is told to callers for this long; they try another address then."""
-KEEP_EVERY_S = 1.0
+LEASE_S = 8.0
+"""An instance that ends while nobody in its data centre can take its entry out is told to callers
+for this long. It outlasts an outage of 5 s, after which all would have to register anew."""
+KEEP_EVERY_S = 2.6
+"""A third of the lease: one renewal may fail."""
+KEEP_OFTEN_S = 0.8
+"""Of an instance that others rely on: what it tells them is as old as its last word with the
+source, and not trusted from 1.6 s on."""
+KEEP_AGAIN_S = 1.3
+"""After a call that failed: four more tries fit into a lease. Sooner, all instances ask a source
+that is away for nothing."""
+TICK_S = 0.2
+"""How soon an instance whose entry was taken out finds that out."""
 
 
 async def follow(
     source: news.Source,
     changes_of: abc.Callable[[int, float], abc.Awaitable[news.Changes]],
     view: view_module.View,
-    journal: relay.Journal,
+    journal: journal_module.Journal,
     counters: counters_module.Counters,
     rng: random.Random,
 ) -> None:
@@ -57,11 +69,11 @@
                 known = True
                 view.source_regained()
                 _tell_unreadable(snapshot.written, counters)
+                _pass_on(snapshot, view, journal)
                 view.take_snapshot(snapshot)
                 revision = snapshot.revision
-                journal.restart(revision)
             changes = await changes_of(revision, WAIT_S)
-            view.source_regained()
+            view.source_regained(changes.age_s)
             _tell_unreadable(changes.changes, counters)
             view.take_changes(changes)
             journal.add(changes)
@@ -78,6 +90,21 @@
             await asyncio.sleep(rng.uniform(RETRY_LEAST_S, RETRY_MOST_S))
 
 
+def _pass_on(
+    snapshot: news.Snapshot, view: view_module.View, journal: journal_module.Journal
+) -> None:
+    """
+    Let the journal go on over a reading after lost history.
+
+    Begun anew, it sent every instance that asked for what was before to the source, for a whole
+    fresh reading each.
+    """
+    if journal.revision < 0:
+        journal.restart(snapshot.revision)
+    else:
+        journal.add(view.news_in(snapshot))
+
+
 def _tell_unreadable(
     changes: abc.Iterable[news.Change], counters: counters_module.Counters
 ) -> None:
@@ -89,44 +116,82 @@
             )
 
 
+@attrs.define
+class _Standing:
+    """How this instance's entry stands in the source."""
+
+    lease: int | None = None
+    written: bool = False
+    """Whether the entry was written under the lease, as far as is known."""
+
+
 async def stay_registered(
     source: news.Source,
     view: view_module.View,
     own: news.EntryInstance,
     may_serve: abc.Callable[[], bool],
+    tells_others: abc.Callable[[], bool],
     rng: random.Random,
 ) -> None:
     """
     Keep this instance's entry in the source while it may serve, and take it out at the end.
 
-    The entry can vanish without a failed renewal (its lease was ended from outside); the view sees
-    that as news.
+    The entry can vanish without a failed renewal (its lease was ended, or another instance missed
+    this one); the view sees that as news. An entry that has outlived this instance's last start is
+    taken over with its lease, for a renewal instead of two writes.
+
+    :param tells_others: whether others rely on how lately this instance has heard from the source
     """
-    lease: int | None = None
+    loop = asyncio.get_running_loop()
+    while not may_serve():
+        await asyncio.sleep(0.05)
+    lease = view.lease_of(own)
+    standing = _Standing(lease, written=lease is not None)
     try:
         while True:
-            if not may_serve():
-                await asyncio.sleep(0.05)
-                continue
-            try:
-                if lease is None or view.own_entry_removed:
-                    view.own_entry_removed = False
-                    lease = await source.lease(LEASE_S)
-                    await source.register(own, lease)
-                    decisions.log("instance.registered", lease=lease)
-                else:
-                    await source.keep(lease)
-                view.source_regained()
-            except news.LeaseEndedError:
-                decisions.log("instance.lease_ended", lease=lease)
-                lease = None
-                continue
-            except news.SourceError as error:
-                view.source_lost(error.reason)
-            await asyncio.sleep(KEEP_EVERY_S * rng.uniform(0.8, 1.2))
+            tried_s = loop.time()
+            worked = await _renewed(source, view, own, standing)
+            jitter = rng.uniform(0.8, 1.2)
+            while not view.own_entry_removed:
+                every_s = KEEP_AGAIN_S if not worked else KEEP_EVERY_S
+                every_s = min(every_s, KEEP_OFTEN_S) if tells_others() else every_s
+                left_s = tried_s + every_s * jitter - loop.time()
+                if left_s <= 0:
+                    break
+                await asyncio.sleep(min(left_s, TICK_S))
     finally:
-        if lease is not None:
-            await _end(source, lease)
+        if standing.lease is not None:
+            await _end(source, standing.lease)
+
+
+async def _renewed(
+    source: news.Source,
+    view: view_module.View,
+    own: news.EntryInstance,
+    standing: _Standing,
+) -> bool:
+    """Renew the lease, or open one and write the entry, as is due; false when that failed."""
+    if view.own_entry_removed:
+        view.own_entry_removed = standing.written = False
+    while True:
+        try:
+            if standing.lease is None:
+                standing.lease = await source.lease(LEASE_S)
+                standing.written = False
+            if standing.written:
+                await source.keep(standing.lease)
+            else:
+                await source.register(own, standing.lease)
+                standing.written = True
+                decisions.log("instance.registered", lease=standing.lease)
+            view.source_regained()
+            return True
+        except news.LeaseEndedError:
+            decisions.log("instance.lease_ended", lease=standing.lease)
+            standing.lease = None
+        except news.SourceError as error:
+            view.source_lost(error.reason)
+            return False
 
 
 async def _end(source: news.Source, lease: int) -> None:
--- a/src/turmericlug/entry/news.py
+++ b/src/turmericlug/entry/news.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import typing
+from collections import abc
 
 import attrs
 
@@ -34,6 +35,8 @@
     revision: int
     content: bytes = attrs.field(default=b"", repr=False)
     """The value as the source holds it, for passing on."""
+    lease: int = 0
+    """The lease that the key ends with, where the source itself told; 0: none, or not known."""
 
 
 @attrs.frozen
@@ -73,6 +76,8 @@
 
     changes: tuple[Change, ...]
     revision: int
+    age_s: float = 0.0
+    """How long ago whoever tells them heard from the source."""
 
 
 class SourceError(Exception):
@@ -115,3 +120,6 @@
 
     async def register(self, instance: EntryInstance, lease: int) -> None:
         """Write the entry of an instance under its lease."""
+
+    async def remove(self, written: abc.Sequence[Written]) -> bool:
+        """Remove keys, all or none; false when one has been written since."""
--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -3,158 +3,85 @@
 
 The load pattern: 74 instances that each follow the store make one call each for every change, and
 took 6900 calls in some 70 s; nine took 826. So one instance of a data centre asks the store, and
-the others ask that one: nine take 450. What the relay says carries its own age: an instance whose
-relay is dead, silent, or cut off from the store asks the store itself within 1.7 s. The shortest
-time in which a configuration has to be in force is 3 s.
+the others ask that one: nine take 450. A second one stands by: it asks the first like all others,
+and the store when that fails, and whoever can't use the first asks it. What either says carries the
+age of the news: an instance that gets none young enough asks the store itself within 1.9 s. The
+shortest time in which a configuration has to be in force is 3 s.
 """
 
 from __future__ import annotations
 
 import asyncio
-import collections
-import functools
-import pathlib
-import zlib
+import random
 from collections import abc
 
 import attrs
-import capnp
 
 from turmericlug.direct import placement
 from turmericlug.direct import replicas as replicas_module
+from turmericlug.entry import journal as journal_module
 from turmericlug.entry import news
+from turmericlug.entry import news_codec
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
+from turmericlug.policy import attendance as attendance_module
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
 
-_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("relay.capnp")))
 PATH = b"/news/"
-KEPT_CHANGES = 4000
-"""Some minutes of changes of a large deployment, or one start of all its replicas."""
+"""``/news/REVISION/WAIT_MS/NAME``: what has changed since, asked by the instance of that name."""
 WAIT_S = 1.0
 """A relay that died is found out after it and the slack, well within 4 s."""
 SLACK_S = 0.4
 STALE_S = 1.6
-"""A relay hears from the source each 1.2 s at the latest, by renewing its lease; a slow answer more
-is too long."""
-DIRECT_S = 4.0
-"""Time for which the source is asked directly after a relay failed: its lease has ended by then."""
-
-
-COMPRESS_FROM_BYTES = 1000
-"""Less than a packet gains nothing; entries of replicas are some 200 bytes."""
-MOST_CONTENT_BYTES = 8 * 1024 * 1024
-"""Eight times what the source holds under one key."""
-_OLDEST_S = 3600.0
-"""Told as the age of news that never came: far beyond what is trusted."""
-
-
-class Journal:
-    """The latest changes, for those that ask what has happened since a revision."""
-
-    def __init__(self) -> None:
-        self._changes: collections.deque[news.Change] = collections.deque(maxlen=KEPT_CHANGES)
-        self._known_from = -1
-        self.revision = -1
-        self._arrived = asyncio.Event()
-
-    def restart(self, revision: int) -> None:
-        """Know nothing of what was before a revision."""
-        self._changes.clear()
-        self._known_from = self.revision = revision
-
-    def add(self, changes: news.Changes) -> None:
-        """Take note of changes, in order."""
-        for change in changes.changes:
-            if len(self._changes) == KEPT_CHANGES:
-                self._known_from = self._changes[0].revision
-            self._changes.append(change)
-        self.revision = max(self.revision, changes.revision)
-        arrived, self._arrived = self._arrived, asyncio.Event()
-        arrived.set()
-
-    async def since(self, after: int, wait_s: float) -> news.Changes:
-        """
-        Return the changes after a revision, waiting for one if there is none.
-
-        :raises HistoryLostError: they are not all known
-        """
-        if self._known_from < 0 or after < self._known_from:
-            raise news.HistoryLostError
-        if self.revision <= after:
-            arrived = self._arrived
-            try:
-                async with asyncio.timeout(wait_s):
-                    await arrived.wait()
-            except TimeoutError:
-                pass
-            if after < self._known_from:
-                raise news.HistoryLostError
-        found = tuple(change for change in self._changes if change.revision > after)
-        return news.Changes(found, max(self.revision, after))
-
-
-def handler(journal: Journal, source_age_s: abc.Callable[[], float]) -> messages.Handler:
-    """Return the handler of questions for news: ``/news/REVISION``."""
+"""A relay hears from the source each second at the latest, by renewing its lease; a slow answer
+more is too long."""
+RELAYS = 2
+"""With one alone, its end sent all others of its data centre to the source."""
+PASSED_OVER_S = 4.0
+"""Time for which a relay is not asked that failed twice in a row: its entry is gone by then."""
+FAILURES_TO_PASS_OVER = 2
+"""One failure may be that of a connection that went silent; the next question opens another."""
+AGAIN_FIRST_S = 0.5
+AGAIN_MOST_S = 2.0
+"""Pause of an instance between two questions to a source that did not answer it. Its relays ask
+more often, and tell at once when the source is back."""
+
+
+def handler(
+    journal: journal_module.Journal,
+    source_age_s: abc.Callable[[], float],
+    attendance: attendance_module.Attendance,
+) -> messages.Handler:
+    """Return the handler of questions for news."""
 
     async def handle(request: messages.Request) -> messages.Answer:
-        number = request.target.removeprefix(PATH)
-        if not number.isdigit():
+        number, _, rest = request.target.removeprefix(PATH).partition(b"/")
+        wait_ms, _, name = rest.partition(b"/")
+        if not (number.isdigit() and wait_ms.isdigit() and name):
             return messages.Answer(404)
-        message = _SCHEMA.News.new_message()
+        attendance.heard(name.decode("latin-1"), asyncio.get_running_loop().time())
         try:
             # Told as soon as they are too old: an instance that waited a second first, with news
             # that were a little younger than the limit, asked the source itself 3 s after the relay
             # lost it, when a configuration should have been in force.
             fresh_s = max(STALE_S - source_age_s(), 0.0)
-            changes = await journal.since(int(number), min(WAIT_S, fresh_s))
+            wait_s = min(WAIT_S, int(wait_ms) / 1000, fresh_s)
+            changes = await journal.since(int(number), wait_s)
         except news.HistoryLostError:
-            message.lost = True
-        else:
-            message.revision = changes.revision
-            message.changes = [_plain(change) for change in changes.changes]
-        message.sourceAgeMs = int(min(source_age_s(), _OLDEST_S) * 1000)
-        return messages.Answer(200, body=message.to_bytes_packed())
+            changes = None
+        return messages.Answer(200, body=news_codec.encode(changes, source_age_s()))
 
     return handle
 
 
-def _plain(change: news.Change) -> dict[str, object]:
-    if isinstance(change, news.Removed):
-        return {"key": change.key, "revision": change.revision, "removed": True}
-    packed = _packed(change.content)
-    compressed = len(packed) < len(change.content)
-    return {
-        "key": change.key,
-        "revision": change.revision,
-        "content": packed if compressed else change.content,
-        "compressed": compressed,
-    }
-
-
-@functools.lru_cache(maxsize=16)
-def _packed(content: bytes) -> bytes:
-    """
-    Compress a value once for all instances that ask for it.
-
-    A configuration of 90 shards is tens of kilobytes. Told plainly to fourteen instances it kept a
-    relay's link of 7 Mbit/s busy for some hundred milliseconds, in which the relay's own batches
-    went unanswered and were all taken for lost.
-    """
-    return zlib.compress(content, 1) if len(content) > COMPRESS_FROM_BYTES else content
-
-
-def _unpacked(content: bytes) -> bytes:
-    unpacking = zlib.decompressobj()
-    unpacked = unpacking.decompress(content, MOST_CONTENT_BYTES)
-    if not unpacking.eof:
-        raise ValueError("a value is cut or too large")
-    return unpacked
-
+@attrs.define
+class _Failures:
+    """How a relay has failed of late."""
 
-Decode = abc.Callable[[str, bytes, int], news.Written | news.Unreadable | None]
-"""Tells what a key's new content says, given its revision."""
+    in_a_row: int = 0
+    until_s: float = 0.0
+    """Until when it is not asked."""
 
 
 @attrs.define
@@ -162,80 +89,128 @@
     """A source that asks another instance for changes, where one does that for all."""
 
     source: news.Source
-    decode: Decode
+    decode: news_codec.Decode
     place: placement.Place
     peers: replicas_module.Replicas
     counters: counters_module.Counters
-    _direct_until_s: float = 0.0
+    attendance: attendance_module.Attendance
+    rng: random.Random = attrs.field(factory=random.Random)
+    _failures: dict[str, _Failures] = attrs.field(factory=dict)
+    _direct_from_s: float = 0.0
+    """From when the source may be asked directly again."""
+    _direct_failures: int = 0
+    _follows_directly: bool = True
 
     async def changes(self, after: int, wait_s: float) -> news.Changes:
         """
-        Wait for changes, from the relay or the source.
+        Wait for changes, from a relay or the source.
 
         :raises HistoryLostError: the changes since then are not known any more
         :raises SourceError: no answer
         """
-        loop = asyncio.get_running_loop()
-        relay = self.relay()
-        if relay is None or loop.time() < self._direct_until_s:
-            return await self._direct(after, wait_s)
-        try:
-            changes = await self._ask(relay, after)
-        except (client.ConnectError, client.ExchangeError, news.SourceError) as error:
-            self._fall_back(relay, str(error))
-        except TimeoutError:
-            self._fall_back(relay, "silent")
-        else:
-            self.counters.add("relay.answered")
-            return changes
-        return await self._direct(after, wait_s)
-
-    async def _direct(self, after: int, wait_s: float) -> news.Changes:
-        """Ask the source; when it fails for this instance too, the relay's pace is kept."""
-        try:
-            return await self.source.changes(after, wait_s)
-        except news.SourceError:
-            self._direct_until_s = 0.0
-            raise
+        relays = self.relays()
+        relay_wait_s = WAIT_S
+        for relay in relays:
+            if self._is_passed_over(relay):
+                continue
+            told = await self._told(relay, after, relay_wait_s)
+            if told is None:
+                # The wait for the next one would add to that for this one.
+                relay_wait_s = 0.0
+                continue
+            if told.lost:
+                # Only the source may know what came before the relay was started.
+                break
+            if told.changes.age_s < STALE_S:
+                self.counters.add("relay.answered")
+                self._direct_failures = 0
+                self._follows_directly = False
+                return told.changes
+            self.counters.add("relay.stale")
+        return await self._direct(after, wait_s, has_relays=bool(relays))
+
+    def relays(self) -> list[replicas_module.Replica]:
+        """Return the instances to ask, the first of them first; none where this is the first."""
+        names = self._relay_names()
+        if names[0] == self.place.name:
+            return []
+        peers = {each.entry.instance: each for each in self.peers.of(self.place.data_centre)}
+        return [peers[name] for name in names if name in peers]
+
+    def missed(self, now_s: float) -> list[str]:
+        """
+        Return the instances that this one should hear from and does not.
 
-    def relay(self) -> replicas_module.Replica | None:
-        """Return the instance to ask, ``None`` when this one asks the source itself."""
+        The first relay hears from all others, the second one from the first alone. That is missed
+        only when others have turned to the second one as well, if there are any: else it is the way
+        between the two that is cut.
+        """
+        names = self._relay_names()
+        others = [each.entry.instance for each in self.peers.of(self.place.data_centre)]
+        if names[0] == self.place.name:
+            return self.attendance.silent(others, now_s)
+        if self.place.name not in names:
+            return []
+        if len(others) > 1 and not self.attendance.is_asked(now_s, but=names[0]):
+            return []
+        return self.attendance.silent(names[:1], now_s)
+
+    def tells_others(self) -> bool:
+        """Whether others rely on how lately this instance has heard from the source."""
+        return self._follows_directly and self.place.name in self._relay_names()
+
+    def _relay_names(self) -> list[str]:
         peers = self.peers.of(self.place.data_centre)
         names = [self.place.name, *(each.entry.instance for each in peers)]
-        (reader,) = placement.usual("news", names, 1)
-        return next((each for each in peers if each.entry.instance == reader), None)
-
-    async def _ask(self, relay: replicas_module.Replica, after: int) -> news.Changes:
-        request = client.request_bytes(
-            b"GET", PATH + str(after).encode(), [(b"host", b"instance")], b""
-        )
-        async with asyncio.timeout(WAIT_S + SLACK_S):
-            async with relay.pool.connection(0) as connection:
-                response = await connection.exchange(request)
-        if response.status != 200:
-            raise news.SourceError(f"status_{response.status}")
-        return self._decoded(response.body, after)
-
-    def _decoded(self, content: bytes, after: int) -> news.Changes:
+        return placement.usual("news", names, RELAYS)
+
+    async def _direct(self, after: int, wait_s: float, has_relays: bool) -> news.Changes:
+        """Ask the source; not at once again when it has failed and relays ask it as well."""
+        now_s = asyncio.get_running_loop().time()
+        self._follows_directly = True
+        if has_relays and now_s < self._direct_from_s:
+            raise news.SourceError("asked_lately")
         try:
-            message = _SCHEMA.News.from_bytes_packed(content)
-            lost, age_ms, revision = message.lost, message.sourceAgeMs, message.revision
-            changes = tuple(self._change(each) for each in message.changes)
-        except Exception as error:  # the library raises its own type for each kind of damage
-            raise news.SourceError(f"unreadable: {error}"[:100]) from error
-        if lost:
-            raise news.SourceError("history_lost")
-        if age_ms >= STALE_S * 1000:
-            raise news.SourceError("stale")
-        return news.Changes(tuple(each for each in changes if each is not None), revision)
-
-    def _change(self, change: capnp.lib.capnp._DynamicStructReader) -> news.Change | None:
-        if change.removed:
-            return news.Removed(change.key, change.revision)
-        content = _unpacked(change.content) if change.compressed else bytes(change.content)
-        return self.decode(change.key, content, change.revision)
-
-    def _fall_back(self, relay: replicas_module.Replica, reason: str) -> None:
-        self._direct_until_s = asyncio.get_running_loop().time() + DIRECT_S
+            changes = await self.source.changes(after, wait_s)
+        except news.SourceError:
+            pause_s = min(AGAIN_FIRST_S * 2**self._direct_failures, AGAIN_MOST_S)
+            self._direct_failures += 1
+            now_s = asyncio.get_running_loop().time()
+            self._direct_from_s = now_s + pause_s * self.rng.uniform(0.75, 1.25)
+            raise
+        self._direct_failures = 0
+        return changes
+
+    def _is_passed_over(self, relay: replicas_module.Replica) -> bool:
+        failures = self._failures.get(relay.entry.instance)
+        return failures is not None and asyncio.get_running_loop().time() < failures.until_s
+
+    async def _told(
+        self, relay: replicas_module.Replica, after: int, wait_s: float
+    ) -> news_codec.Told | None:
+        """Ask a relay; ``None`` when it gives no answer."""
+        target = b"%s%d/%d/%s" % (PATH, after, wait_s * 1000, self.place.name.encode())
+        request = client.request_bytes(b"GET", target, [(b"host", b"instance")], b"")
+        try:
+            async with asyncio.timeout(wait_s + SLACK_S):
+                async with relay.pool.connection(0) as connection:
+                    response = await connection.exchange(request)
+            if response.status != 200:
+                return self._failed(relay, f"status_{response.status}")
+            told = news_codec.decode(response.body, self.decode)
+        except (client.ConnectError, client.ExchangeError, news_codec.MessageError) as error:
+            return self._failed(relay, str(error))
+        except TimeoutError:
+            return self._failed(relay, "silent")
+        self._failures.pop(relay.entry.instance, None)
+        self.attendance.heard(relay.entry.instance, asyncio.get_running_loop().time())
+        return told
+
+    def _failed(self, relay: replicas_module.Replica, reason: str) -> None:
+        name = relay.entry.instance
+        failures = self._failures.setdefault(name, _Failures())
+        failures.in_a_row += 1
+        if failures.in_a_row >= FAILURES_TO_PASS_OVER:
+            failures.until_s = asyncio.get_running_loop().time() + PASSED_OVER_S
         self.counters.add("relay.failed")
-        decisions.log("relay.failed", relay=relay.entry.instance, reason=reason)
+        decisions.log("relay.failed", relay=name, reason=reason[:100], in_a_row=failures.in_a_row)
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -79,9 +79,13 @@
             self._away_since_s = self._now_s()
             decisions.log("source.lost", reason=reason)
 
-    def source_regained(self) -> None:
-        """Take note that the source answers."""
-        self._heard_s = self._now_s()
+    def source_regained(self, age_s: float = 0.0) -> None:
+        """
+        Take note that the source answers.
+
+        :param age_s: how long ago it did, where another instance has passed its answer on
+        """
+        self._heard_s = max(self._heard_s, self._now_s() - age_s)
         if self._away_since_s is None:
             return
         now_s = self._now_s()
@@ -97,6 +101,35 @@
         """Return how many instances share connections and budgets, the largest of late."""
         return max(len(self.instances), 1, self._counts.get(self._now_s()))
 
+    def entries(self, names: abc.Collection[str]) -> list[news.Written]:
+        """Return the entries of some instances, as the source has them."""
+        return [
+            each
+            for each in self._keys.values()
+            if isinstance(each, news.Written)
+            and isinstance(each.value, news.EntryInstance)
+            and each.value.name in names
+        ]
+
+    def lease_of(self, instance: news.EntryInstance) -> int | None:
+        """Return the lease under which just this entry stands, if the source has told."""
+        for each in self.entries([instance.name]):
+            if each.value == instance and each.lease:
+                return each.lease
+        return None
+
+    def news_in(self, snapshot: news.Snapshot) -> news.Changes:
+        """Return what a fresh reading tells that was not known, as changes."""
+        present = {written.key for written in snapshot.written}
+        written = [
+            each
+            for each in snapshot.written
+            if each.key not in self._keys or self._keys[each.key].revision < each.revision
+        ]
+        removed = [news.Removed(key, snapshot.revision) for key in self._keys if key not in present]
+        changes = sorted([*written, *removed], key=lambda each: each.revision)
+        return news.Changes(tuple(changes), snapshot.revision)
+
     def _note_count(self) -> None:
         self._counts.note(self._now_s(), len(self.instances))
 
--- a/src/turmericlug/platform/store.py
+++ b/src/turmericlug/platform/store.py
@@ -13,6 +13,7 @@
 import json
 import typing
 import urllib.parse
+from collections import abc
 
 import attrs
 
@@ -26,9 +27,15 @@
 """Three hundred times the usual answer of 4 ms: a slow store (240 ms were seen) still answers."""
 WATCH_SLACK_S = 0.8
 _CONNECT_TIMEOUT_S = 0.6
+MOST_KEYS = 32
+"""Keys that the store takes in one call."""
 _REASONS = {429: "rate", 503: "busy"}
 
 
+class _ChangedError(Exception):
+    """A key has another revision than the call expected."""
+
+
 @attrs.define
 class _Lane:
     """One kept connection, used by one call at a time."""
@@ -63,7 +70,7 @@
             revisions.append(page["AsOf"])
             for item in page["items"]:
                 query["after"] = item["Key"]
-                change = decode.change(item["Key"], item["Value"], item["Revision"])
+                change = _written(item)
                 if change is not None:
                     written.append(change)
             if not page.get("HasMore"):
@@ -83,7 +90,7 @@
             if event.get("Tombstone"):
                 changes.append(news.Removed(event["Key"], event["Revision"]))
                 continue
-            change = decode.change(event["Key"], event["Value"], event["Revision"])
+            change = _written(event)
             if change is not None:
                 changes.append(change)
         return news.Changes(tuple(changes), page["AsOf"])
@@ -115,6 +122,26 @@
         put = {"Key": names.INSTANCES_PREFIX + instance.name, "Value": value, "Lease": lease}
         await self._call(b"POST", "kv-txn", {"ExpectedRev": [], "Puts": [put], "Remove": []})
 
+    async def remove(self, written: abc.Sequence[news.Written]) -> bool:
+        """
+        Remove keys, all or none.
+
+        :returns: false when one of them has been written since
+        :raises SourceError: no answer, or too many keys for one call
+        """
+        if len(written) > MOST_KEYS:
+            raise news.SourceError("too_many_keys")
+        body = {
+            "ExpectedRev": [{"Key": each.key, "Revision": each.revision} for each in written],
+            "Puts": [],
+            "Remove": [each.key for each in written],
+        }
+        try:
+            await self._call(b"POST", "kv-txn", body)
+        except _ChangedError:
+            return False
+        return True
+
     async def _get(
         self,
         path: str,
@@ -144,6 +171,8 @@
             raise news.HistoryLostError
         if response.status == 404:
             raise news.LeaseEndedError
+        if response.status == 412:
+            raise _ChangedError
         raise news.SourceError(_REASONS.get(response.status, f"status_{response.status}"))
 
     async def _exchange(
@@ -181,6 +210,13 @@
         self._drop(self._watch)
 
 
+def _written(item: dict[str, typing.Any]) -> news.Written | news.Unreadable | None:
+    change = decode.change(item["Key"], item["Value"], item["Revision"])
+    if isinstance(change, news.Written):
+        return attrs.evolve(change, lease=item.get("Lease") or 0)
+    return change
+
+
 def _parsed(body: bytes) -> typing.Any:
     try:
         return json.loads(body) if body else {}
--- /dev/null
+++ b/tests/entry/test_absence.py
@@ -0,0 +1,97 @@
+"""Entries of instances that are missed, and the instances that live all the same."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+import scripted
+
+from turmericlug.direct import budget
+from turmericlug.direct import pool as pool_module
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.entry import absence
+from turmericlug.entry import news
+from turmericlug.entry import relay
+from turmericlug.entry import view as view_module
+from turmericlug.policy import attendance
+from turmericlug.telemetry import counters
+
+
+class Source:
+    """Takes keys out, or fails to."""
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+        self.tries = []
+
+    async def remove(self, written):
+        self.tries.append([each.key for each in written])
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        return self.outcome
+
+
+def instance(name):
+    return news.Written(
+        f"i/{name}", news.EntryInstance(name, "10.0.0.1:80", "dc", "r", "10.0.0.1:81"), 3
+    )
+
+
+@pytest.mark.parametrize(
+    ("missed", "age_s", "outcome", "tries", "counted"),
+    [
+        (["a"], 0.0, True, 1, 1),
+        (["a", "unknown"], 0.0, True, 1, 1),
+        (["unknown"], 0.0, True, 0, 0),
+        (["a"], 2.0, True, 0, 0),
+        (["a"], 0.0, False, 1, 0),
+        (["a"], 0.0, news.SourceError("busy"), 2, 0),
+    ],
+    ids=["taken out", "one is known", "not known", "cut off", "written since", "busy"],
+)
+def test_entries_of_missed_instances(missed, age_s, outcome, tries, counted, monkeypatch):
+    """
+    Machines lose power, and callers are told their addresses until their leases end. The instance
+    that they asked for news takes their entries out, unless it is itself cut off.
+    """
+    monkeypatch.setattr(absence, "LOOK_EVERY_S", 0.001)
+    now_s = 10.0
+
+    def make_pool(entry):
+        return pool_module.Pool(None, lambda: 1, lambda: now_s)
+
+    peers = replicas_module.Replicas(make_pool, scripted.PLACE, budget.Allowance())
+    view = view_module.View("own", peers, peers, lambda: now_s)
+    view.take_snapshot(news.Snapshot((instance("a"), instance("b")), 3))
+    view.source_regained(age_s)
+    totals = counters.Counters()
+    source = Source(outcome)
+    relayed = relay.RelayedSource(
+        source, None, scripted.PLACE, peers, totals, attendance.Attendance()
+    )
+    waiting = list(missed)
+    looks = []
+
+    def missed_now(relayed, at_s):
+        looks.append(at_s)
+        return [] if counted and totals.totals["instance.missed"] else waiting
+
+    monkeypatch.setattr(relay.RelayedSource, "missed", missed_now)
+
+    async def main():
+        task = asyncio.create_task(absence.take_out_missed(source, view, relayed, totals))
+        async with asyncio.timeout(10):
+            while len(source.tries) < tries or (not tries and len(looks) < 3 and age_s < 1):
+                await asyncio.sleep(0.002)
+            await asyncio.sleep(0.02)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+    asyncio.run(main())
+    assert bool(source.tries) is bool(tries)
+    assert all(each == ["i/a"] for each in source.tries)
+    assert totals.totals["instance.missed"] == counted
+    assert bool(looks) is (age_s < relay.STALE_S)
--- a/tests/entry/test_follower.py
+++ b/tests/entry/test_follower.py
@@ -4,17 +4,19 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 
 import pytest
 import scripted
 
 from turmericlug.direct import budget
+from turmericlug.direct import pool as pool_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.entry import follower
+from turmericlug.entry import journal as journal_module
 from turmericlug.entry import news
-from turmericlug.entry import relay
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import messages
 from turmericlug.telemetry import counters
@@ -30,11 +32,18 @@
 class Source:
     """Plays steps for each reading and each question; the last one for ever."""
 
-    def __init__(self, readings=(), questions=(), keeps=()):
-        self.steps = {"read": list(readings), "changes": list(questions), "keep": list(keeps)}
+    def __init__(self, readings=(), questions=(), keeps=(), registrations=()):
+        self.steps = {
+            "read": list(readings),
+            "changes": list(questions),
+            "keep": list(keeps),
+            "register": list(registrations),
+        }
         self.asked_after = []
         self.stale_allowed = []
         self.registered = []
+        self.kept = []
+        self.leases_opened = 0
         self.ended = []
 
     async def _step(self, kind):
@@ -55,12 +64,16 @@
         return await self._step("changes")
 
     async def lease(self, ttl_s):
-        return len(self.registered) + 1
+        self.leases_opened += 1
+        return self.leases_opened
 
     async def register(self, instance, lease):
+        if self.steps["register"]:
+            await self._step("register")
         self.registered.append(lease)
 
     async def keep(self, lease):
+        self.kept.append(lease)
         await self._step("keep")
 
     async def end(self, lease):
@@ -68,7 +81,10 @@
 
 
 def make_view():
-    replicas = replicas_module.Replicas(lambda entry: None, scripted.PLACE, budget.Allowance())
+    def make_pool(entry):
+        return pool_module.Pool(None, lambda: 1, lambda: 0.0)
+
+    replicas = replicas_module.Replicas(make_pool, scripted.PLACE, budget.Allowance())
     return view_module.View("own", replicas, replicas, lambda: 0.0)
 
 
@@ -78,6 +94,11 @@
     monkeypatch.setattr(follower, "PAUSE_S", 0.0)
     monkeypatch.setattr(follower, "RETRY_MOST_S", 0.0)
     monkeypatch.setattr(follower, "KEEP_EVERY_S", 0.001)
+    monkeypatch.setattr(follower, "KEEP_AGAIN_S", 0.001)
+
+
+def stay_registered(source, view, may_serve=lambda: True, tells_others=lambda: False):
+    return follower.stay_registered(source, view, OWN, may_serve, tells_others, random.Random(1))
 
 
 async def while_running(work, until):
@@ -121,7 +142,12 @@
 
     async def main():
         work = follower.follow(
-            source, source.changes, view, relay.Journal(), counters.Counters(), random.Random(1)
+            source,
+            source.changes,
+            view,
+            journal_module.Journal(),
+            counters.Counters(),
+            random.Random(1),
         )
         await while_running(work, lambda: len(source.asked_after) == len(asked_after))
 
@@ -151,7 +177,7 @@
     source, view = Source(keeps=keeps), make_view()
 
     async def main():
-        work = follower.stay_registered(source, view, OWN, lambda: True, random.Random(1))
+        work = stay_registered(source, view)
         await while_running(work, lambda: not source.steps["keep"])
 
     asyncio.run(main())
@@ -159,6 +185,92 @@
     assert source.ended == registered[-1:]
 
 
+def own_entry(instance=OWN, lease=7):
+    return news.Written("own", instance, 3, lease=lease)
+
+
+@pytest.mark.parametrize("failures", [1, 3])
+def test_an_entry_that_could_not_be_written_is_written_later(failures):
+    """
+    The store opens a lease for an instance that has just started and refuses its next call. The
+    instance renewed the lease for the rest of its life: ready, and told to no caller.
+    """
+    source = Source(keeps=[1, 1], registrations=[news.SourceError("busy")] * failures + [1])
+
+    async def main():
+        work = stay_registered(source, make_view())
+        await while_running(work, lambda: not source.steps["keep"])
+
+    asyncio.run(main())
+    assert source.registered == [1]
+    assert source.leases_opened == 1
+
+
+@pytest.mark.parametrize(
+    ("entry", "keeps", "kept", "registered"),
+    [
+        (own_entry(), [1, 1], [7, 7], []),
+        (own_entry(), [news.LeaseEndedError(), 1], [7, 1], [1]),
+        (own_entry(lease=0), [1], [1], [1]),
+        (own_entry(news.EntryInstance("own", "10.0.0.2:80", "dc", "r")), [1], [1], [1]),
+    ],
+    ids=["stands", "lapsed", "lease not known", "at another address"],
+)
+def test_an_entry_that_has_outlived_the_start_is_taken_over(entry, keeps, kept, registered):
+    """
+    All instances lose power for two seconds. Each opens a lease and writes its entry anew, two
+    calls each within a second, although what they wrote before still stands.
+    """
+    source, view = Source(keeps=keeps), make_view()
+    view.take_snapshot(news.Snapshot((entry,), 3))
+
+    async def main():
+        await while_running(stay_registered(source, view), lambda: not source.steps["keep"])
+
+    asyncio.run(main())
+    assert source.kept == kept
+    assert source.registered == registered
+
+
+@pytest.mark.parametrize(
+    ("tells_others", "answers", "pause_s"),
+    [
+        (False, True, follower.KEEP_EVERY_S),
+        (True, True, follower.KEEP_OFTEN_S),
+        (False, False, follower.KEEP_AGAIN_S),
+        (True, False, follower.KEEP_OFTEN_S),
+    ],
+)
+def test_how_often_a_lease_is_renewed(tells_others, answers, pause_s, monkeypatch):
+    """
+    Each renewal is a call. Only what a relay tells is as old as its own last word with the store.
+    """
+    monkeypatch.undo()
+    source, now_s = Source(), [0.0]
+    tried_s = []
+
+    async def keep(lease):
+        tried_s.append(now_s[0])
+        if len(tried_s) == 4:
+            raise asyncio.CancelledError
+        if not answers:
+            raise news.SourceError("busy")
+
+    async def sleep(duration_s):
+        now_s[0] += duration_s
+
+    async def main():
+        source.keep = keep
+        monkeypatch.setattr(asyncio.get_running_loop(), "time", lambda: now_s[0], raising=False)
+        monkeypatch.setattr(follower.asyncio, "sleep", sleep)
+        with pytest.raises(asyncio.CancelledError):
+            await stay_registered(source, make_view(), tells_others=lambda: tells_others)
+
+    asyncio.run(main())
+    pauses_s = [after - before for before, after in itertools.pairwise(tried_s)]
+    assert all(0.8 * pause_s <= each <= 1.2 * pause_s + 0.001 for each in pauses_s)
+
+
 def test_an_entry_removed_from_outside_is_written_again():
     source, view = Source(keeps=[1] * 50), make_view()
 
@@ -168,9 +280,7 @@
                 view.own_entry_removed = True
             return len(source.registered) >= 2
 
-        await while_running(
-            follower.stay_registered(source, view, OWN, lambda: True, random.Random(1)), until
-        )
+        await while_running(stay_registered(source, view), until)
 
     asyncio.run(main())
 
@@ -179,7 +289,7 @@
     source, view, ready = Source(keeps=[1]), make_view(), []
 
     async def main():
-        work = follower.stay_registered(source, view, OWN, lambda: bool(ready), random.Random(1))
+        work = stay_registered(source, view, lambda: bool(ready))
         task = asyncio.create_task(work)
         await asyncio.sleep(0.1)
         assert not source.registered
@@ -190,3 +300,28 @@
         await asyncio.gather(task, return_exceptions=True)
 
     asyncio.run(main())
+
+
+def replica_entry(name, revision):
+    return news.Written(f"r/{name}", scripted.entry(name), revision)
+
+
+def test_lost_history_is_no_matter_of_those_that_ask_this_instance():
+    """
+    The store forgets its history. The instance that follows it for others reads everything anew and
+    began its journal anew as well: each of the others read everything for itself.
+    """
+    before = (configured(1), replica_entry("a", 2), replica_entry("b", 3))
+    after = (configured(9), replica_entry("b", 3), replica_entry("c", 8))
+    source = Source([news.Snapshot(before, 4), news.Snapshot(after, 9)], [news.HistoryLostError()])
+    journal = journal_module.Journal()
+
+    async def main():
+        work = follower.follow(
+            source, source.changes, make_view(), journal, counters.Counters(), random.Random(1)
+        )
+        await while_running(work, lambda: len(source.asked_after) == 2)
+        return await journal.since(4, 0.0)
+
+    found = asyncio.run(main())
+    assert found == news.Changes((replica_entry("c", 8), configured(9), news.Removed("r/a", 9)), 9)
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import math
-import zlib
+import random
 
+import attrs
 import pytest
 import scripted
 
@@ -16,11 +18,14 @@
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
+from turmericlug.entry import journal as journal_module
 from turmericlug.entry import news
+from turmericlug.entry import news_codec
 from turmericlug.entry import relay
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
 from turmericlug.http1 import server
+from turmericlug.policy import attendance
 from turmericlug.telemetry import counters
 
 PLACE = placement.Place("own", "dc", {"dc": "r"})
@@ -52,44 +57,28 @@
         return news.Changes((), after)
 
 
-@pytest.mark.parametrize(
-    ("after", "expected"),
-    [(10, ["a", "b"]), (11, ["b"]), (12, []), (15, [])],
-)
-def test_a_journal_tells_what_came_after(after, expected):
-    async def main():
-        journal = relay.Journal()
-        journal.restart(10)
-        journal.add(news.Changes((replica("a", 11), replica("b", 12)), 12))
-        found = await journal.since(after, 0.01)
-        assert [change.key[2:] for change in found.changes] == expected
-        assert found.revision == max(after, 12)
-
-    asyncio.run(main())
-
-
-def test_a_journal_does_not_know_what_was_before():
-    async def main():
-        journal = relay.Journal()
-        with pytest.raises(news.HistoryLostError):
-            await journal.since(5, 0.01)
-        journal.restart(10)
-        with pytest.raises(news.HistoryLostError):
-            await journal.since(9, 0.01)
-        for number in range(relay.KEPT_CHANGES + 5):
-            journal.add(news.Changes((replica("a", 11 + number),), 11 + number))
-        with pytest.raises(news.HistoryLostError):
-            await journal.since(11, 0.01)
+def names_in_order(count, *relays):
+    """
+    Return names of other instances.
 
-    asyncio.run(main())
+    :param relays: those of them that are asked first, in order; -1 is the instance itself
+    """
+    candidates = itertools.permutations(map(str, range(60)), count)
+    for names in candidates:
+        expected = [names[each] if each >= 0 else "own" for each in relays]
+        if placement.usual("news", ["own", *names], len(relays)) == expected:
+            return names
+    raise AssertionError("no such names")
 
 
 @contextlib.asynccontextmanager
-async def relayed(handler):
-    """Run the instance that follows the store for its data centre; yields a source that asks it."""
-    entrance = server.Server(handler, messages.Limits, 10)
-    listener = await server.listen(entrance, "127.0.0.1", 0)
-    host, port = listener.sockets[0].getsockname()
+async def relayed(*handlers, relays=None):
+    """
+    Run instances that follow the store for their data centre; yields a source that asks them.
+
+    :param relays: which of them is asked first, which next; -1 is the instance itself
+    """
+    names = names_in_order(len(handlers), *(relays or range(len(handlers))))
     loop = asyncio.get_running_loop()
 
     def make_pool(entry):
@@ -98,22 +87,42 @@
         )
 
     peers = replicas_module.Replicas(make_pool, PLACE, budget.Allowance())
-    reader = next(
-        name
-        for name in map(str, range(1000))
-        if placement.usual("news", ["own", name], 1) == [name]
-    )
-    peers.put(routes.ReplicaEntry(reader, "dc", host, port, "dc", 1, False, 0))
     source = Source()
-    try:
-        yield relay.RelayedSource(source, decode, PLACE, peers, counters.Counters()), source
-    finally:
-        listener.close()
-        entrance.close()
+    async with contextlib.AsyncExitStack() as stack:
+        for name, handler in zip(names, handlers, strict=True):
+            entrance = server.Server(handler, messages.Limits, 10)
+            listener = await server.listen(entrance, "127.0.0.1", 0)
+            stack.callback(entrance.close)
+            stack.callback(listener.close)
+            host, port = listener.sockets[0].getsockname()
+            peers.put(routes.ReplicaEntry(name, "dc", host, port, "dc", 1, False, 0))
+        yield make_source(source, peers), source
+
+
+def make_source(source, peers):
+    return relay.RelayedSource(
+        source,
+        decode,
+        PLACE,
+        peers,
+        counters.Counters(),
+        attendance.Attendance(),
+        random.Random(1),
+    )
+
+
+def tell(journal, age_s=0.5, heard=None):
+    """Return the handler of a relay that heard from the store so long ago."""
+    return relay.handler(journal, lambda: age_s, heard or attendance.Attendance())
+
+
+def question(after=5, wait_ms=1000, name="x"):
+    target = relay.PATH + f"{after}/{wait_ms}/{name}".encode()
+    return messages.Request(b"GET", target, (), b"", 0.0, 0.0, 0.0, 0.0)
 
 
 def journal_with(*changes):
-    journal = relay.Journal()
+    journal = journal_module.Journal()
     journal.restart(10)
     journal.add(news.Changes(changes, 12))
     return journal
@@ -122,9 +131,9 @@
 def test_changes_come_through_the_relay():
     async def main():
         journal = journal_with(replica("a", 11), news.Removed("r/b", 12))
-        async with relayed(relay.handler(journal, lambda: 0.5)) as (source, store):
+        async with relayed(tell(journal)) as (source, store):
             found = await source.changes(10, 5.0)
-            assert found == news.Changes((replica("a", 11), news.Removed("r/b", 12)), 12)
+            assert found == news.Changes((replica("a", 11), news.Removed("r/b", 12)), 12, 0.5)
             assert store.asked == 0
 
     asyncio.run(main())
@@ -139,9 +148,9 @@
 
     async def main():
         journal = journal_with(spoilt, replica("b", 12))
-        async with relayed(relay.handler(journal, lambda: 0.5)) as (source, store):
+        async with relayed(tell(journal)) as (source, store):
             found = await source.changes(10, 5.0)
-            assert found == news.Changes((spoilt, replica("b", 12)), 12)
+            assert found == news.Changes((spoilt, replica("b", 12)), 12, 0.5)
             assert store.asked == 0
 
     asyncio.run(main())
@@ -161,23 +170,17 @@
         sizes = []
 
         async def handler(request):
-            answer = await relay.handler(journal_with(told), lambda: 0.5)(request)
+            answer = await tell(journal_with(told))(request)
             sizes.append(len(answer.body))
             return answer
 
         async with relayed(handler) as (source, _):
-            assert await source.changes(10, 5.0) == news.Changes((told,), 12)
+            assert await source.changes(10, 5.0) == news.Changes((told,), 12, 0.5)
         assert sizes[0] < 0.1 * len(content)
 
     asyncio.run(main())
 
 
-@pytest.mark.parametrize("content", [b"", b"x", zlib.compress(b"a" * 5000)[:-3]])
-def test_a_damaged_value_is_no_news(content):
-    with pytest.raises((ValueError, zlib.error)):
-        relay._unpacked(content)
-
-
 async def silent(request):
     await asyncio.sleep(30)
 
@@ -191,38 +194,80 @@
 
 
 async def stale(request):
-    return await relay.handler(journal_with(replica("a", 11)), lambda: 9.0)(request)
+    return await tell(journal_with(replica("a", 11)), 9.0)(request)
 
 
 async def forgetful(request):
-    return await relay.handler(relay.Journal(), lambda: 0.0)(request)
+    return await tell(journal_module.Journal(), 0.0)(request)
 
 
-@pytest.mark.parametrize("handler", [silent, garbage, failing, stale, forgetful])
-def test_a_relay_that_fails_is_passed_by(handler, monkeypatch):
+@pytest.fixture
+def short_waits(monkeypatch):
+    monkeypatch.setattr(relay, "WAIT_S", 0.05)
+    monkeypatch.setattr(relay, "SLACK_S", 0.1)
+
+
+@pytest.mark.parametrize(
+    ("handler", "failed"),
+    [(silent, 2), (garbage, 2), (failing, 2), (stale, 0), (forgetful, 0)],
+)
+@pytest.mark.parametrize("relays", [1, 2])
+def test_relays_that_fail_are_passed_by(handler, failed, relays, short_waits):
     """
-    The instance that follows the store for others is frozen, cut off from the store, or new.
-    Whoever relies on it alone goes on with old routes and sends to replicas that have left.
+    The instances that follow the store for others are frozen, cut off from the store, or new.
+    Whoever relies on them alone goes on with old routes and sends to replicas that have left.
     """
-    monkeypatch.setattr(relay, "WAIT_S", 0.05)
-    monkeypatch.setattr(relay, "SLACK_S", 0.05)
 
     async def main():
-        async with relayed(handler) as (source, store):
-            for _ in range(3):
+        async with relayed(*[handler] * relays) as (source, store):
+            for _ in range(4):
                 assert await source.changes(10, 5.0) == news.Changes((), 10)
-            assert store.asked == 3
-            assert source.counters.totals["relay.failed"] == 1
+            assert store.asked == 4
+            assert source.counters.totals["relay.failed"] == failed * relays
 
     asyncio.run(main())
 
 
-def test_the_relay_is_asked_again_while_the_store_is_away_for_all():
+@pytest.mark.parametrize("first", [silent, garbage, failing, stale])
+def test_the_second_relay_stands_by(first, short_waits):
     """
-    The store is down. The relay says that its news are old, and each of 74 instances asked the
-    store itself three times a second for as long as it was away: on its return it is met by all.
+    The instance that follows the store for its data centre dies. Each of the 32 others asked the
+    store itself, a call for each change, until the dead one's lease had lapsed.
     """
 
+    async def main():
+        second = tell(journal_with(replica("a", 11)))
+        async with relayed(first, second) as (source, store):
+            for _ in range(4):
+                found = await source.changes(10, 5.0)
+                assert found == news.Changes((replica("a", 11),), 12, 0.5)
+            assert store.asked == 0
+
+    asyncio.run(main())
+
+
+def test_the_second_relay_asks_the_first_and_then_the_store(short_waits):
+    async def main():
+        told = tell(journal_with(replica("a", 11)))
+        async with relayed(told, told, relays=(0, -1)) as (source, store):
+            assert (await source.changes(10, 5.0)).changes == (replica("a", 11),)
+            assert not source.tells_others()
+        async with relayed(stale, told, relays=(0, -1)) as (source, store):
+            await source.changes(10, 5.0)
+            assert store.asked == 1
+            assert source.tells_others()
+
+    asyncio.run(main())
+
+
+def test_the_store_is_left_alone_while_it_is_away_for_all(monkeypatch):
+    """
+    The store is down. The relays say that their news are old, and each of 195 instances asked the
+    store itself three times a second for as long as it was away. The relays are asked all the
+    while, so that its return is known at once.
+    """
+    now_s = [100.0]
+
     async def main():
         asked = []
 
@@ -231,29 +276,39 @@
             return await stale(request)
 
         async with relayed(handler) as (source, store):
+            monkeypatch.setattr(asyncio.get_running_loop(), "time", lambda: now_s[0], raising=False)
             store.away = True
-            for _ in range(4):
+            for _ in range(50):
                 with pytest.raises(news.SourceError):
                     await source.changes(10, 5.0)
-            assert len(asked) == store.asked == 4
+                now_s[0] += 0.1
+            assert len(asked) == 50
+            # After 0, 0.5, 1.5 and 3.5 s, each give or take a quarter of the pause.
+            assert 3 <= store.asked <= 5
             store.away = False
+            now_s[0] += relay.AGAIN_MOST_S * 1.25
             await source.changes(10, 5.0)
             await source.changes(10, 5.0)
-            assert len(asked) == 5
 
     asyncio.run(main())
 
 
 def test_a_relay_that_never_heard_from_the_store_says_that_it_knows_nothing():
     """A new instance is asked for news before its first reading; it has no age to tell."""
+    answer = asyncio.run(tell(journal_module.Journal(), math.inf)(question()))
+    assert answer.status == 200
+    assert news_codec.decode(answer.body, decode).lost
 
-    async def main():
-        answer = await relay.handler(relay.Journal(), lambda: math.inf)(
-            messages.Request(b"GET", relay.PATH + b"5", (), b"", 0.0, 0.0, 0.0, 0.0)
-        )
-        assert answer.status == 200
 
-    asyncio.run(main())
+@pytest.mark.parametrize(
+    "target", [b"", b"x/1000/a", b"5", b"5/1000", b"5/1000/", b"5/x/a"], ids=repr
+)
+def test_a_question_of_another_form_is_none(target):
+    heard = attendance.Attendance()
+    request = attrs.evolve(question(), target=relay.PATH + target)
+    answer = asyncio.run(tell(journal_with(replica("a", 11)), 0.5, heard)(request))
+    assert answer.status == 404
+    assert not heard.is_asked(0.0, but="")
 
 
 @pytest.mark.parametrize("data_centres", [[], ["beside"], ["beside", "far"]])
@@ -263,8 +318,9 @@
         for each in data_centres:
             peers.put(routes.ReplicaEntry(f"e-{each}", each, "h", 1, each, 1, False, 0))
         store = Source()
-        source = relay.RelayedSource(store, decode, PLACE, peers, counters.Counters())
-        assert source.relay() is None
+        source = make_source(store, peers)
+        assert source.relays() == []
+        assert source.tells_others()
         await source.changes(10, 5.0)
         assert store.asked == 1
 
@@ -272,10 +328,18 @@
 
 
 @pytest.mark.parametrize(
-    ("age_s", "waited_s"),
-    [(0.0, relay.WAIT_S), (1.2, 0.4), (1.59, 0.01), (1.6, 0.0), (60.0, 0.0)],
+    ("age_s", "wait_ms", "waited_s"),
+    [
+        (0.0, 1000, relay.WAIT_S),
+        (0.0, 9000, relay.WAIT_S),
+        (0.0, 0, 0.0),
+        (1.2, 1000, 0.4),
+        (1.59, 1000, 0.01),
+        (1.6, 1000, 0.0),
+        (60.0, 1000, 0.0),
+    ],
 )
-def test_news_are_told_before_they_are_too_old(age_s, waited_s, monkeypatch):
+def test_news_are_told_before_they_are_too_old(age_s, wait_ms, waited_s, monkeypatch):
     """
     A relay is cut off from the store, and the next configuration is written. The others wait for a
     second with it again while its news are just young enough, and ask the store 3 s after the cut,
@@ -287,7 +351,42 @@
         waits_s.append(wait_s)
         return news.Changes((), after)
 
-    monkeypatch.setattr(relay.Journal, "since", since)
-    request = messages.Request(b"GET", relay.PATH + b"5", (), b"", 0.0, 0.0, 0.0, 0.0)
-    asyncio.run(relay.handler(relay.Journal(), lambda: age_s)(request))
+    monkeypatch.setattr(journal_module.Journal, "since", since)
+    asyncio.run(tell(journal_module.Journal(), age_s)(question(wait_ms=wait_ms)))
     assert waits_s == [pytest.approx(waited_s)]
+
+
+@pytest.mark.parametrize(
+    ("relays", "heard", "missed"),
+    [
+        ((-1, 0), {"0": 0.0, "1": 9.0, "2": 9.0}, {"0"}),
+        ((-1, 0), {"0": 9.0, "1": 9.0, "2": 9.0}, set()),
+        ((-1, 0), {"0": 0.0, "1": 0.0, "2": 9.0}, set()),
+        ((0, -1), {"0": 0.0, "1": 9.0}, {"0"}),
+        ((0, -1), {"0": 0.0, "1": 0.0}, set()),
+        ((0, -1), {"0": 9.0, "1": 0.0}, set()),
+        ((0, 1), {"0": 0.0, "1": 9.0}, set()),
+    ],
+    ids=[
+        "one is silent",
+        "none is",
+        "most are",
+        "the first relay is, and others ask",
+        "it is for this one alone",
+        "another one is",
+        "no relay",
+    ],
+)
+def test_who_is_missed(relays, heard, missed):
+    """
+    An instance loses power. Callers are told its address until its lease lapses, unless the one
+    that it asked for news takes its entry out.
+    """
+    names = names_in_order(3, *relays)
+    peers = replicas_module.Replicas(lambda entry: None, PLACE, budget.Allowance())
+    for name in names:
+        peers.put(routes.ReplicaEntry(name, "dc", "h", 1, "dc", 1, False, 0))
+    source = make_source(None, peers)
+    for place, at_s in heard.items():
+        source.attendance.heard(names[int(place)], at_s)
+    assert source.missed(10.0) == [names[int(each)] for each in sorted(missed)]
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -110,8 +110,8 @@
     mutant.one(
         "drain-ignored",
         "direct/replicas.py",
-        "            if not each.leaving and each not in tried\n",
-        "            if each not in tried\n",
+        "            if not each.leaving and not each.elsewhere(now_s) and each not in tried\n",
+        "            if not each.elsewhere(now_s) and each not in tried\n",
         "entry/test_view.py::test_a_draining_replica_gets_nothing_new",
     ),
     mutant.one(
@@ -145,9 +145,9 @@
     mutant.one(
         "trust-a-stale-relay",
         "entry/relay.py",
-        "        if age_ms > STALE_S * 1000:",
-        "        if age_ms < 0:",
-        "entry/test_relay.py::test_a_relay_that_fails_is_passed_by",
+        "            if told.changes.age_s < STALE_S:",
+        "            if told.changes.age_s < 1000 * STALE_S:",
+        "entry/test_relay.py::test_relays_that_fail_are_passed_by",
     ),
     mutant.one(
         "write-what-nobody-waits-for",
@@ -159,7 +159,7 @@
     mutant.one(
         "any-replica-of-a-handed-part",
         "direct/obtaining.py",
-        "        effort.tried = _closed(effort, handed_to)\n",
+        "        effort.closed = _closed(effort, handed_to)\n",
         "        pass\n",
         "direct/test_handover.py"
         "::test_a_batch_that_is_run_twice_reaches_no_more_replicas_than_allowed",
@@ -189,13 +189,13 @@
     mutant.one(
         "old-removals-count",
         "entry/view.py",
-        "            elif self._is_newer(change):",
-        "            elif change.key in self._keys:",
+        "                if self._is_newer(change):",
+        "                if change.key in self._keys:",
         "entry/test_view.py::test_a_removal_older_than_the_entry_is_passed_over",
     ),
     mutant.one(
         "news-told-plainly",
-        "entry/relay.py",
+        "entry/news_codec.py",
         "zlib.compress(content, 1) if len(content) > COMPRESS_FROM_BYTES else content",
         "content",
         "entry/test_relay.py::test_a_large_configuration_is_told_in_few_bytes",
@@ -203,9 +203,51 @@
     mutant.one(
         "store-asked-by-all-while-away",
         "entry/relay.py",
-        "            self._direct_until_s = 0.0\n            raise\n",
-        "            raise\n",
-        "entry/test_relay.py::test_the_relay_is_asked_again_while_the_store_is_away_for_all",
+        "        if has_relays and now_s < self._direct_from_s:",
+        "        if False:",
+        "entry/test_relay.py::test_the_store_is_left_alone_while_it_is_away_for_all",
+    ),
+    mutant.one(
+        "one-relay-only",
+        "entry/relay.py",
+        "RELAYS = 2\n",
+        "RELAYS = 1\n",
+        "entry/test_relay.py::test_the_second_relay_stands_by",
+    ),
+    mutant.one(
+        "nobody-is-missed",
+        "entry/relay.py",
+        "            return self.attendance.silent(others, now_s)",
+        "            return []",
+        "entry/test_relay.py::test_who_is_missed",
+    ),
+    mutant.one(
+        "all-are-missed-after-a-freeze",
+        "policy/attendance.py",
+        "        return missed if len(missed) <= max(1, MOST_SHARE * len(known)) else []",
+        "        return missed",
+        "policy/test_attendance.py::test_who_is_missed",
+    ),
+    mutant.one(
+        "entry-written-once",
+        "entry/follower.py",
+        "            if standing.written:",
+        "            if standing.written or standing.lease:",
+        "entry/test_follower.py::test_an_entry_that_could_not_be_written_is_written_later",
+    ),
+    mutant.one(
+        "entry-never-taken-over",
+        "entry/follower.py",
+        "    lease = view.lease_of(own)",
+        "    lease = None",
+        "entry/test_follower.py::test_an_entry_that_has_outlived_the_start_is_taken_over",
+    ),
+    mutant.one(
+        "lost-history-is-everyones",
+        "entry/follower.py",
+        "    if journal.revision < 0:",
+        "    if True:",
+        "entry/test_follower.py" "::test_lost_history_is_no_matter_of_those_that_ask_this_instance",
     ),
     mutant.one(
         "same-margin-for-any-query",
@@ -323,8 +365,8 @@
     mutant.one(
         "wait-with-news-that-get-old",
         "entry/relay.py",
-        "await journal.since(int(number), min(WAIT_S, fresh_s))",
-        "await journal.since(int(number), WAIT_S)",
+        "min(WAIT_S, int(wait_ms) / 1000, fresh_s)",
+        "min(WAIT_S, int(wait_ms) / 1000)",
         "entry/test_relay.py::test_news_are_told_before_they_are_too_old",
     ),
     mutant.one(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -110,6 +110,37 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("written_again", [False, True])
+def test_an_entry_is_taken_out_unless_it_was_written_since(written_again):
+    """
+    An instance is missed by another, and registers again just before it is taken out. Taken out all
+    the same, it would be told to nobody although it runs.
+    """
+
+    async def main():
+        async with connected() as (standin, store):
+            await store.register(OWN, await store.lease(8.0))
+            (entry,) = (await store.read_all(may_be_stale=False)).written
+            assert entry.lease in standin.leases
+            if written_again:
+                await store.register(OWN, entry.lease)
+            assert await store.remove([entry]) is not written_again
+            assert bool(standin.items) is written_again
+
+    asyncio.run(main())
+
+
+def test_no_more_keys_are_taken_out_than_one_call_may_name():
+    async def main():
+        async with connected() as (standin, store):
+            entries = [news.Written(f"k/{n}", OWN, 1) for n in range(store_module.MOST_KEYS + 1)]
+            with pytest.raises(news.SourceError):
+                await store.remove(entries)
+            assert standin.calls == []
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(("fault", "reason"), [("busy", "busy"), ("lost", "timeout")])
 def test_a_store_without_answers(fault, reason, monkeypatch):
     """
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -133,6 +133,14 @@
         return OK, {}
 
     async def _kv_txn(self, asked, body, rest):
+        expected = {row["Key"]: row["Revision"] for row in body["ExpectedRev"]}
+        if any(
+            (self.items[key]["Revision"] if key in self.items else 0) != revision
+            for key, revision in expected.items()
+        ):
+            return 412, {"items": [self.items[key] for key in expected if key in self.items]}
+        for key in body["Remove"]:
+            self.remove(key)
         for put in body["Puts"]:
             if put["Lease"] and put["Lease"] not in self.leases:
                 return 404, {}
