--- a/src/turmericlug/operators/client.py
+++ b/src/turmericlug/operators/client.py
@@ -15,6 +15,7 @@
 
 from turmericlug.config import version as version_module
 from turmericlug.operators import entry_commands
+from turmericlug.operators import losses
 from turmericlug.operators import tables
 from turmericlug.operators import trace as trace_module
 
@@ -340,27 +341,56 @@
     context.obj.show(answer, lambda _: typer.echo("draining: it exits once nothing is under way"))
 
 
-@application.command("trace")
-def trace_request(
-    request: typing.Annotated[str, typer.Argument(help="The id of the request.")],
-    logs: typing.Annotated[
-        list[pathlib.Path] | None,
-        typer.Argument(help="Files with the instances' output; none: standard input."),
-    ] = None,
-) -> None:
-    """Tell how a request ended and why, by the decision lines of all instances."""
+Logs = typing.Annotated[
+    list[pathlib.Path] | None,
+    typer.Argument(help="Files with the instances' output; none: standard input."),
+]
+
+
+def _decisions(logs: list[pathlib.Path] | None) -> list[trace_module.Line]:
     texts: list[str] = []
     for path in logs or []:
         texts += _read(path).splitlines()
     if not logs:
         texts = sys.stdin.read().splitlines()
-    found = trace_module.trace(trace_module.parse(texts), request)
+    return trace_module.parse(texts)
+
+
+@application.command("trace")
+def trace_request(
+    request: typing.Annotated[str, typer.Argument(help="The id of the request.")],
+    logs: Logs = None,
+) -> None:
+    """Tell how a request ended and why, by the decision lines of all instances."""
+    found = trace_module.trace(_decisions(logs), request)
     for line in trace_module.describe(found):
         typer.echo(line)
     if not found.lines:
         raise typer.Exit(EXIT_NOT_FOUND)
 
 
+@application.command("losses")
+def tell_losses(
+    logs: Logs = None,
+    every_s: typing.Annotated[
+        float, typer.Option("--every-s", min=0.1, help="Length of a span of time.")
+    ] = 2.0,
+    plot: typing.Annotated[
+        pathlib.Path | None, typer.Option(help="Draw them over time into this file, too.")
+    ] = None,
+) -> None:
+    """Tell which goals were missed and which requests were lost, when and why."""
+    found = losses.losses(_decisions(logs))
+    for line in losses.describe(found, every_s):
+        typer.echo(line)
+    if plot is not None:
+        from turmericlug.operators import loss_plot  # half a second, for this alone
+
+        loss_plot.draw(found, every_s, plot)
+    if not found.endings:
+        raise typer.Exit(EXIT_NOT_FOUND)
+
+
 def run() -> None:
     """Start the program."""
     application()
--- /dev/null
+++ b/tests/operators/test_losses.py
@@ -0,0 +1,120 @@
+"""Losses by route, time and cause, on written lines."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from typer import testing
+
+from turmericlug.operators import client
+from turmericlug.operators import losses
+
+
+def line(event, time_s=5.0, request="q", instance="a", **fields):
+    return {"time_s": time_s, "instance": instance, "event": event, "request": request} | fields
+
+
+def routed(time_s=4.9, request="q", left_ms=800):
+    return line("query.routed", time_s, request, route="r", left_ms=left_ms)
+
+
+def answered(duration_ms, event="query.answered", repeats=0, reason=None, **fields):
+    values = {"route": "r", "goal_ms": 100.0, "duration_ms": duration_ms, "repeats": repeats}
+    return line(event, reason=reason, **values | fields)
+
+
+MISSING = "s1: not in time (i-1 open 200+0 ms); s2: shed (not sent); s3: shed (i-3 ended 1+0 ms)"
+
+
+@pytest.mark.parametrize(
+    ("lines", "outcome", "cause"),
+    [
+        ([routed(), answered(99.0)], losses.IN_TIME, ""),
+        ([answered(101.0)], losses.LATE, "slow part"),
+        ([answered(101.0, repeats=1)], losses.LATE, "sent again"),
+        ([line("query.waited"), answered(101.0)], losses.LATE, "waited for its turn"),
+        ([answered(90.0, "query.partial", reason=MISSING)], losses.PARTIAL, "shed"),
+        ([answered(190.0, "query.partial", reason=MISSING)], losses.LATE, "slow part"),
+        (
+            [routed(), line("query.failed", reason=f"too few shards (3 missing): {MISSING}")],
+            losses.FAILED,
+            "shed",
+        ),
+        (
+            [routed(), line("query.failed", reason="s: connect: ConnectionRefusedError (x)")],
+            losses.FAILED,
+            "connect",
+        ),
+        ([line("query.failed", reason="connection reset")], losses.FAILED, "connection reset"),
+        ([routed(), line("query.refused", reason="starting")], losses.REFUSED, "starting"),
+        ([routed(), line("query.caller_left", route="r", age_ms=3)], losses.LEFT, "left before"),
+        (
+            [routed(), line("instance.starting", 6.0)],
+            losses.CUT,
+            "its instance was lost",
+        ),
+    ],
+)
+def test_how_a_request_ended(lines, outcome, cause):
+    """
+    An operator is told that answers were late this morning, and has the logs of 200 instances. One
+    table has to say how many, from when to when, and what decided it.
+    """
+    (ending,) = losses.losses(lines).endings
+    assert ending.outcome == outcome
+    assert ending.cause.startswith(cause)
+    if lines[0]["event"] == "query.routed":
+        assert ending.route == "r"
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        [routed(4.0, left_ms=100), line("send.hedged", 5.0), line("instance.starting", 6.0)],
+        [routed(), line("instance.stopped", 5.5), line("instance.starting", 6.0)],
+        [routed()],
+    ],
+    ids=["out of time before", "planned stop", "still running"],
+)
+def test_what_is_not_counted_as_cut_off(lines):
+    """Endings of answered requests may be left out: without an ending is not yet lost."""
+    assert losses.losses(lines).endings == ()
+
+
+LINES = [
+    answered(50.0, time_s=10.0, request="a"),
+    answered(500.0, time_s=11.9, request="b", left_out_before=7),
+    answered(50.0, time_s=12.1, request="c", route="other"),
+]
+
+
+def test_counts_by_route_and_time():
+    found = losses.losses(LINES)
+    assert found.by_route() == {
+        "other": {losses.IN_TIME: 1},
+        "r": {losses.IN_TIME: 1, losses.LATE: 1},
+    }
+    assert found.by_time(2.0) == {
+        0.0: {losses.IN_TIME: 1, losses.LATE: 1},
+        2.0: {losses.IN_TIME: 1},
+    }
+    assert found.causes() == {("r", losses.LATE, "slow part"): 1}
+    assert found.unlogged == 7
+
+
+def test_the_command_prints_and_draws(tmp_path):
+    log, plot = tmp_path / "a.log", tmp_path / "losses.png"
+    log.write_text("".join(f"  1.0 a {json.dumps(each)}\n" for each in LINES))
+    result = testing.CliRunner().invoke(
+        client.application, ["losses", str(log), "--every-s", "1", "--plot", str(plot)]
+    )
+    assert result.exit_code == 0, result.output
+    assert "slow part" in result.output
+    assert "7 endings more" in result.output
+    assert plot.read_bytes().startswith(b"\x89PNG")
+
+
+def test_the_command_without_a_request():
+    result = testing.CliRunner().invoke(client.application, ["losses"], input="nothing\n")
+    assert result.exit_code == client.EXIT_NOT_FOUND
