Extra sends of a shard belong mostly to its owners

Cause: all instances together may send only so many parts a second time, and each kept to an even part of that.

Ruled out: counting centrally (a call to the store for each); a larger part for all (the sum would exceed the allowance).

Change: 0.4 of a shard's allowance is divided among its owners, the rest among all.

Few instances: nothing changes.

--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from turmericlug.direct import budget as budget_module
 from turmericlug.direct import dialect as dialect_module
 from turmericlug.direct import placement
 from turmericlug.direct import replicas as replicas_module
@@ -48,6 +49,16 @@
     handover: handover_module.Handover | None = None
     """Hands far parts to other instances; ``None``: every part is sent from here."""
     rng: random.Random = attrs.field(factory=random.Random)
+    is_shard: abc.Callable[[str], bool] = lambda service: False
+    """Whether a service is a shard of a route."""
+
+    def may_send_again(self, service: str, now_s: float) -> bool:
+        """Take one of the extra sends that this instance may make to a service, if one is left."""
+        if self.handover is not None:
+            share = self.handover.peers.slack_share(self, service)
+        else:
+            share = budget_module.slack_share(self.instances(), owners=0, is_owner=False)
+        return self.replicas.extra_sends(service).spend(now_s, share)
 
 
 @attrs.define(eq=False)
@@ -108,12 +119,11 @@
     """
     loop = asyncio.get_running_loop()
     effort = _Effort(sender, call, service)
-    budget = sender.replicas.extra_sends(service)
     if handed_to:
         effort.closed = _closed(effort, handed_to)
     if not again:
-        budget.count_request(loop.time())
-    elif call.route.max_attempts < 2 or not budget.spend(loop.time(), sender.instances()):
+        sender.replicas.extra_sends(service).count_request(loop.time())
+    elif call.route.max_attempts < 2 or not sender.may_send_again(service, loop.time()):
         sender.counters.add("direct.repeat_denied.budget")
         return sending.Unknown("budget")
     else:
@@ -258,8 +268,7 @@
         return "no_replica"
     if other.overdue(now_s):
         return "all_late"
-    budget = effort.sender.replicas.extra_sends(effort.service)
-    return "" if budget.spend(now_s, effort.sender.instances()) else "budget"
+    return "" if effort.sender.may_send_again(effort.service, now_s) else "budget"
 
 
 def _repeat(effort: _Effort, now_s: float) -> None:
@@ -277,9 +286,7 @@
         _pause(effort, now_s)
         return
     reason = sending.reason(failure).partition(":")[0]
-    if effort.reached.total() and not sender.replicas.extra_sends(effort.service).spend(
-        now_s, sender.instances()
-    ):
+    if effort.reached.total() and not sender.may_send_again(effort.service, now_s):
         sender.counters.add("direct.repeat_denied.budget")
         decisions.log(
             "send.not_repeated", request=call.request_id, service=effort.service, reason=reason
--- a/src/turmericlug/direct/peers.py
+++ b/src/turmericlug/direct/peers.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from turmericlug.direct import budget
 from turmericlug.direct import obtaining
 from turmericlug.direct import placement
 from turmericlug.direct import replicas as replicas_module
@@ -79,6 +80,15 @@
             return True
         return self._place.name in self.owners(self._place.data_centre, shard)
 
+    def slack_share(self, sender: obtaining.Sender, service: str) -> float:
+        """Return this instance's part of the extra sends that a service may get."""
+        instances = sender.instances()
+        if placement.everyone_sends(instances) or not sender.is_shard(service):
+            return budget.slack_share(instances, owners=0, is_owner=False)
+        data_centres = {each.entry.data_centre for each in sender.replicas.of(service)}
+        owners = [name for each in data_centres for name in self.owners(each, service)]
+        return budget.slack_share(instances, len(owners), self._place.name in owners)
+
     def learn(self, data_centre: str, round_trip_ms: float) -> None:
         """Take note of a round trip to an instance of a data centre."""
         known_ms = self.round_trip_ms(data_centre)
--- a/src/turmericlug/direct/routes.py
+++ b/src/turmericlug/direct/routes.py
@@ -62,9 +62,12 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: messages.Limits
+    shards: frozenset[str] = attrs.field(init=False, default=frozenset())
+    """Every service that is a shard of a route."""
     _by_host: dict[str, list[Route]] = attrs.field(init=False, factory=dict)
 
     def __attrs_post_init__(self) -> None:
+        self.shards = frozenset(shard for route in self.routes for shard in route.shards)
         for route in self.routes:
             self._by_host.setdefault(route.host.lower(), []).append(route)
         for routes in self._by_host.values():
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -255,6 +255,9 @@
         sends,
         view.instances_count,
         handover.Handover(peers),
+        is_shard=lambda service: (
+            view.configuration is not None and service in view.configuration.shards
+        ),
     )
     view.on_instances = peers.forget_owners
     kernel.provide("sender", sender)
--- a/tests/direct/test_replicas.py
+++ b/tests/direct/test_replicas.py
@@ -121,7 +121,7 @@
             first.succeeded(12.0, 12.0, now_s)
             continue
         first.has_shed(now_s)
-        failed += not extras.spend(now_s, INSTANCES)
+        failed += not extras.spend(now_s, 1 / INSTANCES)
     assert failed <= requests * 0.01
 
 
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -61,10 +61,17 @@
     mutant.one(
         "budget-for-each-instance",
         "direct/budget.py",
-        "allowance.slack / max(instances, 1)",
+        "allowance.slack * share",
         "allowance.slack",
         "direct/test_budget.py::test_no_window_exceeds_the_allowance_of_all_instances",
     ),
+    mutant.one(
+        "owners-share-alike",
+        "direct/budget.py",
+        "        return OWNERS_SHARE / owners",
+        "        return 1 / instances",
+        "direct/test_budget.py::test_an_owner_among_many_has_extra_sends_to_make",
+    ),
     mutant.one(
         "hedge-without-limit",
         "direct/obtaining.py",
