What sends share, and what an instance is asked, in modules of their own

Change: direct/sender.py holds what every send needs, entry/questions.py what an instance answers besides callers' requests. Nothing but names and places changes.

--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -13,6 +13,7 @@
 from turmericlug.direct import merge
 from turmericlug.direct import obtaining
 from turmericlug.direct import peers as peers_module
+from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
 from turmericlug.direct import timing
 from turmericlug.http1 import client
@@ -49,7 +50,7 @@
 
 
 def refusal(
-    sender: obtaining.Sender,
+    sender: sender_module.Sender,
     reason: str,
     draw_s: abc.Callable[[random.Random], float] = come_back_s,
 ) -> Ending:
@@ -64,7 +65,7 @@
     return Ending(messages.Answer(status, (), reason.encode()), "failed", reason)
 
 
-async def single(sender: obtaining.Sender, call: sending.Call, service: str) -> Ending:
+async def single(sender: sender_module.Sender, call: sending.Call, service: str) -> Ending:
     """Answer a request that one replica of one service answers."""
     outcome = await obtaining.obtain(sender, call, service)
     match outcome:
@@ -98,7 +99,7 @@
     return messages.Answer(status, headers, response.body)
 
 
-async def all_shards(sender: obtaining.Sender, call: sending.Call) -> Ending:
+async def all_shards(sender: sender_module.Sender, call: sending.Call) -> Ending:
     """
     Answer a query with the greatest records of all shards.
 
@@ -133,7 +134,7 @@
 
 
 def _started(
-    sender: obtaining.Sender,
+    sender: sender_module.Sender,
     call: sending.Call,
     first: peers_module.FirstChoices,
     answer_at_s: float,
@@ -153,7 +154,7 @@
     }
 
 
-def first_choices(sender: obtaining.Sender, call: sending.Call) -> peers_module.FirstChoices:
+def first_choices(sender: sender_module.Sender, call: sending.Call) -> peers_module.FirstChoices:
     """Choose the best replica of each shard that has one."""
     now_s = asyncio.get_running_loop().time()
     chosen = {
@@ -234,7 +235,7 @@
     return outcome if isinstance(outcome, Good) else None
 
 
-def conclude(sender: obtaining.Sender, call: sending.Call, parts: Parts) -> Ending:
+def conclude(sender: sender_module.Sender, call: sending.Call, parts: Parts) -> Ending:
     """Answer with the parts that are in, or refuse or fail where they are too few."""
     answers = {shard: _answered(part) for shard, part in parts.items()}
     present = [answer for answer in answers.values() if answer is not None]
@@ -280,7 +281,7 @@
     return sending.reason(part.result())
 
 
-def _too_few(sender: obtaining.Sender, call: sending.Call, parts: Parts) -> Ending:
+def _too_few(sender: sender_module.Sender, call: sending.Call, parts: Parts) -> Ending:
     """
     Refuse when no part can have run, else fail.
 
--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -18,6 +18,7 @@
 from turmericlug.direct import peers as peers_module
 from turmericlug.direct import placement
 from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
 from turmericlug.http1 import client
 from turmericlug.telemetry import decisions
@@ -93,7 +94,7 @@
 
     def start(
         self,
-        sender: obtaining.Sender,
+        sender: sender_module.Sender,
         call: sending.Call,
         first: peers_module.FirstChoices,
         answer_at_s: float,
@@ -118,7 +119,7 @@
         return by_shard
 
     async def _exchange(
-        self, sender: obtaining.Sender, call: sending.Call, handed: Handed, answer_at_s: float
+        self, sender: sender_module.Sender, call: sending.Call, handed: Handed, answer_at_s: float
     ) -> None:
         try:
             came_back = await self._comes_back(sender, call, handed, answer_at_s)
@@ -129,7 +130,7 @@
             handed.lose()
 
     async def _comes_back(
-        self, sender: obtaining.Sender, call: sending.Call, handed: Handed, answer_at_s: float
+        self, sender: sender_module.Sender, call: sending.Call, handed: Handed, answer_at_s: float
     ) -> bool:
         """Send a batch and take its answers; false when it has to be taken for lost."""
         loop = asyncio.get_running_loop()
@@ -153,7 +154,7 @@
         peer.succeeded(1.0, 1.0, loop.time())
         return True
 
-    def _moved(self, sender: obtaining.Sender, call: sending.Call, handed: Handed) -> bool:
+    def _moved(self, sender: sender_module.Sender, call: sending.Call, handed: Handed) -> bool:
         """
         Choose the other owner for what a lost batch left open, if there is one.
 
@@ -184,7 +185,7 @@
 
     async def _sent(
         self,
-        sender: obtaining.Sender,
+        sender: sender_module.Sender,
         call: sending.Call,
         handed: Handed,
         answer_at_s: float,
@@ -235,7 +236,7 @@
 
     def _lost(
         self,
-        sender: obtaining.Sender,
+        sender: sender_module.Sender,
         call: sending.Call,
         handed: Handed,
         reason: str,
@@ -283,7 +284,7 @@
 
 
 async def part(
-    sender: obtaining.Sender, call: sending.Call, handed: Handed, shard: str
+    sender: sender_module.Sender, call: sending.Call, handed: Handed, shard: str
 ) -> sending.Outcome:
     """
     Return what a batch brought for one of its shards.
@@ -304,6 +305,6 @@
     return isinstance(outcome, sending.NotRun) and outcome.reason == obtaining.NO_REPLICA
 
 
-def _has_few_replicas(sender: obtaining.Sender, call: sending.Call, shard: str) -> bool:
+def _has_few_replicas(sender: sender_module.Sender, call: sending.Call, shard: str) -> bool:
     """Whether a shard has so few replicas that no send can reach too many."""
     return len(sender.replicas.of(shard)) <= call.route.max_attempts
--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -4,25 +4,16 @@
 
 import asyncio
 import collections
-import random
-import typing
-from collections import abc
 
 import attrs
 
-from turmericlug.direct import budget as budget_module
-from turmericlug.direct import dialect as dialect_module
 from turmericlug.direct import placement
 from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
 from turmericlug.direct import timing
-from turmericlug.kernel import tasks as tasks_module
-from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
 
-if typing.TYPE_CHECKING:
-    from turmericlug.direct import handover as handover_module
-
 NO_REPLICA = "no_replica"
 """Reason of a part that was not sent because no replica is known to take it."""
 SHED_AGAIN_S = 0.015
@@ -36,31 +27,6 @@
 connections is given up after this many."""
 
 
-@attrs.define
-class Sender:
-    """What every send needs."""
-
-    replicas: replicas_module.Replicas
-    names: dialect_module.Dialect
-    counters: counters_module.Counters
-    tasks: tasks_module.Tasks
-    instances: abc.Callable[[], int]
-    """How many instances share the budget of extra sends."""
-    handover: handover_module.Handover | None = None
-    """Hands far parts to other instances; ``None``: every part is sent from here."""
-    rng: random.Random = attrs.field(factory=random.Random)
-    is_shard: abc.Callable[[str], bool] = lambda service: False
-    """Whether a service is a shard of a route."""
-
-    def may_send_again(self, service: str, now_s: float) -> bool:
-        """Take one of the extra sends that this instance may make to a service, if one is left."""
-        if self.handover is not None:
-            share = self.handover.peers.slack_share(self, service)
-        else:
-            share = budget_module.slack_share(self.instances(), owners=0, is_owner=False)
-        return self.replicas.extra_sends(service).spend(now_s, share)
-
-
 @attrs.define(eq=False)
 class _Pending:
     """A send under way."""
@@ -73,7 +39,7 @@
 class _Effort:
     """The sends of one request to one service."""
 
-    sender: Sender
+    sender: sender_module.Sender
     call: sending.Call
     service: str
     closed: list[replicas_module.Replica] = attrs.field(factory=list)
@@ -97,7 +63,7 @@
 
 
 async def obtain(
-    sender: Sender,
+    sender: sender_module.Sender,
     call: sending.Call,
     service: str,
     first: replicas_module.Replica | None = None,
@@ -366,7 +332,7 @@
 
 
 async def _tracked(
-    sender: Sender,
+    sender: sender_module.Sender,
     call: sending.Call,
     replica: replicas_module.Replica,
     send: replicas_module.Send,
@@ -387,7 +353,7 @@
 
 
 def _learn(
-    sender: Sender,
+    sender: sender_module.Sender,
     call: sending.Call,
     replica: replicas_module.Replica,
     outcome: sending.Outcome,
--- a/src/turmericlug/direct/peers.py
+++ b/src/turmericlug/direct/peers.py
@@ -11,10 +11,10 @@
 import attrs
 
 from turmericlug.direct import budget
-from turmericlug.direct import obtaining
 from turmericlug.direct import placement
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
+from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
 from turmericlug.http1 import client
 from turmericlug.telemetry import decisions
@@ -74,13 +74,13 @@
         groups = self._owners[data_centre]
         return groups[placement.group_of(shard, len(groups))]
 
-    def sends_from_here(self, sender: obtaining.Sender, shard: str) -> bool:
+    def sends_from_here(self, sender: sender_module.Sender, shard: str) -> bool:
         """Whether this instance is to send to a shard's replicas in its own data centre."""
         if placement.everyone_sends(sender.instances()):
             return True
         return self._place.name in self.owners(self._place.data_centre, shard)
 
-    def slack_share(self, sender: obtaining.Sender, service: str) -> float:
+    def slack_share(self, sender: sender_module.Sender, service: str) -> float:
         """Return this instance's part of the extra sends that a service may get."""
         instances = sender.instances()
         if placement.everyone_sends(instances) or not sender.is_shard(service):
@@ -97,7 +97,7 @@
         )
 
     def plan(
-        self, sender: obtaining.Sender, call: sending.Call, first: FirstChoices, now_s: float
+        self, sender: sender_module.Sender, call: sending.Call, first: FirstChoices, now_s: float
     ) -> list[Group]:
         """Group the shards that others should send to by the instance that is to do it."""
         by_place = self._places(sender, first, now_s)
@@ -116,7 +116,7 @@
         return groups
 
     def _places(
-        self, sender: obtaining.Sender, first: FirstChoices, now_s: float
+        self, sender: sender_module.Sender, first: FirstChoices, now_s: float
     ) -> dict[str, list[str]]:
         """
         Choose the data centre in which each shard is asked.
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -12,8 +12,8 @@
 import attrs
 
 from turmericlug.direct import answering
-from turmericlug.direct import obtaining
 from turmericlug.direct import routes
+from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import client
@@ -70,7 +70,7 @@
     def __init__(
         self,
         view: view_module.View,
-        sender: obtaining.Sender,
+        sender: sender_module.Sender,
         source_age_s: abc.Callable[[], float],
     ) -> None:
         self.view = view
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -19,26 +19,23 @@
 from turmericlug.direct import budget
 from turmericlug.direct import dialect as dialect_module
 from turmericlug.direct import handover
-from turmericlug.direct import obtaining
 from turmericlug.direct import peers as peers_module
 from turmericlug.direct import placement
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
+from turmericlug.direct import sender as sender_module
 from turmericlug.entry import absence
-from turmericlug.entry import beliefs
 from turmericlug.entry import callers as callers_module
 from turmericlug.entry import directory as directory_module
 from turmericlug.entry import follower
-from turmericlug.entry import helping
 from turmericlug.entry import journal as journal_module
 from turmericlug.entry import live_settings
-from turmericlug.entry import metrics
 from turmericlug.entry import news
 from turmericlug.entry import news_codec
+from turmericlug.entry import questions
 from turmericlug.entry import relay
 from turmericlug.entry import settings as settings_module
-from turmericlug.entry import stalls as stalls_module
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
@@ -53,10 +50,6 @@
 """Descriptors kept from callers: files (200), connections to replicas, the store, listeners."""
 PEER_CONNECTIONS = 16
 """Batches under way to one instance at a time; a query has one for each region."""
-PEER_IDLE_S = 60.0
-"""Connections between instances are kept: a new one costs a batch a round trip."""
-ALIVE = b"HTTP/1.1 102 Processing\r\n\r\n"
-"""Tells an instance that hands parts over that they are being worked on."""
 HOUSEKEEPING_S = 0.1
 TRIM_EVERY_S = 1.0
 WARM_EVERY_S = 0.3
@@ -186,7 +179,7 @@
     def make_peer_pool(entry: routes.ReplicaEntry) -> pool_module.Pool:
         connect = functools.partial(client.connect, entry.host, entry.port)
         return pool_module.Pool(
-            connect, lambda: PEER_CONNECTIONS, loop.time, spare_idle_s=PEER_IDLE_S
+            connect, lambda: PEER_CONNECTIONS, loop.time, spare_idle_s=questions.PEER_IDLE_S
         )
 
     live = kernel.find("live settings")
@@ -248,7 +241,7 @@
     settings, view = kernel.find("settings"), kernel.find("view")
     sends = tasks.Tasks()
     peers = peers_module.Peers(view.peers, _place(settings))
-    sender = obtaining.Sender(
+    sender = sender_module.Sender(
         view.replicas,
         kernel.find("adapter").names,
         kernel.find("counters"),
@@ -267,14 +260,16 @@
     most = settings.limits.descriptors - RESERVED_DESCRIPTORS
     entrance = server.Server(callers.handle, lambda: _limits(view), max(most, 64))
     async with (
-        _listening(entrance, settings.entry.callers_address, kernel.find("early listener")),
+        questions.listening(
+            entrance, settings.entry.callers_address, kernel.find("early listener")
+        ),
         tasks.background(_keep_warm(sender)),
     ):
         yield entrance
     await sends.close()
 
 
-async def _keep_warm(sender: obtaining.Sender) -> None:
+async def _keep_warm(sender: sender_module.Sender) -> None:
     loop = asyncio.get_running_loop()
     peers = sender.handover.peers
     while True:
@@ -295,90 +290,6 @@
     return view.configuration.limits if view.configuration else messages.Limits()
 
 
-@contextlib.asynccontextmanager
-async def _listening(
-    entrance: server.Server, address: tuple[str, int], early: socket.socket | None = None
-) -> abc.AsyncIterator[asyncio.Server]:
-    if early is not None and early.getsockname() != address:
-        decisions.log("instance.listened_elsewhere", address=early.getsockname()[0])
-        early.close()
-        early = None
-    listener = await server.listen(entrance, *address, early)
-    try:
-        yield listener
-    finally:
-        listener.close()
-        entrance.close()
-
-
-@contextlib.asynccontextmanager
-async def _questions(kernel: Kernel) -> abc.AsyncIterator[None]:
-    """Answer readiness, addresses, metrics and other instances' batches."""
-    stalls = stalls_module.Stalls()
-    settings, view = kernel.find("settings"), kernel.find("view")
-    adapter = kernel.find("adapter")
-    handlers = [
-        (adapter.ready_handler(lambda: _ready(kernel)), settings.entry.ready_address),
-        (
-            adapter.resolve_handler(
-                directory_module.Directory(view, settings.entry.name, lambda: _leaving(kernel))
-            ),
-            settings.entry.directory_address,
-        ),
-        (_operators_handler(kernel), settings.entry.metrics_address),
-    ]
-    async with contextlib.AsyncExitStack() as stack:
-        for handler, address in handlers:
-            questions = server.Server(handler, messages.Limits, settings.limits.descriptors // 8)
-            await stack.enter_async_context(_listening(questions, address))
-        peers = server.Server(
-            _peers_handler(kernel),
-            lambda: messages.Limits(idle_timeout_s=PEER_IDLE_S),
-            settings.limits.descriptors // 8,
-            interim=ALIVE,
-            stalled_s=stalls.overdue_s,
-        )
-        await stack.enter_async_context(_listening(peers, settings.entry.peers_address))
-        await stack.enter_async_context(tasks.background(stalls.watch()))
-        yield
-
-
-def _operators_handler(kernel: Kernel) -> messages.Handler:
-    tell_metrics = metrics.handler(kernel.find("counters"))
-    tell_beliefs = beliefs.handler(
-        kernel.find("settings").entry.name, kernel.find("view"), lambda: _ready(kernel)
-    )
-
-    async def handle(request: messages.Request) -> messages.Answer:
-        if request.target.startswith(metrics.PATH):
-            return await tell_metrics(request)
-        return await tell_beliefs(request)
-
-    return handle
-
-
-def _peers_handler(kernel: Kernel) -> messages.Handler:
-    help_with = helping.handler(kernel.find("sender"))
-    tell_news = relay.handler(
-        kernel.find("journal"), kernel.find("view").source_age_s, kernel.find("relayed").attendance
-    )
-
-    async def handle(request: messages.Request) -> messages.Answer:
-        if request.target.startswith(relay.PATH):
-            return await tell_news(request)
-        return await help_with(request)
-
-    return handle
-
-
-def _ready(kernel: Kernel) -> bool:
-    return kernel.find("view").ready and not _leaving(kernel)
-
-
-def _leaving(kernel: Kernel) -> bool:
-    return kernel.find("callers").leaving
-
-
 @contextlib.asynccontextmanager
 async def _registration(kernel: Kernel) -> abc.AsyncIterator[tasks.Tasks]:
     entry = kernel.find("settings").entry
@@ -395,7 +306,7 @@
         kernel.find("source"),
         kernel.find("view"),
         own,
-        lambda: _ready(kernel),
+        lambda: questions.ready(kernel),
         kernel.find("relayed").tells_others,
         random.Random(),
     )
@@ -432,6 +343,6 @@
     ("view", _view),
     ("following", _following),
     ("callers", _callers),
-    ("questions", _questions),
+    ("questions", questions.answered),
     ("registration", _registration),
 )
--- a/src/turmericlug/entry/helping.py
+++ b/src/turmericlug/entry/helping.py
@@ -10,6 +10,7 @@
 from turmericlug.direct import merge
 from turmericlug.direct import obtaining
 from turmericlug.direct import routes
+from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
 from turmericlug.direct import timing
 from turmericlug.http1 import messages
@@ -29,7 +30,7 @@
 """
 
 
-def handler(sender: obtaining.Sender) -> messages.Handler:
+def handler(sender: sender_module.Sender) -> messages.Handler:
     """Return the handler of batches."""
 
     async def handle(request: messages.Request) -> messages.Answer:
@@ -51,7 +52,7 @@
 
 
 def _refusal(
-    sender: obtaining.Sender, batch: handover_codec.Batch, stalled_s: float
+    sender: sender_module.Sender, batch: handover_codec.Batch, stalled_s: float
 ) -> dict[str, int]:
     """Return why nothing of a batch is to be run, as a field of the log; empty when it is."""
     if stalled_s > MOST_STALL_S:
@@ -63,7 +64,7 @@
 
 
 async def _answers(
-    sender: obtaining.Sender, batch: handover_codec.Batch, arrived_s: float
+    sender: sender_module.Sender, batch: handover_codec.Batch, arrived_s: float
 ) -> abc.AsyncIterator[bytes]:
     """
     Give what there is when it is asked for, then each straggler by itself.
@@ -106,7 +107,7 @@
 
 
 def _log(
-    sender: obtaining.Sender,
+    sender: sender_module.Sender,
     call: sending.Call,
     batch: handover_codec.Batch,
     answer: handover_codec.Answer,
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -6,11 +6,11 @@
 
 from turmericlug.direct import budget
 from turmericlug.direct import dialect
-from turmericlug.direct import obtaining
 from turmericlug.direct import placement
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
+from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
 from turmericlug.http1 import client
 from turmericlug.kernel import tasks
@@ -112,7 +112,7 @@
     for service, replicas in scripts.items():
         for instance in replicas:
             known.put(entry(instance, service))
-    return obtaining.Sender(known, NAMES, counters.Counters(), tasks.Tasks(), lambda: 1)
+    return sender_module.Sender(known, NAMES, counters.Counters(), tasks.Tasks(), lambda: 1)
 
 
 def make_call(deadline_ms=2000.0, **changes):
