--- a/src/turmericlug/entry/absence.py
+++ b/src/turmericlug/entry/absence.py
@@ -11,6 +11,7 @@
 from turmericlug.telemetry import decisions
 
 LOOK_EVERY_S = 0.5
+"""Adds to the 3 s of silence for which callers are told an instance that has ended."""
 MOST_AT_ONCE = 16
 """Entries taken out by one call: half of what a source may have to take."""
 
