--- a/src/turmericlug/direct/dialect.py
+++ b/src/turmericlug/direct/dialect.py
@@ -25,3 +25,5 @@
     """How many shards an answer lacks."""
     retry_after: bytes
     """Seconds, with fractions, after which a refused caller may come back."""
+    organisation: bytes = b""
+    """Tells the organisations of callers apart; empty where nothing does."""
--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -369,6 +369,16 @@
         return
     reason = sending.reason(outcome).partition(":")[0]
     sender.counters.add(f"direct.send_failed.{reason}")
+    if isinstance(outcome, sending.Unknown) and outcome.broken_off:
+        decisions.log(
+            "send.broken_off",
+            request=call.request_id,
+            content=call.fingerprint.hex(),
+            service=replica.entry.service,
+            replica=replica.entry.instance,
+            age_ms=round(duration_ms, 1),
+            others=len(replica.sends) - 1,
+        )
     if isinstance(outcome, sending.NotRun) and outcome.reason == sending.MISDIRECTED:
         replica.misdirected(now_s)
         set_aside = True
@@ -380,6 +390,7 @@
     decisions.log(
         "send.failed",
         request=call.request_id,
+        content=call.fingerprint.hex(),
         service=replica.entry.service,
         replica=replica.entry.instance,
         reason=sending.reason(outcome),
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -47,6 +47,8 @@
     """Shards that another instance was asked to send to."""
     hedges: int = 0
     repeats: int = 0
+    fingerprint: bytes = b""
+    """The same for each attempt at the same request, at every instance."""
 
     @property
     def goal_at_s(self) -> float:
@@ -130,6 +132,8 @@
     """No usable answer; the request may have run."""
 
     reason: str
+    broken_off: bool = False
+    """Whether the replica's connection ended while it had the request."""
 
 
 UNWANTED = NotRun("unwanted", sent=False)
@@ -239,6 +243,6 @@
     except client.ConnectError as error:
         return NotRun(f"connect: {error}", sent=False)
     except client.ExchangeError as error:
-        return Unknown(str(error))
+        return Unknown(str(error), isinstance(error, client.ConnectionLostError))
     except TimeoutError:
         return _timed_out(progress)
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -12,6 +12,7 @@
 import attrs
 
 from turmericlug.direct import answering
+from turmericlug.direct import content
 from turmericlug.direct import routes
 from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
@@ -105,7 +106,7 @@
         call = self._call(request, request_id, target, route, configuration.version)
         if self._may_be_cut_off(call):
             return attrs.evolve(self._refused(request, "leaving"), close=True)
-        return await self._answered(call)
+        return await self._answered(call, request.caller_host)
 
     def leave(self, refuse_from_s: float, ends_at_s: float) -> None:
         """
@@ -172,13 +173,18 @@
             began_s=min(request.began_s, sent_s - spent_ms / 1000),
             deadline_s=min(sent_s + left_ms / 1000, request.began_s + route.timeout_ms / 1000),
             way_back_s=request.way_back_s,
+            fingerprint=content.fingerprint(
+                request.method, target, headers, request.body, self.sender.names
+            ),
         )
 
-    async def _answered(self, call: sending.Call) -> messages.Answer:
+    async def _answered(self, call: sending.Call, caller_host: str) -> messages.Answer:
         loop = asyncio.get_running_loop()
         decisions.log(
             "query.routed",
             request=call.request_id,
+            content=call.fingerprint.hex(),
+            caller=caller_host,
             route=call.route.name,
             version=call.version,
             source_age_s=view_module.told_age_s(self._source_age_s()),
--- a/src/turmericlug/entry/helping.py
+++ b/src/turmericlug/entry/helping.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections import abc
 
+from turmericlug.direct import content
+from turmericlug.direct import dialect
 from turmericlug.direct import handover
 from turmericlug.direct import handover_codec
 from turmericlug.direct import merge
@@ -73,7 +75,7 @@
     other parts gave.
     """
     loop = asyncio.get_running_loop()
-    call = _call(batch, arrived_s)
+    call = _call(batch, arrived_s, sender.names)
     parts = {
         loop.create_task(
             obtaining.obtain(sender, call, shard, handed_to=batch.data_centre, again=batch.again)
@@ -138,7 +140,7 @@
     return [f"{shard}: {call.told(shard, now_s)}" for shard in missing[:5]]
 
 
-def _call(batch: handover_codec.Batch, arrived_s: float) -> sending.Call:
+def _call(batch: handover_codec.Batch, arrived_s: float, names: dialect.Dialect) -> sending.Call:
     route = routes.Route(
         name=batch.route,
         host="",
@@ -162,6 +164,9 @@
         version=0,
         began_s=arrived_s,
         deadline_s=arrived_s + batch.time_left_ms / 1000,
+        fingerprint=content.fingerprint(
+            batch.method, batch.target, batch.headers, batch.body, names
+        ),
     )
 
 
--- a/src/turmericlug/http1/client.py
+++ b/src/turmericlug/http1/client.py
@@ -49,6 +49,10 @@
     """The exchange ended without a whole response; the request may have run."""
 
 
+class ConnectionLostError(ExchangeError):
+    """The other side ended the connection while it had the request."""
+
+
 @attrs.frozen
 class Response:
     """A whole response as it was received."""
@@ -118,7 +122,7 @@
         except httptools.HttpParserError as error:
             # A complete response followed by garbage: the response stands, the connection doesn't.
             if self._complete is None:
-                self._fail(f"unreadable response: {error}")
+                self._fail(ExchangeError(f"unreadable response: {error}"))
                 return
             self._spoil()
         self._deliver()
@@ -134,7 +138,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the exchange that was under way."""
         self.closed = True
-        self._fail("connection reset" if error else "connection closed")
+        self._fail(ConnectionLostError("connection reset" if error else "connection closed"))
 
     def on_status(self, reason: bytes) -> None:
         """Parser callback: reason phrase."""
@@ -152,7 +156,7 @@
         """Parser callback: a piece of the body."""
         self._part.size += len(body)
         if self._part.size > MAX_RESPONSE_BYTES:
-            self._fail("response too large")
+            self._fail(ExchangeError("response too large"))
             return
         self._part.body.append(body)
 
@@ -215,10 +219,10 @@
         if not waiting.done():
             waiting.set_result(response)
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, error: ExchangeError) -> None:
         waiting, self._waiting = self._waiting, None
         if waiting is not None and not waiting.done():
-            waiting.set_exception(ExchangeError(reason))
+            waiting.set_exception(error)
         self.close()
 
     async def exchange(
@@ -318,6 +322,12 @@
         return 0.0
 
 
+def peer_host(transport: asyncio.BaseTransport) -> str:
+    """Return the address at the other end of a connection; empty where there is none."""
+    name = transport.get_extra_info("peername")
+    return str(name[0]) if name else ""
+
+
 def end_to_end(headers: abc.Iterable[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
     """Return the headers that are not about one connection or the framing of one message."""
     headers = list(headers)
--- a/src/turmericlug/http1/messages.py
+++ b/src/turmericlug/http1/messages.py
@@ -35,6 +35,8 @@
     """What an answer probably takes to the caller."""
     stalled_s: float = 0.0
     """For how long this process stood still before it read the request."""
+    caller_host: str = ""
+    """The address that the request came from."""
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, by its lower-case name."""
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -235,6 +235,7 @@
             arrived_s - trips * round_trip_s,
             round_trip_s / 2,
             self._server.stalled_s(),
+            client_module.peer_host(self._transport),
         )
 
     async def _serve(self) -> None:
--- a/src/turmericlug/platform/names.py
+++ b/src/turmericlug/platform/names.py
@@ -13,6 +13,7 @@
     part_signatures=b"x-part-stamps",
     missing_parts=b"x-missing-parts",
     retry_after=b"retry-after",
+    organisation=b"x-key",
 )
 
 RESOLVE_PATH = b"/turmericlug/resolve"
--- /dev/null
+++ b/tests/direct/test_content.py
@@ -0,0 +1,42 @@
+"""Which requests count as the same."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+import scripted
+
+from turmericlug.direct import content
+
+NAMES = attrs.evolve(scripted.NAMES, organisation=b"key")
+BASE = {
+    "method": b"GET",
+    "target": b"/a/b?c=1",
+    "headers": [(b"host", b"h"), (b"key", b"k"), (b"request-id", b"q1")],
+    "body": b"",
+}
+
+
+def of(**changes):
+    return content.fingerprint(**(BASE | changes), names=NAMES)
+
+
+@pytest.mark.parametrize(
+    ("changes", "same"),
+    [
+        ({}, True),
+        ({"headers": [(b"request-id", b"q2"), (b"host", b"h"), (b"key", b"k")]}, True),
+        ({"headers": [(b"host", b"h"), (b"key", b"k"), (b"user-agent", b"other")]}, True),
+        ({"method": b"POST"}, False),
+        ({"target": b"/a/b?c=2"}, False),
+        ({"target": b"/a/b"}, False),
+        ({"body": b"x"}, False),
+        ({"headers": [(b"host", b"other"), (b"key", b"k")]}, False),
+        ({"headers": [(b"host", b"h"), (b"key", b"other")]}, False),
+        ({"target": b"/a/b?c=1h", "headers": [(b"host", b""), (b"key", b"k")]}, False),
+    ],
+)
+def test_the_same_request_of_the_same_organisation(changes, same):
+    """Identifiers are new with each attempt; another organisation's request is another one."""
+    assert (of(**changes) == of()) is same
+    assert len(of(**changes)) == content.FINGERPRINT_BYTES
