--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from turmericlug.http1 import client
 from turmericlug_lab import fleet_spec
 
 ROOT = pathlib.Path(__file__).parents[1]
@@ -88,3 +89,33 @@
     )
     instance.settings.write_text(text)
     return instance
+
+
+async def ask(port, target, request_id, headers=(), method=b"GET", body=b""):
+    """Send one request on a connection of its own."""
+    connection = await client.connect("127.0.0.1", port)
+    try:
+        pairs = [(b"host", b"h.example"), (b"x-request-id", request_id), *headers]
+        return await connection.exchange(client.request_bytes(method, target, pairs, body))
+    finally:
+        connection.close()
+
+
+async def until(condition, limit_s=20.0):
+    """Wait for a condition, given as a function or a coroutine function."""
+    async with asyncio.timeout(limit_s):
+        while True:
+            found = condition()
+            if asyncio.iscoroutine(found):
+                found = await found
+            if found:
+                return
+            await asyncio.sleep(0.02)
+
+
+async def ready(instance):
+    """Whether the instance says that it is ready."""
+    try:
+        return (await ask(instance.ports[1], b"/turmericlug/ready", b"r")).status == 200
+    except (client.ConnectError, client.ExchangeError):
+        return False
--- a/tests/integration/test_entry.py
+++ b/tests/integration/test_entry.py
@@ -20,16 +20,6 @@
 SHARDS = ["s0", "s1", "s2"]
 
 
-async def ask(port, target, request_id, headers=(), method=b"GET", body=b""):
-    """Send one request on a connection of its own."""
-    connection = await client.connect("127.0.0.1", port)
-    try:
-        pairs = [(b"host", b"h.example"), (b"x-request-id", request_id), *headers]
-        return await connection.exchange(client.request_bytes(method, target, pairs, body))
-    finally:
-        connection.close()
-
-
 @contextlib.asynccontextmanager
 async def platform():
     """Run a store and two replicas of each service; yields both."""
@@ -75,33 +65,13 @@
         await instance.process.wait()
 
 
-async def until(condition, limit_s=20.0):
-    """Wait for a condition, given as a function or a coroutine function."""
-    async with asyncio.timeout(limit_s):
-        while True:
-            found = condition()
-            if asyncio.iscoroutine(found):
-                found = await found
-            if found:
-                return
-            await asyncio.sleep(0.02)
-
-
-async def ready(instance):
-    """Whether the instance says that it is ready."""
-    try:
-        return (await ask(instance.ports[1], b"/turmericlug/ready", b"r")).status == 200
-    except (client.ConnectError, client.ExchangeError):
-        return False
-
-
 def play(tmp_path, scenario, **options):
     """Run a scenario with one instance."""
 
     async def main():
         async with platform() as (store, replicas, store_port):
             async with started(tmp_path, store_port, **options) as instance:
-                await until(lambda: ready(instance))
+                await entry_process.until(lambda: entry_process.ready(instance))
                 async with asyncio.timeout(60):
                     await scenario(store, replicas, instance)
 
@@ -110,20 +80,24 @@
 
 def test_the_whole_path(tmp_path):
     async def scenario(store, replicas, instance):
-        answer = await ask(instance.ports[0], b"/all/1", b"q1", [(b"x-deadline-ms", b"2000")])
+        answer = await entry_process.ask(
+            instance.ports[0], b"/all/1", b"q1", [(b"x-deadline-ms", b"2000")]
+        )
         assert answer.status == 200
         assert len(answer.header(b"x-part-stamps").split(b", ")) == 3
         assert answer.header(b"x-missing-parts") == b"0"
         assert len(answer.body) == 32
-        answer = await ask(instance.ports[0], b"/one/1", b"q2", method=b"POST", body=b"voucher")
+        answer = await entry_process.ask(
+            instance.ports[0], b"/one/1", b"q2", method=b"POST", body=b"voucher"
+        )
         assert answer.status == 200
         assert sum(replica.runs.count(b"q2") for replica in replicas.values()) == 1
-        assert (await ask(instance.ports[0], b"/none/", b"q3")).status == 404
-        await until(lambda: any(key.endswith("/e-1") for key in store.items))
+        assert (await entry_process.ask(instance.ports[0], b"/none/", b"q3")).status == 404
+        await entry_process.until(lambda: any(key.endswith("/e-1") for key in store.items))
         target = b"/turmericlug/resolve?Name=h.example&Region=r-1&Zone=dc-1"
-        found = json.loads((await ask(instance.ports[2], target, b"r")).body)
+        found = json.loads((await entry_process.ask(instance.ports[2], target, b"r")).body)
         assert found["addrs"] == [f"127.0.0.1:{instance.ports[0]}"]
-        metrics = await ask(instance.ports[3], b"/metrics", b"m")
+        metrics = await entry_process.ask(instance.ports[3], b"/metrics", b"m")
         assert b"turmericlug_entry_answered 2" in metrics.body
 
     play(tmp_path, scenario)
@@ -137,12 +111,12 @@
 
     async def scenario(store, replicas, instance):
         async def served(path):
-            return (await ask(instance.ports[0], path, b"q")).status == 200
+            return (await entry_process.ask(instance.ports[0], path, b"q")).status == 200
 
         for version, prefix in ((2, "/new/"), (3, "/newer/")):
             configure(store, version, [standin_platform.route("n", prefix, Service="s0")])
             store.forget_history()
-            await until(lambda: served(prefix.encode()))  # noqa: B023
+            await entry_process.until(lambda: served(prefix.encode()))  # noqa: B023
         assert not await served(b"/new/")
 
     play(tmp_path, scenario)
@@ -180,7 +154,9 @@
         taken = replicas["i-one-0"]
         taken.instance = "i-other"
         for number in range(6):
-            answer = await ask(instance.ports[0], b"/one/1", b"q%d" % number, method=b"POST")
+            answer = await entry_process.ask(
+                instance.ports[0], b"/one/1", b"q%d" % number, method=b"POST"
+            )
             assert answer.status == 200
         assert not taken.runs
 
@@ -201,7 +177,7 @@
 
         for each in replicas.values():
             each.script = garbled
-        answer = await ask(instance.ports[0], b"/one/1", b"q1", method=b"POST")
+        answer = await entry_process.ask(instance.ports[0], b"/one/1", b"q1", method=b"POST")
         assert answer.status == 502
         assert sum(replica.runs.count(b"q1") for replica in replicas.values()) == 1
 
@@ -218,7 +194,7 @@
     async def scenario(store, replicas, instance):
         for replica in replicas.values():
             replica.delay_s = 0.05
-        await until(lambda: any(key.endswith("/e-1") for key in store.items))
+        await entry_process.until(lambda: any(key.endswith("/e-1") for key in store.items))
         connection = await client.connect("127.0.0.1", instance.ports[0])
         request = client.request_bytes(
             b"GET", b"/all/1", [(b"host", b"h.example"), (b"x-request-id", b"q1")], b""
@@ -228,9 +204,9 @@
         instance.process.send_signal(signal.SIGTERM)
         answer = await under_way
         assert answer.status == 200
-        await until(lambda: not any(key.endswith("/e-1") for key in store.items))
-        assert not await ready(instance)
-        late = await ask(instance.ports[0], b"/all/1", b"q2")
+        await entry_process.until(lambda: not any(key.endswith("/e-1") for key in store.items))
+        assert not await entry_process.ready(instance)
+        late = await entry_process.ask(instance.ports[0], b"/all/1", b"q2")
         assert late.status == 200
         assert late.header(b"connection") == b"close"
         assert await instance.process.wait() == 0
@@ -252,7 +228,7 @@
         )
         if signaled:
             instance.signal(signal.SIGHUP)
-        await until(lambda: instance.lines("instance.reloaded"))
+        await entry_process.until(lambda: instance.lines("instance.reloaded"))
         (line,) = instance.lines("instance.reloaded")
         assert (line["in_force"], line["at_next_start"]) == ({"grace_s": 1.25}, [])
         instance.signal(signal.SIGTERM)
@@ -272,15 +248,15 @@
 
     async def scenario(store, replicas, instance):
         async def served():
-            return (await ask(instance.ports[0], b"/all/1", b"q")).status == 200
+            return (await entry_process.ask(instance.ports[0], b"/all/1", b"q")).status == 200
 
         store.fault = fault
-        await until(lambda: instance.lines("source.lost"))
+        await entry_process.until(lambda: instance.lines("source.lost"))
         for name in replicas:
             store.remove(f"servers/{name}")
         assert await served()
         store.fault = None
-        await until(lambda: instance.lines("source.regained"))
+        await entry_process.until(lambda: instance.lines("source.regained"))
         assert await served()
         for name, replica in replicas.items():
             store.put(f"servers/{name}", replica.entry())
@@ -324,9 +300,11 @@
     async def scenario(store, replicas, instance):
         for replica in replicas.values():
             replica.script = script
-        answer = await ask(instance.ports[0], target, b"q1", [(b"x-deadline-ms", b"900")])
+        answer = await entry_process.ask(
+            instance.ports[0], target, b"q1", [(b"x-deadline-ms", b"900")]
+        )
         assert answer.status == status
-        await until(lambda: _traced(instance).outcome == outcome)
+        await entry_process.until(lambda: _traced(instance).outcome == outcome)
         assert cause in _traced(instance).cause
         assert "configuration version 1" in _traced(instance).beliefs[0]
 
@@ -348,14 +326,16 @@
             for replica in replicas.values():
                 replica.delay_s = 30.0
             async with started(tmp_path, store_port) as instance:
-                await until(lambda: ready(instance))
-                request = asyncio.create_task(ask(instance.ports[0], b"/one/1", b"q1"))
-                await until(lambda: instance.lines("query.routed"))
+                await entry_process.until(lambda: entry_process.ready(instance))
+                request = asyncio.create_task(
+                    entry_process.ask(instance.ports[0], b"/one/1", b"q1")
+                )
+                await entry_process.until(lambda: instance.lines("query.routed"))
                 instance.process.kill()
                 await asyncio.gather(request, return_exceptions=True)
             (tmp_path / "again").mkdir()
             async with started(tmp_path / "again", store_port) as again:
-                await until(lambda: again.lines("instance.starting"))
+                await entry_process.until(lambda: again.lines("instance.starting"))
                 texts = [each.log.read_text() for each in (instance, again)]
                 found = trace.trace(trace.parse("".join(texts).splitlines()), "q1")
                 assert found.outcome == "cut"
--- /dev/null
+++ b/tests/integration/test_requests_that_end_replicas.py
@@ -0,0 +1,93 @@
+"""Requests under which every replica ends that runs them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+
+import entry_process
+import mortal
+import pytest
+import standin_platform
+
+from turmericlug.http1 import client
+
+SHARDS = ["s0", "s1", "s2", "s3", "s4"]
+INSTANCES = ["e-1", "e-2", "e-3"]
+SPREAD_S = 1.0
+"""Time in which every instance is to know what others have seen."""
+MOST_AFTER = 3
+"""Attempts at the request that may reach replicas later than that after the third end."""
+
+
+@contextlib.asynccontextmanager
+async def service():
+    """Run a store and two places for replicas of each service; yields them and what they ran."""
+    store = standin_platform.Store()
+    reached = []
+    routes = [
+        standin_platform.route("all", "/all/", Gather=SHARDS, TopK=2, MinCoverage=0.6),
+        standin_platform.route("one", "/one/", Service="one"),
+    ]
+    services = [*SHARDS, "one"]
+    places = [mortal.Mortal(each, number, store, reached) for each in services for number in (0, 1)]
+    async with contextlib.AsyncExitStack() as stack:
+        for place in places:
+            await stack.enter_async_context(place.running())
+        address = await stack.enter_async_context(standin_platform.listening(store.handle))
+        store.put("op/config", standin_platform.configuration(1, routes, services))
+        yield address[1], places, reached
+
+
+async def attempt(instance, path, request_id):
+    """Ask once, as a caller with two seconds; the status, or none where there was no answer."""
+    try:
+        headers = [(b"x-deadline-ms", b"2000")]
+        answer = await entry_process.ask(instance.ports[0], path, request_id, headers)
+    except (client.ExchangeError, client.ConnectError):
+        return None
+    return answer.status
+
+
+@pytest.mark.parametrize("path", [b"/all/lethal", b"/one/lethal"], ids=["shards", "service"])
+def test_a_request_that_ends_replicas_is_not_sent_on_for_ever(tmp_path, path):
+    """
+    Every query over the shards failed in waves. One request ended each replica that ran it: it went
+    to all shards, each broken send was repeated at the shard's other replica, and its caller came
+    back with it at other instances, when the replicas were there again. Nothing told the request
+    from others whose answer was lost, and no instance knew what the others had seen.
+    """
+
+    async def main():
+        async with service() as (store_port, places, reached), contextlib.AsyncExitStack() as stack:
+            instances = [entry_process.make(tmp_path, name, store_port) for name in INSTANCES]
+            for each in instances:
+                await each.start()
+                stack.push_async_callback(each.process.wait)
+                stack.callback(each.signal, signal.SIGKILL)
+            for each in instances:
+                await entry_process.until(lambda each=each: entry_process.ready(each))
+                assert await attempt(each, b"/all/first", b"first") == 200
+            numbers = iter(range(1000))
+            ended = []
+            async with asyncio.timeout(30):
+                while sum(place.ends for place in places) < 3:
+                    number = next(numbers)
+                    request_id = b"before-%d" % number
+                    ended.append(await attempt(instances[number % 3], path, request_id))
+                    await asyncio.sleep(0.2)
+            third_s = sorted(each for each, _ in reached)[2]
+            await asyncio.sleep(SPREAD_S + 2 * mortal.AWAY_S)
+            for number in range(9):
+                status = await attempt(instances[number % 3], path, b"after-%d" % number)
+                ended.append(status)
+                await asyncio.sleep(mortal.AWAY_S + 0.2)
+            assert 200 not in ended
+            later = {name for at_s, name in reached if at_s > third_s + SPREAD_S}
+            assert len(later) <= MOST_AFTER
+            await asyncio.sleep(2 * mortal.AWAY_S)
+            for each in instances:
+                assert await attempt(each, path.replace(b"lethal", b"other"), b"other") == 200
+
+    asyncio.run(main())
