--- a/src/turmericlug/direct/quarantine.py
+++ b/src/turmericlug/direct/quarantine.py
@@ -185,7 +185,7 @@
         self._counters.add(f"poison.verdict.{verdict.value}")
         record, now_s = self.book.records[request], self._now_s()
         decisions.log(
-            f"poison.{verdict.value}",
+            f"poison.verdict.{verdict.value}",
             content=request.hex(),
             how=how,
             ends={name: round(now_s - at_s, 2) for name, at_s in record.recent(now_s).items()},
--- a/src/turmericlug/entry/beliefs.py
+++ b/src/turmericlug/entry/beliefs.py
@@ -2,7 +2,9 @@
 What an instance believes now, told to an operator on the metrics address.
 
 ``GET /status`` tells configuration, source, instances and replicas; ``GET /explain?host=H&path=P``
-tells which route a request would take, and how its replicas stand. Nothing here changes anything.
+tells which route a request would take, and how its replicas stand; ``GET /quarantine`` tells which
+requests are held back, as replicas ended under them. ``POST /quarantine/CONTENT`` allows such a
+request again, at all instances; nothing else here changes anything.
 """
 
 from __future__ import annotations
@@ -15,12 +17,14 @@
 
 import attrs
 
+from turmericlug.direct import quarantine as quarantine_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import messages
 
 STATUS_PATH = b"/status"
+QUARANTINE_PATH = b"/quarantine"
 EXPLAIN_PATH = b"/explain"
 _JSON = ((b"content-type", b"application/json"),)
 
@@ -42,13 +46,33 @@
     """What one more request is expected to take, all reasons against it included."""
 
 
-def handler(name: str, view: view_module.View, ready: abc.Callable[[], bool]) -> messages.Handler:
-    """Return the handler of both questions; 404 for any other."""
+@attrs.frozen
+class Held:
+    """A request that is held back."""
+
+    content: str
+    verdict: str
+    ends: dict[str, float]
+    """Replicas that ended under it, with the age of the end in seconds."""
+    quarantined_age_s: float | None
+
+
+def handler(
+    name: str,
+    view: view_module.View,
+    ready: abc.Callable[[], bool],
+    quarantine: quarantine_module.Quarantine,
+) -> messages.Handler:
+    """Return the handler of all questions; 404 for any other."""
 
     async def handle(request: messages.Request) -> messages.Answer:
         path, _, query = request.target.partition(b"?")
         if path == STATUS_PATH:
             return _answer(status(name, view, ready()))
+        if path == QUARANTINE_PATH:
+            return _answer({"requests": [attrs.asdict(each) for each in held(quarantine)]})
+        if path.startswith(QUARANTINE_PATH + b"/") and request.method == b"POST":
+            return _lifted(quarantine, path.removeprefix(QUARANTINE_PATH + b"/"))
         if path != EXPLAIN_PATH:
             return messages.Answer(404)
         asked = urllib.parse.parse_qs(query.decode("latin-1"))
@@ -60,8 +84,33 @@
     return handle
 
 
-def _answer(plain: Plain) -> messages.Answer:
-    return messages.Answer(200, _JSON, json.dumps(plain).encode())
+def _answer(plain: Plain, status: int = 200) -> messages.Answer:
+    return messages.Answer(status, _JSON, json.dumps(plain).encode())
+
+
+def held(quarantine: quarantine_module.Quarantine) -> list[Held]:
+    """Return the requests that are held back, the latest end first."""
+    now_s = asyncio.get_running_loop().time()
+    found = [
+        Held(
+            request.hex(),
+            record.verdict(now_s).value,
+            {replica: round(now_s - at_s, 1) for replica, at_s in record.recent(now_s).items()},
+            view_module.told_age_s(now_s - record.quarantined_s),
+        )
+        for request, record in quarantine.book.held(now_s)
+    ]
+    return sorted(found, key=lambda each: min(each.ends.values(), default=0.0))
+
+
+def _lifted(quarantine: quarantine_module.Quarantine, content: bytes) -> messages.Answer:
+    try:
+        request = bytes.fromhex(content.decode("latin-1"))
+    except ValueError:
+        return _answer({"problems": ["the content is no hexadecimal number"]}, 400)
+    if not quarantine.lift(request):
+        return _answer({"problems": ["nothing is held against this content"]}, 404)
+    return _answer({"lifted": request.hex()})
 
 
 def status(name: str, view: view_module.View, ready: bool) -> Plain:
--- a/src/turmericlug/entry/questions.py
+++ b/src/turmericlug/entry/questions.py
@@ -87,7 +87,10 @@
 def _operators_handler(kernel: Kernel) -> messages.Handler:
     tell_metrics = metrics.handler(kernel.find("counters"))
     tell_beliefs = beliefs.handler(
-        kernel.find("settings").entry.name, kernel.find("view"), lambda: ready(kernel)
+        kernel.find("settings").entry.name,
+        kernel.find("view"),
+        lambda: ready(kernel),
+        kernel.find("sender").quarantine,
     )
 
     async def handle(request: messages.Request) -> messages.Answer:
--- a/src/turmericlug/operators/entry_commands.py
+++ b/src/turmericlug/operators/entry_commands.py
@@ -66,3 +66,35 @@
     columns = ["service", "replica", "data centre", "state", "sends", "expected ms"]
     keys = ("service", "replica", "data_centre", "state", "sends", "expected_ms")
     tables.show("Replicas", columns, ([each[key] for key in keys] for each in answer["replicas"]))
+
+
+@commands.command()
+def quarantine(context: typer.Context) -> None:
+    """Show the requests that are held back, as replicas ended under them."""
+    answer = context.obj.call("GET", "/quarantine")
+    context.obj.show(answer, _print_quarantine)
+
+
+def _print_quarantine(answer: Plain) -> None:
+    if not answer["requests"]:
+        typer.echo("no request is held back")
+        return
+    rows = (
+        [
+            each["content"],
+            each["verdict"],
+            ", ".join(f"{name} {age_s} s ago" for name, age_s in each["ends"].items()),
+        ]
+        for each in answer["requests"]
+    )
+    tables.show("Requests", ["content", "verdict", "replicas that ended"], rows)
+
+
+@commands.command()
+def lift(
+    context: typer.Context,
+    content: typing.Annotated[str, typer.Argument(help="Content as `quarantine` shows it.")],
+) -> None:
+    """Allow a request that is held back, at all instances."""
+    answer = context.obj.call("POST", f"/quarantine/{urllib.parse.quote(content, safe='')}")
+    context.obj.show(answer, lambda told: typer.echo(f"allowed: {told['lifted']}"))
--- a/tests/entry/test_beliefs.py
+++ b/tests/entry/test_beliefs.py
@@ -9,12 +9,14 @@
 import scripted
 
 from turmericlug.direct import budget
+from turmericlug.direct import quarantine as quarantine_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.entry import beliefs
 from turmericlug.entry import news
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import messages
+from turmericlug.telemetry import counters
 
 ROUTE = routes.Route("r", "h", "/a/", True, 2000.0, 100.0, 1, 2, shards=("x", "y"))
 CONFIGURATION = routes.Configuration(7, (ROUTE,), {}, messages.Limits())
@@ -31,7 +33,7 @@
     return news.Written(key, value, 1)
 
 
-def ask(target, snapshot=()):
+def ask(target, snapshot=(), method=b"GET", held=()):
     """Ask an instance that has read a snapshot; returns the status and the told beliefs."""
 
     async def main():
@@ -45,8 +47,12 @@
             view.source_regained()
             view.take_snapshot(news.Snapshot(tuple(snapshot), 1))
             replicas.of("x")[1].ejected_until_s = loop.time() + 60
-        handle = beliefs.handler("e-1", view, lambda: view.ready)
-        answer = await handle(messages.Request(b"GET", target, (), b"", 0.0))
+        quarantine = quarantine_module.Quarantine(counters.Counters(), loop.time)
+        for number, request in enumerate(held):
+            for replica in ("r1", "r2", "r3"):
+                quarantine.book.ended(request, replica, loop.time(), on_trial=bool(number))
+        handle = beliefs.handler("e-1", view, lambda: view.ready, quarantine)
+        answer = await handle(messages.Request(method, target, (), b"", 0.0))
         return answer.status, json.loads(answer.body) if answer.status == 200 else None
 
     return asyncio.run(main())
@@ -94,3 +100,24 @@
     found, told = ask(target, SNAPSHOT)
     assert found == status
     assert told is None or told["route"] is None
+
+
+def test_the_requests_that_are_held_back():
+    status, told = ask(b"/quarantine", held=[b"a", b"b"])
+    assert status == 200
+    found = {each["content"]: each for each in told["requests"]}
+    assert {each: found[each]["verdict"] for each in found} == {
+        b"a".hex(): "suspected",
+        b"b".hex(): "quarantined",
+    }
+    assert found[b"a".hex()]["ends"].keys() == {"r1", "r2", "r3"}
+    assert found[b"a".hex()]["quarantined_age_s"] is None
+
+
+@pytest.mark.parametrize(
+    ("method", "content", "status"),
+    [(b"POST", b"61", 200), (b"POST", b"62", 404), (b"POST", b"zz", 400), (b"GET", b"61", 404)],
+    ids=["held back", "not held back", "no content", "only asked"],
+)
+def test_an_operator_allows_a_request(method, content, status):
+    assert ask(b"/quarantine/" + content, method=method, held=[b"a"])[0] == status
--- a/tests/entry/test_suspects.py
+++ b/tests/entry/test_suspects.py
@@ -29,8 +29,6 @@
 
 PLACE = placement.Place("own", "dc", {"dc": "r"})
 Q = b"fingerprint"
-KNOWN_WITHIN_S = 1.0
-"""In which every instance is to know what others have seen."""
 
 
 class Instance:
@@ -115,11 +113,12 @@
 
 
 @pytest.mark.parametrize("count", [7, 40])
-def test_ends_seen_at_different_instances_reach_all(count):
+def test_ends_seen_at_different_instances_reach_all(monkeypatch, count):
     """
     A caller comes back at another instance each time, each of which sees one replica end. All are
-    to know within a second, also where each tells only a few others.
+    to know by what each tells at once, also where that goes to a few others only.
     """
+    monkeypatch.setattr(suspects, "EXCHANGE_EVERY_S", 1000.0)
 
     async def scenario(instances):
         for number, each in enumerate(instances[:3]):
--- a/tests/integration/test_requests_that_end_replicas.py
+++ b/tests/integration/test_requests_that_end_replicas.py
@@ -4,14 +4,17 @@
 
 import asyncio
 import contextlib
+import json
 import signal
 
 import entry_process
 import mortal
 import pytest
 import standin_platform
+from typer import testing
 
 from turmericlug.http1 import client
+from turmericlug.operators import client as operators
 
 SHARDS = ["s0", "s1", "s2", "s3", "s4"]
 INSTANCES = ["e-1", "e-2", "e-3"]
@@ -93,4 +96,21 @@
             for each in instances:
                 assert await attempt(each, path.replace(b"lethal", b"other"), b"other") == 200
 
+            told = await operator(instances[0], "quarantine")
+            assert [each["verdict"] for each in json.loads(told.output)["requests"]] == [
+                "quarantined"
+            ]
+            content = json.loads(told.output)["requests"][0]["content"]
+            assert (await operator(instances[0], "lift", content)).exit_code == 0
+            await entry_process.until(lambda: instances[2].lines("poison.verdict.allowed"))
+            told = await operator(instances[2], "quarantine")
+            assert json.loads(told.output)["requests"] == []
+
     asyncio.run(main())
+
+
+async def operator(instance, *words):
+    """Run the operators' client against an instance."""
+    url = f"http://127.0.0.1:{instance.ports[3]}"
+    command = ["--url", url, "--json", "entry", *words]
+    return await asyncio.to_thread(testing.CliRunner().invoke, operators.application, command)
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -449,10 +449,17 @@
         "direct/test_quarantine.py::test_what_counts_as_an_end",
     ),
     mutant.one(
-        "repeat-what-ends-replicas",
-        "direct/obtaining.py",
-        "    if not sender.quarantine.may_send(call):\n        # Another",
-        "    if not sender.quarantine:\n        # Another",
+        "send-what-ends-replicas",
+        "direct/quarantine.py",
+        "        return verdict is poison.Verdict.ALLOWED\n\n    def is_suspected",
+        "        return True\n\n    def is_suspected",
+        "direct/test_quarantine.py::test_what_is_under_way_is_broken_off_and_ends",
+    ),
+    mutant.one(
+        "repeat-what-is-suspected",
+        "direct/quarantine.py",
+        "            return call.on_trial\n",
+        "            return True\n",
         "direct/test_quarantine.py::test_a_query_that_ends_replicas_is_not_repeated_at_all_shards",
     ),
     mutant.one(
