Owners hold back requests under which targets have ended, and tell each other

The same cause in turmericlugd: a send whose target ended was retried like any lost answer, by each owner for its own services. Of a scripted service of eight targets all eight ran one request that its caller repeated, and ended; now four at most do (tests/owner/test_service_queue.py). Owners tell each other by a message of the peer protocol. What a query's parts end at several owners in the same moment is not prevented, and each owner may make one trial.

--- a/src/turmericlug/daemon.py
+++ b/src/turmericlug/daemon.py
@@ -237,6 +237,7 @@
         "spread": distribution.on_spread,
         "parts": owner.on_parts,
         "targetLeaving": owner.on_target_leaving,
+        "suspects": owner.on_suspects,
         "claim": kernel.find("records").on_claim,
         "status": kernel.find("operators").on_status,
     }
--- a/src/turmericlug/direct/content.py
+++ b/src/turmericlug/direct/content.py
@@ -1,13 +1,9 @@
-"""Recognising a request that comes again: what it asks for, not which attempt it is."""
+"""What of a request stays the same when it comes again."""
 
 from __future__ import annotations
 
-import hashlib
-
 from turmericlug.direct import dialect
-
-FINGERPRINT_BYTES = 16
-"""So long that no two requests of a deployment share one, also where a caller tries for it."""
+from turmericlug.policy import fingerprint as fingerprint_module
 
 
 def fingerprint(
@@ -20,14 +16,8 @@
     """
     Return the same bytes for the same request of the same organisation, at every instance.
 
-    Identifiers and the time left are new with each attempt and do not count. It tells nothing of
-    the body but whether it is the same.
+    Identifiers and the time left are new with each attempt and do not count.
     """
     told = (b"host", names.organisation)
-    parts = [method, target, *(value for key, value in headers if key in told), body]
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in parts:
-        # Its length first: what ends one part can't be taken for the begin of the next.
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.digest()
+    named = (value for key, value in headers if key in told)
+    return fingerprint_module.of((method, target, *named, body))
--- a/src/turmericlug/entry/settings.py
+++ b/src/turmericlug/entry/settings.py
@@ -60,10 +60,10 @@
     extra_ratio: float = ini.key(ini.ratio(10.0), 0.2, "extra sends for each request")
     extra_slack: float = ini.key(ini.ratio(1e6), 50.0, "extra sends in a window besides")
     extra_window_s: float = ini.key(ini.ratio(3600.0), 10.0, "length of the window")
+    grace_s: float = ini.key(ini.ratio(3600.0), 6.0, "time from SIGTERM to the forced end")
     quarantine: int = ini.key(
         ini.whole(0, 1), 1, "1: requests under which replicas ended are held back"
     )
-    grace_s: float = ini.key(ini.ratio(3600.0), 6.0, "time from SIGTERM to the forced end")
 
 
 @attrs.frozen
--- a/src/turmericlug/entry/suspects.py
+++ b/src/turmericlug/entry/suspects.py
@@ -17,19 +17,16 @@
 
 from turmericlug.direct import quarantine as quarantine_module
 from turmericlug.direct import replicas as replicas_module
-from turmericlug.entry import suspects_codec
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
 from turmericlug.kernel import tasks as tasks_module
 from turmericlug.policy import poison
+from turmericlug.policy import spread
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
+from turmericlug.wire import suspects_codec
 
 PATH = b"/suspects"
-FEW_PEERS = 12
-"""So many are all told directly."""
-FAN_OUT = 6
-"""Instances that each one tells where there are more: after four steps 999 in 1,000 know of it."""
 SETTLE_S = 0.2
 """Time that a first end is kept back: nearly all requests beside it are answered by the shard's
 other replica meanwhile, and need not be told."""
@@ -106,7 +103,7 @@
             if not self._quarantine.learn(request, told):
                 continue
             contradicted = self._quarantine.verdict(request) is poison.Verdict.ALLOWED
-            if contradicted or len(self._peers) > FEW_PEERS:
+            if contradicted or spread.tells_on(len(self._peers)):
                 self._told.add(request)
                 self.note(request)
 
@@ -146,8 +143,7 @@
         }
 
     def _listeners(self) -> list[replicas_module.Replica]:
-        peers = list(self._peers.all())
-        return peers if len(peers) <= FEW_PEERS else self._rng.sample(peers, FAN_OUT)
+        return list(spread.listeners(list(self._peers.all()), self._rng))
 
     async def keep_in_step(self) -> None:
         """Learn after the start what others hold back, then exchange it regularly, for ever."""
--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import contextlib
 import random
 import time
 from collections import abc
 
 import aiohttp
-import attrs
 
 from turmericlug.config import settings as settings_module
 from turmericlug.kernel import tasks
@@ -20,7 +18,9 @@
 from turmericlug.owner import replica as replica_module
 from turmericlug.owner import service_queue
 from turmericlug.owner import submission
+from turmericlug.owner import suspects as suspects_module
 from turmericlug.owner import target
+from turmericlug.policy import spread
 from turmericlug.rules import configuration
 from turmericlug.storage import instances
 from turmericlug.telemetry import counters as counters_module
@@ -33,27 +33,6 @@
 _PARTS_PER_TURN = 16
 
 
-@attrs.define(eq=False)
-class _Submission:
-    """A coordinator's parts on their way into the queues."""
-
-    parts_in: submission.PartsIn
-    deadline_s: float
-    reply: abc.Callable[[part_module.PartReply], None]
-    made: list[tuple[service_queue.ServiceQueue, part_module.Part]] = attrs.field(factory=list)
-    waiting: collections.deque[tuple[int, str, str]] = attrs.field(init=False)
-    cancelled: bool = False
-
-    def __attrs_post_init__(self) -> None:
-        self.waiting = collections.deque(self.parts_in.parts)
-
-    def cancel(self) -> None:
-        """Give up what is still open, also what has not reached a queue yet."""
-        self.cancelled = True
-        for queue, part in self.made:
-            queue.cancel(part)
-
-
 OnReplies = abc.Callable[[list[part_module.PartReply]], None]
 
 
@@ -85,6 +64,9 @@
         self._rankings: dict[str, list[members_module.Member]] = {}
         self._ranked_at = (-1, -1)
         self._tasks = tasks.Tasks()
+        self.suspects = suspects_module.Suspects(
+            counters, self._tell_suspects, lambda: spread.tells_on(len(self._others()))
+        )
 
     def ranking(
         self, service: str, joining: tuple[members_module.Member, ...] = ()
@@ -129,11 +111,11 @@
                 asyncio.get_running_loop().call_soon(flush)
             batch.append(part_reply)
 
-        pending = _Submission(parts_in, deadline_s, reply)
+        pending = submission.Pending(parts_in, deadline_s, reply)
         self._submit_some(pending)
         return pending.cancel
 
-    def _submit_some(self, pending: _Submission) -> None:
+    def _submit_some(self, pending: submission.Pending) -> None:
         """
         Take a few parts, and the next few in the next turn of the event loop.
 
@@ -156,7 +138,7 @@
                 queue.submit(part)
         asyncio.get_running_loop().call_soon(self._submit_some, pending)
 
-    def _part(self, pending: _Submission, number: int, shard: str) -> part_module.Part:
+    def _part(self, pending: submission.Pending, number: int, shard: str) -> part_module.Part:
         terms = pending.parts_in.terms
         return part_module.Part(
             number=number,
@@ -171,10 +153,11 @@
             body=terms.body,
             reply=pending.reply,
             attempt_prefix=f"{terms.query_id}.{number}.{self._settings.instance.name}",
+            fingerprint=pending.fingerprint,
         )
 
     async def _submit_later(
-        self, service: str, part: part_module.Part, pending: _Submission
+        self, service: str, part: part_module.Part, pending: submission.Pending
     ) -> None:
         """Open a service that we did not expect, as when the coordinator's view differs."""
         queue = await self._queue(service)
@@ -205,6 +188,7 @@
             policy.retry_budget,
             self._settings.limits.queue_parts,
             policy.caller_share,
+            self.suspects,
         )
         queue.on_leaving = lambda instance: self._tell_leaving(service, instance)
         await self._refresh(service, queue, client)
@@ -259,7 +243,11 @@
     def _new_replica(self, entry: instances.Listed, slots: int) -> replica_module.Replica:
         self._generations[entry.instance] = entry.generation
         replica = replica_module.Replica(
-            entry.instance, f"http://{entry.host}:{entry.port}", entry.data_centre, float(slots)
+            entry.instance,
+            f"http://{entry.host}:{entry.port}",
+            entry.data_centre,
+            float(slots),
+            generation=entry.generation,
         )
         if f"{entry.instance}#{entry.generation}" in self._known_leaving:
             replica.leaving = "told_by_peer"
@@ -284,6 +272,21 @@
             if link is not None and member.instance != self._mesh.members.own.instance:
                 link.tell(lambda envelope: setattr(envelope, "targetLeaving", name))
 
+    def _others(self) -> list[str]:
+        own = self._mesh.members.own.instance
+        names = (member.instance for member in self._mesh.members.serving())
+        return [name for name in names if name != own]
+
+    def _tell_suspects(self, content: bytes) -> None:
+        for name in spread.listeners(self._others(), self._rng):
+            link = self._mesh.link(name)
+            if link is not None:
+                link.tell(lambda envelope: setattr(envelope, "suspects", content))
+
+    def on_suspects(self, request: server_module.Request) -> None:
+        """Take over under which requests targets of others have ended."""
+        self.suspects.on_told(request.message.suspects)
+
     def on_target_leaving(self, request: server_module.Request) -> None:
         """Note what another owner found out."""
         name = request.message.targetLeaving
@@ -320,6 +323,7 @@
         while True:
             await self.open_owned()
             await self._close_unowned()
+            self.suspects.forget()
             await asyncio.sleep(0.5)
 
     async def _close_unowned(self) -> None:
--- a/src/turmericlug/owner/part.py
+++ b/src/turmericlug/owner/part.py
@@ -51,6 +51,10 @@
     body: bytes
     reply: abc.Callable[[PartReply], None]
     attempt_prefix: str
+    fingerprint: bytes = b""
+    """The same each time the caller asks for the same."""
+    on_trial: bool = False
+    """Whether it goes to one replica only, to find out whether that ends under it."""
     queued_at_s: float = 0.0
     done: bool = False
     attempts: int = 0
--- a/src/turmericlug/owner/replica.py
+++ b/src/turmericlug/owner/replica.py
@@ -31,6 +31,8 @@
     answered_at_s: float = 0.0
     absent: dict[str, float] = attrs.field(factory=dict)
     """Snapshots that it did not hold when asked, with the time of asking."""
+    generation: int = 0
+    """Which start it is, of those under its name."""
 
     def usable(self, now_s: float) -> bool:
         """Whether it may get work; an ejected one is tried again with one part at a time."""
--- a/src/turmericlug/owner/service_queue.py
+++ b/src/turmericlug/owner/service_queue.py
@@ -15,6 +15,7 @@
 from turmericlug.owner import part as part_module
 from turmericlug.owner import policy
 from turmericlug.owner import replica as replica_module
+from turmericlug.owner import suspects as suspects_module
 from turmericlug.owner import target
 from turmericlug.telemetry import counters as counters_module
 
@@ -36,6 +37,7 @@
         retry_budget: float,
         most_queued: int,
         caller_share: float,
+        suspects: suspects_module.Suspects,
     ) -> None:
         self.service = service
         self.replicas: dict[str, replica_module.Replica] = {}
@@ -49,6 +51,7 @@
         )
         self._most_queued = most_queued
         self._caller_share = caller_share
+        self._suspects = suspects
         self._queue: fair_queue.FairQueue[part_module.Part] = fair_queue.FairQueue()
         self._late: collections.deque[part_module.Part] = collections.deque()
         self._tasks = tasks.Tasks()
@@ -90,6 +93,7 @@
             reason = "no_time"
         if reason:
             self._refuse(part, reason, wait_ms)
+        if part.done or not self._may_start(part):
             return
         part.queued_at_s = now_s
         self._hedging.budget.earn()
@@ -97,6 +101,15 @@
         self._queue.push(part)
         self.pump()
 
+    def _may_start(self, part: part_module.Part) -> bool:
+        """Whether a part may go to a replica; ends it where replicas ended under its request."""
+        held = self._suspects.holds(part)
+        if held == part_module.FAILED:
+            self._fail(part, suspects_module.HELD)
+        elif held:
+            self._give_up(part, suspects_module.HELD)
+        return not held
+
     def _refuse(self, part: part_module.Part, reason: str, wait_ms: float = 0.0) -> None:
         come_back_ms = policy.come_back_ms(wait_ms, self._rng)
         self._counters.add(f"owner.part.refused.{reason}")
@@ -154,6 +167,8 @@
             if part.deadline_s - now_s < _LEAST_TIME_S:
                 self._give_up(part, "expired_in_queue")
                 continue
+            if not self._may_start(part):
+                continue
             chosen = self._chosen(now_s, part)
             if chosen is None:
                 self._without_replica(part, now_s)
@@ -170,7 +185,7 @@
         waiting = len(self._late)
         for _ in range(waiting):
             part = self._late.popleft()
-            if part.done or not part.running:
+            if part.done or not part.running or self._suspects.is_held(part):
                 continue
             replica = choice.free(self.replicas.values(), now_s, part)
             if replica is None:
@@ -239,17 +254,14 @@
             return
         if not self._hedging.pay(list(part.running.values()), time.monotonic()):
             self._counters.add("owner.hedge.denied")
-            self._look_again(part)
+            # Decided once more when the part would count as stuck.
+            delay_s = self._hedging.stuck_after_ms() / 1000
+            part.hedge_timer = asyncio.get_running_loop().call_later(delay_s, self._late_part, part)
             return
         part.hedged = True
         self._late.append(part)
         self.pump()
 
-    def _look_again(self, part: part_module.Part) -> None:
-        """Decide once more when the part would count as stuck."""
-        delay_s = self._hedging.stuck_after_ms() / 1000
-        part.hedge_timer = asyncio.get_running_loop().call_later(delay_s, self._late_part, part)
-
     async def _attempt(
         self, part: part_module.Part, replica: replica_module.Replica, attempt: str
     ) -> None:
@@ -270,6 +282,7 @@
         duration_ms = (time.monotonic() - began_at_s) * 1000
         self._counters.time_ms("owner.target_ms", duration_ms)
         self._learn(replica, part, outcome, duration_ms)
+        await self._suspects.settle(part, replica, outcome, self._client)
         if not part.done:
             self._settle(part, replica, outcome, attempt)
         self.pump()
@@ -351,12 +364,7 @@
                 self._retry(part, reason)
 
     def _note_stuck(self, part: part_module.Part) -> None:
-        """
-        Count an overtaken attempt against its replica if that looks stuck.
-
-        Its own failure shows only at the deadline, seconds later; until then the replica would be
-        given more parts.
-        """
+        """Count an overtaken attempt, whose failure shows only seconds later, if it looks stuck."""
         for attempt in part.running.values():
             if self._hedging.looks_stuck(attempt, time.monotonic()):
                 self._failed(attempt.replica)
@@ -370,6 +378,8 @@
         denied = ""
         if part.may_have_run and not part.repeatable:
             denied = "not_repeatable"
+        elif self._suspects.is_held(part):
+            denied = suspects_module.HELD
         elif part.attempts > part.retries:
             denied = "used_up"
         elif time.monotonic() + _LEAST_TIME_S > part.deadline_s:
--- a/src/turmericlug/owner/submission.py
+++ b/src/turmericlug/owner/submission.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import collections
 import typing
+from collections import abc
 
 import attrs
 
 from turmericlug.owner import part as part_module
+from turmericlug.owner import service_queue
+from turmericlug.policy import fingerprint
 
 
 @attrs.frozen
@@ -82,3 +86,27 @@
         item.body = reply.body
         item.attempts = reply.attempts
         item.waitMs = reply.wait_ms
+
+
+@attrs.define(eq=False)
+class Pending:
+    """A coordinator's parts on their way into the queues."""
+
+    parts_in: PartsIn
+    deadline_s: float
+    reply: abc.Callable[[part_module.PartReply], None]
+    made: list[tuple[service_queue.ServiceQueue, part_module.Part]] = attrs.field(factory=list)
+    waiting: collections.deque[tuple[int, str, str]] = attrs.field(init=False)
+    cancelled: bool = False
+    fingerprint: bytes = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.waiting = collections.deque(self.parts_in.parts)
+        terms = self.parts_in.terms
+        self.fingerprint = fingerprint.of((terms.caller.encode(), terms.body))
+
+    def cancel(self) -> None:
+        """Give up what is still open, also what has not reached a queue yet."""
+        self.cancelled = True
+        for queue, part in self.made:
+            queue.cancel(part)
--- /dev/null
+++ b/src/turmericlug/owner/suspects.py
@@ -0,0 +1,150 @@
+"""
+Requests under which targets have ended, as an owner knows them.
+
+An owner sees all sends to its services, but a query goes to services of many owners: each tells the
+others what it has seen, so that the ends of all of them add up.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import abc
+
+from turmericlug.owner import part as part_module
+from turmericlug.owner import replica as replica_module
+from turmericlug.owner import target as target_module
+from turmericlug.policy import poison
+from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import events
+from turmericlug.wire import suspects_codec
+
+HELD = "ends_targets"
+"""Reason of a part that is not sent, since targets ended under it."""
+CONFIRM_S = 0.15
+"""Longest wait for a target to refuse a connection: a journey to the farthest region and back."""
+
+
+class Suspects:
+    """The book of one instance, for all its services."""
+
+    def __init__(
+        self,
+        counters: counters_module.Counters,
+        tell: abc.Callable[[bytes], None],
+        tells_on: abc.Callable[[], bool],
+    ) -> None:
+        """
+        Begin with an empty book.
+
+        :param tell: sends a message to other instances
+        :param tells_on: whether instances are so many that what is learned is told on
+        """
+        self.book = poison.Book()
+        self._counters = counters
+        self._tell = tell
+        self._tells_on = tells_on
+
+    def verdict(self, request: poison.Fingerprint) -> poison.Verdict:
+        """Return what may be done with a request now."""
+        return self.book.verdict(request, time.monotonic())
+
+    def is_held(self, part: part_module.Part) -> bool:
+        """Whether a part may go to no further target now; a trial looks for one that runs it."""
+        verdict = self.verdict(part.fingerprint)
+        if verdict is poison.Verdict.SUSPECTED:
+            return part.may_have_run or not part.on_trial
+        return verdict is poison.Verdict.QUARANTINED
+
+    def holds(self, part: part_module.Part) -> str:
+        """
+        Return how a part ends that may not start; empty where it may.
+
+        A suspected one may start as a trial, at one target, while no other one is on trial.
+        """
+        verdict = self.verdict(part.fingerprint)
+        if verdict is poison.Verdict.QUARANTINED:
+            return part_module.FAILED
+        if verdict is poison.Verdict.ALLOWED or part.on_trial:
+            return ""
+        part.on_trial = self.begin_trial(part.fingerprint)
+        part.hedge = False
+        return "" if part.on_trial else part_module.REFUSED
+
+    async def settle(
+        self,
+        part: part_module.Part,
+        replica: replica_module.Replica,
+        outcome: target_module.Outcome,
+        client: target_module.Client,
+    ) -> None:
+        """
+        Learn from the end of an attempt.
+
+        Awaited before the part goes to another target: it ended that one as well before the end of
+        the first was known.
+        """
+        if isinstance(outcome, target_module.Answered):
+            self.answered(part.fingerprint)
+        elif outcome == target_module.CONNECTION_LOST:
+            if await client.refuses(replica.address, CONFIRM_S):
+                start = f"{replica.instance}@{replica.generation}"
+                self.ended(part.fingerprint, start, part.on_trial)
+        elif part.on_trial and isinstance(outcome, target_module.NotRun):
+            self.book.trial_not_run(part.fingerprint, time.monotonic())
+
+    def answered(self, request: poison.Fingerprint) -> None:
+        """Take note that a target has answered a request."""
+        if self.book.answered(request, time.monotonic()):
+            self._counters.add("poison.cleared")
+            self._tell_of(request)
+
+    def ended(self, request: poison.Fingerprint, target: str, on_trial: bool) -> None:
+        """Take note that a target ended under a request."""
+        before = self.verdict(request)
+        self.book.ended(request, target, time.monotonic(), on_trial)
+        self._counters.add("poison.ended")
+        self._changed(request, before)
+        self._tell_of(request)
+
+    def begin_trial(self, request: poison.Fingerprint) -> bool:
+        """Begin the trial of a suspected request; false while another one is under way."""
+        if not self.book.begin_trial(request, time.monotonic()):
+            return False
+        self._counters.add("poison.trial")
+        self._tell_of(request)
+        return True
+
+    def on_told(self, content: bytes) -> None:
+        """Take over what another instance tells."""
+        now_s = time.monotonic()
+        try:
+            told = suspects_codec.decode(content, now_s)
+        except suspects_codec.MessageError as error:
+            events.emit("poison.unreadable", "warning", reason=str(error))
+            return
+        for request, record in told.records.items():
+            before = self.verdict(request)
+            if not self.book.learn(request, record, now_s):
+                continue
+            self._counters.add("poison.learned")
+            self._changed(request, before)
+            if self.verdict(request) is poison.Verdict.ALLOWED or self._tells_on():
+                self._tell_of(request)
+
+    def forget(self) -> None:
+        """Drop what no longer matters."""
+        forgotten = self.book.forget(time.monotonic())
+        self._counters.add("poison.forgotten", forgotten)
+
+    def _changed(self, request: poison.Fingerprint, before: poison.Verdict) -> None:
+        verdict = self.verdict(request)
+        if verdict is not before:
+            self._counters.add(f"poison.verdict.{verdict.value}")
+            ends = sorted(self.book.records[request].ends)
+            events.emit(f"poison.{verdict.value}", "warning", content=request.hex(), ends=ends)
+
+    def _tell_of(self, request: poison.Fingerprint) -> None:
+        record = self.book.records.get(request)
+        if record is not None:
+            suspects = suspects_codec.Suspects({request: record})
+            self._tell(suspects_codec.encode(suspects, time.monotonic()))
--- a/src/turmericlug/owner/target.py
+++ b/src/turmericlug/owner/target.py
@@ -53,6 +53,9 @@
     reason: str
 
 
+CONNECTION_LOST = Unknown("connection_lost")
+"""The connection ended while the target had the part."""
+
 Outcome = Answered | NotRun | SnapshotAbsent | Unknown
 
 
@@ -102,7 +105,7 @@
         except aiohttp.ClientPayloadError:
             return Unknown("truncated_reply")
         except (aiohttp.ClientError, OSError):
-            return Unknown("connection_lost")
+            return CONNECTION_LOST
 
     async def _outcome(
         self, response: aiohttp.ClientResponse, attempt: str, snapshot: str
@@ -148,6 +151,17 @@
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
             return ""
 
+    async def refuses(self, address: str, timeout_s: float) -> bool:
+        """Whether a replica takes no connection, as after its end."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self._session.get(f"{address}/v1/health"):
+                    return False
+        except aiohttp.ClientConnectorError as error:
+            return isinstance(error.os_error, ConnectionRefusedError)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
     async def warm(self, address: str, connections: int, timeout_s: float) -> None:
         """Open connections to a replica before they are needed."""
         await asyncio.gather(*(self.health(address, timeout_s) for _ in range(connections)))
--- a/src/turmericlug/wire/peer.capnp
+++ b/src/turmericlug/wire/peer.capnp
@@ -28,6 +28,8 @@
     fault @20 :Text;
     targetLeaving @21 :Text;
     # Names a target that takes no new work; sent to the next owners of its service, no reply.
+    suspects @22 :Data;
+    # Requests under which targets ended, as suspects.capnp has them; no reply.
   }
 }
 
--- a/tests/direct/test_content.py
+++ b/tests/direct/test_content.py
@@ -7,6 +7,7 @@
 import scripted
 
 from turmericlug.direct import content
+from turmericlug.policy import fingerprint
 
 NAMES = attrs.evolve(scripted.NAMES, organisation=b"key")
 BASE = {
@@ -39,4 +40,4 @@
 def test_the_same_request_of_the_same_organisation(changes, same):
     """Identifiers are new with each attempt; another organisation's request is another one."""
     assert (of(**changes) == of()) is same
-    assert len(of(**changes)) == content.FINGERPRINT_BYTES
+    assert len(of(**changes)) == fingerprint.LENGTH_BYTES
--- a/tests/entry/test_suspects.py
+++ b/tests/entry/test_suspects.py
@@ -19,13 +19,13 @@
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.entry import suspects
-from turmericlug.entry import suspects_codec
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
 from turmericlug.http1 import server
 from turmericlug.kernel import tasks
 from turmericlug.policy import poison
 from turmericlug.telemetry import counters as counters_module
+from turmericlug.wire import suspects_codec
 
 PLACE = placement.Place("own", "dc", {"dc": "r"})
 Q = b"fingerprint"
--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -179,4 +179,11 @@
         "        while len(self._queue):",
         "owner/test_service_queue.py::test_waiting_hedge_goes_before_new_parts",
     ),
+    mutant.one(
+        "retry-what-ends-targets",
+        "owner/suspects.py",
+        "        if verdict is poison.Verdict.QUARANTINED:\n            return part_module.FAILED\n",
+        "        return ''\n",
+        "owner/test_service_queue.py::test_a_request_that_ends_targets_goes_to_no_further_one",
+    ),
 )
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -472,7 +472,7 @@
     mutant.one(
         "tell-on-nothing",
         "entry/suspects.py",
-        "            if contradicted or len(self._peers) > FEW_PEERS:",
+        "            if contradicted or spread.tells_on(len(self._peers)):",
         "            if contradicted:",
         "entry/test_suspects.py::test_ends_seen_at_different_instances_reach_all",
     ),
--- a/tests/owner/test_service_queue.py
+++ b/tests/owner/test_service_queue.py
@@ -11,7 +11,9 @@
 from turmericlug.owner import part as part_module
 from turmericlug.owner import replica as replica_module
 from turmericlug.owner import service_queue
+from turmericlug.owner import suspects as suspects_module
 from turmericlug.owner import target
+from turmericlug.policy import poison
 from turmericlug.telemetry import counters as counters_module
 
 
@@ -22,9 +24,12 @@
         self.outcomes = {name: list(each) for name, each in outcomes.items()}
         self.sent = []
         self.cancelled = []
+        self.refusing = set()
         self.delay_s = delay_s
 
     async def run(self, address, attempt, snapshot, shard, body, remaining_s):
+        if address in self.refusing & {each for each, _ in self.sent}:
+            return target.NotRun("connect_failed")
         self.sent.append((address, attempt))
         script = self.outcomes[address]
         outcome = script.pop(0) if len(script) > 1 else script[0]
@@ -37,10 +42,17 @@
     async def cancel(self, address, attempt):
         self.cancelled.append(attempt)
 
+    async def refuses(self, address, timeout_s):
+        return address in self.refusing
+
 
 ANSWER = target.Answered("s1", b"{}")
 
 
+def make_suspects(tell=lambda content: None):
+    return suspects_module.Suspects(counters_module.Counters(), tell, lambda: False)
+
+
 def make(targets, **changes):
     settings = {
         "hedge_budget": 0.5,
@@ -50,6 +62,7 @@
         "caller_share": 0.5,
     } | changes
     counters = counters_module.Counters()
+    settings.setdefault("suspects", make_suspects())
     queue = service_queue.ServiceQueue("s", targets, counters, random.Random(1), **settings)
     for name in targets.outcomes:
         queue.replicas[name] = replica_module.Replica(name, name, "dc", 2.0, limit=2.0)
@@ -256,3 +269,73 @@
     replies = play(targets, steps, hedge_budget=0.01)
     assert len([address for address, _ in targets.sent if address == "r0"]) <= 2
     assert {reply.outcome for reply in replies} == {"answered"}
+
+
+LOST = target.CONNECTION_LOST
+
+
+@pytest.mark.parametrize("refuses", [True, False], ids=["targets end", "links are reset"])
+def test_a_request_that_ends_targets_goes_to_no_further_one(refuses):
+    """
+    A request ends each target that runs it; each broken send is retried at the next target, and its
+    caller asks again and again, until no target is left. After three ends it goes to one target as
+    a trial, and after that to none; where only links were reset, it is retried as before.
+    """
+    targets = Targets({f"r{number}": [LOST] for number in range(8)})
+    targets.refusing = set(targets.outcomes) if refuses else set()
+
+    async def steps(queue, replies):
+        for number in range(12):
+            submit(queue, replies, number=number, retries=1)
+            await settled(replies, number + 1)
+
+    replies = play(targets, steps)
+    assert {reply.outcome for reply in replies} <= {"failed", "refused"}
+    assert (len(targets.sent) <= poison.ENDS_TO_SUSPECT + 1) is refuses
+    if refuses:
+        ended = [(reply.outcome, reply.reason) for reply in replies[-2:]]
+        assert ended == [("failed", suspects_module.HELD)] * 2
+
+
+def test_an_answered_request_is_cleared_and_goes_on():
+    """The request was beside the one that ends targets: its trial is answered."""
+    targets = Targets({"r0": [ANSWER], "r1": [ANSWER]})
+    suspects = make_suspects()
+    for number in range(3):
+        suspects.ended(b"", f"t{number}", on_trial=False)
+
+    async def steps(queue, replies):
+        for number in range(3):
+            submit(queue, replies, number=number)
+            await settled(replies, number + 1)
+
+    replies = play(targets, steps, suspects=suspects)
+    assert [reply.outcome for reply in replies] == ["answered"] * 3
+    assert suspects.verdict(b"") is poison.Verdict.ALLOWED
+
+
+def test_a_part_beside_a_trial_is_refused():
+    """It has run nowhere, and its caller may come back once the trial is over."""
+    targets = Targets({"r0": [ANSWER]}, delay_s=0.05)
+    suspects = make_suspects()
+    for number in range(3):
+        suspects.ended(b"", f"t{number}", on_trial=False)
+
+    async def steps(queue, replies):
+        submit(queue, replies, number=0)
+        submit(queue, replies, number=1)
+        await settled(replies, 2)
+
+    replies = play(targets, steps, suspects=suspects)
+    assert [(each.number, each.outcome) for each in replies] == [(1, "refused"), (0, "answered")]
+
+
+def test_what_one_owner_sees_the_others_know():
+    told = []
+    seeing, hearing = make_suspects(told.append), make_suspects()
+    for number in range(3):
+        seeing.ended(b"q", f"t{number}", on_trial=False)
+    for content in told:
+        hearing.on_told(content)
+    hearing.on_told(b"damaged")
+    assert hearing.verdict(b"q") is poison.Verdict.SUSPECTED
