The soak and the stand-in targets have requests that end replicas

The soak lets a caller come with one during all other faults, and checks in the end that at most three further attempts reach replicas at all instances together.

--- a/src/turmericlug_lab/standin_target.py
+++ b/src/turmericlug_lab/standin_target.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 from aiohttp import web_protocol
 
+from turmericlug.kernel import tasks
 from turmericlug.owner import target as target_module
 
 
@@ -37,6 +38,10 @@
     reply_fault: str = ""
     """``crossed``, ``duplicated``, ``truncated``, ``garbage``, ``wrong_snapshot`` or ``die``."""
     fault_share: float = 1.0
+    lethal: str = ""
+    """The replica ends when it runs a body that holds this text; empty: none does."""
+    away_s: float = 1.0
+    """Time from such an end to the next start."""
 
 
 @attrs.frozen
@@ -65,11 +70,13 @@
             self.replica.connections_refused += 1
             transport.close()
         self.replica.connections += 1
+        self.replica.open.add(transport)
         self.replica.most_connections = max(self.replica.most_connections, self.replica.connections)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give the connection back."""
         self.replica.connections -= 1
+        self.replica.open.discard(self.transport)
         super().connection_lost(exc)
 
 
@@ -93,6 +100,9 @@
         self._slots = asyncio.Semaphore(spec.slots)
         self._tasks: dict[str, asyncio.Task[typing.Any]] = {}
         self._last_reply: tuple[str, bytes] = ("", b"{}")
+        self.open: set[asyncio.Transport] = set()
+        self.ended = asyncio.Event()
+        """Set when it ran a lethal body, until it listens again."""
 
     def note(self, **fields: typing.Any) -> None:
         """Write a line to the journal, on disk before anything else happens."""
@@ -196,8 +206,17 @@
             self.work_ms += (asyncio.get_running_loop().time() - began_at_s) * 1000
             self._running -= 1
             self._slots.release()
+        if self.behaviour.lethal and self.behaviour.lethal in body.decode():
+            self._end()
         return self._answer(request, attempt, snapshot, shard, body)
 
+    def _end(self) -> None:
+        """End like a process: every connection breaks, and nothing listens any more."""
+        self.note(event="ended")
+        self.ended.set()
+        for transport in list(self.open):
+            transport.abort()
+
     def _service_s(self) -> float:
         behaviour = self.behaviour
         service_ms = behaviour.service_ms * self._rng.lognormvariate(0, behaviour.spread)
@@ -249,11 +268,22 @@
         return handler
 
     listener = await loop.create_server(connection, host, replica.spec.port)
-    try:
-        yield
-    finally:
-        listener.close()
-        await runner.cleanup()
+
+    async def start_again(listener: asyncio.Server) -> None:
+        while True:
+            try:
+                await replica.ended.wait()
+            finally:
+                listener.close()
+            await asyncio.sleep(replica.behaviour.away_s)
+            replica.ended.clear()
+            listener = await loop.create_server(connection, host, replica.spec.port)
+
+    async with tasks.background(start_again(listener)):
+        try:
+            yield
+        finally:
+            await runner.cleanup()
 
 
 async def serve(specs: list[Spec], host: str, journal: pathlib.Path | None, seed: int) -> None:
--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -182,7 +182,8 @@
     mutant.one(
         "retry-what-ends-targets",
         "owner/suspects.py",
-        "        if verdict is poison.Verdict.QUARANTINED:\n            return part_module.FAILED\n",
+        "        if verdict is poison.Verdict.QUARANTINED:\n"
+        "            return part_module.FAILED\n",
         "        return ''\n",
         "owner/test_service_queue.py::test_a_request_that_ends_targets_goes_to_no_further_one",
     ),
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 
 import attrs
 import world as world_module
 
+from turmericlug.http1 import client
 from turmericlug.http1 import messages
 
 
@@ -26,7 +28,7 @@
             self._kill, self._freeze, self._stop, self._store_away, self._lapse,
             self._forget_history, self._replica_trouble, self._drain, self._new_version,
             self._delay, self._reset, self._cut_one_way, self._silence,
-            self._start_again, self._foreign_entries,
+            self._start_again, self._foreign_entries, self._lethal,
         )  # fmt: skip
         # One fault at a time for each three instances: some are left to serve.
         pause_s = 1.2 * 3 / self.world.instances_count
@@ -148,6 +150,13 @@
         store.remove("servers/i-foreign")
         self.world.write_replicas([replica])
 
+    async def _lethal(self):
+        """Let a caller come with a request that ends the replicas that run it."""
+        instance = self.world.rng.choice(self.world.instances)
+        with contextlib.suppress(client.ConnectError, client.ExchangeError, TimeoutError):
+            async with asyncio.timeout(2.0):
+                await world_module.ask(instance.ports[0], b"/all/lethal")
+
     async def _replica_trouble(self):
         replica = self.world.rng.choice(self.world.replicas)
         replica.script = self.world.rng.choice(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,11 +24,18 @@
 import faults as faults_module  # noqa: E402
 import world as world_module  # noqa: E402
 
+from turmericlug.http1 import client  # noqa: E402
+
 INSTANCES = 3
 CALLERS = 6
 SETTLE_S = 3.0
 """Entries have their time to come back (2.2 s), and set-aside replicas their next trial."""
 CALM_S = 1.5
+ENDS_KNOWN = 3
+KNOWN_S = 1.0
+"""Time in which every instance is to know under which request replicas ended."""
+MOST_AFTER = 3
+"""Attempts at it that may reach replicas from then on, at all instances together."""
 IN_FORCE_S = 3.0
 """The tighter of the two bounds on a new configuration and on a draining replica."""
 
@@ -43,6 +50,7 @@
             await _recover(world, callers)
             await _leave_calmly(world, callers)
             await _all_in_force(world, callers)
+            await _hold_back_what_ends_replicas(world, callers)
         finally:
             for task in calling:
                 task.cancel()
@@ -89,6 +97,26 @@
                 callers.broken.append(f"CONFIG {instance.name} answers {path} {answer.status}")
 
 
+async def _hold_back_what_ends_replicas(world, callers):
+    """A request that ended three replicas reaches some more at most, at whichever instance."""
+    while len(world.lethal_reached) < ENDS_KNOWN:
+        await _ask_lethal(world.rng.choice(world.instances))
+    await asyncio.sleep(KNOWN_S + world_module.REPLICA_AWAY_S)
+    before = {attempt for _, attempt in world.lethal_reached}
+    for number in range(2 * len(world.instances)):
+        await _ask_lethal(world.instances[number % len(world.instances)])
+        await asyncio.sleep(0.2)
+    after = {attempt for _, attempt in world.lethal_reached} - before
+    if len(after) > MOST_AFTER:
+        callers.broken.append(f"ENDS {len(after)} attempts of what ends replicas reached some")
+
+
+async def _ask_lethal(instance):
+    with contextlib.suppress(client.ConnectError, client.ExchangeError, TimeoutError):
+        async with asyncio.timeout(2.5):
+            await world_module.ask(instance.ports[0], b"/all/lethal")
+
+
 def play(seed, length_s, instances=INSTANCES):
     """Play one seed; its logs stay only when it fails."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -24,6 +24,7 @@
 """One more than a route's attempts, so that a part can reach too many."""
 ATTEMPTS = 2
 TOP, LEAST = 4, 0.5
+REPLICA_AWAY_S = 0.5
 REGIONS = {"dc-0": "r-0", "dc-1": "r-1"}
 
 
@@ -40,6 +41,9 @@
     links: standin_proxy.Proxy | None = None
     """Proxied connections: ``store/INSTANCE``, ``replica/REPLICA`` and ``peer/INSTANCE``."""
     version: int = 0
+    lethal_reached: list[tuple[float, bytes]] = attrs.field(factory=list)
+    """When replicas ended under the request that ends them, and which attempt it was."""
+    _restarts: set[asyncio.Task] = attrs.field(factory=set)
 
     @contextlib.asynccontextmanager
     async def running(self):
@@ -91,10 +95,27 @@
                 (front,) = fleet_spec.free_ports(1)
                 links.append(standin_proxy.Route(f"replica/{name}", front, port))
                 replica.address = (host, front)
+                replica.on_lethal = self._end_replica
                 replica.zone = f"dc-{(number + len(self.replicas)) % 2}"
                 self.replicas.append(replica)
         return links
 
+    def _end_replica(self, replica):
+        now_s = asyncio.get_running_loop().time()
+        self.lethal_reached.append((now_s, replica.runs[-1]))
+        restart = asyncio.create_task(self._restart_replica(replica))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart_replica(self, replica):
+        """Let a replica that has ended start again under its name."""
+        link = f"replica/{replica.instance}"
+        self.links.change(link, {"mode": "refuse"})
+        await asyncio.sleep(REPLICA_AWAY_S)
+        self.links.change(link, {"mode": "pass"})
+        replica.start_again()
+        self.write_replicas([replica])
+
     def write_replicas(self, replicas=None, state="ready"):
         """Write the entries of replicas, by default of all, as they themselves would."""
         for replica in self.replicas if replicas is None else replicas:
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -160,6 +160,8 @@
         self.runs = []
         self.address = None
         self.script = None
+        self.on_lethal = None
+        """Ends the replica while it runs a request whose path says that it is lethal."""
         self.born_ms = 1_790_000_000_000
         self.sequence = 0
 
@@ -180,6 +182,9 @@
                 return answer
         self.runs.append(request_id)
         await asyncio.sleep(self.delay_s)
+        if self.on_lethal is not None and b"lethal" in request.target:
+            self.on_lethal(self)
+            raise ConnectionResetError("the replica has ended")
         stamp = b"%s.%d.%s" % (self.instance.encode(), len(self.runs), request_id)
         headers = ((b"x-request-id", request_id), (b"x-server-stamp", stamp))
         return messages.Answer(200, headers, self.body)
