--- a/src/turmericlug/direct/budget.py
+++ b/src/turmericlug/direct/budget.py
@@ -4,10 +4,8 @@
 The load pattern: replicas turn slow, every instance sends a second time, and the extra load keeps
 them slow. All instances together may send only so many beyond the first of each request, in any
 window; nobody counts them centrally, so each keeps to its part of the allowance. Where a few
-instances send nearly all parts of a shard, most of its allowance is theirs: divided evenly, 195
-instances had 1.8 each of 430 extra sends in ten seconds, and most of them had nothing to send. With
-0.4 of them for the owners, 74 instances beside crashed and slow replicas failed 6 of 2,511 requests
-instead of 17, and were late with 385 instead of 419 (two loads, one run of each).
+instances send nearly all parts of a shard, most of its allowance is theirs: divided evenly among
+hundreds, each has one or two, and most of those instances have nothing to send.
 """
 
 from __future__ import annotations
--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -30,8 +30,8 @@
 ALIVE_FACTOR = 1.5
 ALIVE_SLACK_MS = 50.0
 """A sign of life is overdue after one and a half round trips and some busy turns of the other side.
-With 30 ms, 24 batches of nine seconds of a large deployment were taken for lost, whose instances
-were only busy; later than this, direct sends would miss the goals."""
+Sooner, instances that are only busy would be taken for lost; later, direct sends would miss the
+goals."""
 COME_BACK_MARGIN_MS = 4.0
 """What the way back needs besides the round trip: a turn of either event loop."""
 
--- a/src/turmericlug/direct/pool.py
+++ b/src/turmericlug/direct/pool.py
@@ -23,8 +23,7 @@
 idle connection leaves it unknown whether the request ran."""
 SPARE_IDLE_S = 1.0
 """Idle time after which a connection beyond the first is closed. Instances that lose power leave
-their connections behind at the replica, which then resets the new ones of the restarted instances:
-with three kept each, 621 connections were reset after one power loss."""
+their connections behind at the replica, which then resets the new ones of the restarted ones."""
 CONNECTIONS_SHARE = 0.85
 """Part of a replica's connections that the instances divide: those of an instance that was killed
 stay open at the replica for a while."""
@@ -47,9 +46,8 @@
     """
     The shortest time for which a replica of a service has said that it keeps an idle connection.
 
-    A connection that was opened ahead of need has carried no response that could say so. It was
-    dropped after four seconds where replicas state ten, and opened again: such connections were
-    1,776 of all 3,204 of a calm day of seven instances.
+    A connection that was opened ahead of need has carried no response that could say so. Dropped
+    sooner than replicas state, it is opened again and again.
     """
 
     idle_s: float | None = None
--- a/src/turmericlug/direct/quarantine.py
+++ b/src/turmericlug/direct/quarantine.py
@@ -57,7 +57,7 @@
 
     def verdict(self, request: poison.Fingerprint) -> poison.Verdict:
         """Return what may be done with a request now."""
-        if not self.enabled:
+        if not (self.enabled and self.book.records):
             return poison.Verdict.ALLOWED
         return self.book.verdict(request, self._now_s())
 
@@ -86,6 +86,9 @@
 
     def answered(self, call: sending.Call) -> None:
         """Take note that a replica has run a request to its end."""
+        if call.vouched:
+            return
+        call.vouched = True
         request = call.fingerprint
         if self.book.answered(request, self._now_s()):
             self._counters.add("poison.cleared")
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -36,9 +36,8 @@
 """A replica that was full is passed over for a few service times, so that its queue can drain."""
 SHED_FACTOR = 10.0
 """A replica that sheds six of ten counts as seven times as slow then: more than one in another
-region, which takes four times as long. Of 20 shards with one such replica each, every instance sent
-to it again after each pause and used up its extra sends on that within three seconds; 38 queries of
-nine seconds failed for it."""
+region, which takes four times as long. Sent to again after each pause, it uses up the extra sends
+of every instance, and queries fail for want of them."""
 MISDIRECTED_S = 10.0
 """Time for which nothing is sent to an address that was found to be another replica's. The news of
 the end is there by then, unless the store is away for longer; then one more is sent."""
@@ -272,16 +271,12 @@
         """
         Open a first connection to replicas that have none.
 
-        A hedge goes to the replica that is not used otherwise. Its new connection cost a round trip
-        and a handshake, which between regions is 46 ms of a goal of 124 ms: a fifth of the urgent
-        queries of a calm day lacked a part for it.
+        A hedge goes to the replica that is not used otherwise. A new connection takes a round trip
+        and a handshake, a large part of an urgent query's goal between regions.
 
-        Far replicas are left cold where instances are many: an owner opened 241 connections to them
-        in 28 s, as replicas close idle ones, and used 9. Without, 74 instances opened 15,251
-        connections on a calm day instead of 37,004, and as many queries were in time. The same goes
-        for a service without a replica near, whose parts are handed to an instance there.
-
-        Asked for each service, not for each replica: 0.034 to 0.015 of a core with 2,700 replicas.
+        Far replicas are left cold where instances are many: replicas close idle connections, so
+        that an owner opens them again and again and hardly uses any. The same goes for a service
+        without a replica near, whose parts are handed to an instance there.
 
         :param wanted: whether this instance is to send to a service's replicas
         :param far: whether replicas of other regions get one as well
--- a/src/turmericlug/direct/timing.py
+++ b/src/turmericlug/direct/timing.py
@@ -22,8 +22,7 @@
 PARTIAL_MARGIN_PER_SHARD_MS = 0.15
 """What an answer needs from its decision to the caller's last byte, besides half a round trip: the
 merge, busy turns of the event loop, the lateness of timers, and more packets the more shards are
-named. With less than 13 ms for 20 shards answers to a goal of 135 ms came late; with 13 ms for 90
-shards, 16 of 139 queries were late by some ms, with 23 ms two were."""
+named."""
 HOPELESS_SHARE = 0.15
 """Share of the goal that a query needs at least: less has none of its parts answered."""
 LATE_SHARE = 0.5
@@ -33,8 +32,7 @@
 a dead connection or replica, not a pause."""
 
 TIMER_EARLY_S = 0.001
-"""The event loop's timers count milliseconds and fire up to half of one early (0.5 ms at most in
-300 timers measured)."""
+"""The event loop's timers count milliseconds and fire up to half of one early."""
 
 
 def is_over(deadline_s: float, now_s: float) -> bool:
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -33,8 +33,8 @@
 FIRST_READING_S = 0.3
 """Age until which an instance expects its first reading of the source, which takes 20 to 100 ms."""
 MOST_SPENT_SHARE = 0.5
-"""Part of a goal that may be gone before the first attempt: looking up addresses and connecting
-took 21 ms at most of the shortest goal of 106 ms."""
+"""Part of a goal that may be gone before the first attempt, for looking up addresses and
+connecting."""
 LEAST_LEFT_S = 0.003
 """Less time than this can't reach a replica and come back."""
 
@@ -122,8 +122,8 @@
         """
         Whether the end of this process may come before the end of the caller's time.
 
-        Refused without a look at their time, 23 requests of a rolling restart came back late that
-        had 0.6 to 0.8 s left, more than a second before the end.
+        Refused without a look at their time, requests that would have been answered long before the
+        end come back late.
         """
         now_s = asyncio.get_running_loop().time()
         return now_s >= self._refuse_from_s and call.deadline_s > self._ends_at_s
--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -21,8 +21,7 @@
 PAUSE_S = 0.25
 PAUSE_MANY_S = 0.6
 """Least time between two questions, and where instances are many and bounds are 5 s. Each change
-otherwise costs a call of every instance: with 54 replicas starting at once, 430 of the 560 calls of
-a minute."""
+otherwise costs a call of every instance, of which many replicas starting at once make hundreds."""
 RETRY_LEAST_S = 0.1
 RETRY_MOST_S = 0.5
 """Pause after a failure: short against the bound of a configuration, and drawn at random so that
--- a/src/turmericlug/entry/recent.py
+++ b/src/turmericlug/entry/recent.py
@@ -10,9 +10,8 @@
     A maximum over a sliding window.
 
     Holds only values that may still become the largest: one that a later value reaches never can.
-    The load pattern: 300 instances start together and each notes a count for each that comes. With
-    all counts of the window scanned, an instance took 0.31 of a core for its first 15 s; with this,
-    0.034 (one process between the entries of 300 instances and of 2,700 replicas).
+    The load pattern: hundreds of instances start together and each notes a count for each that
+    comes. Scanning all counts of the window at each would take a good part of a core.
     """
 
     def __init__(self, window_s: float) -> None:
--- a/src/turmericlug/policy/attendance.py
+++ b/src/turmericlug/policy/attendance.py
@@ -1,11 +1,11 @@
 """
 Which of the instances that ask this one for news have fallen silent.
 
-The load pattern: each renewal of a lease is a call to the source. With a lease of 3 s that is
-renewed each second, renewals were 356 of the 878 calls of 74 instances on a calm day. With a longer
-lease an entry outlives its instance, and callers are told addresses where nobody answers. But one
-instance of a data centre is asked for news by all others at least each 1.7 s. It misses one that
-has ended about as soon as a lease of 3 s would lapse, and takes out its entry.
+The load pattern: each renewal of a lease is a call to the source, and short leases make them a
+large part of all calls. With a longer lease an entry outlives its instance, and callers are told
+addresses where nobody answers. But one instance of a data centre is asked for news by all others at
+least each 1.7 s. It misses one that has ended about as soon as a lease of 3 s would lapse, and
+takes out its entry.
 """
 
 from __future__ import annotations
--- a/src/turmericlug/policy/patience.py
+++ b/src/turmericlug/policy/patience.py
@@ -2,9 +2,8 @@
 How much of a caller's time was gone before its request was sent.
 
 The load pattern: a caller asks for addresses anew every few seconds and opens a connection where it
-has none, and its goal runs meanwhile: 14 ms of a goal of 106 ms for one question in four. Answered
-just before a goal that counts from the request's arrival, 74 of 513 urgent queries were late for
-their callers, and the instance took all but one of them to be in time.
+has none, and its goal runs meanwhile. Answered just before a goal that counts from the request's
+arrival, urgent queries are late for their callers, while the instance takes them to be in time.
 
 Callers state the time that they have left. Most of them send at once and state all of it, so that
 the most that many state on a route is what its callers have in the beginning, and what one states
@@ -22,8 +21,8 @@
 """Stated times that are looked at: some seconds of a route's requests at one instance."""
 FULL_SHARE = 1 / 8
 """Part of the latest stated times that must be equal for them to be the time that callers of the
-route have in the beginning. Of a calm day's 60 in 100 were; where each caller has a time of its own
-no value comes so often, and nothing is taken to be gone."""
+route have in the beginning. Where each caller has a time of its own no value comes so often, and
+nothing is taken to be gone."""
 FULL_LEAST = 3
 """Equal times without which nothing is said: one caller's own time is no rule."""
 
--- a/src/turmericlug/policy/slow_start.py
+++ b/src/turmericlug/policy/slow_start.py
@@ -3,15 +3,15 @@
 
 The load pattern: all instances lose power for two seconds. Their callers return together, with what
 they had waiting and what has come since, to instances without a connection to any replica. Taken
-all at once, the parts fill the replicas' queues and connections: 201 sends were reset, 153 shed and
-248 silent within two seconds, and of 130 queries 87 were late and 4 failed. So an instance begins
-with few queries at a time and takes more as its answers are in time.
+all at once, the parts fill the replicas' queues and connections: sends are reset, shed or silent,
+and most queries late. So an instance begins with few queries at a time and takes more as its
+answers are in time.
 
 The others wait their turn here rather than at the replicas. Those that can still be in time go
 first; for the others an answer in some hundred milliseconds is as good as a little sooner, and
-waiting they keep nobody else from being in time. Refused at once instead, 7 to 20 of 135 queries
-after a power loss came back to find the instance as busy, and were lost. Only who would wait beyond
-its deadline is refused, and that at once.
+waiting they keep nobody else from being in time. Refused at once instead, they come back to find
+the instance as busy, and are lost. Only who would wait beyond its deadline is refused, and that at
+once.
 """
 
 from __future__ import annotations
@@ -25,15 +25,14 @@
 """Queries at a time in the beginning: with seven instances and four slots a shard, about seven
 parts for each slot."""
 ANSWERS_FOR_ONE_MORE = 2
-"""Answers in time after which one more is taken. With two at a time and one more for five answers
-a storm of 240 queries is in time more often, but where fewer callers return, they wait for
-nothing: both were played, three and twenty times."""
+"""Answers in time after which one more is taken. More of them help in a large storm, and let
+callers wait for nothing in a small one."""
 OVER = 16
 """From here on nothing is limited: the replicas keep up, and the number says nothing more."""
 OVER_AFTER_S = 4.0
 """Age from which nothing is limited: the storm after an outage of two seconds lasts for two. An
-instance that was started well before its first callers would keep some of them waiting for nothing:
-four of the first 70 queries of a calm day."""
+instance that was started well before its first callers would keep some of them waiting for
+nothing."""
 USUAL_GUESS_S = 0.1
 USUAL_GAIN = 0.2
 """Weight of a query's duration in the usual one: about the last nine count."""
