--- a/tests/entry/test_suspects.py
+++ b/tests/entry/test_suspects.py
@@ -81,9 +81,10 @@
                     )
                 )
 
-    def end(self, replica, on_trial=False):
+    def end(self, replica, on_trial=False, request=Q):
         """See a replica end."""
-        self.quarantine._ended(Q, replicas_module.Replica(scripted.entry(replica), None), on_trial)
+        ended = replicas_module.Replica(scripted.entry(replica), None)
+        self.quarantine._ended(request, ended, on_trial)
 
     def verdict(self):
         return self.quarantine.verdict(Q)
@@ -188,6 +189,43 @@
     play(3, scenario)
 
 
+def exchanges(instances):
+    return sum(each.counters.totals["poison.exchanges"] for each in instances)
+
+
+@pytest.mark.parametrize("count", [7, 20])
+def test_telling_comes_to_an_end(monkeypatch, count):
+    """
+    A query was beside the culprit at many replicas that ended, each instance saw other ends of it,
+    and its caller came back and was answered. What the instances then told each other never came to
+    the same: seven of them sent 0.161 GB between regions in a minute and a half, and took 232
+    processor seconds instead of 35.
+    """
+    monkeypatch.setattr(suspects, "EXCHANGE_EVERY_S", 1000.0)
+
+    async def scenario(instances):
+        await until(lambda: all(each.counters.totals["poison.exchanges"] for each in instances))
+        for number, each in enumerate(instances):
+            for replica in range(12):
+                each.end(f"r{number}-{replica}")
+            for request in range(10):
+                each.end(f"r{number}", request=b"beside-%d-%d" % (number, request))
+                each.end(f"r{number}", request=b"beside-all-%d" % request)
+        await asyncio.sleep(0.5)
+        assert {each.verdict() for each in instances} == {poison.Verdict.SUSPECTED}
+        call = scripted.make_call()
+        call.fingerprint = Q
+        instances[0].quarantine.answered(call)
+        await until(lambda: all(each.verdict() is poison.Verdict.ALLOWED for each in instances))
+        before = -1
+        async with asyncio.timeout(10):
+            while before != exchanges(instances):
+                before = exchanges(instances)
+                await asyncio.sleep(0.5)
+
+    play(count, scenario)
+
+
 def test_nothing_is_sent_while_nothing_is_held_back(monkeypatch):
     monkeypatch.setattr(suspects, "EXCHANGE_EVERY_S", 0.05)
 
--- a/tests/policy/test_poison.py
+++ b/tests/policy/test_poison.py
@@ -128,6 +128,38 @@
     assert other.verdict(Q, 403.0) is SUSPECTED
 
 
+@pytest.mark.parametrize("answered", [True, False], ids=["cleared", "suspected"])
+def test_what_instances_tell_each_other_comes_to_the_same(answered):
+    """
+    A query was beside the culprit at many replicas, each instance saw other ends of it, and it was
+    answered in the end. The instances told each other what they knew, messages crossed, each took
+    over what the other had just dropped, and told it on: 0.161 GB between regions in a minute and a
+    half instead of 0.008, and 232 processor seconds instead of 35.
+    """
+    books = [book_of(*(("end", f"{name}{n}", 100.0) for n in range(12))) for name in "abc"]
+    if answered:
+        books[0].answered(Q, 100.5)
+    now_s, rounds = 101.0, 0
+    news = True
+    while news:
+        now_s, rounds = now_s + 0.02, rounds + 1
+        assert rounds < 10
+        told = [attrs.evolve(book.records[Q], ends=dict(book.records[Q].ends)) for book in books]
+        late = [
+            attrs.evolve(record, ends={name: at_s + 0.02 for name, at_s in record.ends.items()})
+            for record in told
+        ]
+        news = [
+            book.learn(Q, record, now_s)
+            for book in books
+            for record in late
+            if record is not late[books.index(book)]
+        ]
+        news = any(news)
+    verdict = ALLOWED if answered else SUSPECTED
+    assert [book.verdict(Q, now_s) for book in books] == [verdict] * 3
+
+
 def test_memory_is_bounded_and_keeps_what_is_held_back():
     """A caller makes up requests without end beside replicas that end; the culprit stays known."""
     book = book_of(*THREE, TRIAL)
