What instances tell each other of a request comes to the same, and ends

Cause: of more than eight ends each instance kept the newest, by times that differ by a journey, told them, took over what the other had dropped and told that again; and whoever knew an answer told all others, each time. Why this holds: an end keeps the time at which it was first heard, the ends kept go by name, only what changes a verdict, an end, a trial or a count is news, and an answer is told to the instance that does not know it, which tells the others.

--- a/src/turmericlug/entry/suspects.py
+++ b/src/turmericlug/entry/suspects.py
@@ -52,7 +52,7 @@
             return messages.Answer(400)
         teller.learn(told.records)
         held = dict(quarantine.book.held(now_s)) if told.wants_all else {}
-        answer = suspects_codec.Suspects(held)
+        answer = suspects_codec.Suspects(held | teller.contradicted(told.records))
         return messages.Answer(200, body=suspects_codec.encode(answer, now_s))
 
     return handle
@@ -98,15 +98,33 @@
         self._wake.set()
 
     def learn(self, records: dict[poison.Fingerprint, poison.Record]) -> None:
-        """Take over what another instance tells; where instances are many, tell it on."""
+        """
+        Take over what another instance tells.
+
+        It is told on where instances are many, and where it contradicts what was told from here.
+        """
+        many = spread.tells_on(len(self._peers))
         for request, told in records.items():
-            if not self._quarantine.learn(request, told):
-                continue
-            contradicted = self._quarantine.verdict(request) is poison.Verdict.ALLOWED
-            if contradicted or spread.tells_on(len(self._peers)):
+            if self._quarantine.learn(request, told) and (many or request in self._told):
                 self._told.add(request)
                 self.note(request)
 
+    def contradicted(
+        self, records: dict[poison.Fingerprint, poison.Record]
+    ) -> dict[poison.Fingerprint, poison.Record]:
+        """
+        Return what is known here of requests that another instance suspects and that were answered.
+
+        Told to that one alone, which then tells the others: a popular request was answered at all
+        instances, and each of them would tell all others.
+        """
+        book = self._quarantine.book
+        return {
+            request: book.records[request]
+            for request, told in records.items()
+            if self._quarantine.contradicts(request, told)
+        }
+
     async def tell(self) -> None:
         """Tell what is due, for ever."""
         loop = asyncio.get_running_loop()
--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -285,7 +285,10 @@
 
     def on_suspects(self, request: server_module.Request) -> None:
         """Take over under which requests targets of others have ended."""
-        self.suspects.on_told(request.message.suspects)
+        answer = self.suspects.on_told(request.message.suspects)
+        link = self._mesh.link(request.peer)
+        if answer is not None and link is not None:
+            link.tell(lambda envelope: setattr(envelope, "suspects", answer))
 
     def on_target_leaving(self, request: server_module.Request) -> None:
         """Note what another owner found out."""
--- a/src/turmericlug/owner/suspects.py
+++ b/src/turmericlug/owner/suspects.py
@@ -43,6 +43,8 @@
         self._counters = counters
         self._tell = tell
         self._tells_on = tells_on
+        self._told: set[poison.Fingerprint] = set()
+        """Requests that others were told of from here."""
 
     def verdict(self, request: poison.Fingerprint) -> poison.Verdict:
         """Return what may be done with a request now."""
@@ -114,26 +116,43 @@
         self._tell_of(request)
         return True
 
-    def on_told(self, content: bytes) -> None:
-        """Take over what another instance tells."""
+    def on_told(self, content: bytes) -> bytes | None:
+        """
+        Take over what another instance tells.
+
+        :returns: what is to be told to that one alone: answers that it does not know
+        """
         now_s = time.monotonic()
         try:
             told = suspects_codec.decode(content, now_s)
         except suspects_codec.MessageError as error:
             events.emit("poison.unreadable", "warning", reason=str(error))
-            return
+            return None
         for request, record in told.records.items():
-            before = self.verdict(request)
-            if not self.book.learn(request, record, now_s):
-                continue
-            self._counters.add("poison.learned")
-            self._changed(request, before)
-            if self.verdict(request) is poison.Verdict.ALLOWED or self._tells_on():
-                self._tell_of(request)
+            self._learn(request, record, now_s)
+        contradicted = {
+            request: self.book.records[request]
+            for request, record in told.records.items()
+            if request in self.book.records and self.book.contradicts(request, record, now_s)
+        }
+        if not contradicted:
+            return None
+        return suspects_codec.encode(suspects_codec.Suspects(contradicted), now_s)
+
+    def _learn(self, request: poison.Fingerprint, record: poison.Record, now_s: float) -> None:
+        """Take over one record, and tell it on where that is due."""
+        before = self.verdict(request)
+        if not self.book.learn(request, record, now_s):
+            return
+        self._counters.add("poison.learned")
+        self._changed(request, before)
+        if request in self._told or self._tells_on():
+            self._tell_of(request)
 
     def forget(self) -> None:
         """Drop what no longer matters."""
         forgotten = self.book.forget(time.monotonic())
+        self._told &= self.book.records.keys()
         self._counters.add("poison.forgotten", forgotten)
 
     def _changed(self, request: poison.Fingerprint, before: poison.Verdict) -> None:
@@ -146,5 +165,6 @@
     def _tell_of(self, request: poison.Fingerprint) -> None:
         record = self.book.records.get(request)
         if record is not None:
+            self._told.add(request)
             suspects = suspects_codec.Suspects({request: record})
             self._tell(suspects_codec.encode(suspects, time.monotonic()))
--- a/src/turmericlug/policy/poison.py
+++ b/src/turmericlug/policy/poison.py
@@ -96,15 +96,26 @@
 
     def merge(self, other: Record) -> None:
         """Take over whatever another instance knows beyond this one."""
-        for replica, at_s in other.ends.items():
-            self.ends[replica] = _later(self.ends.get(replica, -math.inf), at_s)
-        newest = sorted(self.ends, key=self.ends.__getitem__, reverse=True)[:ENDS_KEPT]
-        self.ends = {replica: self.ends[replica] for replica in newest}
         self.answered_s = _later(self.answered_s, other.answered_s)
-        self.quarantined_s = _later(self.quarantined_s, other.quarantined_s)
-        self.quarantines = max(self.quarantines, other.quarantines)
+        for replica, at_s in other.ends.items():
+            self.ends.setdefault(replica, at_s)
+        # By name, not by time: of times that differ by a journey each instance kept others, and
+        # told them again for ever.
+        kept = sorted(each for each, at_s in self.ends.items() if self._counts(at_s))[:ENDS_KEPT]
+        self.ends = {replica: self.ends[replica] for replica in kept}
+        if other.quarantines > self.quarantines:
+            self.quarantines, self.quarantined_s = other.quarantines, other.quarantined_s
         self.trial_until_s = _later(self.trial_until_s, other.trial_until_s)
 
+    def summary(self, now_s: float) -> tuple[object, ...]:
+        """Return what is worth telling on; times of what is known already are not."""
+        on_trial = now_s < self.trial_until_s
+        return self.verdict(now_s), frozenset(self.recent(now_s)), self.quarantines, on_trial
+
+    def forget(self, now_s: float) -> None:
+        """Drop ends that are too long ago, which would keep out others."""
+        self.ends = self.recent(now_s)
+
     def is_over(self, now_s: float) -> bool:
         """Whether nothing of it matters any more."""
         if self.verdict(now_s) is not Verdict.ALLOWED or self.recent(now_s):
@@ -178,6 +189,7 @@
         if self.vouched(request, now_s):
             return Verdict.ALLOWED
         record = self._record(request, now_s)
+        record.forget(now_s)
         record.merge(Record({replica: now_s}))
         if on_trial:
             record.quarantined_s = now_s
@@ -211,14 +223,20 @@
 
         :returns: whether it was news
         """
-        if told.is_over(now_s):
+        if told.is_over(now_s) and request not in self.records:
             return False
         record = self._record(request, now_s)
-        before = attrs.evolve(record, ends=dict(record.ends))
-        record.merge(told)
-        # What was answered here vouches for the request with the others as well.
         record.answered_s = max(record.answered_s, self._vouched.get(request, -math.inf))
-        return record != before
+        record.forget(now_s)
+        before = record.summary(now_s)
+        record.merge(attrs.evolve(told, ends=told.recent(now_s)))
+        return record.summary(now_s) != before
+
+    def contradicts(self, request: Fingerprint, told: Record, now_s: float) -> bool:
+        """Whether an answer is known here that whoever told of a request does not know."""
+        if not (told.recent(now_s) or told.verdict(now_s) is not Verdict.ALLOWED):
+            return False
+        return self.records[request].answered_s > told.answered_s + SAME_WITHIN_S
 
     def forget(self, now_s: float) -> int:
         """Drop what no longer matters; returns how many requests that were."""
--- a/tests/owner/test_service_queue.py
+++ b/tests/owner/test_service_queue.py
@@ -339,3 +339,22 @@
         hearing.on_told(content)
     hearing.on_told(b"damaged")
     assert hearing.verdict(b"q") is poison.Verdict.SUSPECTED
+
+
+def test_an_answer_at_one_owner_clears_a_request_at_the_others():
+    """Told to the one that suspects it, which tells the others: all of them may know an answer."""
+    told = []
+    seeing, knowing, other = make_suspects(told.append), make_suspects(), make_suspects()
+    knowing.answered(b"q")
+    for number in range(3):
+        seeing.ended(b"q", f"t{number}", on_trial=False)
+    for content in told[:]:
+        other.on_told(content)
+    assert other.verdict(b"q") is poison.Verdict.SUSPECTED
+    told_before = len(told)
+    answer = knowing.on_told(told[-1])
+    assert seeing.on_told(answer) is None
+    assert seeing.verdict(b"q") is poison.Verdict.ALLOWED
+    assert len(told) == told_before + 1
+    assert other.on_told(told[-1]) is None
+    assert other.verdict(b"q") is poison.Verdict.ALLOWED
