--- a/src/turmericlug/direct/quarantine.py
+++ b/src/turmericlug/direct/quarantine.py
@@ -129,12 +129,6 @@
         self._changed(request, before, "learned")
         return True
 
-    def contradicts(self, request: poison.Fingerprint, told: poison.Record) -> bool:
-        """Whether another instance suspects a request of which an answer is known here."""
-        if request not in self.book.records:
-            return False
-        return self.book.contradicts(request, told, self._now_s())
-
     def lift(self, request: poison.Fingerprint) -> bool:
         """Allow a request by an operator's word; false when nothing is held against it."""
         if self.verdict(request) is poison.Verdict.ALLOWED:
--- a/src/turmericlug/entry/suspects.py
+++ b/src/turmericlug/entry/suspects.py
@@ -51,8 +51,9 @@
             decisions.log("poison.unreadable", reason=str(error))
             return messages.Answer(400)
         teller.learn(told.records)
-        held = dict(quarantine.book.held(now_s)) if told.wants_all else {}
-        answer = suspects_codec.Suspects(held | teller.contradicted(told.records))
+        book = quarantine.book
+        held = dict(book.held(now_s)) if told.wants_all else {}
+        answer = suspects_codec.Suspects(held | book.contradicted(told.records, now_s))
         return messages.Answer(200, body=suspects_codec.encode(answer, now_s))
 
     return handle
@@ -112,22 +113,6 @@
                 self._told.add(request)
                 self.note(request)
 
-    def contradicted(
-        self, records: dict[poison.Fingerprint, poison.Record]
-    ) -> dict[poison.Fingerprint, poison.Record]:
-        """
-        Return what is known here of requests that another instance suspects and that were answered.
-
-        Told to that one alone, which then tells the others: a popular request was answered at all
-        instances, and each of them would tell all others.
-        """
-        book = self._quarantine.book
-        return {
-            request: book.records[request]
-            for request, told in records.items()
-            if self._quarantine.contradicts(request, told)
-        }
-
     async def tell(self) -> None:
         """Tell what is due, for ever."""
         loop = asyncio.get_running_loop()
--- a/src/turmericlug/owner/suspects.py
+++ b/src/turmericlug/owner/suspects.py
@@ -130,11 +130,7 @@
             return None
         for request, record in told.records.items():
             self._learn(request, record, now_s)
-        contradicted = {
-            request: self.book.records[request]
-            for request, record in told.records.items()
-            if request in self.book.records and self.book.contradicts(request, record, now_s)
-        }
+        contradicted = self.book.contradicted(told.records, now_s)
         if not contradicted:
             return None
         return suspects_codec.encode(suspects_codec.Suspects(contradicted), now_s)
--- a/src/turmericlug/policy/poison.py
+++ b/src/turmericlug/policy/poison.py
@@ -238,6 +238,21 @@
             return False
         return self.records[request].answered_s > told.answered_s + SAME_WITHIN_S
 
+    def contradicted(
+        self, records: dict[Fingerprint, Record], now_s: float
+    ) -> dict[Fingerprint, Record]:
+        """
+        Return what is known here of requests that another instance suspects and that were answered.
+
+        For that one alone, which then tells the others: a popular request was answered at all
+        instances, and each of them would tell all others.
+        """
+        return {
+            request: self.records[request]
+            for request, told in records.items()
+            if request in self.records and self.contradicts(request, told, now_s)
+        }
+
     def forget(self, now_s: float) -> int:
         """Drop what no longer matters; returns how many requests that were."""
         over = [each for each, record in self.records.items() if record.is_over(now_s)]
