No part is hedged whose replica has ended, nor by a timer that a stall made late

Cause: a query's parts begin in one turn of the event loop. A stall in that turn makes the hedge timers of the parts begun before it due in the next one: their hedges leave before the broken sends have been read and the ends of their replicas are known. A send whose connection broke was also hedged while its replica was still being asked whether it takes connections.

Mend: a hedge timer that fires over 5 ms late is given 10 ms more, once, in which the loop reads what has come in; a send that has ended is not hedged.

Ruled out: stalls between turns (24 places tried: the hedge is withheld just before it is written).

--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -23,6 +23,10 @@
 MOST_PAUSES = 4
 """Pauses of one request: 0.23 s in all. What is shed as often is refused while its caller can still
 go elsewhere."""
+TIMER_LATE_S = 0.005
+"""A timer that is later than this was held up: this process stood still."""
+CATCH_UP_S = 0.01
+"""Time to read what came in while this process stood still."""
 MOST_UNSENT = 3
 """Sends that found no connection do not count as attempts; a service whose replicas all refuse
 connections is given up after this many."""
@@ -33,7 +37,11 @@
     """A send under way."""
 
     replica: replicas_module.Replica
-    began_s: float
+    send: replicas_module.Send
+
+    @property
+    def began_s(self) -> float:
+        return self.send.began_s
 
 
 @attrs.define(eq=False)
@@ -59,6 +67,8 @@
     """Sends that may have run."""
     unsent: int = 0
     hedge_denied: bool = False
+    hedge_from_s: float = 0.0
+    """Until when nothing is hedged, as this process stood still."""
     failure: sending.Outcome = sending.NotRun(NO_REPLICA, sent=False)
     """The last failure, or one after which the request may have run, if there was any."""
 
@@ -117,10 +127,10 @@
         if not effort.pending:
             await _pause_over(effort)
             continue
+        patience_s = _patience_s(effort, loop.time())
+        due_s = loop.time() + patience_s
         done, _ = await asyncio.wait(
-            effort.pending,
-            timeout=_patience_s(effort, loop.time()),
-            return_when=asyncio.FIRST_COMPLETED,
+            effort.pending, timeout=patience_s, return_when=asyncio.FIRST_COMPLETED
         )
         for task in done:
             pending = effort.pending.pop(task)
@@ -134,6 +144,9 @@
             return _at_deadline(effort)
         if done:
             _repeat(effort, now_s)
+        elif now_s - due_s > TIMER_LATE_S and not effort.hedge_from_s:
+            # The answer, or the end of the replica, may have come in meanwhile.
+            effort.hedge_from_s = now_s + CATCH_UP_S
         else:
             _hedge(effort, now_s)
     return effort.failure
@@ -163,7 +176,8 @@
     if not _may_hedge(effort):
         return left_s
     (pending,) = effort.pending.values()
-    return min(max(pending.began_s + _hedge_ms(effort, pending) / 1000 - now_s, 0.0), left_s)
+    hedge_at_s = max(pending.began_s + _hedge_ms(effort, pending) / 1000, effort.hedge_from_s)
+    return min(max(hedge_at_s - now_s, 0.0), left_s)
 
 
 def _hedge_ms(effort: _Effort, pending: _Pending) -> float:
@@ -178,10 +192,12 @@
 
 
 def _may_hedge(effort: _Effort) -> bool:
+    """Whether the one send under way is hedged once it is late; not one that has ended already."""
     call = effort.call
     return (
         call.route.idempotent
         and len(effort.pending) == 1
+        and all(each.send.ended_s is None for each in effort.pending.values())
         and effort.attempts < call.route.max_attempts
         and not effort.hedge_denied
     )
@@ -342,5 +358,5 @@
     task.add_done_callback(lambda _: replica.sends.discard(send))
     effort.tried.append(replica)
     effort.reached[replica.entry.instance] += 1
-    effort.pending[task] = _Pending(replica, now_s)
+    effort.pending[task] = _Pending(replica, send)
     effort.attempts += 1
--- a/tests/direct/test_quarantine.py
+++ b/tests/direct/test_quarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 import scripted
@@ -134,6 +135,58 @@
     assert reached(scripts) <= len(SHARDS) + poison.ENDS_TO_SUSPECT - 1
 
 
+STALL_S = 0.15
+"""Longer than the age at which a part of the query is hedged."""
+
+
+def stall_at(sender, part):
+    """Block the event loop once, while a part of a query begins."""
+    begin, begun = sender.replicas.extra_sends, []
+
+    def extra_sends(service):
+        begun.append(service)
+        if len(begun) == part:
+            time.sleep(STALL_S)
+        return begin(service)
+
+    sender.replicas.extra_sends = extra_sends
+
+
+@pytest.mark.parametrize("part", range(1, len(SHARDS) + 1))
+def test_a_stalled_process_does_not_hedge_parts_that_have_ended(part):
+    """Hedges fell due in the stall and reached further replicas before the ends were known."""
+    scripts, changes = query(scripted.Ending)
+
+    async def scenario(sender, call):
+        stall_at(sender, part)
+        return await answering.all_shards(sender, call)
+
+    ending = play(scripts, scenario, **changes)
+    assert ending.outcome == "failed"
+    assert reached(scripts) <= len(SHARDS) + poison.ENDS_TO_SUSPECT - 1
+
+
+class EndingSlowly(scripted.Ending):
+    """A replica that ends under a request, and whose machine is slow to refuse connections."""
+
+    async def connect(self):
+        if self.requests:
+            await asyncio.sleep(0.06)
+        return await super().connect()
+
+
+def test_a_part_is_not_hedged_while_the_end_of_its_replica_is_found_out():
+    """The hedge went to a further replica before the end of the first was known."""
+    scripts, changes = query(EndingSlowly)
+    changes["goal_ms"] = 120.0
+
+    async def scenario(sender, call):
+        await answering.all_shards(sender, call)
+        return call.hedges
+
+    assert play(scripts, scenario, **changes) == 0
+
+
 def test_a_query_beside_lost_replicas_is_answered_in_full():
     """
     A rack is lost: one replica of each of four shards ends with a query under way. The parts of the
