--- a/tests/direct/test_quarantine.py
+++ b/tests/direct/test_quarantine.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import threading
 import time
 
 import pytest
 import scripted
+import uvloop
 
 from turmericlug.direct import answering
 from turmericlug.direct import obtaining
@@ -166,6 +170,59 @@
     assert reached(scripts) <= len(SHARDS) + poison.ENDS_TO_SUSPECT - 1
 
 
+class WiredConnection(scripted.Connection):
+    """A connection on which the answer comes in whatever the event loop does."""
+
+    async def exchange(self, request):
+        receiving, sending_end = socket.socketpair()
+        receiving.setblocking(False)
+        threading.Timer(0.05, sending_end.send, [b"x"]).start()
+        await asyncio.get_running_loop().sock_recv(receiving, 1)
+        receiving.close()
+        sending_end.close()
+        return await super().exchange(request)
+
+
+class Wired(scripted.Scripted):
+    """A replica that answers by a socket."""
+
+    async def connect(self):
+        return WiredConnection(self)
+
+
+@contextlib.contextmanager
+def stalled_while_reading():
+    """Block the event loop once, as it handles what it has read."""
+    loop = asyncio.get_running_loop()
+    receiving, sending_end = socket.socketpair()
+
+    def stall():
+        loop.remove_reader(receiving)
+        time.sleep(STALL_S)
+
+    loop.add_reader(receiving, stall)
+    threading.Timer(0.02, sending_end.send, [b"x"]).start()
+    yield
+    receiving.close()
+    sending_end.close()
+
+
+def test_a_stall_of_this_process_is_no_reason_to_hedge(monkeypatch):
+    """
+    All parts were hedged whose answers had come in while the process stood still: the event loop of
+    the programs runs timers before it reads.
+    """
+    monkeypatch.setattr(asyncio.events, "new_event_loop", uvloop.new_event_loop)
+    scripts, changes = query(lambda: Wired(GOOD))
+
+    async def scenario(sender, call):
+        with stalled_while_reading():
+            await answering.all_shards(sender, call)
+        return call.hedges
+
+    assert play(scripts, scenario, **changes) == 0
+
+
 class EndingSlowly(scripted.Ending):
     """A replica that ends under a request, and whose machine is slow to refuse connections."""
 
