--- a/tests/deploy/test_days.py
+++ b/tests/deploy/test_days.py
@@ -14,6 +14,7 @@
     "big_config",
     "config_change",
     "config_storm",
+    "evacuate",
     "hup",
     "release",
     "replace_with_reuse",
