--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import math
 import random
 from collections import abc
@@ -109,7 +110,7 @@
     first = first_choices(sender, call)
     if len(first) < least_parts(call):
         # Too few shards have a replica: nothing needs to be sent.
-        return refusal(sender, obtaining.NO_REPLICA)
+        return refusal(sender, _why_too_few_replicas(sender, call, first))
     answer_after_ms = timing.answer_after_ms(
         call.route.goal_ms, call.way_back_s * 1000, len(call.route.shards)
     )
@@ -130,6 +131,19 @@
     return conclude(sender, call, parts)
 
 
+def _why_too_few_replicas(
+    sender: sender_module.Sender, call: sending.Call, first: peers_module.FirstChoices
+) -> str:
+    """Return the reason why most shards without a replica to take a part have none."""
+    now_s = asyncio.get_running_loop().time()
+    reasons = collections.Counter(
+        sender.replicas.why_none(shard, call.route, now_s)
+        for shard in call.route.shards
+        if shard not in first
+    )
+    return reasons.most_common(1)[0][0]
+
+
 Parts = dict[str, asyncio.Task[sending.Outcome]]
 
 
--- a/src/turmericlug/direct/dialect.py
+++ b/src/turmericlug/direct/dialect.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from collections import abc
+
 import attrs
 
+from turmericlug.direct import load as load_module
+
 
 @attrs.frozen
 class Dialect:
@@ -27,3 +31,7 @@
     """Seconds, with fractions, after which a refused caller may come back."""
     organisation: bytes = b""
     """Tells the organisations of callers apart; empty where nothing does."""
+    load: bytes = b""
+    """In a replica's answer: its load; empty where replicas do not tell it."""
+    read_load: abc.Callable[[bytes], load_module.Load | None] = lambda told: None
+    """Reads that header; ``None`` where it is not of the published form."""
--- a/src/turmericlug/direct/handover.capnp
+++ b/src/turmericlug/direct/handover.capnp
@@ -23,6 +23,9 @@
   # Of the instances that the parts are handed to; all of them keep to the same replicas.
   again @14 :Bool;
   # Another of them may have sent the parts before: one send each is left.
+  bound @15 :Bool;
+  regions @16 :List(Text);
+  # Where bound, the only regions whose replicas may get the parts.
 }
 
 struct Answer {
--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -115,7 +115,7 @@
             by_shard.update(dict.fromkeys(group.shards, handed))
             sender.counters.add("handover.sent")
             sender.counters.add("handover.shards", len(group.shards))
-        call.handed_over.update(by_shard)
+            call.handed_over.update(dict.fromkeys(group.shards, group.peer.entry.instance))
         return by_shard
 
     async def _exchange(
@@ -173,6 +173,7 @@
         if peer is None:
             return False
         handed.move_to(peer)
+        call.handed_over.update(dict.fromkeys(handed.shards, peer.entry.instance))
         sender.counters.add("handover.moved")
         decisions.log(
             "handover.moved",
@@ -280,6 +281,7 @@
         time_left_ms=max((call.deadline_s - now_s) * 1000 - round_trip_ms / 2, 1.0),
         data_centre=handed.peer.entry.data_centre,
         again=handed.again,
+        regions=call.route.regions,
     )
 
 
@@ -304,9 +306,9 @@
 
 def _unknown_there(outcome: sending.Outcome) -> bool:
     """Whether the peer does not know the shard's replicas, which may be news to it."""
-    return isinstance(outcome, sending.NotRun) and outcome.reason == obtaining.NO_REPLICA
+    return isinstance(outcome, sending.NotRun) and outcome.reason == replicas_module.NO_REPLICA
 
 
 def _has_few_replicas(sender: sender_module.Sender, call: sending.Call, shard: str) -> bool:
     """Whether a shard has so few replicas that no send can reach too many."""
-    return len(sender.replicas.of(shard)) <= call.route.max_attempts
+    return len(sender.replicas.open_to(shard, call.route)) <= call.route.max_attempts
--- a/src/turmericlug/direct/handover_codec.py
+++ b/src/turmericlug/direct/handover_codec.py
@@ -37,6 +37,8 @@
     """Of the instances that the parts are handed to; all of them keep to the same replicas."""
     again: bool = False
     """Whether another of them may have sent the parts before: one send each is left."""
+    regions: frozenset[str] | None = None
+    """The only regions whose replicas may get the parts; ``None``: any."""
 
 
 @attrs.frozen
@@ -78,6 +80,8 @@
         timeLeftMs=batch.time_left_ms,
         dataCentre=batch.data_centre,
         again=batch.again,
+        bound=batch.regions is not None,
+        regions=sorted(batch.regions or ()),
     )
     return message.to_bytes_packed()
 
@@ -108,6 +112,7 @@
             time_left_ms=message.timeLeftMs,
             data_centre=message.dataCentre,
             again=message.again,
+            regions=frozenset(message.regions) if message.bound else None,
         )
     except Exception as error:  # the library raises its own type for each kind of damage
         raise MessageError(str(error).splitlines()[0][:200]) from error
--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -15,8 +15,6 @@
 from turmericlug.direct import tracking
 from turmericlug.telemetry import decisions
 
-NO_REPLICA = "no_replica"
-"""Reason of a part that was not sent because no replica is known to take it."""
 SHED_AGAIN_S = 0.015
 """Pause before replicas that have all shed a request are tried again: a service time or two, and
 twice as long each time."""
@@ -69,7 +67,7 @@
     hedge_denied: bool = False
     hedge_from_s: float = 0.0
     """Until when nothing is hedged, as this process stood still."""
-    failure: sending.Outcome = sending.NotRun(NO_REPLICA, sent=False)
+    failure: sending.Outcome = sending.NotRun(replicas_module.NO_REPLICA, sent=False)
     """The last failure, or one after which the request may have run, if there was any."""
 
 
@@ -154,7 +152,7 @@
 
 def _closed(effort: _Effort, handed_to: str) -> list[replicas_module.Replica]:
     """Return the replicas that a part must not reach once it is handed to a data centre."""
-    replicas = effort.sender.replicas.of(effort.service)
+    replicas = effort.sender.replicas.open_to(effort.service, effort.call.route)
     most = effort.call.route.max_attempts
     if len(replicas) <= most:
         return []
@@ -251,7 +249,7 @@
     all answers later.
     """
     if other is None:
-        return "no_replica"
+        return replicas_module.NO_REPLICA
     if not effort.sender.quarantine.may_send(effort.call):
         return "ends_replicas"
     if other.overdue(now_s):
@@ -329,6 +327,10 @@
     replica = _choose(effort, now_s)
     if replica is not None:
         _send_to(effort, replica, now_s)
+        return
+    reason = effort.sender.replicas.why_none(effort.service, effort.call.route, now_s)
+    if isinstance(effort.failure, sending.NotRun):
+        effort.failure = sending.NotRun(reason, sent=False)
 
 
 def _choose(effort: _Effort, now_s: float) -> replicas_module.Replica | None:
@@ -349,6 +351,8 @@
     send = replicas_module.Send(now_s, late_ms / 1000, replica.entry.instance)
     # Noted before its task runs: what is given up in the same turn must find it.
     replica.sends.add(send)
+    if replica.is_cold(now_s):
+        replica.cold_sent_s = now_s
     call.asked.setdefault(effort.service, []).append(send)
     task = sender.tasks.start(tracking.tracked(sender, call, replica, send))
     near = sender.replicas.is_near(replica.entry.data_centre)
--- a/src/turmericlug/direct/peers.py
+++ b/src/turmericlug/direct/peers.py
@@ -17,6 +17,7 @@
 from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
 from turmericlug.http1 import client
+from turmericlug.policy import warm_up
 from turmericlug.telemetry import decisions
 
 PEERS_PER_DATA_CENTRE = 4
@@ -74,6 +75,22 @@
         groups = self._owners[data_centre]
         return groups[placement.group_of(shard, len(groups))]
 
+    def cold_share(
+        self, sender: sender_module.Sender, entry: routes.ReplicaEntry, rate_per_s: float
+    ) -> warm_up.Share:
+        """
+        Return this instance's part of what a cold replica bears.
+
+        Where a shard has owners, only those in the replica's data centre have one.
+        """
+        own = self._place.name
+        phase = warm_up.phase_of(own, entry.instance)
+        instances = sender.instances()
+        if placement.everyone_sends(instances) or not sender.is_shard(entry.service):
+            return warm_up.Share(rate_per_s, instances, phase)
+        owners = self.owners(entry.data_centre, entry.service)
+        return warm_up.Share(rate_per_s, len(owners) if own in owners else 0, phase)
+
     def sends_from_here(self, sender: sender_module.Sender, shard: str) -> bool:
         """Whether this instance is to send to a shard's replicas in its own data centre."""
         if placement.everyone_sends(sender.instances()):
@@ -100,7 +117,7 @@
         self, sender: sender_module.Sender, call: sending.Call, first: FirstChoices, now_s: float
     ) -> list[Group]:
         """Group the shards that others should send to by the instance that is to do it."""
-        by_place = self._places(sender, first, now_s)
+        by_place = self._places(sender, call.route, first, now_s)
         shared = not placement.everyone_sends(sender.instances())
         groups: list[Group] = []
         for data_centre, shards in by_place.items():
@@ -116,7 +133,11 @@
         return groups
 
     def _places(
-        self, sender: sender_module.Sender, first: FirstChoices, now_s: float
+        self,
+        sender: sender_module.Sender,
+        route: routes.Route,
+        first: FirstChoices,
+        now_s: float,
     ) -> dict[str, list[str]]:
         """
         Choose the data centre in which each shard is asked.
@@ -133,9 +154,9 @@
                 continue
             open_choice[shard] = {best.entry.data_centre} | {
                 each.entry.data_centre
-                for each in sender.replicas.of(shard)
+                for each in sender.replicas.open_to(shard, route)
                 if self._place.distance(each.entry.data_centre) == distance
-                and not (each.leaving or each.set_aside(now_s) or each.overdue(now_s))
+                and not (each.set_aside(now_s) or each.overdue(now_s))
             }
         while open_choice:
             counts = collections.Counter(
--- a/src/turmericlug/direct/placement.py
+++ b/src/turmericlug/direct/placement.py
@@ -51,6 +51,10 @@
         own = self.regions.get(self.data_centre)
         return SAME_REGION if self.regions.get(data_centre) == own else ELSEWHERE
 
+    def allows(self, regions: frozenset[str] | None, data_centre: str) -> bool:
+        """Whether a data centre lies in one of some regions; ``None``: any will do."""
+        return regions is None or self.regions.get(data_centre) in regions
+
 
 def everyone_sends(instances: int) -> bool:
     """Whether instances are so few that each may send to every replica."""
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -15,6 +15,7 @@
 from turmericlug.direct import timing
 from turmericlug.http1 import client
 from turmericlug.owner import policy
+from turmericlug.policy import warm_up
 from turmericlug.telemetry import decisions
 
 PACE_GAIN = 0.2
@@ -45,6 +46,8 @@
 LOCAL_GUESS_MS = 30.0
 """Before there are measured times, replicas of the own region go first."""
 FAILURES_TO_EJECT = 2
+MOST_COLD_S = 600.0
+"""Longer than any replica takes to warm up; a larger figure of an entry is not believed."""
 WARM_AT_ONCE = 8
 """Connections opened ahead in one round: a handshake holds a slot of the replica for 6 ms."""
 
@@ -123,6 +126,10 @@
     shed_share: float = 0.0
     """Recent share of the sends that it has shed."""
     shed_at_s: float = 0.0
+    cold_since_s: float = 0.0
+    cold_until_s: float = 0.0
+    cold_sent_s: float = float("-inf")
+    """When it was last sent a request while it was cold."""
     elsewhere_until_s: float = 0.0
     """Until when its address is taken for another replica's."""
     leaving: bool = False
@@ -143,6 +150,19 @@
         self.shed_at_s = now_s
         self.full_until_s = now_s + SHED_PAUSE_S
 
+    def is_cold(self, now_s: float) -> bool:
+        """Whether it was started or has lost its caches so lately that it bears few requests."""
+        return now_s < self.cold_until_s
+
+    def turns_cold(self, left_ms: float, now_s: float) -> None:
+        """Take note of how much longer it is cold; nothing known is shortened."""
+        if left_ms <= 0:
+            return
+        if not self.is_cold(now_s):
+            self.cold_since_s = now_s
+        until_s = now_s + min(left_ms / 1000, MOST_COLD_S)
+        self.cold_until_s = max(self.cold_until_s, until_s)
+
     def overdue(self, now_s: float) -> bool:
         """Whether a send has gone unanswered for longer than a slow one takes."""
         return any(now_s - send.began_s > send.overdue_after_s for send in self.sends)
@@ -197,6 +217,16 @@
     return known.born_ms != entry.born_ms or places[0] != places[1]
 
 
+NO_REPLICA = "no_replica"
+"""Reason of what was not sent because no replica is known to take it."""
+EVACUATED = "evacuated"
+"""Reason of what was not sent because the replicas are in evacuated data centres."""
+OUT_OF_REGION = "out_of_region"
+"""Reason of what was not sent because no replica is in a region that the route allows."""
+COLD = "cold"
+"""Reason of what was not sent because all replicas have had their share while they are cold."""
+
+ColdLimit = abc.Callable[[routes.ReplicaEntry], warm_up.Share]
 MakePool = abc.Callable[[routes.ReplicaEntry], pool_module.Pool]
 
 
@@ -216,6 +246,10 @@
         self._by_instance: dict[str, Replica] = {}
         self._times: dict[tuple[str, str], Times] = {}
         self._budgets: dict[str, budget.ExtraSends] = {}
+        self.evacuated: dict[str, float] = {}
+        """Data centres whose replicas get nothing, with the time since when."""
+        self.cold_limit: ColdLimit = lambda entry: warm_up.UNLIMITED
+        """Tells what this instance may send to a cold replica."""
         self.on_lost: abc.Callable[[Replica], None] = lambda replica: None
         """Called when a replica is gone that had not said it would leave."""
 
@@ -240,7 +274,7 @@
         """Return the replicas of a service."""
         return list(self._by_service.get(service, {}).values())
 
-    def put(self, entry: routes.ReplicaEntry) -> bool:
+    def put(self, entry: routes.ReplicaEntry, now_s: float = 0.0) -> bool:
         """
         Add a replica or take over its new entry.
 
@@ -248,6 +282,7 @@
         connections of its former self say nothing of it, and what is under way to that may have run
         or not.
 
+        :param now_s: when the entry was learned; what a replica has left of being cold counts on
         :returns: whether anything that matters has changed
         """
         known = self._by_instance.get(entry.instance)
@@ -257,10 +292,13 @@
             known = None
         if known is None:
             replica = Replica(entry, self._make_pool(entry), leaving=entry.draining)
+            replica.turns_cold(entry.warmup_left_ms, now_s)
             self._by_instance[entry.instance] = replica
             self._by_service[entry.service][entry.instance] = replica
             return True
         changed = known.leaving != entry.draining
+        if entry.warmup_left_ms != known.entry.warmup_left_ms:
+            known.turns_cold(entry.warmup_left_ms, now_s)
         known.entry = entry
         known.leaving = entry.draining
         if entry.draining:
@@ -286,7 +324,7 @@
             for service, replicas in self._by_service.items()
             if wanted(service)
             for each in self._worth_warming(replicas.values(), far)
-            if each.pool.open_count == 0 and not each.leaving and not each.set_aside(now_s)
+            if each.pool.open_count == 0 and self._is_open(each) and not each.set_aside(now_s)
         ]
         await asyncio.gather(*(self._warm(each, now_s) for each in cold[:WARM_AT_ONCE]))
 
@@ -308,6 +346,51 @@
                 reason=str(error),
             )
 
+    def evacuate(self, data_centre: str, now_s: float) -> None:
+        """Send nothing more to the replicas of a data centre; what is under way may finish."""
+        self.evacuated.setdefault(data_centre, now_s)
+
+    def take_back(self, data_centre: str, now_s: float) -> float:
+        """
+        Let the replicas of a data centre get requests again.
+
+        :returns: how long it was evacuated, in seconds
+        """
+        return now_s - self.evacuated.pop(data_centre, now_s)
+
+    def _is_open(self, replica: Replica) -> bool:
+        return not replica.leaving and replica.entry.data_centre not in self.evacuated
+
+    def open_to(self, service: str, route: routes.Route) -> list[Replica]:
+        """Return the replicas of a service that may get a request of a route."""
+        return [
+            each
+            for each in self._by_service.get(service, {}).values()
+            if self._is_open(each) and self._place.allows(route.regions, each.entry.data_centre)
+        ]
+
+    def why_none(self, service: str, route: routes.Route, now_s: float) -> str:
+        """Return why a request can be sent to no replica of a service, as a reason."""
+        known = self._by_service.get(service, {}).values()
+        allowed = [
+            each for each in known if self._place.allows(route.regions, each.entry.data_centre)
+        ]
+        if known and not allowed:
+            return OUT_OF_REGION
+        staying = [each for each in allowed if not each.leaving]
+        if staying and not any(map(self._is_open, staying)):
+            return EVACUATED
+        if any(not self.may_take(each, now_s) for each in self.open_to(service, route)):
+            return COLD
+        return NO_REPLICA
+
+    def may_take(self, replica: Replica, now_s: float) -> bool:
+        """Whether a replica bears one more request from this instance, should it be cold."""
+        if not replica.is_cold(now_s):
+            return True
+        share = self.cold_limit(replica.entry)
+        return share.allows(replica.cold_since_s, replica.cold_sent_s, now_s)
+
     def remove(self, instance: str) -> bool:
         """Forget a replica; what is under way to it may finish."""
         replica = self._by_instance.pop(instance, None)
@@ -360,8 +443,8 @@
         """
         candidates = [
             each
-            for each in self._by_service.get(service, {}).values()
-            if not each.leaving and not each.elsewhere(now_s) and each not in tried
+            for each in self.open_to(service, route)
+            if not each.elsewhere(now_s) and each not in tried and self.may_take(each, now_s)
         ]
         sound = [each for each in candidates if not each.set_aside(now_s)]
         return min(
@@ -387,7 +470,7 @@
         return max(
             (
                 self.times(route.name, each.entry.data_centre).usual_ms
-                for each in self._by_service.get(service, {}).values()
+                for each in self.open_to(service, route)
             ),
             default=0.0,
         )
--- a/src/turmericlug/direct/routes.py
+++ b/src/turmericlug/direct/routes.py
@@ -42,6 +42,20 @@
     """Services that all hold a part of the answer."""
     top_records: int = 0
     min_coverage: float = 0.0
+    regions: frozenset[str] | None = None
+    """The only regions whose replicas and instances may get its requests; ``None``: any."""
+
+    @property
+    def is_bound(self) -> bool:
+        """Whether its requests must not leave some regions."""
+        return self.regions is not None
+
+    def bound_to(self, regions: frozenset[str] | None) -> Route:
+        """Return this route where others may bind its requests to regions as well."""
+        if regions is None:
+            return self
+        both = regions if self.regions is None else self.regions & regions
+        return attrs.evolve(self, regions=both)
 
 
 @attrs.frozen
@@ -52,6 +66,8 @@
     health_path: str
     max_connections: int
     """Connections that one replica takes from all callers together."""
+    cold_rate_per_s: float = 0.0
+    """Requests a second that a cold replica bears from all instances together; 0: not limited."""
 
 
 @attrs.define
@@ -62,6 +78,8 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: messages.Limits
+    key_regions: dict[bytes, frozenset[str]] = attrs.field(factory=dict)
+    """Regions that organisations are bound to, by the key that their callers show."""
     shards: frozenset[str] = attrs.field(init=False, default=frozenset())
     """Every service that is a shard of a route."""
     _by_host: dict[str, list[Route]] = attrs.field(init=False, factory=dict)
@@ -73,6 +91,11 @@
         for routes in self._by_host.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
 
+    def regions_of(self, host: str) -> frozenset[str] | None:
+        """Return the regions that all bound routes of a host allow; ``None`` where none is."""
+        bound = [each.regions for each in self._by_host.get(host.lower(), ()) if each.is_bound]
+        return frozenset.intersection(*bound) or frozenset.union(*bound) if bound else None
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a request: the first rule whose prefix begins the path."""
         for route in self._by_host.get(host.lower(), ()):
@@ -93,7 +116,7 @@
     slots: int
     draining: bool
     warmup_left_ms: float
-    """How much longer it is slow after its start, as of the entry's writing."""
+    """How much longer it is cold, as of the entry's writing."""
     born_ms: int | None = None
     """When it was started, in milliseconds since 1970, where it says so. A later one under the same
     instance is another start, which knows nothing of before."""
--- a/src/turmericlug/direct/sender.py
+++ b/src/turmericlug/direct/sender.py
@@ -13,6 +13,7 @@
 from turmericlug.direct import dialect
 from turmericlug.direct import quarantine as quarantine_module
 from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import sending
 from turmericlug.kernel import tasks as tasks_module
 from turmericlug.telemetry import counters as counters_module
 
@@ -40,6 +41,14 @@
     )
     """Keeps requests that end replicas from further replicas."""
 
+    def withheld(self, call: sending.Call, replica: replicas_module.Replica) -> str:
+        """Return why a request must not be written to a replica now; empty when it may be."""
+        if not self.quarantine.may_send(call):
+            return sending.HELD
+        if replica.entry.data_centre in self.replicas.evacuated:
+            return replicas_module.EVACUATED
+        return ""
+
     def may_send_again(self, service: str, now_s: float) -> bool:
         """Take one of the extra sends that this instance may make to a service, if one is left."""
         if self.handover is not None:
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -48,8 +48,8 @@
     """When a query over shards answers with what it has."""
     asked: dict[str, list[replicas_module.Send]] = attrs.field(factory=dict)
     """The sends of each service, in order."""
-    handed_over: set[str] = attrs.field(factory=set)
-    """Shards that another instance was asked to send to."""
+    handed_over: dict[str, str] = attrs.field(factory=dict)
+    """The instance that was last asked to send to a shard, for each that one was."""
     hedges: int = 0
     repeats: int = 0
     fingerprint: bytes = b""
@@ -66,7 +66,10 @@
 
     def told(self, service: str, now_s: float) -> str:
         """Describe what was sent to a service, for the log."""
-        return ", ".join(send.told(now_s) for send in self.asked.get(service, ())) or "not sent"
+        told = [send.told(now_s) for send in self.asked.get(service, ())]
+        if service in self.handed_over:
+            told.insert(0, f"handed to {self.handed_over[service]}")
+        return ", ".join(told) or "not sent"
 
     def may_have_run(self, service: str) -> bool:
         """Whether a replica of a service may have run the request, or may still."""
@@ -218,6 +221,15 @@
     return isinstance(outcome, Unknown) and outcome.reason in ("deadline", SILENT)
 
 
+def was_withheld(outcome: Outcome) -> bool:
+    """Whether a send was not written by this instance's own decision: says nothing of a replica."""
+    return isinstance(outcome, NotRun) and outcome.reason in (
+        UNWANTED.reason,
+        HELD,
+        replicas_module.EVACUATED,
+    )
+
+
 def promises_not_run(status: int) -> bool:
     """Whether callers take a status for the promise that their request did not run."""
     return status in _PROMISE_STATUSES
@@ -234,13 +246,13 @@
     replica: replicas_module.Replica,
     names: dialect_module.Dialect,
     progress: replicas_module.Send,
-    may_send: abc.Callable[[], bool],
+    withheld: abc.Callable[[], str],
 ) -> Outcome:
     """
     Send a request to a replica and wait for what it says.
 
     :param progress: told when the request is written; may bring its limit forward
-    :param may_send: asked just before the request is written
+    :param withheld: asked just before the request is written; tells why it must not be, if so
     """
     loop = asyncio.get_running_loop()
     try:
@@ -249,8 +261,8 @@
             async with replica.pool.connection(call.route.priority, fresh) as connection:
                 if progress.unwanted:
                     return UNWANTED
-                if not may_send():
-                    return NotRun(HELD, sent=False)
+                if held := withheld():
+                    return NotRun(held, sent=False)
                 now_s = loop.time()
                 left_ms = int((call.deadline_s - now_s) * 1000)
                 if left_ms < 1:
--- a/src/turmericlug/direct/tracking.py
+++ b/src/turmericlug/direct/tracking.py
@@ -19,10 +19,10 @@
     """Send, and let the replica's standing learn from the outcome."""
     try:
         outcome = await sending.send(
-            call, replica, sender.names, send, lambda: sender.quarantine.may_send(call)
+            call, replica, sender.names, send, lambda: sender.withheld(call, replica)
         )
         send.ran = not isinstance(outcome, sending.NotRun)
-        if outcome == sending.UNWANTED:
+        if sending.was_withheld(outcome):
             return outcome
     except asyncio.CancelledError:
         return sending.ABANDONED
--- a/src/turmericlug/entry/beliefs.py
+++ b/src/turmericlug/entry/beliefs.py
@@ -39,7 +39,7 @@
     service: str
     data_centre: str
     state: str
-    """``in use``, ``leaving``, ``set aside`` or ``late``."""
+    """``in use``, ``leaving``, ``set aside``, ``cold`` or ``late``."""
     sends: int
     """Sends under way to it from here."""
     expected_ms: float
@@ -126,6 +126,15 @@
         "instances_counted": view.instances_count(),
         "replicas": {state: states.count(state) for state in sorted(set(states))},
         "connections": view.replicas.connections(),
+        "evacuated_age_s": {
+            data_centre: round(now_s - since_s, 3)
+            for data_centre, since_s in sorted(view.replicas.evacuated.items())
+        },
+        "cold_left_s": {
+            each.entry.instance: round(each.cold_until_s - now_s, 1)
+            for each in view.replicas.all()
+            if each.is_cold(now_s)
+        },
     }
 
 
@@ -142,7 +151,8 @@
         return plain
     services = route.shards or tuple(each.service for each in route.services)
     return plain | {
-        "route": attrs.asdict(route),
+        "route": attrs.asdict(route)
+        | {"regions": None if route.regions is None else sorted(route.regions)},
         "replicas": [
             attrs.asdict(each) for service in services for each in _standings(view, route, service)
         ],
@@ -170,6 +180,8 @@
         return "leaving"
     if replica.set_aside(now_s):
         return "set aside"
+    if replica.is_cold(now_s):
+        return "cold"
     return "late" if replica.overdue(now_s) else "in use"
 
 
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -104,11 +104,20 @@
         route = configuration.match(host, path)
         if route is None:
             return self._no_route(request, configuration, host, path)
+        route = route.bound_to(self._key_regions(request, configuration))
         call = self._call(request, request_id, target, route, configuration.version)
         if self._may_be_cut_off(call):
             return attrs.evolve(self._refused(request, "leaving"), close=True)
         return await self._answered(call, request.caller_host)
 
+    def _key_regions(
+        self, request: messages.Request, configuration: routes.Configuration
+    ) -> frozenset[str] | None:
+        """Return the regions that the caller's organisation is bound to, if it is."""
+        if not configuration.key_regions:
+            return None
+        return configuration.key_regions.get(request.header(self.sender.names.organisation) or b"")
+
     def leave(self, refuse_from_s: float, ends_at_s: float) -> None:
         """
         Take only what will be answered before the end.
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -44,6 +44,7 @@
 from turmericlug.kernel import kernel as kernel_module
 from turmericlug.kernel import tasks
 from turmericlug.policy import attendance
+from turmericlug.policy import warm_up
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
 
@@ -252,6 +253,15 @@
             view.configuration is not None and service in view.configuration.shards
         ),
     )
+
+    def cold_share(entry: routes.ReplicaEntry) -> warm_up.Share:
+        configuration = view.configuration
+        service = configuration.services.get(entry.service) if configuration else None
+        if service is None or not service.cold_rate_per_s:
+            return warm_up.UNLIMITED
+        return peers.cold_share(sender, entry, service.cold_rate_per_s)
+
+    view.replicas.cold_limit = cold_share
     live = kernel.find("live settings")
     sender.quarantine.enabled = bool(live.policy.quarantine)
 
--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -113,6 +113,11 @@
             decisions.log(
                 "source.unreadable", key=each.key, revision=each.revision, reason=each.reason
             )
+        elif isinstance(each, news.Written) and each.ignored:
+            counters.add("source.fields_ignored", len(each.ignored))
+            decisions.log(
+                "source.fields_ignored", key=each.key, revision=each.revision, fields=each.ignored
+            )
 
 
 @attrs.define
--- a/src/turmericlug/entry/helping.py
+++ b/src/turmericlug/entry/helping.py
@@ -154,6 +154,7 @@
         max_attempts=batch.max_attempts,
         shards=batch.shards,
         top_records=batch.top_records,
+        regions=batch.regions,
     )
     return sending.Call(
         request_id=batch.request_id,
--- a/src/turmericlug/entry/news.py
+++ b/src/turmericlug/entry/news.py
@@ -23,7 +23,14 @@
     """``host:port`` for other instances."""
 
 
-Value = routes.Configuration | routes.ReplicaEntry | EntryInstance
+@attrs.frozen
+class Evacuation:
+    """The replicas of a data centre are to get nothing more, for as long as its key is there."""
+
+    data_centre: str
+
+
+Value = routes.Configuration | routes.ReplicaEntry | EntryInstance | Evacuation
 
 
 @attrs.frozen
@@ -37,6 +44,8 @@
     """The value as the source holds it, for passing on."""
     lease: int = 0
     """The lease that the key ends with, where the source itself told; 0: none, or not known."""
+    ignored: tuple[str, ...] = ()
+    """Optional fields that could not be read and count as absent."""
 
 
 @attrs.frozen
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -213,7 +213,7 @@
             case routes.Configuration():
                 self._configure(written.value, written.revision)
             case routes.ReplicaEntry():
-                if self.replicas.put(written.value):
+                if self.replicas.put(written.value, self._now_s()):
                     entry = written.value
                     decisions.log(
                         "view.replica",
@@ -232,6 +232,19 @@
                     self.peers.put(_as_replica(written.value))
                     self.on_instances()
                 self._note_count()
+            case news.Evacuation():
+                self._evacuate(written.value.data_centre, written.revision)
+
+    def _evacuate(self, data_centre: str, revision: int) -> None:
+        if data_centre in self.replicas.evacuated:
+            return
+        self.replicas.evacuate(data_centre, self._now_s())
+        decisions.log(
+            "view.evacuated",
+            data_centre=data_centre,
+            replicas=sum(each.entry.data_centre == data_centre for each in self.replicas.all()),
+            revision=revision,
+        )
 
     def _configure(self, configuration: routes.Configuration, revision: int) -> None:
         current = self.configuration
@@ -266,7 +279,7 @@
             if self._is_own(written):
                 self.own_entry_removed = True
                 continue
-            if hold:
+            if hold and not isinstance(written.value, news.Evacuation):
                 self._hold(key, written, revision)
             else:
                 self._forget(key, revision)
@@ -293,6 +306,15 @@
                 self.peers.remove(written.value.name)
                 self.on_instances()
                 decisions.log("view.instance_gone", name=written.value.name, revision=revision)
+            case news.Evacuation():
+                data_centre = written.value.data_centre
+                age_s = self.replicas.take_back(data_centre, self._now_s())
+                decisions.log(
+                    "view.taken_back",
+                    data_centre=data_centre,
+                    age_s=round(age_s, 3),
+                    revision=revision,
+                )
 
     def _remember_start(self, key: str, entry: routes.ReplicaEntry) -> None:
         if entry.born_ms is None:
--- a/src/turmericlug/operators/entry_commands.py
+++ b/src/turmericlug/operators/entry_commands.py
@@ -32,6 +32,10 @@
     for title in ("replicas", "connections"):
         told = ", ".join(f"{count} {what}" for what, count in answer[title].items())
         typer.echo(f"{title}: {told or 'none'}")
+    for data_centre, age_s in answer["evacuated_age_s"].items():
+        typer.echo(f"evacuated: {data_centre}, for {age_s} s")
+    if answer["cold_left_s"]:
+        typer.echo(f"cold: {len(answer['cold_left_s'])} replicas")
 
 
 def _believed(answer: Plain) -> str:
--- a/src/turmericlug/platform/decode.py
+++ b/src/turmericlug/platform/decode.py
@@ -16,6 +16,7 @@
 from turmericlug.direct import routes
 from turmericlug.entry import news
 from turmericlug.http1 import messages
+from turmericlug.platform import fields
 from turmericlug.platform import names
 
 _IDEMPOTENT = "idempotent"
@@ -25,6 +26,8 @@
 _DEFAULT_ATTEMPTS = 1
 _REASON_LENGTH = 100
 """Characters of an error that are kept: it may quote the value, which may be a megabyte."""
+_MOST_IGNORED = 5
+"""Fields of one value that are told to be ignored; a value may have thousands."""
 _MOST_PORT = 65535
 
 Plain = dict[str, typing.Any]
@@ -37,27 +40,35 @@
     :param content: the value, or its base64 text as the store sends it
     """
     plain = b""
+    ignored: list[str] = []
     try:
         plain = binascii.a2b_base64(content, strict_mode=True) if _is_text(content) else content
-        found = value(key, plain)
+        found = value(key, plain, ignored)
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
         reason = f"{type(error).__name__}: {error}"[:_REASON_LENGTH]
         return news.Unreadable(key, revision, reason, plain)
-    return None if found is None else news.Written(key, found, revision, plain)
+    if found is None:
+        return None
+    told = tuple(each[:_REASON_LENGTH] for each in ignored[:_MOST_IGNORED])
+    return news.Written(key, found, revision, plain, ignored=told)
 
 
 def _is_text(content: bytes | str) -> typing.TypeGuard[str]:
     return isinstance(content, str)
 
 
-def value(key: str, content: bytes) -> news.Value | None:
+def value(key: str, content: bytes, ignored: list[str]) -> news.Value | None:
     """
     Return what a key's value says; ``None`` for keys that nothing here reads.
 
+    :param ignored: gets the optional fields that can't be read
     :raises ValueError, KeyError, TypeError: the value is not of the published form
     """
     if key == names.CONFIGURATION_KEY:
-        return configuration(json.loads(content))
+        return configuration(json.loads(content), ignored)
+    if key.startswith(names.EVACUATIONS_PREFIX):
+        # That the key is there says all: what its value holds does not matter.
+        return news.Evacuation(key.removeprefix(names.EVACUATIONS_PREFIX))
     if key.startswith(names.REPLICAS_PREFIX):
         return _replica(key.removeprefix(names.REPLICAS_PREFIX), json.loads(content))
     if key.startswith(names.INSTANCES_PREFIX):
@@ -65,26 +76,49 @@
     return None
 
 
-def configuration(plain: Plain) -> routes.Configuration:
-    """Decode the operator's configuration."""
+def configuration(plain: Plain, ignored: list[str]) -> routes.Configuration:
+    """
+    Decode the operator's configuration.
+
+    :param ignored: gets the optional fields that can't be read
+    """
     services = {
         item["Name"]: routes.Service(
             name=item["Name"],
             health_path=item.get("HealthPath", "/health"),
             # Of one replica, from all callers together.
             max_connections=item.get("MaxConns") or 16,
+            cold_rate_per_s=fields.optional(item, "WarmupPerS", fields.rate_per_s, 0.0, ignored),
         )
         for item in plain["Services"]
     }
     return routes.Configuration(
         version=plain["Version"],
-        routes=tuple(_route(item) for item in plain["Routes"]),
+        routes=tuple(_route(item, ignored) for item in plain["Routes"]),
         services=services,
         limits=_limits(plain.get("Limits") or {}),
+        key_regions=_key_regions(plain.get("Tenants") or [], ignored),
     )
 
 
-def _route(item: Plain) -> routes.Route:
+def _key_regions(organisations: list[Plain], ignored: list[str]) -> dict[bytes, frozenset[str]]:
+    """Return the regions that organisations are bound to, by each of their keys."""
+    found: dict[bytes, frozenset[str]] = {}
+    for item in organisations:
+        regions = _regions(item, ignored)
+        if regions is not None:
+            found |= {key.encode(): regions for key in item.get("ApiKeys") or []}
+    return found
+
+
+def _regions(item: Plain, ignored: list[str]) -> frozenset[str] | None:
+    """Return the regions that something is bound to; no region at all where they can't be read."""
+    before = len(ignored)
+    found = fields.optional(item, "AllowedRegions", fields.regions, None, ignored)
+    return found if len(ignored) == before else frozenset()
+
+
+def _route(item: Plain, ignored: list[str]) -> routes.Route:
     timeout_ms = item.get("TimeoutMs") or _NO_TIMEOUT_MS
     return routes.Route(
         name=item["Name"],
@@ -101,6 +135,7 @@
         shards=tuple(item.get("Gather") or ()),
         top_records=item.get("TopK") or 0,
         min_coverage=item.get("MinCoverage") or 0.0,
+        regions=_regions(item, ignored),
     )
 
 
--- a/src/turmericlug/platform/interfaces.py
+++ b/src/turmericlug/platform/interfaces.py
@@ -10,6 +10,8 @@
 from turmericlug.http1 import messages
 from turmericlug.platform import names
 
+_RESOLVE_KEYS = ("Region", "Zone", "Name")
+
 
 def resolve_handler(directory: directory_module.Directory) -> messages.Handler:
     """Return the handler of the question which addresses a caller may use."""
@@ -19,9 +21,8 @@
         if path != names.RESOLVE_PATH:
             return messages.Answer(404)
         asked = urllib.parse.parse_qs(query.decode("latin-1"))
-        addresses = directory.addresses(
-            (asked.get("Region") or [""])[0], (asked.get("Zone") or [""])[0]
-        )
+        region, data_centre, host = ((asked.get(key) or [""])[0] for key in _RESOLVE_KEYS)
+        addresses = directory.addresses(region, data_centre, host)
         if not addresses:
             return messages.Answer(503)
         body = json.dumps({"addrs": addresses, "ttl_s": directory.lifetime_s}).encode()
--- a/src/turmericlug/platform/names.py
+++ b/src/turmericlug/platform/names.py
@@ -3,6 +3,21 @@
 from __future__ import annotations
 
 from turmericlug.direct import dialect
+from turmericlug.direct import load
+from turmericlug.platform import fields
+
+_PERCENT = 100
+
+
+def read_load(told: bytes) -> load.Load | None:
+    """Read the load that a replica tells; ``None`` where it can't be read."""
+    try:
+        running, waiting, slots, *slowdown_percent = fields.load_figures(told)
+    except fields.FieldError:
+        return None
+    slowdown = slowdown_percent[0] / _PERCENT if slowdown_percent else 1.0
+    return load.Load(running, waiting, slots, slowdown)
+
 
 HEADERS = dialect.Dialect(
     request_id=b"x-request-id",
@@ -14,11 +29,14 @@
     missing_parts=b"x-missing-parts",
     retry_after=b"retry-after",
     organisation=b"x-key",
+    load=b"x-server-load",
+    read_load=read_load,
 )
 
 RESOLVE_PATH = b"/turmericlug/resolve"
 READY_PATH = b"/turmericlug/ready"
 
 CONFIGURATION_KEY = "op/config"
+EVACUATIONS_PREFIX = "op/evacuate/"
 REPLICAS_PREFIX = "servers/"
 INSTANCES_PREFIX = "turmericlug/instances/"
--- a/tests/direct/test_answering.py
+++ b/tests/direct/test_answering.py
@@ -114,7 +114,7 @@
         parts["z"].cancel()
         call.asked["z"] = last
         if handed_over:
-            call.handed_over.add("z")
+            call.handed_over["z"] = "e-2"
         return answering.conclude(sender, call, parts)
 
     assert asyncio.run(main()).answer.status == status
--- a/tests/direct/test_handover.py
+++ b/tests/direct/test_handover.py
@@ -289,6 +289,22 @@
     assert asyncio.run(main()) == sent
 
 
+def test_what_was_handed_over_is_told_with_the_instance_that_has_it():
+    """Missing parts that another instance had sent to replicas were told as not sent."""
+
+    async def main():
+        sender = handing.make_sender(handing.scripts())
+        async with handing.peer(handing.silent) as sender.handover:
+            call = handing.query_call(goal_ms=60.0, deadline_ms=90.0)
+            ending = await answering.all_shards(sender, call)
+            call.abandon()
+            await sender.tasks.close()
+        assert "x: not in time (handed to e-2" in ending.reason
+        assert call.told("unknown", 0.0) == "not sent"
+
+    asyncio.run(main())
+
+
 def test_a_batch_that_may_be_old_is_refused():
     """
     An instance stands still with a batch in its socket, while the one that handed it over takes it
--- /dev/null
+++ b/tests/direct/test_regions.py
@@ -0,0 +1,269 @@
+"""Where a request may go: bound regions, evacuated data centres, cold replicas."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import handing
+import pytest
+import scripted
+
+from turmericlug.direct import answering
+from turmericlug.direct import handover_codec
+from turmericlug.direct import obtaining
+from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import sending
+from turmericlug.direct import trial
+from turmericlug.entry import helping
+from turmericlug.http1 import messages
+from turmericlug.policy import poison
+from turmericlug.policy import warm_up
+
+GOOD = scripted.response(body=bytes(16))
+FAILS = scripted.response(500)
+HERE, THERE = frozenset({"here"}), frozenset({"there"})
+FAR_AND_NEAR = ("near-1", "far-1", "further-1")
+
+
+def play(scripts, scenario, **changes):
+    """Run a scenario with a sender in data centre ``near`` and a call."""
+
+    async def main():
+        sender = handing.make_sender(scripts)
+        call = scripted.make_call(**changes)
+        async with asyncio.timeout(10):
+            found = await scenario(sender, call)
+        await sender.tasks.close()
+        return found
+
+    return asyncio.run(main())
+
+
+def service(*steps, names=FAR_AND_NEAR):
+    return {name: scripted.Scripted(*steps) for name in names}
+
+
+def reached(replicas):
+    return {name for name, replica in replicas.items() if replica.requests}
+
+
+@pytest.mark.parametrize(
+    ("steps", "changes"),
+    [
+        ([GOOD], {}),
+        ([FAILS], {"max_attempts": 3}),
+        ([scripted.SHED], {"max_attempts": 3}),
+        ([0.3, GOOD], {"max_attempts": 3, "goal_ms": 50.0}),
+        ([FAILS], {"max_attempts": 3, "idempotent": False}),
+    ],
+    ids=["first send", "repeat", "shed", "hedge", "not idempotent"],
+)
+@pytest.mark.parametrize("regions", [THERE, HERE, frozenset()], ids=["far", "near", "nowhere"])
+def test_a_bound_request_reaches_only_replicas_of_its_regions(steps, changes, regions):
+    """Requests bound to regions were sent to the replica that was nearest or answered first."""
+    replicas = service(*steps)
+
+    async def scenario(sender, call):
+        return await answering.single(sender, call, "s")
+
+    ending = play({"s": replicas}, scenario, regions=regions, deadline_ms=800.0, **changes)
+    allowed = {name for name in FAR_AND_NEAR if handing.REGIONS[name.partition("-")[0]] in regions}
+    assert reached(replicas) <= allowed
+    if not allowed:
+        assert (ending.outcome, ending.reason) == ("refused", replicas_module.OUT_OF_REGION)
+        assert ending.answer.status == 503
+        assert float(dict(ending.answer.headers)[b"retry-after"]) > 0
+
+
+def test_a_suspected_request_is_tried_only_in_its_regions():
+    shards = {shard: service(GOOD) for shard in ("x", "y")}
+
+    async def scenario(sender, call):
+        call.fingerprint = b"q"
+        for name in ("a", "b", "c"):
+            sender.quarantine.book.ended(b"q", name, sender.quarantine._now_s(), False)
+        assert sender.quarantine.verdict(b"q") is poison.Verdict.SUSPECTED
+        return await trial.before(sender, call)
+
+    play(shards, scenario, regions=THERE, shards=("x", "y"), services=(), min_coverage=0.5)
+    assert {name for each in shards.values() for name in reached(each)} == {"far-1"}
+
+
+def test_a_bound_query_is_refused_at_once_where_too_few_shards_are_in_its_regions():
+    scripts = {"x": service(GOOD), "y": service(GOOD, names=("near-1",))}
+
+    async def scenario(sender, call):
+        return await answering.all_shards(sender, call)
+
+    ending = play(
+        scripts, scenario, regions=THERE, shards=("x", "y"), services=(), min_coverage=0.9
+    )
+    assert (ending.outcome, ending.reason) == ("refused", replicas_module.OUT_OF_REGION)
+    assert not any(reached(each) for each in scripts.values())
+
+
+def test_a_bound_query_is_handed_only_to_instances_of_its_regions():
+    """The body of a bound request was handed to the instance nearest to any replica."""
+
+    async def main():
+        scripts = handing.scripts()
+        sender = handing.make_sender(scripts)
+        taken = []
+
+        async def handle(request):
+            taken.append(handover_codec.decode_batch(request.body))
+            return messages.Answer(503)
+
+        async with handing.peer(handle) as towards:
+            sender.handover = towards
+            call = handing.query_call(regions=frozenset({"here"}), min_coverage=0.3)
+            ending = await answering.all_shards(sender, call)
+            assert not taken
+            assert ending.outcome == "partial"
+            assert {name for each in scripts.values() for name in reached(each)} == {"near-3"}
+            call = handing.query_call(regions=THERE)
+            await answering.all_shards(sender, call)
+            assert [each.regions for each in taken] == [THERE]
+        await sender.tasks.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("regions", [None, THERE, frozenset()], ids=["any", "one", "none"])
+def test_the_regions_of_a_batch_come_through(regions):
+    batch = attrs.evolve(handing.BATCH, regions=regions)
+    assert handover_codec.decode_batch(handover_codec.encode_batch(batch)) == batch
+
+
+def test_an_instance_that_takes_a_batch_keeps_to_its_regions():
+    """Parts that were late at the helping instance were hedged in another region."""
+    scripts = {"x": service(0.3, GOOD), "y": service(0.3, GOOD)}
+
+    async def main():
+        sender = handing.make_sender(scripts)
+        batch = attrs.evolve(handing.BATCH, regions=THERE, again=False, answer_in_ms=150.0)
+        content = handover_codec.encode_batch(batch)
+        now_s = asyncio.get_running_loop().time()
+        request = messages.Request(b"POST", b"/parts", ((b"host", b"h"),), content, now_s)
+        answer = await helping.handler(sender)(request)
+        async for _ in answer.chunks:
+            pass
+        await sender.tasks.close()
+
+    asyncio.run(main())
+    assert {name for each in scripts.values() for name in reached(each)} == {"far-1"}
+
+
+def evacuate(sender, *data_centres):
+    for each in data_centres:
+        sender.replicas.evacuate(each, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("data_centres", "allowed", "reason"),
+    [
+        (["near"], {"far-1", "further-1"}, ""),
+        (["near", "far"], {"further-1"}, ""),
+        (["near", "far", "further"], set(), replicas_module.EVACUATED),
+        (["unknown"], set(FAR_AND_NEAR), ""),
+    ],
+)
+def test_replicas_of_an_evacuated_data_centre_get_nothing(data_centres, allowed, reason):
+    """Replicas of a data centre that was evacuated got requests until the data centre was off."""
+    replicas = service(FAILS)
+
+    async def scenario(sender, call):
+        evacuate(sender, *data_centres)
+        return await obtaining.obtain(sender, call, "s")
+
+    outcome = play({"s": replicas}, scenario, max_attempts=3)
+    assert reached(replicas) <= allowed
+    if reason:
+        assert outcome == sending.NotRun(reason, sent=False)
+
+
+class OpensLate(scripted.Scripted):
+    """A replica whose connection opens only when it is let."""
+
+    def __init__(self, *script):
+        super().__init__(*script)
+        self.let = asyncio.Event()
+
+    async def connect(self):
+        await self.let.wait()
+        return await super().connect()
+
+
+def test_what_waits_for_a_connection_when_a_data_centre_is_evacuated_is_not_written():
+    """A request that waited for a connection was written after the evacuation."""
+
+    async def main():
+        replicas = {"near-1": OpensLate(GOOD), "far-1": scripted.Scripted(GOOD)}
+        sender = handing.make_sender({"s": replicas})
+        call = scripted.make_call(idempotent=False)
+        sent = asyncio.create_task(obtaining.obtain(sender, call, "s"))
+        await asyncio.sleep(0.01)
+        evacuate(sender, "near")
+        replicas["near-1"].let.set()
+        outcome = await sent
+        assert isinstance(outcome, sending.Answered)
+        assert reached(replicas) == {"far-1"}
+        (standing,) = (each for each in sender.replicas.of("s") if each.entry.data_centre == "near")
+        assert standing.failures == 0
+        await sender.tasks.close()
+
+    asyncio.run(main())
+
+
+def test_what_is_taken_back_is_used_again():
+    replicas = service(GOOD, names=("near-1",))
+
+    async def scenario(sender, call):
+        evacuate(sender, "near")
+        evacuate(sender, "near")
+        assert sender.replicas.take_back("near", 2.0) == 2.0
+        assert sender.replicas.take_back("near", 3.0) == 0.0
+        return await obtaining.obtain(sender, call, "s")
+
+    assert isinstance(play({"s": replicas}, scenario), sending.Answered)
+
+
+def test_no_connection_is_opened_ahead_to_an_evacuated_data_centre():
+    replicas = service(GOOD, names=("near-1", "near-2"))
+
+    async def scenario(sender, call):
+        evacuate(sender, "near")
+        await sender.replicas.warm(0.0, lambda service: True, far=True)
+        return sender.replicas.connections()["opened_ahead"]
+
+    assert play({"s": replicas}, scenario) == 0
+
+
+@pytest.mark.parametrize(
+    ("share", "most"),
+    [
+        (warm_up.Share(2.0, senders=0), 0),
+        (warm_up.Share(2.0), 1),
+        (warm_up.Share(2.0, senders=1000, phase=0.9), 0),
+        (warm_up.UNLIMITED, 4),
+    ],
+    ids=["no sender", "the only one", "its turn is later", "not limited"],
+)
+def test_a_cold_replica_gets_no_more_than_this_instance_may_send(share, most):
+    """A replica that had just started got the requests of all instances and ended again."""
+    replicas = service(GOOD, names=("near-1",))
+
+    async def scenario(sender, call):
+        loop = asyncio.get_running_loop()
+        entry = attrs.evolve(
+            scripted.entry("near-1", data_centre="near", born_ms=2), warmup_left_ms=3000.0
+        )
+        sender.replicas.put(entry, loop.time())
+        sender.replicas.cold_limit = lambda entry: share
+        return [await obtaining.obtain(sender, call, "s") for _ in range(4)]
+
+    outcomes = play({"s": replicas}, scenario)
+    assert len(replicas["near-1"].requests) == most
+    refused = sending.NotRun(replicas_module.COLD, sent=False)
+    assert outcomes.count(refused) == 4 - most
--- a/tests/entry/test_beliefs.py
+++ b/tests/entry/test_beliefs.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 
+import attrs
 import pytest
 import scripted
 
@@ -75,6 +76,23 @@
     assert told["instances"] == ["e-2"]
 
 
+def test_status_tells_what_is_evacuated_and_what_is_cold():
+    cold = attrs.evolve(scripted.entry("x1", "x"), warmup_left_ms=60_000.0)
+    evacuated = news.Written("v/dc-2", news.Evacuation("dc-2"), 1)
+    _, told = ask(b"/status", [written("r/x1", cold), *SNAPSHOT[2:], evacuated])
+    assert told["evacuated_age_s"].keys() == {"dc-2"}
+    assert told["cold_left_s"].keys() == {"x1"}
+
+
+@pytest.mark.parametrize("regions", [None, [], ["q", "r"]], ids=str)
+def test_explain_tells_the_regions_of_a_route(regions):
+    bound = regions if regions is None else frozenset(regions)
+    route = attrs.evolve(CONFIGURATION.routes[0], regions=bound)
+    configuration = attrs.evolve(CONFIGURATION, routes=(route,))
+    snapshot = [written("config", configuration), *SNAPSHOT[1:]]
+    assert ask(b"/explain?host=h&path=/a/1", snapshot)[1]["route"]["regions"] == regions
+
+
 def test_status_before_the_first_reading():
     _, told = ask(b"/status")
     assert (told["ready"], told["configuration_version"], told["source_age_s"]) == (False,) + (
--- a/tests/entry/test_directory.py
+++ b/tests/entry/test_directory.py
@@ -7,9 +7,11 @@
 
 from turmericlug.direct import budget
 from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import routes
 from turmericlug.entry import directory
 from turmericlug.entry import news
 from turmericlug.entry import view as view_module
+from turmericlug.http1 import messages
 
 
 def make_directory(*instances):
@@ -37,6 +39,43 @@
     assert make_directory(*instances).addresses("r", "d") == expected
 
 
+@pytest.mark.parametrize(
+    ("instances", "regions", "expected"),
+    [
+        (["r/d/1", "q/f/4", "p/g/5"], [{"q"}], ["q/f/4", "r/d/1"]),
+        (["r/d/1", "q/f/4", "p/g/5"], [{"r"}], ["r/d/1"]),
+        (["q/f/4", "p/g/5"], [{"q"}], ["q/f/4"]),
+        (["q/f/4", "p/g/5"], [{"q"}, {"q", "p"}], ["q/f/4"]),
+        (["q/f/4", "p/g/5"], [{"q"}, {"p"}], ["p/g/5", "q/f/4"]),
+        (["q/f/4", "p/g/5"], [{"r"}], ["p/g/5", "q/f/4"]),
+        (["q/f/4", "p/g/5"], [None, {"p"}], ["p/g/5"]),
+    ],
+    ids=[
+        "second choice in an allowed region",
+        "own region alone",
+        "an allowed region alone",
+        "allowed by both routes",
+        "allowed by one of them",
+        "none runs in an allowed region",
+        "one route is not bound",
+    ],
+)
+def test_callers_of_bound_routes_are_told_their_own_or_an_allowed_region(
+    instances, regions, expected
+):
+    """Callers whose data centre was short of instances were told those of every region."""
+    found = make_directory(*instances)
+    bound = tuple(
+        routes.Route(
+            f"r{number}", "h", f"/{number}/", True, 1.0, 1.0, 1, 1, regions=each and frozenset(each)
+        )
+        for number, each in enumerate(regions)
+    )
+    found.view.configuration = routes.Configuration(1, bound, {}, messages.Limits())
+    assert found.addresses("r", "d", "H") == expected
+    assert len(found.addresses("r", "d", "another host")) == len(instances)
+
+
 @pytest.mark.parametrize(
     ("instances", "expected"),
     [
--- a/tests/entry/test_view.py
+++ b/tests/entry/test_view.py
@@ -75,6 +75,40 @@
     assert view.configuration.version == final
 
 
+def evacuated(data_centre, revision):
+    return news.Written(f"v/{data_centre}", news.Evacuation(data_centre), revision)
+
+
+@pytest.mark.parametrize("away", [True, False], ids=["source away", "in calm"])
+def test_an_evacuation_is_in_force_until_its_key_goes(away):
+    """
+    Entries that vanish beside an outage are held for their return. An evacuation that was taken
+    back stayed in force as long.
+    """
+    view, clock = make_view()
+    view.take_snapshot(news.Snapshot((evacuated("a", 1), evacuated("b", 2)), 2))
+    assert set(view.replicas.evacuated) == {"a", "b"}
+    clock.now_s += 4
+    view.take_changes(news.Changes((evacuated("a", 3),), 3))
+    assert view.replicas.evacuated["a"] == clock.now_s - 4
+    if away:
+        view.source_lost("timeout")
+    view.take_changes(news.Changes((news.Removed("v/a", 4),), 4))
+    assert set(view.replicas.evacuated) == {"b"}
+    view.take_changes(news.Changes((news.Removed("v/b", 5), evacuated("b", 6)), 6))
+    assert set(view.replicas.evacuated) == {"b"}
+    view.take_snapshot(news.Snapshot((), 9))
+    assert not view.replicas.evacuated
+
+
+def test_an_evacuation_in_lost_history_is_passed_on():
+    """Instances that ask another one for news never heard of what a fresh reading had brought."""
+    view, _ = make_view()
+    view.take_snapshot(news.Snapshot((evacuated("a", 1),), 1))
+    found = view.news_in(news.Snapshot((evacuated("b", 3),), 3))
+    assert found.changes == (evacuated("b", 3), news.Removed("v/a", 3))
+
+
 def test_a_removed_replica_is_gone_at_once_in_calm():
     view, _ = make_view()
     view.take_snapshot(news.Snapshot(tuple(replica(f"i{n}", 1) for n in range(8)), 1))
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -490,4 +490,71 @@
         "",
         "entry/test_suspects.py::test_an_instance_that_was_deaf_or_has_just_started_learns_it",
     ),
+    mutant.one(
+        "leave-the-bound-regions",
+        "direct/placement.py",
+        "        return regions is None or self.regions.get(data_centre) in regions",
+        "        return True",
+        "direct/test_regions.py::test_a_bound_request_reaches_only_replicas_of_its_regions",
+    ),
+    mutant.one(
+        "hand-over-without-regions",
+        "entry/helping.py",
+        "        regions=batch.regions,\n",
+        "",
+        "direct/test_regions.py::test_an_instance_that_takes_a_batch_keeps_to_its_regions",
+    ),
+    mutant.one(
+        "unreadable-regions-allow-all",
+        "platform/decode.py",
+        "    return found if len(ignored) == before else frozenset()",
+        "    return found",
+        "platform/test_fields.py::test_regions_of_a_route_never_widen",
+    ),
+    mutant.one(
+        "tell-instances-of-any-region",
+        "entry/directory.py",
+        "        anywhere = self._allowed(instances, region, host) or instances",
+        "        anywhere = instances",
+        "entry/test_directory.py::test_callers_of_bound_routes_are_told_their_own_or_an_allowed"
+        "_region",
+    ),
+    mutant.one(
+        "write-after-an-evacuation",
+        "direct/sender.py",
+        "        if replica.entry.data_centre in self.replicas.evacuated:\n"
+        "            return replicas_module.EVACUATED\n",
+        "",
+        "direct/test_regions.py::"
+        "test_what_waits_for_a_connection_when_a_data_centre_is_evacuated_is_not_written",
+    ),
+    mutant.one(
+        "hold-an-evacuation-taken-back",
+        "entry/view.py",
+        "            if hold and not isinstance(written.value, news.Evacuation):",
+        "            if hold:",
+        "entry/test_view.py::test_an_evacuation_is_in_force_until_its_key_goes",
+    ),
+    mutant.one(
+        "cold-replicas-keep-unused-shares",
+        "policy/warm_up.py",
+        "        return turn >= 0 and now_s - moment_s < length_s and sent_s < moment_s",
+        "        return turn >= 0 and sent_s < moment_s",
+        "policy/test_warm_up.py::" "test_a_burst_after_a_quiet_spell_does_not_arrive_at_once",
+    ),
+    mutant.one(
+        "hedge-after-a-stall",
+        "direct/obtaining.py",
+        "        elif now_s - due_s > TIMER_LATE_S and not effort.hedge_from_s:",
+        "        elif not loop:",
+        "direct/test_quarantine.py::test_a_stall_of_this_process_is_no_reason_to_hedge",
+    ),
+    mutant.one(
+        "hedge-what-has-ended",
+        "direct/obtaining.py",
+        "        and all(each.send.ended_s is None for each in effort.pending.values())\n",
+        "",
+        "direct/test_quarantine.py::"
+        "test_a_part_is_not_hedged_while_the_end_of_its_replica_is_found_out",
+    ),
 )
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -39,14 +39,14 @@
 )
 def test_routes(changes, expected):
     plain = standin_platform.configuration(9, [standin_platform.route("r", "/x/", **changes)], "a")
-    found = decode.configuration(plain)
+    found = decode.configuration(plain, [])
     (route,) = found.routes
     assert found.version == 9
     assert {key: getattr(route, key) for key in expected} == expected
 
 
 def test_services_and_limits():
-    found = decode.configuration(standin_platform.configuration(1, [], ["a"]))
+    found = decode.configuration(standin_platform.configuration(1, [], ["a"]), [])
     assert found.services == {"a": routes.Service("a", "/health", 26)}
     assert found.limits == messages.Limits(16384, 262144, 3.0, 15.0)
 
@@ -56,7 +56,7 @@
     replica = standin_platform.Replica("i-1", "s")
     replica.address = ("10.0.0.7", 8080)
     content = json.dumps(replica.entry(state)).encode()
-    assert decode.value("servers/i-1", content) == routes.ReplicaEntry(
+    assert decode.value("servers/i-1", content, []) == routes.ReplicaEntry(
         "i-1", "s", "10.0.0.7", 8080, "dc-1", 2, draining, 0, replica.born_ms
     )
 
@@ -204,4 +204,4 @@
 
 
 def test_keys_of_others_are_not_read():
-    assert decode.value("somebody/else", b"whatever") is None
+    assert decode.value("somebody/else", b"whatever", []) is None
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -152,11 +152,12 @@
 class Replica:
     """A replica that answers every request with its own signature; ``script`` changes that."""
 
-    def __init__(self, instance, service, body=b"", delay_s=0.0):
+    def __init__(self, instance, service, body=b"", delay_s=0.0, data_centre="dc-1"):
         self.instance = instance
         self.service = service
         self.body = body
         self.delay_s = delay_s
+        self.data_centre = data_centre
         self.runs = []
         self.address = None
         self.script = None
@@ -195,7 +196,7 @@
         return {
             "Service": self.service,
             "Address": "{}:{}".format(*self.address),
-            "Zone": "dc-1",
+            "Zone": self.data_centre,
             "Version": "v1",
             "Slots": 2,
             "State": state,
