A part that may reach no further replica goes back to one that failed it

Change: once the replicas allowed are used up, a repeatable part goes back to one that broke off or failed it, twice at the most, within the budget of extra sends. Not after a lost batch, not for trials, not where one replica is allowed.

--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -25,6 +25,9 @@
 """A timer that is later than this was held up: this process stood still."""
 CATCH_UP_S = 0.01
 """Time to read what came in while this process stood still."""
+MOST_RETURNS = 2
+"""Sends to replicas that have failed a request before, once it may reach no other. Replicas that
+lose part of their answers give the next one in many cases."""
 MOST_UNSENT = 3
 """Sends that found no connection do not count as attempts; a service whose replicas all refuse
 connections is given up after this many."""
@@ -57,6 +60,10 @@
     """How often it was sent to each instance, but for sends that found no connection."""
     shed_by: list[replicas_module.Replica] = attrs.field(factory=list)
     """Replicas that were full and have run nothing."""
+    failed_by: list[replicas_module.Replica] = attrs.field(factory=list)
+    """Replicas that gave a failure, or no usable answer, before its time was over."""
+    returns: int = 0
+    """Sends to replicas that had failed it."""
     pauses: int = 0
     again_at_s: float | None = None
     """When replicas that were full are tried again, while nothing is under way."""
@@ -105,6 +112,7 @@
         return sending.Unknown("budget")
     else:
         effort.attempts = call.route.max_attempts - 1
+        effort.returns = MOST_RETURNS
         effort.failure = sending.Unknown("batch_lost")
     try:
         return await _first_answer(effort, first)
@@ -206,6 +214,8 @@
 ) -> None:
     if not isinstance(outcome, sending.NotRun):
         effort.failure = outcome
+        if not sending.is_late(outcome) and outcome != sending.ABANDONED:
+            effort.failed_by.append(replica)
         return
     effort.attempts -= 1
     if not outcome.sent:
@@ -261,7 +271,9 @@
     """Send once more after a failure, if that can't make the request run twice by our doing."""
     sender, call = effort.sender, effort.call
     failure = effort.failure
-    if effort.pending or effort.attempts >= call.route.max_attempts:
+    if effort.pending:
+        return
+    if effort.attempts >= call.route.max_attempts and not _goes_back(effort):
         return
     if effort.unsent > MOST_UNSENT:
         return
@@ -296,6 +308,18 @@
     _send_to(effort, replica, now_s)
 
 
+def _goes_back(effort: _Effort) -> bool:
+    """Whether a request that may reach no further replica goes back to one that failed it."""
+    call = effort.call
+    if not call.route.idempotent or call.route.max_attempts < 2 or not effort.failed_by:
+        return False
+    if effort.returns >= MOST_RETURNS:
+        return False
+    effort.returns += 1
+    effort.tried = [each for each in effort.tried if each not in effort.failed_by]
+    return True
+
+
 def _pause(effort: _Effort, now_s: float, held: bool = False) -> None:
     """
     Plan to try replicas again that were full, once nothing else is left to try.
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -542,6 +542,13 @@
         "        return turn >= 0 and sent_s < moment_s",
         "policy/test_warm_up.py::" "test_a_burst_after_a_quiet_spell_does_not_arrive_at_once",
     ),
+    mutant.one(
+        "never-back-to-a-replica",
+        "direct/obtaining.py",
+        "        return False\n    effort.returns += 1",
+        "        return False\n    return False\n    effort.returns += 1",
+        "direct/test_obtaining.py::test_a_part_goes_back_to_a_replica_that_failed_it",
+    ),
     mutant.one(
         "hedge-after-a-stall",
         "direct/obtaining.py",
