The partner of a handed part is chosen by the instance that sends it

A handed part could reach two replicas only, its data centre's and one drawn by the request's id, so that half of the queries could not reach the good one.

Change: only the replica of the data centre is fixed, which every instance may send the part to that it may come to; the other is whichever looks best to the sender. An instance that may be the second to send a part keeps to the common one, so that no part reaches more replicas than its route allows.

--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -52,6 +52,9 @@
     sender: sender_module.Sender
     call: sending.Call
     service: str
+    common: str = ""
+    """The replica that any other instance may send it to as well, so that it takes up one of those
+    that the request may reach."""
     closed: list[replicas_module.Replica] = attrs.field(factory=list)
     """Replicas that it must not reach."""
     tried: list[replicas_module.Replica] = attrs.field(factory=list)
@@ -104,7 +107,7 @@
     loop = asyncio.get_running_loop()
     effort = _Effort(sender, call, service)
     if handed_to:
-        effort.closed = _closed(effort, handed_to)
+        effort.common = _common(effort, handed_to)
     if not again:
         sender.replicas.extra_sends(service).count_request(loop.time())
     elif call.route.max_attempts < 2 or not sender.may_send_again(service, loop.time()):
@@ -113,6 +116,7 @@
     else:
         effort.attempts = call.route.max_attempts - 1
         effort.returns = MOST_RETURNS
+        effort.closed = _all_but_common(effort)
         effort.failure = sending.Unknown("batch_lost")
     try:
         return await _first_answer(effort, first)
@@ -158,15 +162,25 @@
     return effort.failure
 
 
-def _closed(effort: _Effort, handed_to: str) -> list[replicas_module.Replica]:
-    """Return the replicas that a part must not reach once it is handed to a data centre."""
+def _common(effort: _Effort, handed_to: str) -> str:
+    """
+    Return the replica that all instances of a data centre may send a part to.
+
+    Empty where replicas are so few that no send can reach too many.
+    """
     replicas = effort.sender.replicas.open_to(effort.service, effort.call.route)
-    most = effort.call.route.max_attempts
-    if len(replicas) <= most:
-        return []
+    if len(replicas) <= effort.call.route.max_attempts:
+        return ""
     places = {each.entry.instance: each.entry.data_centre for each in replicas}
-    allowed = placement.allowed(effort.call.request_id, places, handed_to, most)
-    return [each for each in replicas if each.entry.instance not in allowed]
+    return placement.common_replica(effort.call.request_id, places, handed_to)
+
+
+def _all_but_common(effort: _Effort) -> list[replicas_module.Replica]:
+    """Return the replicas that a part must not reach which another instance may have sent."""
+    if not effort.common:
+        return []
+    replicas = effort.sender.replicas.of(effort.service)
+    return [each for each in replicas if each.entry.instance != effort.common]
 
 
 def _at_deadline(effort: _Effort) -> sending.Outcome:
@@ -361,7 +375,9 @@
     """Choose the best replica that the request may be sent to now."""
     replicas, call = effort.sender.replicas, effort.call
     excluded = [*effort.closed, *effort.tried]
-    reached = [name for name, count in effort.reached.items() if count]
+    reached = {name for name, count in effort.reached.items() if count}
+    if effort.common:
+        reached.add(effort.common)
     if len(reached) >= call.route.max_attempts:
         excluded += [
             each for each in replicas.of(effort.service) if each.entry.instance not in reached
--- a/src/turmericlug/direct/placement.py
+++ b/src/turmericlug/direct/placement.py
@@ -92,18 +92,15 @@
     return found
 
 
-def allowed(
-    request: bytes, data_centres: abc.Mapping[str, str], data_centre: str, most: int
-) -> set[str]:
+def common_replica(request: bytes, data_centres: abc.Mapping[str, str], data_centre: str) -> str:
     """
-    Return the replicas of a shard that a part may reach once it is handed to a data centre.
+    Return the replica that every instance may send a part to which is handed to a data centre.
 
-    All instances that it may come to work out the same ones, so that a part which one of them has
-    sent unnoticed can't reach too many replicas in all: first those of that data centre, then by
-    the request, so that the others get even shares.
+    All instances that it may come to work out the same one, so that a part which one of them has
+    sent unnoticed can't reach too many replicas in all: one of that data centre, if there is any,
+    by the request, so that several get even shares.
 
     :param data_centres: of each replica, by its instance
-    :param most: how many replicas a request may be sent to
     """
     salt = zlib.crc32(request)
 
@@ -111,7 +108,7 @@
         turn = (salt ^ zlib.crc32(name.encode())) * _SPREAD & 0xFFFFFFFF
         return data_centres[name] != data_centre, turn
 
-    return set(sorted(data_centres, key=place_and_turn)[:most])
+    return min(data_centres, key=place_and_turn)
 
 
 def usual(own_name: str, names: abc.Collection[str], count: int) -> list[str]:
--- a/tests/direct/test_handover.py
+++ b/tests/direct/test_handover.py
@@ -226,6 +226,37 @@
     assert len({*first, *second}) <= handing.BATCH.max_attempts
 
 
+@pytest.mark.parametrize("number", range(8))
+@pytest.mark.parametrize("first", [[0.4, handing.part(1)], [client.ExchangeError("reset")]])
+def test_a_late_part_goes_to_the_better_of_the_other_replicas(first, number):
+    """
+    Replicas of many shards turn slow, of some shards two of three. Half of all queries could reach
+    just these two, lacked the shard, and were late for want of coverage.
+    """
+    replicas = {
+        "far-1": scripted.Scripted(*first),
+        f"further-{number}": scripted.Scripted(0.4, handing.part(2)),
+        f"near-{number}": scripted.Scripted(handing.part(3)),
+    }
+
+    async def main():
+        sender = handing.make_sender({"x": replicas})
+        now_s = asyncio.get_running_loop().time()
+        paces = (0.01, 9.0, 0.1)
+        for replica, pace in zip(sender.replicas.of("x"), paces, strict=True):
+            replica.pace, replica.pace_at_s = pace, now_s
+        batch = attrs.evolve(handing.BATCH, shards=("x",), again=False)
+        body = handover_codec.encode_batch(batch)
+        request = messages.Request(b"POST", handover.PATH, (), body, now_s)
+        answer = await helping.handler(sender)(request)
+        async for _ in answer.chunks:
+            pass
+        await sender.tasks.close()
+        return [len(each.requests) for each in replicas.values()]
+
+    assert asyncio.run(main()) == [1, 0, 1]
+
+
 def test_an_instance_that_lost_batches_gets_no_more_for_a_while():
     async def main():
         sender = handing.make_sender(handing.scripts())
--- a/tests/direct/test_placement.py
+++ b/tests/direct/test_placement.py
@@ -50,14 +50,16 @@
         assert sum(not set(a) & set(b) for a, b in zip(before, after, strict=True)) <= 1
 
 
-def test_the_replicas_that_a_part_may_reach():
+def test_the_replica_that_every_instance_may_send_a_part_to():
     """
-    Those of the data centre that it is handed to come first, whichever instance works it out; which
-    of the others may be reached changes from request to request, so that all get their share.
+    One of the data centre that it is handed to comes first, whichever instance works it out; which
+    of several it is changes from request to request, so that all get their share.
     """
     places = {"a": "here", "b": "there", "c": "elsewhere"}
-    found = [placement.allowed(b"q%d" % each, places, "here", 2) for each in range(60)]
-    assert all(len(each) == 2 and "a" in each for each in found)
-    assert 20 < sum("b" in each for each in found) < 40
+    ids = [b"q%d" % each for each in range(60)]
+    assert {placement.common_replica(each, places, "here") for each in ids} == {"a"}
+    del places["a"]
+    found = [placement.common_replica(each, places, "here") for each in ids]
+    assert 20 < found.count("b") < 40
     turned = dict(reversed(places.items()))
-    assert placement.allowed(b"q1", turned, "here", 2) == found[1]
+    assert [placement.common_replica(each, turned, "here") for each in ids] == found
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -167,7 +167,7 @@
     mutant.one(
         "any-replica-of-a-handed-part",
         "direct/obtaining.py",
-        "        effort.closed = _closed(effort, handed_to)\n",
+        "        effort.common = _common(effort, handed_to)\n",
         "        pass\n",
         "direct/test_handover.py"
         "::test_a_batch_that_is_run_twice_reaches_no_more_replicas_than_allowed",
@@ -542,6 +542,16 @@
         "        return turn >= 0 and sent_s < moment_s",
         "policy/test_warm_up.py::" "test_a_burst_after_a_quiet_spell_does_not_arrive_at_once",
     ),
+    mutant.one(
+        "fixed-pair-for-a-handed-part",
+        "direct/obtaining.py",
+        "        effort.common = _common(effort, handed_to)\n",
+        "        effort.common = _common(effort, handed_to)\n"
+        "        others = sender.replicas.open_to(service, call.route)\n"
+        "        rest = [each for each in others if each.entry.instance != effort.common]\n"
+        "        effort.closed = rest[call.request_id[-1] % 2 :][:1] if effort.common else []\n",
+        "direct/test_handover.py::test_a_late_part_goes_to_the_better_of_the_other_replicas",
+    ),
     mutant.one(
         "never-back-to-a-replica",
         "direct/obtaining.py",
