Of equal replicas, one with an idle connection goes first

Cause: second sends of late parts go to other regions, where owners keep no connections ahead. They alternated between two far replicas, and half of them waited 25 to 31 ms for a connection, of the 60 that were left.

Count the time to connect where no connection is idle (taken).

--- a/src/turmericlug/direct/pool.py
+++ b/src/turmericlug/direct/pool.py
@@ -84,6 +84,11 @@
         """How many sends wait for a connection."""
         return len(self._waiting)
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether a connection is open that nothing uses."""
+        return bool(self._idle)
+
     @contextlib.asynccontextmanager
     async def connection(
         self, priority: int, fresh: bool = False
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -28,6 +28,8 @@
 between them are what the platform charges most for."""
 PACE_HALF_LIFE_S = 3.0
 """A replica rated slow is hardly tried; its rating fades so that it is tried again."""
+CONNECT_SHARE = 0.5
+"""Time to open a connection, as a share of a usual send: a round trip and a handshake."""
 OVERDUE_FACTOR = 6.0
 """A replica with an overdue send is taken only where the other is six times as slow: a pause lasts
 200 to 300 ms, several times a usual part."""
@@ -461,6 +463,8 @@
         expected_ms *= DISTANCE_FACTORS[self._place.distance(replica.entry.data_centre)]
         expected_ms *= 1 + TROUBLE_FACTOR * replica.trouble
         expected_ms *= 1 + SHED_FACTOR * replica.current_shed_share(now_s)
+        if not replica.pool.has_idle:
+            expected_ms += CONNECT_SHARE * usual_ms
         if replica.overdue(now_s):
             expected_ms *= OVERDUE_FACTOR
         return expected_ms
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -18,6 +18,7 @@
 
 class NoPool:
     waiting = 0
+    has_idle = True
 
 
 @pytest.mark.parametrize(
--- a/tests/direct/test_replicas.py
+++ b/tests/direct/test_replicas.py
@@ -26,6 +26,7 @@
     most: int = 4
     open_count: int = 0
     waiting: int = 0
+    has_idle: bool = True
 
     def limit(self):
         return self.most
@@ -53,6 +54,29 @@
 ALL = [entry("n", "near"), entry("b", "beside"), entry("f", "far")]
 
 
+@pytest.mark.parametrize(
+    ("open_ones", "places", "chosen"),
+    [
+        ({"b"}, {"a": "far", "b": "far"}, "b"),
+        ({"a"}, {"a": "far", "b": "far"}, "a"),
+        ({"b"}, {"a": "near", "b": "far"}, "a"),
+        (set(), {"a": "near", "b": "far"}, "a"),
+    ],
+    ids=["the second", "the first", "near without one", "none at all"],
+)
+def test_of_equal_replicas_one_with_an_idle_connection_goes_first(open_ones, places, chosen):
+    """
+    The second sends of late parts alternated between two far replicas, and each waited a round trip
+    and a handshake for its connection: most of the time that was left.
+    """
+    pools = {name: Pool() for name in places}
+    for name, pool in pools.items():
+        pool.has_idle = name in open_ones
+    replicas = known([entry(name, place) for name, place in places.items()], pools)
+    route = routes.Route("r", "h", "/", True, 1000.0, 150.0, 1, 2)
+    assert replicas.choose("s", route, (), 0.0).entry.instance == chosen
+
+
 @pytest.mark.parametrize(
     ("entries", "far", "pools", "warmed"),
     [
--- a/tests/entry/test_beliefs.py
+++ b/tests/entry/test_beliefs.py
@@ -25,6 +25,7 @@
 
 class NoPool:
     waiting = open_count = opened = opened_ahead = 0
+    has_idle = True
 
     def trim(self):
         pass
--- a/tests/entry/test_view.py
+++ b/tests/entry/test_view.py
@@ -27,6 +27,7 @@
 class NoPool:
     limit = None
     waiting = 0
+    has_idle = True
     closed = False
 
     def close(self):
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -542,6 +542,13 @@
         "        return turn >= 0 and sent_s < moment_s",
         "policy/test_warm_up.py::" "test_a_burst_after_a_quiet_spell_does_not_arrive_at_once",
     ),
+    mutant.one(
+        "idle-connections-count-for-nothing",
+        "direct/replicas.py",
+        "        if not replica.pool.has_idle:\n",
+        "        if not now_s + 1:\n",
+        "direct/test_replicas.py" "::test_of_equal_replicas_one_with_an_idle_connection_goes_first",
+    ),
     mutant.one(
         "fixed-pair-for-a-handed-part",
         "direct/obtaining.py",
