--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -17,6 +17,7 @@
 from turmericlug.direct import obtaining
 from turmericlug.direct import peers as peers_module
 from turmericlug.direct import placement
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
@@ -40,7 +41,7 @@
 class Handed:
     """A batch under way, with what came back of its shards so far."""
 
-    peer: replicas_module.Replica
+    peer: replica_module.Replica
     shards: tuple[str, ...]
     ran_nothing: bool = True
     """Whether the peer certainly sent none of its parts."""
@@ -74,7 +75,7 @@
         """The shards that have not come back."""
         return tuple(each for each in self.shards if not self.outcomes[each].done())
 
-    def move_to(self, peer: replicas_module.Replica) -> None:
+    def move_to(self, peer: replica_module.Replica) -> None:
         """Hand what has not come back to another peer."""
         self.again = self.may_have_sent
         self.peer = peer
@@ -135,7 +136,7 @@
         """Send a batch and take its answers; false when it has to be taken for lost."""
         loop = asyncio.get_running_loop()
         peer = handed.peer
-        send = replicas_module.Send(loop.time(), self._alive_after_s(peer.entry.data_centre))
+        send = replica_module.Send(loop.time(), self._alive_after_s(peer.entry.data_centre))
         peer.sends.add(send)
         try:
             await self._sent(sender, call, handed, answer_at_s, send)
@@ -190,7 +191,7 @@
         call: sending.Call,
         handed: Handed,
         answer_at_s: float,
-        send: replicas_module.Send,
+        send: replica_module.Send,
     ) -> None:
         loop = asyncio.get_running_loop()
         data_centre = handed.peer.entry.data_centre
--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from turmericlug.direct import placement
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
@@ -37,8 +37,8 @@
 class _Pending:
     """A send under way."""
 
-    replica: replicas_module.Replica
-    send: replicas_module.Send
+    replica: replica_module.Replica
+    send: replica_module.Send
 
     @property
     def began_s(self) -> float:
@@ -55,15 +55,15 @@
     common: str = ""
     """The replica that any other instance may send it to as well, so that it takes up one of those
     that the request may reach."""
-    closed: list[replicas_module.Replica] = attrs.field(factory=list)
+    closed: list[replica_module.Replica] = attrs.field(factory=list)
     """Replicas that it must not reach."""
-    tried: list[replicas_module.Replica] = attrs.field(factory=list)
+    tried: list[replica_module.Replica] = attrs.field(factory=list)
     """Replicas that it was sent to, but for those that may be tried again."""
     reached: collections.Counter[str] = attrs.field(factory=collections.Counter)
     """How often it was sent to each instance, but for sends that found no connection."""
-    shed_by: list[replicas_module.Replica] = attrs.field(factory=list)
+    shed_by: list[replica_module.Replica] = attrs.field(factory=list)
     """Replicas that were full and have run nothing."""
-    failed_by: list[replicas_module.Replica] = attrs.field(factory=list)
+    failed_by: list[replica_module.Replica] = attrs.field(factory=list)
     """Replicas that gave a failure, or no usable answer, before its time was over."""
     returns: int = 0
     """Sends to replicas that had failed it."""
@@ -85,7 +85,7 @@
     sender: sender_module.Sender,
     call: sending.Call,
     service: str,
-    first: replicas_module.Replica | None = None,
+    first: replica_module.Replica | None = None,
     handed_to: str = "",
     again: bool = False,
 ) -> sending.Outcome:
@@ -107,7 +107,7 @@
     loop = asyncio.get_running_loop()
     effort = _Effort(sender, call, service)
     if handed_to:
-        effort.common = _common(effort, handed_to)
+        effort.common = sender.replicas.common(service, call.route, call.request_id, handed_to)
     if not again:
         sender.replicas.extra_sends(service).count_request(loop.time())
     elif call.route.max_attempts < 2 or not sender.may_send_again(service, loop.time()):
@@ -116,7 +116,8 @@
     else:
         effort.attempts = call.route.max_attempts - 1
         effort.returns = MOST_RETURNS
-        effort.closed = _all_but_common(effort)
+        replicas = sender.replicas.of(service) if effort.common else []
+        effort.closed = [each for each in replicas if each.entry.instance != effort.common]
         effort.failure = sending.Unknown("batch_lost")
     try:
         return await _first_answer(effort, first)
@@ -125,7 +126,7 @@
         call.drop_unwritten(service)
 
 
-async def _first_answer(effort: _Effort, first: replicas_module.Replica | None) -> sending.Outcome:
+async def _first_answer(effort: _Effort, first: replica_module.Replica | None) -> sending.Outcome:
     """Send, hedge and repeat until there is an answer or nothing more may be sent."""
     loop = asyncio.get_running_loop()
     call = effort.call
@@ -162,27 +163,6 @@
     return effort.failure
 
 
-def _common(effort: _Effort, handed_to: str) -> str:
-    """
-    Return the replica that all instances of a data centre may send a part to.
-
-    Empty where replicas are so few that no send can reach too many.
-    """
-    replicas = effort.sender.replicas.open_to(effort.service, effort.call.route)
-    if len(replicas) <= effort.call.route.max_attempts:
-        return ""
-    places = {each.entry.instance: each.entry.data_centre for each in replicas}
-    return placement.common_replica(effort.call.request_id, places, handed_to)
-
-
-def _all_but_common(effort: _Effort) -> list[replicas_module.Replica]:
-    """Return the replicas that a part must not reach which another instance may have sent."""
-    if not effort.common:
-        return []
-    replicas = effort.sender.replicas.of(effort.service)
-    return [each for each in replicas if each.entry.instance != effort.common]
-
-
 def _at_deadline(effort: _Effort) -> sending.Outcome:
     """What is under way may still run, so that nothing can be promised any more."""
     if effort.pending and isinstance(effort.failure, sending.NotRun):
@@ -224,7 +204,7 @@
 
 
 def _take_failure(
-    effort: _Effort, outcome: sending.Outcome, replica: replicas_module.Replica
+    effort: _Effort, outcome: sending.Outcome, replica: replica_module.Replica
 ) -> None:
     if not isinstance(outcome, sending.NotRun):
         effort.failure = outcome
@@ -265,7 +245,7 @@
     _send_to(effort, other, now_s)
 
 
-def _hedge_denied(effort: _Effort, other: replicas_module.Replica | None, now_s: float) -> str:
+def _hedge_denied(effort: _Effort, other: replica_module.Replica | None, now_s: float) -> str:
     """
     Return why a late part is not sent a second time; empty when it may be.
 
@@ -371,7 +351,7 @@
         effort.failure = sending.NotRun(reason, sent=False)
 
 
-def _choose(effort: _Effort, now_s: float) -> replicas_module.Replica | None:
+def _choose(effort: _Effort, now_s: float) -> replica_module.Replica | None:
     """Choose the best replica that the request may be sent to now."""
     replicas, call = effort.sender.replicas, effort.call
     excluded = [*effort.closed, *effort.tried]
@@ -385,10 +365,10 @@
     return replicas.choose(effort.service, call.route, excluded, now_s)
 
 
-def _send_to(effort: _Effort, replica: replicas_module.Replica, now_s: float) -> None:
+def _send_to(effort: _Effort, replica: replica_module.Replica, now_s: float) -> None:
     sender, call = effort.sender, effort.call
     late_ms = sender.replicas.hedge_after_ms(replica, call.route)
-    send = replicas_module.Send(now_s, late_ms / 1000, replica.entry.instance)
+    send = replica_module.Send(now_s, late_ms / 1000, replica.entry.instance)
     # Noted before its task runs: what is given up in the same turn must find it.
     replica.sends.add(send)
     if replica.is_cold(now_s):
--- a/src/turmericlug/direct/peers.py
+++ b/src/turmericlug/direct/peers.py
@@ -12,6 +12,7 @@
 
 from turmericlug.direct import budget
 from turmericlug.direct import placement
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.direct import sender as sender_module
@@ -28,7 +29,7 @@
 ROUND_TRIP_GAIN = 0.2
 
 
-FirstChoices = dict[str, replicas_module.Replica]
+FirstChoices = dict[str, replica_module.Replica]
 """The best replica of each shard that has one."""
 
 
@@ -36,7 +37,7 @@
 class Group:
     """Shards of one query that one instance is to send to."""
 
-    peer: replicas_module.Replica
+    peer: replica_module.Replica
     shards: tuple[str, ...]
 
 
@@ -53,7 +54,7 @@
         self._place = place
         self._round_trips_ms: dict[str, float] = {}
         self._owners: dict[str, list[list[str]]] = {}
-        self._usual: dict[bool, list[replicas_module.Replica]] = {}
+        self._usual: dict[bool, list[replica_module.Replica]] = {}
 
     def round_trip_ms(self, data_centre: str) -> float:
         """Return the recent round trip to the instances of a data centre."""
@@ -186,7 +187,7 @@
 
     def choose(
         self, data_centre: str, names: abc.Collection[str], route: routes.Route, now_s: float
-    ) -> replicas_module.Replica | None:
+    ) -> replica_module.Replica | None:
         """Pick the best of some instances; none when that one is set aside or late itself."""
         others = [
             each for each in self._instances.of(data_centre) if each.entry.instance not in names
@@ -196,7 +197,7 @@
             return None
         return peer
 
-    def usual_peers(self, shared: bool) -> list[replicas_module.Replica]:
+    def usual_peers(self, shared: bool) -> list[replica_module.Replica]:
         """
         Return the instances that this one hands batches to.
 
--- a/src/turmericlug/direct/quarantine.py
+++ b/src/turmericlug/direct/quarantine.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import sending
 from turmericlug.http1 import client
 from turmericlug.policy import poison
@@ -96,7 +96,7 @@
             self.on_news(request)
 
     async def settle(
-        self, call: sending.Call, replica: replicas_module.Replica, outcome: sending.Outcome
+        self, call: sending.Call, replica: replica_module.Replica, outcome: sending.Outcome
     ) -> None:
         """
         Find out whether a replica has ended under a request that got no answer.
@@ -114,7 +114,7 @@
             requests = self._unsettled.setdefault(key, collections.deque(maxlen=MOST_UNSETTLED))
             requests.append(_Unsettled(call.fingerprint, now_s, call.on_trial))
 
-    def lost(self, replica: replicas_module.Replica) -> None:
+    def lost(self, replica: replica_module.Replica) -> None:
         """Take note that the entry of a replica went without a notice: it has ended."""
         for each in self._unsettled.pop(_key(replica), ()):
             if each.at_s > self._now_s() - UNSETTLED_S:
@@ -164,7 +164,7 @@
             del self._unsettled[key]
 
     def _ended(
-        self, request: poison.Fingerprint, replica: replicas_module.Replica, on_trial: bool
+        self, request: poison.Fingerprint, replica: replica_module.Replica, on_trial: bool
     ) -> None:
         if not self.enabled:
             return
@@ -199,7 +199,7 @@
             for call in list(self._under_way.get(request, ())):
                 call.abandon()
 
-    async def _takes_no_connection(self, replica: replicas_module.Replica) -> bool:
+    async def _takes_no_connection(self, replica: replica_module.Replica) -> bool:
         """Whether a replica refuses connections; asked once for all that broke together."""
         key = _key(replica)
         if key not in self._probes:
@@ -208,7 +208,7 @@
         return await asyncio.shield(self._probes[key])
 
 
-async def _refuses(replica: replicas_module.Replica) -> bool:
+async def _refuses(replica: replica_module.Replica) -> bool:
     try:
         async with asyncio.timeout(CONFIRM_S):
             await replica.pool.probe()
@@ -219,7 +219,7 @@
     return False
 
 
-def _key(replica: replicas_module.Replica) -> str:
+def _key(replica: replica_module.Replica) -> str:
     """Name one start of a replica."""
     born_ms = replica.entry.born_ms
     return replica.entry.instance if born_ms is None else f"{replica.entry.instance}@{born_ms}"
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -6,11 +6,10 @@
 import collections
 from collections import abc
 
-import attrs
-
 from turmericlug.direct import budget
 from turmericlug.direct import placement
 from turmericlug.direct import pool as pool_module
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import routes
 from turmericlug.direct import timing
 from turmericlug.http1 import client
@@ -18,16 +17,12 @@
 from turmericlug.policy import warm_up
 from turmericlug.telemetry import decisions
 
-PACE_GAIN = 0.2
-"""Weight of a new time in a replica's pace: about the last nine sends count."""
 LOAD_FACTOR = 0.3
 """Slow-down that each send under way to a replica adds to the next one, as a share of its usual
 time: with two slots and other instances' sends a third of it is felt on average."""
 DISTANCE_FACTORS = (1.0, 1.1, 1.25)
 """A replica of another data centre or region is taken only where it is clearly faster: bytes
 between them are what the platform charges most for."""
-PACE_HALF_LIFE_S = 3.0
-"""A replica rated slow is hardly tried; its rating fades so that it is tried again."""
 CONNECT_SHARE = 0.5
 """Time to open a connection, as a share of a usual send: a round trip and a handshake."""
 OVERDUE_FACTOR = 6.0
@@ -35,21 +30,13 @@
 200 to 300 ms, several times a usual part."""
 TROUBLE_FACTOR = 3.0
 """A replica that fails all its requests counts as four times as slow before it is set aside."""
-SHED_PAUSE_S = 0.15
-"""A replica that was full is passed over for a few service times, so that its queue can drain."""
 SHED_FACTOR = 10.0
 """A replica that sheds six of ten counts as seven times as slow then: more than one in another
 region, which takes four times as long. Sent to again after each pause, it uses up the extra sends
 of every instance, and queries fail for want of them."""
-MISDIRECTED_S = 10.0
-"""Time for which nothing is sent to an address that was found to be another replica's. The news of
-the end is there by then, unless the store is away for longer; then one more is sent."""
 REMOTE_GUESS_MS = 60.0
 LOCAL_GUESS_MS = 30.0
 """Before there are measured times, replicas of the own region go first."""
-FAILURES_TO_EJECT = 2
-MOST_COLD_S = 600.0
-"""Longer than any replica takes to warm up; a larger figure of an entry is not believed."""
 WARM_AT_ONCE = 8
 """Connections opened ahead in one round: a handshake holds a slot of the replica for 6 ms."""
 
@@ -76,143 +63,6 @@
         return self._recent.percentile_ms(85)
 
 
-@attrs.define(eq=False)
-class Send:
-    """One request under way to a replica."""
-
-    began_s: float
-    overdue_after_s: float
-    instance: str = ""
-    """The replica."""
-    written_s: float | None = None
-    """When it had a connection and was written."""
-    ended_s: float | None = None
-    ran: bool = True
-    """False once it has ended and the replica certainly did not run it."""
-    unwanted: bool = False
-    """Whether it is not to be written any more."""
-    limit: asyncio.Timeout | None = None
-    """Ends it; moved forward once nobody waits for it."""
-
-    def end_by(self, at_s: float) -> None:
-        """Take it for lost at a time, if that is sooner than its present limit."""
-        if self.ended_s is None and self.limit is not None and not self.limit.expired():
-            self.limit.reschedule(min(at_s, self.limit.when() or at_s))
-
-    def told(self, now_s: float) -> str:
-        """Describe where it stands, for the log."""
-        if self.written_s is None:
-            return f"{self.instance} waits {(now_s - self.began_s) * 1000:.0f} ms to be sent"
-        state = "ended" if self.ended_s is not None else "open"
-        end_s = now_s if self.ended_s is None else self.ended_s
-        waited_ms = (self.written_s - self.began_s) * 1000
-        return f"{self.instance} {state} {(end_s - self.written_s) * 1000:.0f}+{waited_ms:.0f} ms"
-
-
-@attrs.define(eq=False)
-class Replica:
-    """One replica, with what this instance has seen of it."""
-
-    entry: routes.ReplicaEntry
-    pool: pool_module.Pool
-    sends: set[Send] = attrs.field(factory=set)
-    pace: float = 1.0
-    """Its times as a multiple of what is usual in its data centre."""
-    pace_at_s: float = 0.0
-    trouble: float = 0.0
-    """Recent share of failures."""
-    failures: int = 0
-    ejections: int = 0
-    ejected_until_s: float = 0.0
-    full_until_s: float = 0.0
-    shed_share: float = 0.0
-    """Recent share of the sends that it has shed."""
-    shed_at_s: float = 0.0
-    cold_since_s: float = 0.0
-    cold_until_s: float = 0.0
-    cold_sent_s: float = float("-inf")
-    """When it was last sent a request while it was cold."""
-    elsewhere_until_s: float = 0.0
-    """Until when its address is taken for another replica's."""
-    leaving: bool = False
-    """It drains, or its entry is gone and perhaps only for a moment."""
-
-    def current_pace(self, now_s: float) -> float:
-        """Return the pace, faded towards the usual with the time since it was measured."""
-        fade = 0.5 ** ((now_s - self.pace_at_s) / PACE_HALF_LIFE_S)
-        return 1.0 + (self.pace - 1.0) * fade
-
-    def current_shed_share(self, now_s: float) -> float:
-        """Return the share of sends that it sheds, faded with the time since it last did."""
-        return self.shed_share * 0.5 ** ((now_s - self.shed_at_s) / PACE_HALF_LIFE_S)
-
-    def has_shed(self, now_s: float) -> None:
-        """Take note that it did not run a request as it has no room."""
-        self.shed_share = self.current_shed_share(now_s) * (1 - PACE_GAIN) + PACE_GAIN
-        self.shed_at_s = now_s
-        self.full_until_s = now_s + SHED_PAUSE_S
-
-    def is_cold(self, now_s: float) -> bool:
-        """Whether it was started or has lost its caches so lately that it bears few requests."""
-        return now_s < self.cold_until_s
-
-    def turns_cold(self, left_ms: float, now_s: float) -> None:
-        """Take note of how much longer it is cold; nothing known is shortened."""
-        if left_ms <= 0:
-            return
-        if not self.is_cold(now_s):
-            self.cold_since_s = now_s
-        until_s = now_s + min(left_ms / 1000, MOST_COLD_S)
-        self.cold_until_s = max(self.cold_until_s, until_s)
-
-    def overdue(self, now_s: float) -> bool:
-        """Whether a send has gone unanswered for longer than a slow one takes."""
-        return any(now_s - send.began_s > send.overdue_after_s for send in self.sends)
-
-    def set_aside(self, now_s: float) -> bool:
-        """Whether it failed lately and is not due for its next trial."""
-        if now_s < self.ejected_until_s or now_s < self.full_until_s or self.elsewhere(now_s):
-            return True
-        return self.ejections > 0 and bool(self.sends)
-
-    def elsewhere(self, now_s: float) -> bool:
-        """Whether another replica has lately answered at its address."""
-        return now_s < self.elsewhere_until_s
-
-    def misdirected(self, now_s: float) -> None:
-        """
-        Take note that another replica answers at its address: this one has ended.
-
-        While the store is away nothing else tells so. Tried again like one that was full, its
-        address got a request every 0.15 s from each instance, each one more arrival at the service
-        that has the address now; those are counted against the extra sends of that service.
-        """
-        self.elsewhere_until_s = now_s + MISDIRECTED_S
-
-    def succeeded(self, duration_ms: float, usual_ms: float, now_s: float) -> None:
-        """Take note of an answer."""
-        ratio = duration_ms / max(usual_ms, 0.1)
-        self.pace = self.current_pace(now_s) * (1 - PACE_GAIN) + ratio * PACE_GAIN
-        self.pace_at_s = now_s
-        self.trouble *= 1 - PACE_GAIN
-        self.shed_share *= 1 - PACE_GAIN
-        self.failures = self.ejections = 0
-
-    def failed(self, now_s: float) -> bool:
-        """
-        Take note of a failure.
-
-        :returns: whether the replica is set aside by it
-        """
-        self.trouble += (1 - self.trouble) * PACE_GAIN
-        self.failures += 1
-        if self.failures < FAILURES_TO_EJECT:
-            return False
-        self.ejections += 1
-        self.ejected_until_s = now_s + policy.eject_ms(self.ejections) / 1000
-        return True
-
-
 def _is_another(known: routes.ReplicaEntry, entry: routes.ReplicaEntry) -> bool:
     """Whether an entry is of another start than the one before, or of another place altogether."""
     places = [(each.service, each.host, each.port) for each in (known, entry)]
@@ -244,15 +94,17 @@
         self._make_pool = make_pool
         self._place = place
         self._allowance = allowance
-        self._by_service: dict[str, dict[str, Replica]] = collections.defaultdict(dict)
-        self._by_instance: dict[str, Replica] = {}
+        self._by_service: dict[str, dict[str, replica_module.Replica]] = collections.defaultdict(
+            dict
+        )
+        self._by_instance: dict[str, replica_module.Replica] = {}
         self._times: dict[tuple[str, str], Times] = {}
         self._budgets: dict[str, budget.ExtraSends] = {}
         self.evacuated: dict[str, float] = {}
         """Data centres whose replicas get nothing, with the time since when."""
         self.cold_limit: ColdLimit = lambda entry: warm_up.UNLIMITED
         """Tells what this instance may send to a cold replica."""
-        self.on_lost: abc.Callable[[Replica], None] = lambda replica: None
+        self.on_lost: abc.Callable[[replica_module.Replica], None] = lambda replica: None
         """Called when a replica is gone that had not said it would leave."""
 
     def __len__(self) -> int:
@@ -268,11 +120,11 @@
             "opened_ahead": sum(pool.opened_ahead for pool, _ in pools),
         }
 
-    def all(self) -> abc.Iterable[Replica]:
+    def all(self) -> abc.Iterable[replica_module.Replica]:
         """Return every replica."""
         return self._by_instance.values()
 
-    def of(self, service: str) -> list[Replica]:
+    def of(self, service: str) -> list[replica_module.Replica]:
         """Return the replicas of a service."""
         return list(self._by_service.get(service, {}).values())
 
@@ -293,7 +145,7 @@
             self.remove(entry.instance)
             known = None
         if known is None:
-            replica = Replica(entry, self._make_pool(entry), leaving=entry.draining)
+            replica = replica_module.Replica(entry, self._make_pool(entry), leaving=entry.draining)
             replica.turns_cold(entry.warmup_left_ms, now_s)
             self._by_instance[entry.instance] = replica
             self._by_service[entry.service][entry.instance] = replica
@@ -330,13 +182,15 @@
         ]
         await asyncio.gather(*(self._warm(each, now_s) for each in cold[:WARM_AT_ONCE]))
 
-    def _worth_warming(self, replicas: abc.Collection[Replica], far: bool) -> list[Replica]:
+    def _worth_warming(
+        self, replicas: abc.Collection[replica_module.Replica], far: bool
+    ) -> list[replica_module.Replica]:
         near = [each for each in replicas if self.is_near(each.entry.data_centre)]
         if not (near and far):
             return near
         return [each for each in replicas if each in near or each.pool.limit() > 1]
 
-    async def _warm(self, replica: Replica, now_s: float) -> None:
+    async def _warm(self, replica: replica_module.Replica, now_s: float) -> None:
         try:
             await replica.pool.warm()
         except client.ConnectError as error:
@@ -360,10 +214,10 @@
         """
         return now_s - self.evacuated.pop(data_centre, now_s)
 
-    def _is_open(self, replica: Replica) -> bool:
+    def _is_open(self, replica: replica_module.Replica) -> bool:
         return not replica.leaving and replica.entry.data_centre not in self.evacuated
 
-    def open_to(self, service: str, route: routes.Route) -> list[Replica]:
+    def open_to(self, service: str, route: routes.Route) -> list[replica_module.Replica]:
         """Return the replicas of a service that may get a request of a route."""
         return [
             each
@@ -371,6 +225,18 @@
             if self._is_open(each) and self._place.allows(route.regions, each.entry.data_centre)
         ]
 
+    def common(self, service: str, route: routes.Route, request_id: bytes, data_centre: str) -> str:
+        """
+        Return the replica that all instances of a data centre may send a handed part to.
+
+        Empty where replicas are so few that no send can reach too many.
+        """
+        replicas = self.open_to(service, route)
+        if len(replicas) <= route.max_attempts:
+            return ""
+        places = {each.entry.instance: each.entry.data_centre for each in replicas}
+        return placement.common_replica(request_id, places, data_centre)
+
     def why_none(self, service: str, route: routes.Route, now_s: float) -> str:
         """Return why a request can be sent to no replica of a service, as a reason."""
         known = self._by_service.get(service, {}).values()
@@ -386,7 +252,7 @@
             return COLD
         return NO_REPLICA
 
-    def may_take(self, replica: Replica, now_s: float) -> bool:
+    def may_take(self, replica: replica_module.Replica, now_s: float) -> bool:
         """Whether a replica bears one more request from this instance, should it be cold."""
         if not replica.is_cold(now_s):
             return True
@@ -433,8 +299,12 @@
         return self._budgets[service]
 
     def choose(
-        self, service: str, route: routes.Route, tried: abc.Collection[Replica], now_s: float
-    ) -> Replica | None:
+        self,
+        service: str,
+        route: routes.Route,
+        tried: abc.Collection[replica_module.Replica],
+        now_s: float,
+    ) -> replica_module.Replica | None:
         """
         Pick the replica that will probably answer first.
 
@@ -455,7 +325,9 @@
             default=None,
         )
 
-    def expected_ms(self, replica: Replica, route: routes.Route, now_s: float) -> float:
+    def expected_ms(
+        self, replica: replica_module.Replica, route: routes.Route, now_s: float
+    ) -> float:
         """Estimate how long a replica takes for one more request."""
         usual_ms = self.times(route.name, replica.entry.data_centre).usual_ms
         load = 1 + LOAD_FACTOR * (len(replica.sends) + replica.pool.waiting)
@@ -479,7 +351,7 @@
             default=0.0,
         )
 
-    def hedge_after_ms(self, replica: Replica, route: routes.Route) -> float:
+    def hedge_after_ms(self, replica: replica_module.Replica, route: routes.Route) -> float:
         """Return the age at which a send to this replica counts as late."""
         slow_ms = self.times(route.name, replica.entry.data_centre).slow_ms
         return timing.hedge_after_ms(slow_ms, route.goal_ms)
--- a/src/turmericlug/direct/sender.py
+++ b/src/turmericlug/direct/sender.py
@@ -12,6 +12,7 @@
 from turmericlug.direct import budget
 from turmericlug.direct import dialect
 from turmericlug.direct import quarantine as quarantine_module
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import sending
 from turmericlug.kernel import tasks as tasks_module
@@ -43,7 +44,7 @@
     )
     """Keeps requests that end replicas from further replicas."""
 
-    def withheld(self, call: sending.Call, replica: replicas_module.Replica) -> str:
+    def withheld(self, call: sending.Call, replica: replica_module.Replica) -> str:
         """Return why a request must not be written to a replica now; empty when it may be."""
         if not self.quarantine.may_send(call):
             return sending.HELD
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -10,6 +10,7 @@
 import attrs
 
 from turmericlug.direct import dialect as dialect_module
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.http1 import client
@@ -46,7 +47,7 @@
     """What an answer takes to the caller."""
     answer_at_s: float | None = None
     """When a query over shards answers with what it has."""
-    asked: dict[str, list[replicas_module.Send]] = attrs.field(factory=dict)
+    asked: dict[str, list[replica_module.Send]] = attrs.field(factory=dict)
     """The sends of each service, in order."""
     handed_over: dict[str, str] = attrs.field(factory=dict)
     """The instance that was last asked to send to a shard, for each that one was."""
@@ -116,7 +117,7 @@
 
     response: client.Response
     signature: bytes
-    replica: replicas_module.Replica
+    replica: replica_module.Replica
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,7 +134,7 @@
     """A replica's own answer that says it failed; the request ran."""
 
     response: client.Response
-    replica: replicas_module.Replica
+    replica: replica_module.Replica
 
 
 @dataclasses.dataclass(frozen=True)
@@ -163,7 +164,7 @@
 
 
 def request_for(
-    call: Call, replica: replicas_module.Replica, names: dialect_module.Dialect, left_ms: int
+    call: Call, replica: replica_module.Replica, names: dialect_module.Dialect, left_ms: int
 ) -> bytes:
     """Write the request for one replica, with the time that is left and the instance it is for."""
     headers = [
@@ -177,7 +178,7 @@
 def classify(
     response: client.Response,
     call: Call,
-    replica: replicas_module.Replica,
+    replica: replica_module.Replica,
     names: dialect_module.Dialect,
 ) -> Outcome:
     """
@@ -235,7 +236,7 @@
     return status in _PROMISE_STATUSES
 
 
-def _timed_out(progress: replicas_module.Send) -> Outcome:
+def _timed_out(progress: replica_module.Send) -> Outcome:
     if progress.written_s is None:
         return NotRun("no_connection_in_time", sent=False)
     return Unknown(SILENT)
@@ -243,9 +244,9 @@
 
 async def send(
     call: Call,
-    replica: replicas_module.Replica,
+    replica: replica_module.Replica,
     names: dialect_module.Dialect,
-    progress: replicas_module.Send,
+    progress: replica_module.Send,
     withheld: abc.Callable[[], str],
 ) -> Outcome:
     """
--- a/src/turmericlug/direct/tracking.py
+++ b/src/turmericlug/direct/tracking.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
 from turmericlug.telemetry import decisions
@@ -13,8 +13,8 @@
 async def tracked(
     sender: sender_module.Sender,
     call: sending.Call,
-    replica: replicas_module.Replica,
-    send: replicas_module.Send,
+    replica: replica_module.Replica,
+    send: replica_module.Send,
 ) -> sending.Outcome:
     """Send, and let the replica's standing learn from the outcome."""
     try:
@@ -40,7 +40,7 @@
 def _learn(
     sender: sender_module.Sender,
     call: sending.Call,
-    replica: replicas_module.Replica,
+    replica: replica_module.Replica,
     outcome: sending.Outcome,
     began_s: float,
 ) -> None:
--- a/src/turmericlug/entry/beliefs.py
+++ b/src/turmericlug/entry/beliefs.py
@@ -18,7 +18,7 @@
 import attrs
 
 from turmericlug.direct import quarantine as quarantine_module
-from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import routes
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import messages
@@ -175,7 +175,7 @@
     return sorted(found, key=lambda each: (each.state != "in use", each.expected_ms))
 
 
-def _state(replica: replicas_module.Replica, now_s: float) -> str:
+def _state(replica: replica_module.Replica, now_s: float) -> str:
     if replica.leaving:
         return "leaving"
     if replica.set_aside(now_s):
--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -18,6 +18,7 @@
 import attrs
 
 from turmericlug.direct import placement
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.entry import journal as journal_module
 from turmericlug.entry import news
@@ -129,7 +130,7 @@
             self.counters.add("relay.stale")
         return await self._direct(after, wait_s, has_relays=bool(relays))
 
-    def relays(self) -> list[replicas_module.Replica]:
+    def relays(self) -> list[replica_module.Replica]:
         """Return the instances to ask, the first of them first; none where this is the first."""
         names = self._relay_names()
         if names[0] == self.place.name:
@@ -181,12 +182,12 @@
         self._direct_failures = 0
         return changes
 
-    def _is_passed_over(self, relay: replicas_module.Replica) -> bool:
+    def _is_passed_over(self, relay: replica_module.Replica) -> bool:
         failures = self._failures.get(relay.entry.instance)
         return failures is not None and asyncio.get_running_loop().time() < failures.until_s
 
     async def _told(
-        self, relay: replicas_module.Replica, after: int, wait_s: float
+        self, relay: replica_module.Replica, after: int, wait_s: float
     ) -> news_codec.Told | None:
         """Ask a relay; ``None`` when it gives no answer."""
         target = b"%s%d/%d/%s" % (PATH, after, wait_s * 1000, self.place.name.encode())
@@ -206,7 +207,7 @@
         self.attendance.heard(relay.entry.instance, asyncio.get_running_loop().time())
         return told
 
-    def _failed(self, relay: replicas_module.Replica, reason: str) -> None:
+    def _failed(self, relay: replica_module.Replica, reason: str) -> None:
         name = relay.entry.instance
         failures = self._failures.setdefault(name, _Failures())
         failures.in_a_row += 1
--- a/src/turmericlug/entry/suspects.py
+++ b/src/turmericlug/entry/suspects.py
@@ -16,6 +16,7 @@
 import random
 
 from turmericlug.direct import quarantine as quarantine_module
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
@@ -148,7 +149,7 @@
             if each in book.records and (each in self._told or book.records[each].recent(now_s))
         }
 
-    def _listeners(self) -> list[replicas_module.Replica]:
+    def _listeners(self) -> list[replica_module.Replica]:
         return list(spread.listeners(list(self._peers.all()), self._rng))
 
     async def keep_in_step(self) -> None:
@@ -175,7 +176,7 @@
 
     async def _exchange(
         self,
-        peer: replicas_module.Replica,
+        peer: replica_module.Replica,
         records: dict[poison.Fingerprint, poison.Record],
         wants_all: bool,
     ) -> bool:
@@ -196,7 +197,7 @@
         self.learn(told.records)
         return True
 
-    def _failed(self, peer: replicas_module.Replica, reason: str) -> bool:
+    def _failed(self, peer: replica_module.Replica, reason: str) -> bool:
         self._counters.add("poison.not_told")
         decisions.log("poison.not_told", peer=peer.entry.instance, reason=reason[:100])
         return False
--- a/tests/direct/test_obtaining.py
+++ b/tests/direct/test_obtaining.py
@@ -8,7 +8,7 @@
 import scripted
 
 from turmericlug.direct import obtaining
-from turmericlug.direct import replicas as replicas_module
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import sending
 from turmericlug.http1 import client
 
@@ -234,7 +234,7 @@
         sender = scripted.make_sender({"s": scripts})
         loop = asyncio.get_running_loop()
         for replica in sender.replicas.all():
-            replica.sends.add(replicas_module.Send(loop.time() - 1.0, 0.05))
+            replica.sends.add(replica_module.Send(loop.time() - 1.0, 0.05))
         outcome = await obtaining.obtain(sender, scripted.make_call(), "s")
         await sender.tasks.close()
         assert isinstance(outcome, sending.Answered)
@@ -263,7 +263,7 @@
     ("age_s", "sent"),
     [
         pytest.param(1.0, 1, id="soon after"),
-        pytest.param(replicas_module.MISDIRECTED_S + 1, 2, id="long after"),
+        pytest.param(replica_module.MISDIRECTED_S + 1, 2, id="long after"),
     ],
 )
 def test_an_address_that_is_anothers_gets_nothing_more(age_s, sent):
--- a/tests/direct/test_replicas.py
+++ b/tests/direct/test_replicas.py
@@ -11,6 +11,7 @@
 
 from turmericlug.direct import budget
 from turmericlug.direct import placement
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 
@@ -106,7 +107,7 @@
 def test_set_aside_replicas_are_not_connected_to():
     pools = {}
     replicas = known(ALL, pools)
-    for _ in range(replicas_module.FAILURES_TO_EJECT):
+    for _ in range(replica_module.FAILURES_TO_EJECT):
         next(each for each in replicas.all() if each.entry.instance == "n").failed(NOW_S)
     asyncio.run(replicas.warm(NOW_S, lambda service: True, far=False))
     assert (pools["n"].open_count, pools["b"].open_count) == (0, 1)
--- a/tests/entry/test_suspects.py
+++ b/tests/entry/test_suspects.py
@@ -16,6 +16,7 @@
 from turmericlug.direct import placement
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import quarantine as quarantine_module
+from turmericlug.direct import replica as replica_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.entry import suspects
@@ -83,7 +84,7 @@
 
     def end(self, replica, on_trial=False, request=Q):
         """See a replica end."""
-        ended = replicas_module.Replica(scripted.entry(replica), None)
+        ended = replica_module.Replica(scripted.entry(replica), None)
         self.quarantine._ended(request, ended, on_trial)
 
     def verdict(self):
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -167,8 +167,8 @@
     mutant.one(
         "any-replica-of-a-handed-part",
         "direct/obtaining.py",
-        "        effort.common = _common(effort, handed_to)\n",
-        "        pass\n",
+        "    if handed_to:\n",
+        "    if not loop:\n",
         "direct/test_handover.py"
         "::test_a_batch_that_is_run_twice_reaches_no_more_replicas_than_allowed",
     ),
@@ -304,7 +304,7 @@
         "misdirected-tried-again",
         "direct/tracking.py",
         "        replica.misdirected(now_s)\n",
-        "        replica.full_until_s = now_s + replicas_module.SHED_PAUSE_S\n",
+        "        replica.full_until_s = now_s + replica_module.SHED_PAUSE_S\n",
         "direct/test_obtaining.py::test_an_address_that_is_anothers_gets_nothing_more",
     ),
     mutant.one(
@@ -559,11 +559,11 @@
     mutant.one(
         "fixed-pair-for-a-handed-part",
         "direct/obtaining.py",
-        "        effort.common = _common(effort, handed_to)\n",
-        "        effort.common = _common(effort, handed_to)\n"
-        "        others = sender.replicas.open_to(service, call.route)\n"
-        "        rest = [each for each in others if each.entry.instance != effort.common]\n"
-        "        effort.closed = rest[call.request_id[-1] % 2 :][:1] if effort.common else []\n",
+        "    if not again:\n",
+        "    others = sender.replicas.open_to(service, call.route)\n"
+        "    rest = [each for each in others if each.entry.instance != effort.common]\n"
+        "    effort.closed = rest[-1:] if effort.common else []\n"
+        "    if not again:\n",
         "direct/test_handover.py::test_a_late_part_goes_to_the_better_of_the_other_replicas",
     ),
     mutant.one(
