--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -51,6 +51,7 @@
             await _leave_calmly(world, callers)
             await _all_in_force(world, callers)
             await _hold_back_what_ends_replicas(world, callers)
+            await _evacuate_calmly(world, callers)
         finally:
             for task in calling:
                 task.cancel()
@@ -111,6 +112,30 @@
         callers.broken.append(f"ENDS {len(after)} attempts of what ends replicas reached some")
 
 
+async def _evacuate_calmly(world, callers):
+    """The replicas of an evacuated data centre get nothing new; the others take what comes."""
+    data_centre = world.rng.choice(sorted(world_module.REGIONS))
+    inside = [each for each in world.replicas if each.zone == data_centre]
+    world.store.put(f"op/evacuate/{data_centre}", {})
+    await asyncio.sleep(IN_FORCE_S)
+    before = {each.instance: len(each.runs) for each in inside}
+    await asyncio.sleep(CALM_S)
+    late = [each.instance for each in inside if len(each.runs) > before[each.instance]]
+    if late:
+        callers.broken.append(
+            f"EVACUATE {data_centre}: {late[:3]} got requests after {IN_FORCE_S} s"
+        )
+    for instance in world.instances:
+        # Each service of the soak is in one data centre, and half of the shards will do.
+        answer = await world_module.ask(instance.ports[0], b"/all/1")
+        if answer.status != 200:
+            callers.broken.append(f"EVACUATE {instance.name} answers a query {answer.status}")
+    world.store.remove(f"op/evacuate/{data_centre}")
+    await asyncio.sleep(IN_FORCE_S)
+    if all(len(each.runs) == before[each.instance] for each in inside):
+        callers.broken.append(f"EVACUATE {data_centre} is not used {IN_FORCE_S} s after its end")
+
+
 async def _ask_lethal(instance):
     with contextlib.suppress(client.ConnectError, client.ExchangeError, TimeoutError):
         async with asyncio.timeout(2.5):
