--- a/deploy/own_days.py
+++ b/deploy/own_days.py
@@ -28,7 +28,11 @@
     {"kind": "kill_all", "down_s": 0.3},
     {"kind": "kill_all", "how": "timed", "down_s": 0.3},
 )
-NEEDS_HEALTH = ("srv_flap", "srv_lying_health", "idle_race", "srv_cut")
+NEEDS = {
+    "health": ("srv_flap", "srv_lying_health", "idle_race", "srv_cut"),
+    "places": ("evacuate", "zone_loss", "zone_cut", "cold_return"),
+}
+"""Kinds that a deployment has only with one of its contracts."""
 
 
 def _one(kind: str, hows: tuple[str, ...] = (), **fields: typing.Any) -> Draw:
@@ -59,6 +63,7 @@
     _one("scale_out", share=0.3, gap_s=1.0),
     _one("hup", share=0.4, gap_s=0.5),
     _one("add_nodes", share=0.75),
+    _one("evacuate", ("", "warm"), for_s=(0.5, 9)),
 )
 FAULTS: tuple[Draw, ...] = (
     _one("burst", x=(1.3, 2.0), for_s=3.0),
@@ -99,6 +104,9 @@
     _one("platform_slow", x=(30, 80), for_s=4.5),
     _one("platform_lost", ("", "late"), x=0.35, for_s=4.5),
     _one("platform_compact", ("", "drain"), x=(1, 8), for_s=12.0),
+    _one("zone_loss", for_s=(1, 5)),
+    _one("zone_cut", for_s=(1, 5)),
+    _one("cold_return", ("", "dark"), for_s=(1, 4)),
 )
 
 
@@ -118,7 +126,8 @@
     for where, draw in chosen:
         entry = draw(rng)
         entry["at"] = round(rng.uniform(EARLIEST_S, site["length_s"] - BEFORE_END_S), 2)
-        if entry["kind"] not in NEEDS_HEALTH or "health" in site["contracts"]:
+        lacking = [each for each in NEEDS if each not in site["contracts"]]
+        if not any(entry["kind"] in NEEDS[each] for each in lacking):
             found[where].append(entry)
     if rng.random() < CLOSING_SHARE:
         found["closing"] = rng.choice(CLOSINGS)
