--- a/src/turmericlug/direct/obtaining.py
+++ b/src/turmericlug/direct/obtaining.py
@@ -25,7 +25,7 @@
 """A timer that is later than this was held up: this process stood still."""
 CATCH_UP_S = 0.01
 """Time to read what came in while this process stood still."""
-MOST_RETURNS = 2
+MOST_SAME_REPLICA_RETRIES = 2
 """Sends to replicas that have failed a request before, once it may reach no other. Replicas that
 lose part of their answers give the next one in many cases."""
 MOST_UNSENT = 3
@@ -65,7 +65,7 @@
     """Replicas that were full and have run nothing."""
     failed_by: list[replica_module.Replica] = attrs.field(factory=list)
     """Replicas that gave a failure, or no usable answer, before its time was over."""
-    returns: int = 0
+    same_replica_retries: int = 0
     """Sends to replicas that had failed it."""
     pauses: int = 0
     again_at_s: float | None = None
@@ -115,7 +115,7 @@
         return sending.Unknown("budget")
     else:
         effort.attempts = call.route.max_attempts - 1
-        effort.returns = MOST_RETURNS
+        effort.same_replica_retries = MOST_SAME_REPLICA_RETRIES
         replicas = sender.replicas.of(service) if effort.common else []
         effort.closed = [each for each in replicas if each.entry.instance != effort.common]
         effort.failure = sending.Unknown("batch_lost")
@@ -267,7 +267,7 @@
     failure = effort.failure
     if effort.pending:
         return
-    if effort.attempts >= call.route.max_attempts and not _goes_back(effort):
+    if effort.attempts >= call.route.max_attempts and not _retries_same_replica(effort):
         return
     if effort.unsent > MOST_UNSENT:
         return
@@ -302,14 +302,14 @@
     _send_to(effort, replica, now_s)
 
 
-def _goes_back(effort: _Effort) -> bool:
+def _retries_same_replica(effort: _Effort) -> bool:
     """Whether a request that may reach no further replica goes back to one that failed it."""
     call = effort.call
     if not call.route.idempotent or call.route.max_attempts < 2 or not effort.failed_by:
         return False
-    if effort.returns >= MOST_RETURNS:
+    if effort.same_replica_retries >= MOST_SAME_REPLICA_RETRIES:
         return False
-    effort.returns += 1
+    effort.same_replica_retries += 1
     effort.tried = [each for each in effort.tried if each not in effort.failed_by]
     return True
 
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -206,7 +206,7 @@
         """Send nothing more to the replicas of a data centre; what is under way may finish."""
         self.evacuated.setdefault(data_centre, now_s)
 
-    def take_back(self, data_centre: str, now_s: float) -> float:
+    def end_evacuation(self, data_centre: str, now_s: float) -> float:
         """
         Let the replicas of a data centre get requests again.
 
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -308,9 +308,9 @@
                 decisions.log("view.instance_gone", name=written.value.name, revision=revision)
             case news.Evacuation():
                 data_centre = written.value.data_centre
-                age_s = self.replicas.take_back(data_centre, self._now_s())
+                age_s = self.replicas.end_evacuation(data_centre, self._now_s())
                 decisions.log(
-                    "view.taken_back",
+                    "view.evacuation_ended",
                     data_centre=data_centre,
                     age_s=round(age_s, 3),
                     revision=revision,
--- a/src/turmericlug/policy/warm_up.py
+++ b/src/turmericlug/policy/warm_up.py
@@ -2,9 +2,8 @@
 How much one instance may send to a replica that is cold: pure functions of rate, share and time.
 
 The load pattern: the replicas of a data centre come back together, cold, and every instance sends
-to each of them at once. Nobody counts for all instances, so that each has moments of its own, and
-what it does not use in one of them is lost: kept for later, the unused shares of many instances
-would arrive together.
+to each of them at once. No instance counts for all, so that each has time slots of its own. A slot
+that is not used is lost: kept as tokens, those of many instances would be spent together.
 """
 
 from __future__ import annotations
@@ -15,10 +14,10 @@
 import attrs
 
 NOMINAL_SHARE = 0.6
-"""Part of the stated rate that is used: the moments of instances fall together by chance."""
-LONGEST_MOMENT_S = 0.25
-MOMENT_SHARE = 0.5
-"""Part of the time between two moments of an instance that a moment lasts at the most."""
+"""Part of the stated rate that is used: slots of different instances overlap by chance."""
+LONGEST_SLOT_S = 0.25
+SLOT_SHARE = 0.5
+"""Longest slot as a part of the time between two slots of an instance."""
 _HASHES = 1 << 32
 
 
@@ -31,7 +30,7 @@
     senders: int = 1
     """How many instances divide it; 0: this one is not among them."""
     phase: float = 0.0
-    """Where between two of its moments this instance begins, from 0 to 1."""
+    """Where its first slot begins, as a part of the time between two of them."""
 
     def allows(self, since_s: float, sent_s: float, now_s: float) -> bool:
         """
@@ -47,14 +46,14 @@
         period_s = self.senders / (NOMINAL_SHARE * self.rate_per_s)
         begin_s = since_s + self.phase * period_s
         turn = math.floor((now_s - begin_s) / period_s)
-        moment_s = begin_s + turn * period_s
-        length_s = min(MOMENT_SHARE * period_s, LONGEST_MOMENT_S)
-        return turn >= 0 and now_s - moment_s < length_s and sent_s < moment_s
+        slot_s = begin_s + turn * period_s
+        length_s = min(SLOT_SHARE * period_s, LONGEST_SLOT_S)
+        return turn >= 0 and now_s - slot_s < length_s and sent_s < slot_s
 
 
 UNLIMITED = Share(0.0)
 
 
 def phase_of(instance: str, replica: str) -> float:
-    """Return where an instance's moments for a replica begin: spread evenly over instances."""
+    """Return the phase of an instance's slots for a replica; evenly spread over instances."""
     return zlib.crc32(f"{replica}/{instance}".encode()) / _HASHES
--- a/tests/direct/test_handover.py
+++ b/tests/direct/test_handover.py
@@ -298,7 +298,7 @@
     ("handler", "first", "reached", "sent"),
     [
         (failing, [client.ExchangeError("reset")], 1, 1),
-        (refusing, [client.ExchangeError("reset")], 2, 2 + obtaining.MOST_RETURNS),
+        (refusing, [client.ExchangeError("reset")], 2, 2 + obtaining.MOST_SAME_REPLICA_RETRIES),
     ],
     ids=["lost", "refused"],
 )
--- a/tests/direct/test_obtaining.py
+++ b/tests/direct/test_obtaining.py
@@ -148,7 +148,7 @@
     scripts = {name: scripted.Scripted(RESET) for name in "abcd"}
     _, requests = obtain(scripts, max_attempts=3)
     assert sum(map(bool, requests)) == 3
-    assert sum(requests) == 3 + obtaining.MOST_RETURNS
+    assert sum(requests) == 3 + obtaining.MOST_SAME_REPLICA_RETRIES
 
 
 @pytest.mark.parametrize(
--- a/tests/direct/test_regions.py
+++ b/tests/direct/test_regions.py
@@ -222,8 +222,8 @@
     async def scenario(sender, call):
         evacuate(sender, "near")
         evacuate(sender, "near")
-        assert sender.replicas.take_back("near", 2.0) == 2.0
-        assert sender.replicas.take_back("near", 3.0) == 0.0
+        assert sender.replicas.end_evacuation("near", 2.0) == 2.0
+        assert sender.replicas.end_evacuation("near", 3.0) == 0.0
         return await obtaining.obtain(sender, call, "s")
 
     assert isinstance(play({"s": replicas}, scenario), sending.Answered)
--- a/tests/integration/test_evacuation.py
+++ b/tests/integration/test_evacuation.py
@@ -126,7 +126,7 @@
         assert runs(replicas, "dc-1") == before
         store.remove("op/evacuate/dc-1")
         for each in instances:
-            await entry_process.until(lambda each=each: each.lines("view.taken_back"))
+            await entry_process.until(lambda each=each: each.lines("view.evacuation_ended"))
         for killed in instances:
             killed.signal(signal.SIGKILL)
             await killed.process.wait()
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -545,8 +545,8 @@
     mutant.one(
         "cold-replicas-keep-unused-shares",
         "policy/warm_up.py",
-        "        return turn >= 0 and now_s - moment_s < length_s and sent_s < moment_s",
-        "        return turn >= 0 and sent_s < moment_s",
+        "        return turn >= 0 and now_s - slot_s < length_s and sent_s < slot_s",
+        "        return turn >= 0 and sent_s < slot_s",
         "policy/test_warm_up.py::" "test_a_burst_after_a_quiet_spell_does_not_arrive_at_once",
     ),
     mutant.one(
@@ -569,8 +569,8 @@
     mutant.one(
         "never-back-to-a-replica",
         "direct/obtaining.py",
-        "        return False\n    effort.returns += 1",
-        "        return False\n    return False\n    effort.returns += 1",
+        "        return False\n    effort.same_replica_retries += 1",
+        "        return False\n    return False\n    effort.same_replica_retries += 1",
         "direct/test_obtaining.py::test_a_part_goes_back_to_a_replica_that_failed_it",
     ),
     mutant.one(
--- a/tests/policy/test_warm_up.py
+++ b/tests/policy/test_warm_up.py
@@ -78,7 +78,7 @@
     phase=strategies.floats(0, 1),
     pauses_s=strategies.lists(strategies.floats(0, 3), min_size=2, max_size=60),
 )
-def test_unused_moments_are_lost(rate_per_s, senders, phase, pauses_s):
+def test_unused_slots_are_lost(rate_per_s, senders, phase, pauses_s):
     """Kept for later, what instances did not use arrived in one burst after a pause."""
     share = warm_up.Share(rate_per_s, senders, phase)
     period_s = senders / (warm_up.NOMINAL_SHARE * rate_per_s)
