--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -159,8 +159,8 @@
         """
         Choose the other owner for what a lost batch left open, if there is one.
 
-        An instance that sends the parts by itself instead opens a connection for each: sixty at
-        once from half a core were none in time, and the query that began them failed.
+        An instance that sends the parts by itself instead opens a connection for each, too many at
+        once to be in time.
         """
         if placement.everyone_sends(sender.instances()):
             return False
--- a/src/turmericlug/direct/placement.py
+++ b/src/turmericlug/direct/placement.py
@@ -1,11 +1,10 @@
 """
 Who sends to a replica: pure functions of the instances and the shards.
 
-The load pattern: 74 instances with a third of a query a second each, over 90 to 135 shards. Sending
-everything from everywhere opened a new connection for every third send, found replicas out of
-connections, and cost a half-core instance 80 ms of processor time a query. So where instances are
-many, a shard's replicas in one data centre are sent to by two instances of it; their connections
-stay warm, and a query's work is spread over several instances.
+The load pattern: many instances with few queries each, over many shards. Where each sends to every
+replica, connections are idle for too long to be kept, and replicas run out of them. So where
+instances are many, a shard's replicas in one data centre are sent to by two instances of it; their
+connections stay open, and a query's work is spread over several instances.
 """
 
 from __future__ import annotations
@@ -24,7 +23,7 @@
 OWNERS = 2
 """One that is lost or slow leaves the other."""
 LEAST_GROUPS = 4
-"""A query of 135 shards becomes batches of some 30 parts, 20 ms of a half-core instance."""
+"""Divides a query of 135 shards into batches of some 30 parts."""
 GROUPS_STEP = 4
 MOST_INSTANCES_PER_GROUP = 6
 """The number of groups rises in steps: if it followed the instances, each that comes or goes would
