--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -2,10 +2,10 @@
 Passing news on between the instances of a data centre.
 
 The load pattern: instances that each follow the store make one call each for every change. So one
-instance of a data centre asks the store, and the others ask that one. A second one stands by: it asks the first like all others,
-and the store when that fails, and whoever can't use the first asks it. What either says carries the
-age of the news: an instance that gets none young enough asks the store itself within 1.9 s. The
-shortest time in which a configuration has to be in force is 3 s.
+instance of a data centre asks the store, and the others ask that one. A second one stands by: it
+asks the first like all others, and the store when that fails, and whoever can't use the first asks
+it. What either says carries the age of the news: an instance that gets none young enough asks the
+store itself within 1.9 s. The shortest time in which a configuration has to be in force is 3 s.
 """
 
 from __future__ import annotations
