Sends that are withheld are counted again; one property less

Withheld sends (evacuated, ends_replicas, unwanted) returned before their counter since they no longer count against their replica; direct.withheld.* counts them by reason. Route.is_bound had one user and said what its field says.

--- a/src/turmericlug/direct/routes.py
+++ b/src/turmericlug/direct/routes.py
@@ -45,11 +45,6 @@
     regions: frozenset[str] | None = None
     """The only regions whose replicas and instances may get its requests; ``None``: any."""
 
-    @property
-    def is_bound(self) -> bool:
-        """Whether its requests must not leave some regions."""
-        return self.regions is not None
-
     def bound_to(self, regions: frozenset[str] | None) -> Route:
         """Return this route where others may bind its requests to regions as well."""
         if regions is None:
@@ -93,7 +88,8 @@
 
     def regions_of(self, host: str) -> frozenset[str] | None:
         """Return the regions that all bound routes of a host allow; ``None`` where none is."""
-        bound = [each.regions for each in self._by_host.get(host.lower(), ()) if each.is_bound]
+        found = [each.regions for each in self._by_host.get(host.lower(), ())]
+        bound = [regions for regions in found if regions is not None]
         return frozenset.intersection(*bound) or frozenset.union(*bound) if bound else None
 
     def match(self, host: str, path: str) -> Route | None:
--- a/src/turmericlug/direct/tracking.py
+++ b/src/turmericlug/direct/tracking.py
@@ -23,6 +23,7 @@
         )
         send.ran = not isinstance(outcome, sending.NotRun)
         if sending.was_withheld(outcome):
+            sender.counters.add(f"direct.withheld.{sending.reason(outcome)}")
             return outcome
     except asyncio.CancelledError:
         return sending.ABANDONED
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -70,6 +70,7 @@
     "direct.sent.*": "sends to replicas, by whether they are in this instance's region",
     "direct.send_ms": "timer: a send that was answered, with the wait for a connection",
     "direct.send_failed.*": "sends without a usable answer, by reason",
+    "direct.withheld.*": "sends that were not written, by reason",
     "direct.hedge.sent": "second sends for a late one",
     "direct.hedge_denied.*": "late sends without a second one, by reason",
     "direct.repeat.*": "sends repeated after a failure, by its reason",
--- a/tests/direct/test_regions.py
+++ b/tests/direct/test_regions.py
@@ -211,6 +211,7 @@
         assert reached(replicas) == {"far-1"}
         (standing,) = (each for each in sender.replicas.of("s") if each.entry.data_centre == "near")
         assert standing.failures == 0
+        assert sender.counters.totals["direct.withheld.evacuated"] == 1
         await sender.tasks.close()
 
     asyncio.run(main())
