Organisations that can't be read leave the rest of a configuration in force

Cause: their keys and regions were decoded without the strict readers of the other optional fields, so that one damaged key made the whole configuration unreadable and the older one stayed in force. Six cases failed before; they are read by the same table of fields now, ignored, counted and told.

--- a/src/turmericlug/platform/decode.py
+++ b/src/turmericlug/platform/decode.py
@@ -97,17 +97,18 @@
         routes=tuple(_route(item, ignored) for item in plain["Routes"]),
         services=services,
         limits=_limits(plain.get("Limits") or {}),
-        key_regions=_key_regions(plain.get("Tenants") or [], ignored),
+        key_regions=_key_regions(plain, ignored),
     )
 
 
-def _key_regions(organisations: list[Plain], ignored: list[str]) -> dict[bytes, frozenset[str]]:
+def _key_regions(plain: Plain, ignored: list[str]) -> dict[bytes, frozenset[str]]:
     """Return the regions that organisations are bound to, by each of their keys."""
     found: dict[bytes, frozenset[str]] = {}
-    for item in organisations:
+    for item in fields.optional(plain, "Tenants", fields.tables, [], ignored):
         regions = _regions(item, ignored)
         if regions is not None:
-            found |= {key.encode(): regions for key in item.get("ApiKeys") or []}
+            keys = fields.optional(item, "ApiKeys", fields.keys, [], ignored)
+            found |= dict.fromkeys(keys, regions)
     return found
 
 
--- a/src/turmericlug/platform/fields.py
+++ b/src/turmericlug/platform/fields.py
@@ -59,6 +59,28 @@
     return frozenset(each for each in plain if isinstance(each, str) and each) if plain else None
 
 
+def tables(plain: typing.Any) -> list[dict[str, typing.Any]]:
+    """
+    Read a list of tables.
+
+    :raises FieldError: it is no list, or one of its entries is no table
+    """
+    if not isinstance(plain, list) or not all(isinstance(each, dict) for each in plain):
+        raise FieldError("not a list of tables")
+    return plain
+
+
+def keys(plain: typing.Any) -> list[bytes]:
+    """
+    Read a list of keys that callers show.
+
+    :raises FieldError: it is no list, or one of its entries is no text
+    """
+    if not isinstance(plain, list) or not all(isinstance(each, str) for each in plain):
+        raise FieldError("not a list of texts")
+    return [each.encode() for each in plain]
+
+
 def rate_per_s(plain: typing.Any) -> float:
     """
     Read requests a second.
--- a/tests/platform/test_fields.py
+++ b/tests/platform/test_fields.py
@@ -84,6 +84,26 @@
     assert found.key_regions == {b"k1": {"a"}, b"k2": {"a"}, b"k4": set()}
 
 
+@pytest.mark.parametrize(
+    "organisations",
+    [
+        "x",
+        7,
+        {"a": 1},
+        ["x"],
+        [{"ApiKeys": 5, "AllowedRegions": ["a"]}],
+        [{"ApiKeys": [5], "AllowedRegions": ["a"]}],
+    ],
+    ids=str,
+)
+def test_organisations_that_can_not_be_read_leave_the_rest_of_the_configuration(organisations):
+    """One damaged key made the whole configuration unreadable: the older one stayed in force."""
+    found = configured(Tenants=organisations)
+    assert found.value.routes[0].name == "r"
+    assert found.value.key_regions == {}
+    assert len(found.ignored) == 1
+
+
 @pytest.mark.parametrize(
     ("told", "expected"),
     [
