Readings tell their revision, and the view what it passes over

The logs of the incident could not tell whether changes never came or came under revisions that are not above the known ones: source.read names the revision of each whole reading, view.passed_over what was told under an older revision, or under the known one with other content, as one line a message. Nothing is decided otherwise.

--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -64,9 +64,16 @@
     while True:
         try:
             if revision is None:
-                snapshot = await source.read_all(may_be_stale=not known)
+                stale_allowed = not known
+                snapshot = await source.read_all(may_be_stale=stale_allowed)
                 known = True
                 view.source_regained()
+                decisions.log(
+                    "source.read",
+                    revision=snapshot.revision,
+                    entries=len(snapshot.written),
+                    stale_allowed=stale_allowed,
+                )
                 _tell_unreadable(snapshot.written, counters)
                 _pass_on(snapshot, view, journal)
                 view.take_snapshot(snapshot)
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -137,6 +137,7 @@
         """Take over a whole reading: what is missing in it has been removed."""
         present = {written.key for written in snapshot.written}
         missing = [key for key in self._keys if key not in present]
+        self._tell_passed_over(snapshot.written, snapshot.revision)
         for written in snapshot.written:
             self._write(written)
         self._remove([key for key in missing if key not in self._held], snapshot.revision)
@@ -144,6 +145,7 @@
     def take_changes(self, changes: news.Changes) -> None:
         """Take over what has changed, in order."""
         removed = []
+        self._tell_passed_over(changes.changes, changes.revision)
         for change in changes.changes:
             if isinstance(change, news.Removed):
                 if self._is_newer(change):
@@ -154,6 +156,23 @@
             self._write(change)
         self._remove(removed, changes.revision)
 
+    def _tell_passed_over(self, changes: abc.Iterable[news.Change], revision: int) -> None:
+        """Log what is told under no higher revision than what is known, as one line."""
+        found = [
+            each
+            for each in changes
+            if each.key in self._keys and _is_passed_over(each, self._keys[each.key])
+        ]
+        if found:
+            decisions.log(
+                "view.passed_over",
+                count=len(found),
+                key=found[-1].key,
+                revision=found[-1].revision,
+                known_revision=self._keys[found[-1].key].revision,
+                told_revision=revision,
+            )
+
     def _is_newer(self, removed: news.Removed) -> bool:
         """Whether a removal is not of an entry that has been written again since."""
         known = self._keys.get(removed.key)
@@ -343,6 +362,12 @@
             self._forget(key, self._keys[key].revision)
 
 
+def _is_passed_over(change: news.Change, known: news.Written | news.Unreadable) -> bool:
+    if change.revision != known.revision:
+        return change.revision < known.revision
+    return isinstance(change, news.Removed) or change.content != known.content
+
+
 def _is_replica(written: news.Written | news.Unreadable | None) -> bool:
     return isinstance(written, news.Written) and isinstance(written.value, routes.ReplicaEntry)
 
