Failing test: configurations confirmed after the store returned from a copy

The stand-in of the platform's store learns the drill: it keeps a copy of each state, returns to one, gives revisions and leases out again, cuts the questions that wait, answers 410 beyond its revision, tells Store-Era in every answer and hands back what the operator and the replicas have to write again.

--- /dev/null
+++ b/tests/integration/test_store_returns.py
@@ -0,0 +1,125 @@
+"""A store that returns from a copy some seconds old, with real entry instances."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+
+import entry_process
+import pytest
+import standin_platform
+
+IN_FORCE_S = 3.0
+"""The shortest time that deployments allow for a configuration."""
+SERVICE = "s0"
+INSTANCES = 3
+"""The first two of a data centre ask the store for changes, the third one asks them."""
+
+
+@contextlib.asynccontextmanager
+async def platform():
+    """Run a store with three versions behind it, and a replica; yields the store and its port."""
+    store = standin_platform.Store()
+    replica = standin_platform.Replica("i-0", SERVICE, bytes(16))
+    async with standin_platform.listening(replica.handle) as replica.address:
+        store.put("servers/i-0", replica.entry())
+        async with standin_platform.listening(store.handle) as address:
+            configure(store, 1)
+            yield store, address[1]
+
+
+def configure(store, version):
+    """Write a version that adds a route of its own and drops those of the versions before."""
+    routes = [standin_platform.route("v", f"/v{version}/", Service=SERVICE)]
+    store.put("op/config", standin_platform.configuration(version, routes, [SERVICE]))
+
+
+async def all_by(running, version, limit_s=IN_FORCE_S):
+    """Wait until every instance goes by a version."""
+
+    async def one(instance):
+        async def served():
+            path = f"/v{version}/".encode()
+            return (await entry_process.ask(instance.ports[0], path, b"q")).status == 200
+
+        await entry_process.until(served, limit_s)
+
+    await asyncio.gather(*map(one, running))
+
+
+async def change_often(store, running):
+    """Bring some versions into force; returns the latest."""
+    for version in range(2, 6):
+        configure(store, version)
+    await all_by(running, 5)
+    return 5
+
+
+async def return_once(store, running, version):
+    lost = store.return_from_copy(3)
+    store.write_again(lost)
+    return version
+
+
+async def return_twice(store, running, version):
+    for _ in range(2):
+        lost = store.return_from_copy(3)
+        await asyncio.sleep(0.5)
+        store.write_again(lost)
+    return version
+
+
+async def return_unheard(store, running, version):
+    """Return while no instance runs, and count past what they know before they do."""
+    known = store.revision
+    for each in running:
+        each.signal(signal.SIGSTOP)
+    store.write_again(store.return_from_copy(4))
+    configure(store, version + 1)
+    while store.revision <= known:
+        store.put("servers/i-filler", b"{}")
+    for each in running:
+        each.signal(signal.SIGCONT)
+    return version + 1
+
+
+async def return_beside_a_start(store, running, version):
+    """Return while an instance is killed and starts again."""
+    running[1].signal(signal.SIGKILL)
+    await running[1].process.wait()
+    lost = store.return_from_copy(3)
+    await running[1].start()
+    await entry_process.until(lambda: entry_process.ready(running[1]))
+    store.write_again(lost)
+    return version
+
+
+@pytest.mark.parametrize(
+    "returns", [return_once, return_twice, return_unheard, return_beside_a_start]
+)
+def test_confirmed_configurations_come_into_force_after_the_store_returned(tmp_path, returns):
+    """Guards against changes that are dropped since their revisions were seen before the return."""
+
+    async def main():
+        async with platform() as (store, port), asyncio.timeout(60):
+            running = [
+                entry_process.make(tmp_path, f"e-{number}", port) for number in range(INSTANCES)
+            ]
+            try:
+                for each in running:
+                    await each.start()
+                for each in running:
+                    await entry_process.until(lambda each=each: entry_process.ready(each))
+                version = await returns(store, running, await change_often(store, running))
+                await all_by(running, version)
+                for later in range(version + 1, version + 4):
+                    configure(store, later)
+                    await all_by(running, later)
+            finally:
+                for each in running:
+                    each.signal(signal.SIGCONT)
+                    each.signal(signal.SIGKILL)
+                    await each.process.wait()
+
+    asyncio.run(main())
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -4,15 +4,31 @@
 
 import asyncio
 import base64
+import collections
 import contextlib
 import itertools
 import json
 import urllib.parse
 
+import attrs
+
 from turmericlug.http1 import messages
 from turmericlug.http1 import server
 
 OK = 200
+FIRST_LEASE = 7000
+COPIES = 200
+"""Changes back to which the store can return."""
+ERA_HEADER = b"store-era"
+
+
+@attrs.frozen
+class Copy:
+    """What the store held at one revision."""
+
+    revision: int
+    items: dict
+    leases: dict
 
 
 class Store:
@@ -31,13 +47,18 @@
         self.lags = []
         """Revisions by which the next stale reads say that they lag."""
         self.stale_reads = 0
+        self.era = 1
+        """Rises each time the store returns from a copy; told in every answer, ``None``: never."""
+        self.copies = collections.deque(maxlen=COPIES)
+        """The state before each of the latest changes, the newest last."""
         self.edit = lambda key, content: content
         """Changes what an instance writes: an address, so that others come by way of a proxy."""
         self._changed = asyncio.Event()
-        self._numbers = itertools.count(7000)
+        self._numbers = itertools.count(FIRST_LEASE)
 
     def put(self, key, value, lease=0):
         """Write a key as the operator or a replica would."""
+        self._keep_copy()
         self.revision += 1
         content = value if isinstance(value, bytes) else json.dumps(value).encode()
         created = self.items[key]["Created"] if key in self.items else self.revision
@@ -53,20 +74,61 @@
 
     def remove(self, key):
         """Remove a key."""
-        if self.items.pop(key, None) is not None:
+        if key in self.items:
+            self._keep_copy()
+            del self.items[key]
             self.revision += 1
             self._tell({"Key": key, "Revision": self.revision, "Tombstone": True})
 
     def _tell(self, event):
         self.history.append(event)
+        self._wake()
+
+    def _keep_copy(self):
+        self.copies.append(Copy(self.revision, dict(self.items), dict(self.leases)))
+
+    def return_from_copy(self, changes):
+        """
+        Lose the latest changes, and give their revisions out again from now on.
+
+        :returns: the keys of others than the system that were changed since, with the values that
+            they had; ``None`` for a key that was removed
+        """
+        lost = {}
+        changes = min(changes, len(self.copies))
+        if changes:
+            restored = self.copies[-changes]
+            for event in self.history:
+                if event["Revision"] > restored.revision and is_of_others(event["Key"]):
+                    item = self.items.get(event["Key"])
+                    lost[event["Key"]] = base64.b64decode(item["Value"]) if item else None
+            for _ in range(changes):
+                self.copies.pop()
+            self.items, self.revision = dict(restored.items), restored.revision
+            self.leases = dict(restored.leases)
+            self.history = [each for each in self.history if each["Revision"] <= self.revision]
+            self.first_known = min(self.first_known, self.revision)
+            self._numbers = itertools.count(max(self.leases, default=FIRST_LEASE - 1) + 1)
+        self.era += 1
+        self._wake()
+        return lost
+
+    def write_again(self, lost):
+        """Write what the operator and the replicas had written since the copy, as they do."""
+        for key, content in lost.items():
+            if content is None:
+                self.remove(key)
+            else:
+                self.put(key, content)
+
+    def _wake(self):
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
     def forget_history(self):
         """Drop the history; watches from before get 410."""
         self.first_known = self.revision
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+        self._wake()
 
     def end_lease(self, lease):
         """End a lease with its keys."""
@@ -81,13 +143,16 @@
         asked = {key: values[0] for key, values in urllib.parse.parse_qs(query).items()}
         self.calls.append(call)
         if self.fault == "busy":
-            return messages.Answer(503)
+            return messages.Answer(503, self._headers())
         if self.fault == "silent":
             await asyncio.sleep(60)
         status, body = await self._answer(call, asked, json.loads(request.body or b"{}"))
         if self.fault == "lost":
             await asyncio.sleep(60)
-        return messages.Answer(status, (), json.dumps(body).encode())
+        return messages.Answer(status, self._headers(), json.dumps(body).encode())
+
+    def _headers(self):
+        return () if self.era is None else ((ERA_HEADER, b"%d" % self.era),)
 
     async def _answer(self, call, asked, body):
         name, _, rest = call.partition("/")
@@ -107,10 +172,12 @@
         return OK, {"items": items, "HasMore": more, "AsOf": self.revision - lag}
 
     async def _kv_watch(self, asked, body, rest):
-        after = int(asked["after"])
+        after, era = int(asked["after"]), self.era
         until = asyncio.get_running_loop().time() + int(asked["WaitMs"]) / 1000
         while True:
-            if after < self.first_known:
+            if self.era != era:
+                raise ConnectionResetError("the store was away")
+            if after < self.first_known or after > self.revision:
                 return 410, {}
             events = [each for each in self.history if each["Revision"] > after]
             left_s = until - asyncio.get_running_loop().time()
@@ -149,6 +216,11 @@
         return OK, {"Revision": self.revision}
 
 
+def is_of_others(key):
+    """Whether a key is written by the operator or a replica."""
+    return key.startswith(("op/", "servers/"))
+
+
 class Replica:
     """A replica that answers every request with its own signature; ``script`` changes that."""
 
