--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -43,7 +43,7 @@
 
 async def follow(
     source: news.Source,
-    changes_of: abc.Callable[[int, float], abc.Awaitable[news.Changes]],
+    changes_of: abc.Callable[[news.Position, float], abc.Awaitable[news.Changes]],
     view: view_module.View,
     journal: journal_module.Journal,
     counters: counters_module.Counters,
@@ -56,20 +56,21 @@
     it costs the source a tenth. A later one has to be fresh, as what is missing in it is taken for
     gone.
 
-    :param changes_of: asks for the changes after a revision, the source or an instance near by
+    :param changes_of: asks for the changes after a position, the source or an instance near by
     :param journal: told of all news, for passing them on
     """
-    revision: int | None = None
+    position: news.Position | None = None
     known = False
     while True:
         try:
-            if revision is None:
+            if position is None:
                 stale_allowed = not known
                 snapshot = await source.read_all(may_be_stale=stale_allowed)
                 known = True
                 view.source_regained()
                 decisions.log(
                     "source.read",
+                    era=snapshot.era,
                     revision=snapshot.revision,
                     entries=len(snapshot.written),
                     stale_allowed=stale_allowed,
@@ -77,19 +78,20 @@
                 _tell_unreadable(snapshot.written, counters)
                 _pass_on(snapshot, view, journal)
                 view.take_snapshot(snapshot)
-                revision = snapshot.revision
-            changes = await changes_of(revision, WAIT_S)
+                position = snapshot.position
+            changes = await changes_of(position, WAIT_S)
             view.source_regained(changes.age_s)
             _tell_unreadable(changes.changes, counters)
             view.take_changes(changes)
             journal.add(changes)
-            revision = max(changes.revision, revision)
+            position = max(changes.position, position)
             many = not placement.everyone_sends(view.instances_count())
             await asyncio.sleep(PAUSE_MANY_S if many else PAUSE_S)
         except news.HistoryLostError:
-            decisions.log("source.history_lost", after=revision)
+            after = position.revision if position else None
+            decisions.log("source.history_lost", after=after, era=position and position.era)
             counters.add("source.history_lost")
-            revision = None
+            position = None
         except news.SourceError as error:
             counters.add(f"source.error.{error.reason}")
             view.source_lost(error.reason)
@@ -105,8 +107,8 @@
     Begun anew, it sent every instance that asked for what was before to the source, for a whole
     fresh reading each.
     """
-    if journal.revision < 0:
-        journal.restart(snapshot.revision)
+    if journal.position is None:
+        journal.restart(snapshot.position)
     else:
         journal.add(view.news_in(snapshot))
 
@@ -134,6 +136,13 @@
     lease: int | None = None
     written: bool = False
     """Whether the entry was written under the lease, as far as is known."""
+    era: int = 0
+    """In which the source last showed that."""
+
+    def lose(self) -> None:
+        """Count on nothing that was acknowledged."""
+        self.lease = None
+        self.written = False
 
 
 async def stay_registered(
@@ -157,7 +166,7 @@
     while not may_serve():
         await asyncio.sleep(0.05)
     lease = view.lease_of(own)
-    standing = _Standing(lease, written=lease is not None)
+    standing = _Standing(lease, lease is not None, view.era or 0)
     try:
         while True:
             tried_s = loop.time()
@@ -182,17 +191,21 @@
     standing: _Standing,
 ) -> bool:
     """Renew the lease, or open one and write the entry, as is due; false when that failed."""
-    if view.own_entry_removed:
-        view.own_entry_removed = standing.written = False
+    _confirm(source, view, own, standing)
     while True:
         try:
             if standing.lease is None:
                 standing.lease = await source.lease(LEASE_S)
+                standing.era = source.era
                 standing.written = False
             if standing.written:
                 await source.keep(standing.lease)
             else:
                 await source.register(own, standing.lease)
+                if source.era != standing.era:
+                    # The number of the lease may be another instance's by now.
+                    standing.lose()
+                    continue
                 standing.written = True
                 decisions.log("instance.registered", lease=standing.lease)
             view.source_regained()
@@ -205,6 +218,28 @@
             return False
 
 
+def _confirm(
+    source: news.Source,
+    view: view_module.View,
+    own: news.EntryInstance,
+    standing: _Standing,
+) -> None:
+    """
+    Check what was acknowledged before the source returned from a copy against what it shows now.
+
+    The entry and the lease may be lost, and the lease's number given to another instance.
+    """
+    if view.own_entry_removed:
+        view.own_entry_removed = standing.written = False
+    if standing.lease is None or standing.era == source.era or view.era != source.era:
+        return
+    if view.lease_of(own) == standing.lease:
+        standing.era = source.era
+        return
+    decisions.log("instance.registration_lost", lease=standing.lease, era=source.era)
+    standing.lose()
+
+
 async def _end(source: news.Source, lease: int) -> None:
     try:
         async with asyncio.timeout(1.0):
--- a/src/turmericlug/entry/journal.py
+++ b/src/turmericlug/entry/journal.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import math
 
 from turmericlug.entry import news
 
@@ -12,45 +13,73 @@
 
 
 class Journal:
-    """The latest changes, for those that ask what has happened since a revision."""
+    """The latest changes, for those that ask what has happened since a position."""
 
     def __init__(self) -> None:
         self._changes: collections.deque[news.Change] = collections.deque(maxlen=KEPT_CHANGES)
-        self._known_from = -1
-        self.revision = -1
+        self._known_from: news.Position | None = None
+        self.position: news.Position | None = None
+        """Up to where changes are known; ``None`` before the first reading."""
+        self._eras: dict[int, tuple[int, float]] = {}
+        """Between which revisions of each era the changes are known here."""
         self._arrived = asyncio.Event()
 
-    def restart(self, revision: int) -> None:
-        """Know nothing of what was before a revision."""
+    def restart(self, position: news.Position) -> None:
+        """Know nothing of what was before a position."""
         self._changes.clear()
-        self._known_from = self.revision = revision
+        self._known_from = self.position = position
+        self._eras = {position.era: (position.revision, math.inf)}
 
     def add(self, changes: news.Changes) -> None:
-        """Take note of changes, in order."""
+        """
+        Take note of changes, in order.
+
+        The first ones of an era are what a whole reading has changed: from its position on, and
+        from what was known of the era before, others can go on here.
+        """
+        if self.position is None:
+            self.restart(changes.position)
+            return
+        if changes.era > self.position.era:
+            begun, _ = self._eras[self.position.era]
+            self._eras[self.position.era] = (begun, self.position.revision)
+            self._eras[changes.era] = (changes.revision, math.inf)
         for change in changes.changes:
             if len(self._changes) == KEPT_CHANGES:
-                self._known_from = self._changes[0].revision
+                self._known_from = self._changes[0].position
             self._changes.append(change)
-        self.revision = max(self.revision, changes.revision)
+        self.position = max(self.position, changes.position)
         arrived, self._arrived = self._arrived, asyncio.Event()
         arrived.set()
 
-    async def since(self, after: int, wait_s: float) -> news.Changes:
+    async def since(self, after: news.Position, wait_s: float) -> news.Changes:
         """
-        Return the changes after a revision, waiting for one if there is none.
+        Return the changes after a position, waiting for one if there is none.
 
         :raises HistoryLostError: they are not all known
         """
-        if self._known_from < 0 or after < self._known_from:
-            raise news.HistoryLostError
-        if self.revision <= after:
+        position = self._position_for(after)
+        if position <= after:
             arrived = self._arrived
             try:
                 async with asyncio.timeout(wait_s):
                     await arrived.wait()
             except TimeoutError:
                 pass
-            if after < self._known_from:
-                raise news.HistoryLostError
-        found = tuple(change for change in self._changes if change.revision > after)
-        return news.Changes(found, max(self.revision, after))
+            position = max(self._position_for(after), after)
+        found = tuple(change for change in self._changes if change.position > after)
+        return news.Changes(found, position.revision, era=position.era)
+
+    def _position_for(self, after: news.Position) -> news.Position:
+        """
+        Return up to where changes are known, for somebody who knows them up to a position.
+
+        :raises HistoryLostError: some of those between are not known
+        """
+        begun, ended = self._eras.get(after.era, (math.inf, -math.inf))
+        known = begun <= after.revision <= ended
+        if self.position is None or self._known_from is None or not known:
+            raise news.HistoryLostError
+        if after < self._known_from:
+            raise news.HistoryLostError
+        return self.position
--- a/src/turmericlug/entry/news.py
+++ b/src/turmericlug/entry/news.py
@@ -30,6 +30,19 @@
     data_centre: str
 
 
+@attrs.frozen(order=True)
+class Position:
+    """
+    A place in the source's history.
+
+    A source that returns from a copy loses its latest changes and gives their revisions out again
+    for others. It counts its returns: a revision says something only beside the era it is of.
+    """
+
+    era: int
+    revision: int
+
+
 Value = routes.Configuration | routes.ReplicaEntry | EntryInstance | Evacuation
 
 
@@ -46,6 +59,13 @@
     """The lease that the key ends with, where the source itself told; 0: none, or not known."""
     ignored: tuple[str, ...] = ()
     """Optional fields that could not be read and count as absent."""
+    era: int = 0
+    """In which the source told it; the write itself may be older."""
+
+    @property
+    def position(self) -> Position:
+        """Where in the source's history it is."""
+        return Position(self.era, self.revision)
 
 
 @attrs.frozen
@@ -54,6 +74,12 @@
 
     key: str
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Where in the source's history it is."""
+        return Position(self.era, self.revision)
 
 
 @attrs.frozen
@@ -65,6 +91,12 @@
     reason: str
     content: bytes = attrs.field(default=b"", repr=False)
     """The value as the source holds it, for passing on."""
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Where in the source's history it is."""
+        return Position(self.era, self.revision)
 
 
 Change = Written | Removed | Unreadable
@@ -77,6 +109,12 @@
     written: tuple[Written | Unreadable, ...]
     revision: int
     """Of the oldest page; single entries may be newer."""
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """From where changes have to be followed."""
+        return Position(self.era, self.revision)
 
 
 @attrs.frozen
@@ -87,6 +125,12 @@
     revision: int
     age_s: float = 0.0
     """How long ago whoever tells them heard from the source."""
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Up to where they tell what has changed."""
+        return Position(self.era, self.revision)
 
 
 class SourceError(Exception):
@@ -98,7 +142,7 @@
 
 
 class HistoryLostError(Exception):
-    """The changes since the given revision are no longer known: read everything anew."""
+    """The changes since the given position are not known: read everything anew."""
 
 
 class LeaseEndedError(Exception):
@@ -108,6 +152,9 @@
 class Source(typing.Protocol):
     """Where configuration, replicas and the other instances are kept."""
 
+    era: int
+    """The latest that an answer was of; all that was acknowledged in an earlier one may be lost."""
+
     async def read_all(self, may_be_stale: bool) -> Snapshot:
         """
         Read everything.
@@ -115,8 +162,8 @@
         :param may_be_stale: whether seconds old will do, which costs the source less
         """
 
-    async def changes(self, after: int, wait_s: float) -> Changes:
-        """Wait for changes after a revision; none when the time is over."""
+    async def changes(self, after: Position, wait_s: float) -> Changes:
+        """Wait for changes after a position; none when the time is over."""
 
     async def lease(self, ttl_s: float) -> int:
         """Open a lease."""
--- a/src/turmericlug/entry/news_codec.py
+++ b/src/turmericlug/entry/news_codec.py
@@ -49,6 +49,7 @@
         message.lost = True
     else:
         message.revision = changes.revision
+        message.era = changes.era
         message.changes = [_plain(change) for change in changes.changes]
     message.sourceAgeMs = int(min(age_s, _OLDEST_S) * 1000)
     return message.to_bytes_packed()
@@ -56,14 +57,21 @@
 
 def _plain(change: news.Change) -> dict[str, object]:
     if isinstance(change, news.Removed):
-        return {"key": change.key, "revision": change.revision, "removed": True}
+        return {
+            "key": change.key,
+            "revision": change.revision,
+            "era": change.era,
+            "removed": True,
+        }
     packed = _packed(change.content)
     compressed = len(packed) < len(change.content)
     return {
         "key": change.key,
         "revision": change.revision,
+        "era": change.era,
         "content": packed if compressed else change.content,
         "compressed": compressed,
+        "lease": change.lease if isinstance(change, news.Written) else 0,
     }
 
 
@@ -89,7 +97,8 @@
         message = _SCHEMA.News.from_bytes_packed(content)
         found = [_change(each, decode_value) for each in message.changes]
         changes = tuple(each for each in found if each is not None)
-        told = news.Changes(changes, message.revision, message.sourceAgeMs / 1000)
+        age_s = message.sourceAgeMs / 1000
+        told = news.Changes(changes, message.revision, age_s, message.era)
         return Told(told, message.lost)
     except Exception as error:  # the library raises its own type for each kind of damage
         raise MessageError(str(error)[:100]) from error
@@ -99,9 +108,12 @@
     change: capnp.lib.capnp._DynamicStructReader, decode_value: Decode
 ) -> news.Change | None:
     if change.removed:
-        return news.Removed(change.key, change.revision)
+        return news.Removed(change.key, change.revision, change.era)
     content = unpacked(change.content) if change.compressed else bytes(change.content)
-    return decode_value(change.key, content, change.revision)
+    found = decode_value(change.key, content, change.revision)
+    if isinstance(found, news.Written):
+        return attrs.evolve(found, era=change.era, lease=change.lease)
+    return found and attrs.evolve(found, era=change.era)
 
 
 def unpacked(content: bytes) -> bytes:
--- a/src/turmericlug/entry/relay.capnp
+++ b/src/turmericlug/entry/relay.capnp
@@ -8,7 +8,9 @@
   sourceAgeMs @2 :UInt32;
   # How long ago the sender last heard from the source.
   lost @3 :Bool;
-  # The sender does not know the changes since the revision asked for.
+  # The sender does not know the changes since the position asked for.
+  era @4 :UInt64;
+  # Of the revision; rises when the source returns from a copy.
 }
 
 struct Change {
@@ -18,4 +20,7 @@
   revision @2 :UInt64;
   removed @3 :Bool;
   compressed @4 :Bool;
+  era @5 :UInt64;
+  lease @6 :UInt64;
+  # With which the key ends; 0: none, or not known.
 }
--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -29,7 +29,7 @@
 from turmericlug.telemetry import decisions
 
 PATH = b"/news/"
-"""``/news/REVISION/WAIT_MS/NAME``: what has changed since, asked by the instance of that name."""
+"""``/news/ERA.REVISION/WAIT_MS/NAME``: what has changed since, asked by the instance named."""
 WAIT_S = 1.0
 """A relay that died is found out after it and the slack, well within 4 s."""
 SLACK_S = 0.4
@@ -56,9 +56,10 @@
     """Return the handler of questions for news."""
 
     async def handle(request: messages.Request) -> messages.Answer:
-        number, _, rest = request.target.removeprefix(PATH).partition(b"/")
+        place, _, rest = request.target.removeprefix(PATH).partition(b"/")
         wait_ms, _, name = rest.partition(b"/")
-        if not (number.isdigit() and wait_ms.isdigit() and name):
+        after = _position(place)
+        if not (after and wait_ms.isdigit() and name):
             return messages.Answer(404)
         attendance.heard(name.decode("latin-1"), asyncio.get_running_loop().time())
         try:
@@ -67,7 +68,7 @@
             # lost it, when a configuration should have been in force.
             fresh_s = max(STALE_S - source_age_s(), 0.0)
             wait_s = min(WAIT_S, int(wait_ms) / 1000, fresh_s)
-            changes = await journal.since(int(number), wait_s)
+            changes = await journal.since(after, wait_s)
         except news.HistoryLostError:
             changes = None
         return messages.Answer(200, body=news_codec.encode(changes, source_age_s()))
@@ -75,6 +76,13 @@
     return handle
 
 
+def _position(text: bytes) -> news.Position | None:
+    era, _, revision = text.partition(b".")
+    if not (era.isdigit() and revision.isdigit()):
+        return None
+    return news.Position(int(era), int(revision))
+
+
 @attrs.define
 class _Failures:
     """How a relay has failed of late."""
@@ -101,7 +109,7 @@
     _direct_failures: int = 0
     _follows_directly: bool = True
 
-    async def changes(self, after: int, wait_s: float) -> news.Changes:
+    async def changes(self, after: news.Position, wait_s: float) -> news.Changes:
         """
         Wait for changes, from a relay or the source.
 
@@ -121,7 +129,7 @@
             if told.lost:
                 # Only the source may know what came before the relay was started.
                 break
-            if told.changes.age_s < STALE_S:
+            if told.changes.age_s < STALE_S and told.changes.era >= after.era:
                 self.counters.add("relay.answered")
                 self._direct_failures = 0
                 self._follows_directly = False
@@ -164,7 +172,7 @@
         names = [self.place.name, *(each.entry.instance for each in peers)]
         return placement.usual("news", names, RELAYS)
 
-    async def _direct(self, after: int, wait_s: float, has_relays: bool) -> news.Changes:
+    async def _direct(self, after: news.Position, wait_s: float, has_relays: bool) -> news.Changes:
         """Ask the source; not at once again when it has failed and relays ask it as well."""
         now_s = asyncio.get_running_loop().time()
         self._follows_directly = True
@@ -186,10 +194,11 @@
         return failures is not None and asyncio.get_running_loop().time() < failures.until_s
 
     async def _told(
-        self, relay: replica_module.Replica, after: int, wait_s: float
+        self, relay: replica_module.Replica, after: news.Position, wait_s: float
     ) -> news_codec.Told | None:
         """Ask a relay; ``None`` when it gives no answer."""
-        target = b"%s%d/%d/%s" % (PATH, after, wait_s * 1000, self.place.name.encode())
+        name = self.place.name.encode()
+        target = b"%s%d.%d/%d/%s" % (PATH, after.era, after.revision, wait_s * 1000, name)
         request = client.request_bytes(b"GET", target, [(b"host", b"instance")], b"")
         try:
             async with asyncio.timeout(wait_s + SLACK_S):
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -58,6 +58,8 @@
         """When entries vanished that may come back, by key."""
         self._away_since_s: float | None = None
         self._returned_s = float("-inf")
+        self.era: int | None = None
+        """Of the source, as of the latest news; ``None`` before the first."""
         self._heard_s = float("-inf")
         self._counts = recent.RecentMaximum(INSTANCES_MEMORY_S)
         self._born_ms: collections.OrderedDict[str, int] = collections.OrderedDict()
@@ -124,17 +126,22 @@
         written = [
             each
             for each in snapshot.written
-            if each.key not in self._keys or self._keys[each.key].revision < each.revision
+            if each.key not in self._keys or _is_news(each, self._keys[each.key])
         ]
-        removed = [news.Removed(key, snapshot.revision) for key in self._keys if key not in present]
-        changes = sorted([*written, *removed], key=lambda each: each.revision)
-        return news.Changes(tuple(changes), snapshot.revision)
+        removed = [
+            news.Removed(key, snapshot.revision, snapshot.era)
+            for key in self._keys
+            if key not in present
+        ]
+        changes = sorted([*written, *removed], key=lambda each: each.position)
+        return news.Changes(tuple(changes), snapshot.revision, era=snapshot.era)
 
     def _note_count(self) -> None:
         self._counts.note(self._now_s(), len(self.instances))
 
     def take_snapshot(self, snapshot: news.Snapshot) -> None:
         """Take over a whole reading: what is missing in it has been removed."""
+        self._enter(snapshot.era)
         present = {written.key for written in snapshot.written}
         missing = [key for key in self._keys if key not in present]
         self._tell_passed_over(snapshot.written, snapshot.revision)
@@ -145,6 +152,7 @@
     def take_changes(self, changes: news.Changes) -> None:
         """Take over what has changed, in order."""
         removed = []
+        self._enter(changes.era)
         self._tell_passed_over(changes.changes, changes.revision)
         for change in changes.changes:
             if isinstance(change, news.Removed):
@@ -157,7 +165,7 @@
         self._remove(removed, changes.revision)
 
     def _tell_passed_over(self, changes: abc.Iterable[news.Change], revision: int) -> None:
-        """Log what is told under no higher revision than what is known, as one line."""
+        """Log what is told of no later position than what is known, as one line."""
         found = [
             each
             for each in changes
@@ -176,13 +184,25 @@
     def _is_newer(self, removed: news.Removed) -> bool:
         """Whether a removal is not of an entry that has been written again since."""
         known = self._keys.get(removed.key)
-        return known is not None and removed.revision > known.revision
+        return known is not None and removed.position > known.position
+
+    def _enter(self, era: int) -> None:
+        """
+        Take note of the era that news are of.
+
+        In a new one, what is missing has been lost by the source perhaps, not removed: the operator
+        and the replicas write it again.
+        """
+        if self.era is not None and era > self.era:
+            self._returned_s = self._now_s()
+            decisions.log("view.era", era=era, before=self.era)
+        self.era = era if self.era is None else max(self.era, era)
 
     def _write(self, written: news.Written | news.Unreadable) -> None:
         known = self._keys.get(written.key)
         if self._is_of_older_start(written, known):
             return
-        if known is not None and known.revision >= written.revision:
+        if known is not None and known.position >= written.position:
             written = known
         if isinstance(written, news.Unreadable):
             self._spoil(written)
@@ -284,7 +304,8 @@
     def _remove(self, keys: list[str], revision: int) -> None:
         if not keys:
             return
-        hold = self._away_since_s is not None or (self._now_s() - self._returned_s < RETURN_HOLD_S)
+        now_s = self._now_s()
+        hold = self._away_since_s is not None or now_s - self._returned_s < RETURN_HOLD_S
         kept = sum(map(_is_replica, self._keys.values()))
         if len(keys) >= max(MASS_REMOVAL_LEAST, MASS_REMOVAL_SHARE * kept):
             hold = True
@@ -296,6 +317,8 @@
                 del self._keys[key]
                 continue
             if self._is_own(written):
+                # Not known any more, lest its lease be taken for that of an entry that stands.
+                del self._keys[key]
                 self.own_entry_removed = True
                 continue
             if hold and not isinstance(written.value, news.Evacuation):
@@ -363,11 +386,19 @@
 
 
 def _is_passed_over(change: news.Change, known: news.Written | news.Unreadable) -> bool:
-    if change.revision != known.revision:
-        return change.revision < known.revision
+    if change.position != known.position:
+        return change.position < known.position
     return isinstance(change, news.Removed) or change.content != known.content
 
 
+def _is_news(
+    written: news.Written | news.Unreadable, known: news.Written | news.Unreadable
+) -> bool:
+    """Whether an entry is another one than is known; in a new era, most are just the same."""
+    same = (written.revision, written.content) == (known.revision, known.content)
+    return known.position < written.position and not same
+
+
 def _is_replica(written: news.Written | news.Unreadable | None) -> bool:
     return isinstance(written, news.Written) and isinstance(written.value, routes.ReplicaEntry)
 
--- a/src/turmericlug/platform/store.py
+++ b/src/turmericlug/platform/store.py
@@ -22,6 +22,7 @@
 from turmericlug.platform import decode
 from turmericlug.platform import names
 from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import decisions
 
 CALL_TIMEOUT_S = 1.2
 """Three hundred times the usual answer of 4 ms: a slow store (240 ms were seen) still answers."""
@@ -32,6 +33,11 @@
 _REASONS = {429: "rate", 503: "busy"}
 
 
+_ERA_HEADER = b"store-era"
+_ERA_DIGITS = 18
+"""Fits into the 64 bits with which instances tell each other."""
+
+
 class _ChangedError(Exception):
     """A key has another revision than the call expected."""
 
@@ -44,6 +50,12 @@
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
 
+@attrs.frozen
+class _Answer:
+    era: int
+    body: typing.Any
+
+
 class Store:
     """Implements ``news.Source`` on the platform's store."""
 
@@ -53,6 +65,8 @@
         self._counters = counters
         self._calls = _Lane()
         self._watch = _Lane()
+        self.era = 0
+        """The latest that an answer was of; 0: none told one."""
 
     async def read_all(self, may_be_stale: bool) -> news.Snapshot:
         """
@@ -63,42 +77,53 @@
         :raises SourceError: no answer
         """
         written: list[news.Written | news.Unreadable] = []
-        revisions: list[int] = []
+        positions: set[news.Position] = set()
         query = {"Prefix": ""} | ({"Serializable": "1"} if may_be_stale else {})
         while True:
-            page = await self._get("kv-range", query)
-            revisions.append(page["AsOf"])
+            answer = await self._get("kv-range", query)
+            page = answer.body
+            positions.add(news.Position(answer.era, page["AsOf"]))
+            if len({each.era for each in positions}) > 1:
+                raise news.SourceError("returned_from_copy")
             for item in page["items"]:
                 query["after"] = item["Key"]
-                change = _written(item)
+                change = _written(item, answer.era)
                 if change is not None:
                     written.append(change)
             if not page.get("HasMore"):
-                return news.Snapshot(tuple(written), min(revisions))
+                return news.Snapshot(tuple(written), min(positions).revision, answer.era)
 
-    async def changes(self, after: int, wait_s: float) -> news.Changes:
+    async def changes(self, after: news.Position, wait_s: float) -> news.Changes:
         """
         Wait for changes.
 
-        :raises HistoryLostError: the changes since then are not known any more
+        :raises HistoryLostError: the changes since then are not known any more, or the store has
+            returned from a copy, whose revisions stand for other changes
         :raises SourceError: no answer
         """
-        query = {"Prefix": "", "after": str(after), "WaitMs": str(int(wait_s * 1000))}
-        page = await self._get("kv-watch", query, self._watch, wait_s + WATCH_SLACK_S)
+        query = {"Prefix": "", "after": str(after.revision), "WaitMs": str(int(wait_s * 1000))}
+        try:
+            answer = await self._get("kv-watch", query, self._watch, wait_s + WATCH_SLACK_S)
+        except news.SourceError:
+            if self.era != after.era:
+                raise news.HistoryLostError from None
+            raise
+        if answer.era != after.era:
+            raise news.HistoryLostError
         changes: list[news.Change] = []
-        for event in page["events"]:
+        for event in answer.body["events"]:
             if event.get("Tombstone"):
-                changes.append(news.Removed(event["Key"], event["Revision"]))
+                changes.append(news.Removed(event["Key"], event["Revision"], answer.era))
                 continue
-            change = _written(event)
+            change = _written(event, answer.era)
             if change is not None:
                 changes.append(change)
-        return news.Changes(tuple(changes), page["AsOf"])
+        return news.Changes(tuple(changes), answer.body["AsOf"], era=answer.era)
 
     async def lease(self, ttl_s: float) -> int:
         """Open a lease."""
-        body = await self._call(b"POST", "kv-lease", {"TtlMs": int(ttl_s * 1000)})
-        return body["Lease"]
+        answer = await self._call(b"POST", "kv-lease", {"TtlMs": int(ttl_s * 1000)})
+        return answer.body["Lease"]
 
     async def keep(self, lease: int) -> None:
         """
@@ -148,7 +173,7 @@
         query: dict[str, str],
         lane: _Lane | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> typing.Any:
+    ) -> _Answer:
         target = f"{path}?{urllib.parse.urlencode(query)}"
         return await self._call(b"GET", target, None, lane, timeout_s)
 
@@ -159,14 +184,15 @@
         body: typing.Any,
         lane: _Lane | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> typing.Any:
+    ) -> _Answer:
         lane = lane or self._calls
         operation = path.partition("?")[0].partition("/")[0]
         self._counters.add(f"source.call.{operation}")
         async with lane.lock:
             response = await self._exchange(lane, method, path, body, timeout_s)
+        era = self._era_of(response)
         if response.status == 200:
-            return _parsed(response.body)
+            return _Answer(era, _parsed(response.body))
         if response.status == 410:
             raise news.HistoryLostError
         if response.status == 404:
@@ -175,6 +201,27 @@
             raise _ChangedError
         raise news.SourceError(_REASONS.get(response.status, f"status_{response.status}"))
 
+    def _era_of(self, response: client.Response) -> int:
+        """
+        Return the era that an answer is of: the latest known one where it tells none.
+
+        :raises SourceError: the answer was given before the store returned from a copy
+        """
+        told = response.header(_ERA_HEADER) or b""
+        if not (told.isdigit() and len(told) <= _ERA_DIGITS):
+            return self.era
+        era = int(told)
+        if era < self.era:
+            raise news.SourceError("older_era")
+        if era > self.era:
+            if self.era:
+                self._counters.add("source.returned_from_copy")
+                decisions.log("source.returned_from_copy", era=era, before=self.era)
+            self.era = era
+            # A question that still waits there asks for changes after a revision of another era.
+            self._drop(self._watch)
+        return era
+
     async def _exchange(
         self, lane: _Lane, method: bytes, path: str, body: typing.Any, timeout_s: float
     ) -> client.Response:
@@ -210,11 +257,11 @@
         self._drop(self._watch)
 
 
-def _written(item: dict[str, typing.Any]) -> news.Written | news.Unreadable | None:
+def _written(item: dict[str, typing.Any], era: int) -> news.Written | news.Unreadable | None:
     change = decode.change(item["Key"], item["Value"], item["Revision"])
     if isinstance(change, news.Written):
-        return attrs.evolve(change, lease=item.get("Lease") or 0)
-    return change
+        return attrs.evolve(change, lease=item.get("Lease") or 0, era=era)
+    return change and attrs.evolve(change, era=era)
 
 
 def _parsed(body: bytes) -> typing.Any:
--- a/tests/entry/test_follower.py
+++ b/tests/entry/test_follower.py
@@ -7,6 +7,7 @@
 import itertools
 import random
 
+import attrs
 import pytest
 import scripted
 
@@ -32,6 +33,8 @@
 class Source:
     """Plays steps for each reading and each question; the last one for ever."""
 
+    era = 0
+
     def __init__(self, readings=(), questions=(), keeps=(), registrations=()):
         self.steps = {
             "read": list(readings),
@@ -60,7 +63,7 @@
         return await self._step("read")
 
     async def changes(self, after, wait_s):
-        self.asked_after.append(after)
+        self.asked_after.append(after.revision)
         return await self._step("changes")
 
     async def lease(self, ttl_s):
@@ -302,6 +305,59 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("shown", "kept", "registered"),
+    [
+        (own_entry(lease=1), [1, 1], [1]),
+        (own_entry(lease=9), [1, 2], [1, 2]),
+        (None, [1, 2], [1, 2]),
+    ],
+    ids=["entry stands", "under another lease", "entry lost"],
+)
+def test_a_registration_is_checked_when_the_source_has_returned_from_a_copy(
+    shown, kept, registered
+):
+    """Guards against a lease that is renewed although its number is another instance's by now."""
+    source, view = Source(keeps=[1]), make_view()
+    view.take_snapshot(news.Snapshot((), 5, 1))
+    source.era = 1
+
+    async def main():
+        task = asyncio.create_task(stay_registered(source, view))
+        async with asyncio.timeout(5):
+            while source.kept != kept[:1]:
+                await asyncio.sleep(0.001)
+            source.era = 2
+            written = () if shown is None else (attrs.evolve(shown, era=2),)
+            view.take_snapshot(news.Snapshot(written, 4, 2))
+            source.steps["keep"] = [1, 1]
+            while source.kept[-1:] != kept[-1:] or len(source.kept) < len(kept):
+                await asyncio.sleep(0.001)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(main())
+    assert (source.kept[:2], source.registered) == (kept, registered)
+
+
+def test_an_entry_written_while_the_source_returned_from_a_copy_is_written_again():
+    """Guards against an entry under a lease number that the source gave out again."""
+
+    class Returning(Source):
+        async def register(self, instance, lease):
+            await super().register(instance, lease)
+            if len(self.registered) == 1:
+                self.era += 1
+
+    source = Returning(keeps=[1])
+
+    async def main():
+        await while_running(stay_registered(source, make_view()), lambda: source.kept)
+
+    asyncio.run(main())
+    assert (source.registered, source.kept) == ([1, 2], [2])
+
+
 def replica_entry(name, revision):
     return news.Written(f"r/{name}", scripted.entry(name), revision)
 
@@ -321,7 +377,7 @@
             source, source.changes, make_view(), journal, counters.Counters(), random.Random(1)
         )
         await while_running(work, lambda: len(source.asked_after) == 2)
-        return await journal.since(4, 0.0)
+        return await journal.since(news.Position(0, 4), 0.0)
 
     found = asyncio.run(main())
     assert found == news.Changes((replica_entry("c", 8), configured(9), news.Removed("r/a", 9)), 9)
--- a/tests/entry/test_news_codec.py
+++ b/tests/entry/test_news_codec.py
@@ -18,7 +18,10 @@
 @pytest.mark.parametrize("content", [b"a", b"a" * 5000], ids=["small", "compressed"])
 @pytest.mark.parametrize("age_s", [0.0, 1.25])
 def test_what_is_told_is_understood(content, age_s):
-    changes = (news.Written("r/a", scripted.entry("a"), 11, content), news.Removed("r/b", 12))
+    changes = (
+        news.Written("r/a", scripted.entry("a"), 11, content, lease=7, era=3),
+        news.Removed("r/b", 12, 3),
+    )
     message = news_codec.encode(news.Changes(changes, 12), age_s)
     told = news_codec.decode(message, decode_value)
     assert told == news_codec.Told(news.Changes(changes, 12, age_s), lost=False)
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -31,6 +31,10 @@
 PLACE = placement.Place("own", "dc", {"dc": "r"})
 
 
+def at(revision, era=0):
+    return news.Position(era, revision)
+
+
 def replica(name, revision):
     return news.Written(f"r/{name}", scripted.entry(name), revision, name.encode())
 
@@ -54,7 +58,7 @@
         self.asked += 1
         if self.away:
             raise news.SourceError("unreachable")
-        return news.Changes((), after)
+        return news.Changes((), after.revision, era=after.era)
 
 
 def names_in_order(count, *relays):
@@ -117,13 +121,13 @@
 
 
 def question(after=5, wait_ms=1000, name="x"):
-    target = relay.PATH + f"{after}/{wait_ms}/{name}".encode()
+    target = relay.PATH + f"0.{after}/{wait_ms}/{name}".encode()
     return messages.Request(b"GET", target, (), b"", 0.0, 0.0, 0.0, 0.0)
 
 
 def journal_with(*changes):
     journal = journal_module.Journal()
-    journal.restart(10)
+    journal.restart(at(10))
     journal.add(news.Changes(changes, 12))
     return journal
 
@@ -132,13 +136,34 @@
     async def main():
         journal = journal_with(replica("a", 11), news.Removed("r/b", 12))
         async with relayed(tell(journal)) as (source, store):
-            found = await source.changes(10, 5.0)
+            found = await source.changes(at(10), 5.0)
             assert found == news.Changes((replica("a", 11), news.Removed("r/b", 12)), 12, 0.5)
             assert store.asked == 0
 
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("era", "after", "asked"),
+    [(2, at(10, 1), 0), (2, at(11, 1), 1), (1, at(10, 2), 1)],
+    ids=["known here", "asker knows more", "relay is behind"],
+)
+def test_changes_over_a_return_from_a_copy_come_from_who_knows_them(era, after, asked):
+    """Guards against changes that are missed where the asker or the relay knows another era."""
+
+    async def main():
+        journal = journal_module.Journal()
+        journal.restart(at(10, 1))
+        if era > 1:
+            journal.add(news.Changes((), 8, era=era))
+        async with relayed(tell(journal)) as (source, store):
+            found = await source.changes(after, 0.01)
+            assert store.asked == asked
+            assert found.position == (after if asked else at(8, 2))
+
+    asyncio.run(main())
+
+
 def test_a_value_that_cannot_be_read_is_passed_on_as_such():
     """
     Somebody writes bytes under a replica's key that nobody can read. A relay that fails by it sends
@@ -149,7 +174,7 @@
     async def main():
         journal = journal_with(spoilt, replica("b", 12))
         async with relayed(tell(journal)) as (source, store):
-            found = await source.changes(10, 5.0)
+            found = await source.changes(at(10), 5.0)
             assert found == news.Changes((spoilt, replica("b", 12)), 12, 0.5)
             assert store.asked == 0
 
@@ -175,7 +200,7 @@
             return answer
 
         async with relayed(handler) as (source, _):
-            assert await source.changes(10, 5.0) == news.Changes((told,), 12, 0.5)
+            assert await source.changes(at(10), 5.0) == news.Changes((told,), 12, 0.5)
         assert sizes[0] < 0.1 * len(content)
 
     asyncio.run(main())
@@ -221,7 +246,7 @@
     async def main():
         async with relayed(*[handler] * relays) as (source, store):
             for _ in range(4):
-                assert await source.changes(10, 5.0) == news.Changes((), 10)
+                assert await source.changes(at(10), 5.0) == news.Changes((), 10)
             assert store.asked == 4
             assert source.counters.totals["relay.failed"] == failed * relays
 
@@ -239,7 +264,7 @@
         second = tell(journal_with(replica("a", 11)))
         async with relayed(first, second) as (source, store):
             for _ in range(4):
-                found = await source.changes(10, 5.0)
+                found = await source.changes(at(10), 5.0)
                 assert found == news.Changes((replica("a", 11),), 12, 0.5)
             assert store.asked == 0
 
@@ -250,10 +275,10 @@
     async def main():
         told = tell(journal_with(replica("a", 11)))
         async with relayed(told, told, relays=(0, -1)) as (source, store):
-            assert (await source.changes(10, 5.0)).changes == (replica("a", 11),)
+            assert (await source.changes(at(10), 5.0)).changes == (replica("a", 11),)
             assert not source.tells_others()
         async with relayed(stale, told, relays=(0, -1)) as (source, store):
-            await source.changes(10, 5.0)
+            await source.changes(at(10), 5.0)
             assert store.asked == 1
             assert source.tells_others()
 
@@ -280,15 +305,15 @@
             store.away = True
             for _ in range(50):
                 with pytest.raises(news.SourceError):
-                    await source.changes(10, 5.0)
+                    await source.changes(at(10), 5.0)
                 now_s[0] += 0.1
             assert len(asked) == 50
             # After 0, 0.5, 1.5 and 3.5 s, each give or take a quarter of the pause.
             assert 3 <= store.asked <= 5
             store.away = False
             now_s[0] += relay.AGAIN_MOST_S * 1.25
-            await source.changes(10, 5.0)
-            await source.changes(10, 5.0)
+            await source.changes(at(10), 5.0)
+            await source.changes(at(10), 5.0)
 
     asyncio.run(main())
 
@@ -321,7 +346,7 @@
         source = make_source(store, peers)
         assert source.relays() == []
         assert source.tells_others()
-        await source.changes(10, 5.0)
+        await source.changes(at(10), 5.0)
         assert store.asked == 1
 
     asyncio.run(main())
@@ -349,7 +374,7 @@
 
     async def since(journal, after, wait_s):
         waits_s.append(wait_s)
-        return news.Changes((), after)
+        return news.Changes((), after.revision, era=after.era)
 
     monkeypatch.setattr(journal_module.Journal, "since", since)
     asyncio.run(tell(journal_module.Journal(), age_s)(question(wait_ms=wait_ms)))
--- a/tests/entry/test_view.py
+++ b/tests/entry/test_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import hypothesis
 import pytest
 import scripted
@@ -156,6 +157,57 @@
     assert not any(each.leaving for each in view.replicas.all())
 
 
+@pytest.mark.parametrize("relayed", [False, True], ids=["by a reading", "by an instance"])
+def test_what_a_copy_has_not_is_held_until_it_is_written_again(relayed):
+    """Guards against replicas that get nothing as the copy is older than their entries."""
+    view, clock = make_view()
+    view.take_snapshot(news.Snapshot((replica("a", 5), replica("b", 9)), 9, 1))
+    clock.now_s += 60
+    if relayed:
+        view.take_changes(news.Changes((news.Removed("r/b", 7, 2),), 7, era=2))
+    else:
+        view.take_snapshot(news.Snapshot((attrs.evolve(replica("a", 5), era=2),), 7, 2))
+    view.settle()
+    assert view.replicas.instances() == {"a", "b"}
+    again = attrs.evolve(replica("b", 8), era=2)
+    view.take_changes(news.Changes((again,), 8, era=2))
+    clock.now_s += view_module.RETURN_HOLD_S + 0.1
+    view.settle()
+    assert view.replicas.instances() == {"a", "b"}
+
+
+@pytest.mark.parametrize("revision", [4, 9, 12], ids=["lower", "the same", "higher"])
+@pytest.mark.parametrize("returns", [1, 2])
+def test_what_is_written_after_a_return_from_a_copy_counts(revision, returns):
+    """Guards against changes that are dropped since their revisions were seen before the return."""
+    view, clock = make_view()
+    view.take_snapshot(news.Snapshot((configured(3, 9), replica("a", 8)), 9, 1))
+    era = 1 + returns
+    for each in range(2, era + 1):
+        view.take_snapshot(news.Snapshot((attrs.evolve(configured(2, 3), era=each),), 3, each))
+    written = (configured(4, revision), replica("a", revision, draining=True))
+    changes = tuple(attrs.evolve(each, era=era) for each in written)
+    view.take_changes(news.Changes(changes, revision, era=era))
+    assert view.configuration.version == 4
+    assert all(each.leaving for each in view.replicas.all())
+    clock.now_s += 60
+    view.take_changes(news.Changes((news.Removed("r/a", revision + 1, era),), 13, era=era))
+    assert not view.replicas.instances()
+
+
+def test_only_what_differs_is_passed_on_after_a_return_from_a_copy():
+    """Guards against a return that has every relay tell all entries to its whole data centre."""
+    view, _ = make_view()
+    view.take_snapshot(news.Snapshot((replica("a", 5), replica("b", 9), replica("c", 3)), 9, 1))
+    shown = [attrs.evolve(each, era=2) for each in (replica("a", 5), replica("b", 7))]
+    found = view.news_in(news.Snapshot(tuple(shown), 7, 2))
+    assert [(each.key, type(each)) for each in found.changes] == [
+        ("r/b", news.Written),
+        ("r/c", news.Removed),
+    ]
+    assert found.position == news.Position(2, 7)
+
+
 def test_nothing_is_taken_for_gone_while_the_store_is_away():
     view, clock = make_view()
     view.take_snapshot(news.Snapshot((replica("a", 1), replica("b", 1)), 1))
@@ -331,7 +383,10 @@
 
 
 class Following(stateful.RuleBasedStateMachine):
-    """The store's true content and a view that follows it, with outages and lost history."""
+    """
+    The store's true content and a view that follows it, with outages, lost history, and returns
+    from a copy whose revisions are given out again.
+    """
 
     def __init__(self):
         super().__init__()
@@ -342,12 +397,23 @@
         self.pending = []
         self.highest = 0
         self.synced = False
+        self.era = 1
+        self.copies = []
+        self.learnt = set()
+        """The starts of replicas that the view was told of, by number and time."""
+        self.owed = {}
+        """What others than the system wrote since the copy, and write again; ``None``: removed."""
+
+    def _keep_copy(self):
+        self.copies.append((self.revision, dict(self.content)))
 
     def _write(self, written):
+        self._keep_copy()
         self.revision += 1
         key = written(self.revision).key
-        self.content[key] = written(self.revision)
+        self.content[key] = attrs.evolve(written(self.revision), era=self.era)
         self.pending.append(self.content[key])
+        self.owed.pop(key, None)
 
     @stateful.rule(
         number=strategies.integers(0, 5),
@@ -366,10 +432,14 @@
     @stateful.rule(number=strategies.integers(0, 5))
     def write_of_an_older_start_is_carried_out(self, number):
         """It stands in the store until the newer start's next entry; the view takes no note."""
-        if f"r/i{number}" in self.content and number in self.born_ms:
+        # The view can tell an older start only from one that it has learnt of, or will before it.
+        newest = self.content.get(f"r/i{number}")
+        learnt = (number, self.born_ms.get(number)) in self.learnt
+        if isinstance(newest, news.Written) or newest and learnt:
+            self._keep_copy()
             self.revision += 1
             older = replica(f"i{number}", self.revision, born_ms=self.born_ms[number] - 700)
-            self.pending.append(older)
+            self.pending.append(attrs.evolve(older, era=self.era))
 
     @stateful.rule(step=strategies.integers(1, 3))
     def write_configuration(self, step):
@@ -379,21 +449,67 @@
 
     @stateful.rule(number=strategies.integers(0, 5))
     def remove_replica(self, number):
-        if self.content.pop(f"r/i{number}", None) is not None:
-            self.revision += 1
-            self.pending.append(news.Removed(f"r/i{number}", self.revision))
+        if f"r/i{number}" in self.content:
+            self._remove(f"r/i{number}")
+
+    def _remove(self, key):
+        self._keep_copy()
+        self.revision += 1
+        del self.content[key]
+        self.pending.append(news.Removed(key, self.revision, self.era))
+        self.owed.pop(key, None)
+
+    @stateful.rule(
+        changes=strategies.integers(0, 6), again=strategies.booleans(), read=strategies.booleans()
+    )
+    def return_from_copy(self, changes, again, read):
+        """Lose the latest changes; their revisions are given out again."""
+        before = self.content
+        for _ in range(min(changes, len(self.copies))):
+            self.revision, self.content = self.copies.pop()
+        for key in before.keys() | self.content.keys():
+            if before.get(key) != self.content.get(key):
+                self.owed.setdefault(key, before.get(key))
+        self.content = {
+            key: attrs.evolve(each, era=self.era + 1) for key, each in self.content.items()
+        }
+        self.era += 1
+        self.pending, self.synced = [], False
+        if again:
+            self.write_again()
+        if read:
+            self.read_anew()
+
+    @stateful.rule()
+    def write_again(self):
+        """The operator and the replicas write again what the copy had not."""
+        for key, each in list(self.owed.items()):
+            if each is not None:
+                self._write(lambda revision, each=each: attrs.evolve(each, revision=revision))
+            elif key in self.content:
+                self._remove(key)
+        self.owed = {}
 
     @stateful.rule()
     def deliver_changes(self):
         if self.synced:
             self.view.source_regained()
-            self.view.take_changes(news.Changes(tuple(self.pending), self.revision))
+            changes = news.Changes(tuple(self.pending), self.revision, era=self.era)
+            self.view.take_changes(changes)
+            self._learn(self.pending)
             self.pending = []
 
+    def _learn(self, changes):
+        for each in changes:
+            if isinstance(each, news.Written) and each.key.startswith("r/"):
+                self.learnt.add((int(each.key[3:]), each.value.born_ms))
+
     @stateful.rule()
     def read_anew(self):
         self.view.source_regained()
-        self.view.take_snapshot(news.Snapshot(tuple(self.content.values()), self.revision))
+        written = tuple(self.content.values())
+        self.view.take_snapshot(news.Snapshot(written, self.revision, self.era))
+        self._learn(written)
         self.pending, self.synced = [], True
 
     @stateful.rule()
@@ -413,10 +529,11 @@
 
     @stateful.invariant()
     def settles_on_the_truth(self):
-        if self.pending or not self.synced or self.view._away_since_s is not None:
+        if self.pending or self.owed or not self.synced or self.view._away_since_s is not None:
             return
         if self.view._held:
             return
+        assert self.view.configuration is None or self.view.configuration.version == self.highest
         expected = {
             key[2:]
             for key, each in self.content.items()
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -111,8 +111,8 @@
     mutant.one(
         "history-lost-for-good",
         "entry/follower.py",
-        "            revision = None\n        except news.SourceError",
-        "            revision = revision or 0\n        except news.SourceError",
+        "            position = None\n        except news.SourceError",
+        "            position = position or news.Position(0, 0)\n        except news.SourceError",
         "entry/test_follower.py::test_following",
     ),
     mutant.one(
@@ -153,8 +153,8 @@
     mutant.one(
         "trust-a-stale-relay",
         "entry/relay.py",
-        "            if told.changes.age_s < STALE_S:",
-        "            if told.changes.age_s < 1000 * STALE_S:",
+        "            if told.changes.age_s < STALE_S and",
+        "            if told.changes.age_s < 1000 * STALE_S and",
         "entry/test_relay.py::test_relays_that_fail_are_passed_by",
     ),
     mutant.one(
@@ -188,10 +188,10 @@
         "direct/test_handover.py::test_an_instance_that_does_not_know_the_replicas_yet",
     ),
     mutant.one(
-        "followed-from-the-first-page",
+        "followed-from-the-newest-page",
         "platform/store.py",
-        "min(revisions)",
-        "revisions[0]",
+        "min(positions).revision",
+        "max(positions).revision",
         "platform/test_store.py::test_a_stale_reading_is_followed_from_its_oldest_page",
     ),
     mutant.one(
@@ -253,10 +253,53 @@
     mutant.one(
         "lost-history-is-everyones",
         "entry/follower.py",
-        "    if journal.revision < 0:",
+        "    if journal.position is None:",
         "    if True:",
         "entry/test_follower.py" "::test_lost_history_is_no_matter_of_those_that_ask_this_instance",
     ),
+    mutant.one(
+        "revisions-ordered-without-era",
+        "entry/view.py",
+        "known.position >= written.position",
+        "known.revision >= written.revision",
+        "entry/test_view.py::test_what_is_written_after_a_return_from_a_copy_counts",
+    ),
+    mutant.one(
+        "changes-followed-over-a-return",
+        "platform/store.py",
+        "        if answer.era != after.era:\n            raise news.HistoryLostError\n",
+        "",
+        "platform/test_store.py::test_changes_are_not_followed_over_a_return_from_a_copy",
+    ),
+    mutant.one(
+        "silent-question-after-a-return",
+        "platform/store.py",
+        "            self._drop(self._watch)\n        return era",
+        "        return era",
+        "platform/test_store.py::test_changes_are_not_followed_over_a_return_from_a_copy",
+    ),
+    mutant.one(
+        "journal-answers-for-any-era",
+        "entry/journal.py",
+        "        known = begun <= after.revision <= ended",
+        "        known = True",
+        "entry/test_journal.py::test_a_journal_answers_only_for_what_it_knows",
+    ),
+    mutant.one(
+        "lease-trusted-after-a-return",
+        "entry/follower.py",
+        "    standing.lose()\n\n\nasync def _end",
+        "\n\nasync def _end",
+        "entry/test_follower.py"
+        "::test_a_registration_is_checked_when_the_source_has_returned_from_a_copy",
+    ),
+    mutant.one(
+        "missing-is-gone-after-a-return",
+        "entry/view.py",
+        'self._returned_s = self._now_s()\n            decisions.log("view.era"',
+        'pass\n            decisions.log("view.era"',
+        "entry/test_view.py::test_what_a_copy_has_not_is_held_until_it_is_written_again",
+    ),
     mutant.one(
         "same-margin-for-any-query",
         "direct/timing.py",
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -72,12 +72,12 @@
         async with connected() as (standin, store):
             write_some(standin, 1)
             snapshot = await store.read_all(may_be_stale=False)
-            waiting = asyncio.create_task(store.changes(snapshot.revision, 20.0))
+            waiting = asyncio.create_task(store.changes(snapshot.position, 20.0))
             await asyncio.sleep(0.02)
             standin.remove("servers/i-0")
             changes = await waiting
-            assert changes.changes == (news.Removed("servers/i-0", standin.revision),)
-            assert (await store.changes(changes.revision, 0.01)).changes == ()
+            assert changes.changes == (news.Removed("servers/i-0", standin.revision, standin.era),)
+            assert (await store.changes(changes.position, 0.01)).changes == ()
 
     asyncio.run(main())
 
@@ -88,7 +88,103 @@
             write_some(standin, 1)
             standin.forget_history()
             with pytest.raises(news.HistoryLostError):
-                await store.changes(1, 0.01)
+                await store.changes(news.Position(standin.era, 1), 0.01)
+
+    asyncio.run(main())
+
+
+async def _at_once(standin, store, after):
+    """Ask when the store has returned already."""
+    returned(standin)
+    return await store.changes(after, 0.01)
+
+
+async def _while_waiting(standin, store, after):
+    """Wait for changes when the store returns, and ask again."""
+    waiting = asyncio.create_task(store.changes(after, 20.0))
+    await asyncio.sleep(0.05)
+    returned(standin)
+    with pytest.raises(news.SourceError):
+        await waiting
+    return await store.changes(after, 0.01)
+
+
+async def _silent(standin, store, after):
+    """Wait on a connection that went silent, while another call hears of the return."""
+    standin.cut_on_return = False
+    waiting = asyncio.create_task(store.changes(after, 20.0))
+    await asyncio.sleep(0.05)
+    returned(standin)
+    await store.lease(3.0)
+    async with asyncio.timeout(1.0):
+        return await waiting
+
+
+def returned(standin):
+    """Return from a copy and count past the revision that was known."""
+    known = standin.revision
+    standin.return_from_copy(2)
+    while standin.revision <= known:
+        standin.put("other/key", b"again")
+
+
+@pytest.mark.parametrize("ask", [_at_once, _while_waiting, _silent])
+def test_changes_are_not_followed_over_a_return_from_a_copy(ask):
+    """Guards against changes that are missed as their revisions were known before the return."""
+
+    async def main():
+        async with connected() as (standin, store):
+            write_some(standin, 3)
+            snapshot = await store.read_all(may_be_stale=False)
+            with pytest.raises(news.HistoryLostError):
+                await ask(standin, store, snapshot.position)
+            again = await store.read_all(may_be_stale=False)
+            assert again.era == snapshot.era + 1
+            assert {each.era for each in again.written} == {again.era}
+
+    asyncio.run(main())
+
+
+def test_a_reading_over_a_return_from_a_copy_is_none():
+    """Guards against a reading whose pages are of two eras."""
+
+    async def main():
+        async with connected() as (standin, store):
+            write_some(standin, 5)
+            standin.page = 3
+            standin.on_page = lambda: returned(standin)
+            with pytest.raises(news.SourceError) as error:
+                await store.read_all(may_be_stale=False)
+            assert error.value.reason == "returned_from_copy"
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("told", [b"", b"-1", b"2.5", b"x", b"9" * 30], ids=repr)
+def test_an_era_that_cannot_be_read_is_taken_for_the_latest(told):
+    """Guards against answers of a store that tells its era in no or another form."""
+
+    async def main():
+        async with connected() as (standin, store):
+            write_some(standin, 1)
+            before = await store.read_all(may_be_stale=False)
+            standin.told_era = told
+            assert (await store.read_all(may_be_stale=False)).position == before.position
+
+    asyncio.run(main())
+
+
+def test_an_answer_from_before_the_return_counts_for_nothing():
+    """Guards against an answer that was under way while the store returned from a copy."""
+
+    async def main():
+        async with connected() as (standin, store):
+            write_some(standin, 1)
+            await store.read_all(may_be_stale=False)
+            standin.told_era = b"0"
+            with pytest.raises(news.SourceError) as error:
+                await store.lease(3.0)
+            assert error.value.reason == "older_era"
 
     asyncio.run(main())
 
@@ -180,7 +276,7 @@
                 "servers/i-9": news.Unreadable,
             }
             standin.put("servers/i-1", value)
-            changes = await store.changes(snapshot.revision, 0.01)
+            changes = await store.changes(snapshot.position, 0.01)
             assert [type(each) for each in changes.changes] == [news.Unreadable]
 
     asyncio.run(main())
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -48,7 +48,13 @@
         """Revisions by which the next stale reads say that they lag."""
         self.stale_reads = 0
         self.era = 1
-        """Rises each time the store returns from a copy; told in every answer, ``None``: never."""
+        """Rises each time the store returns from a copy; told in every answer."""
+        self.told_era = None
+        """The value of the era's header, if another one than the era is told."""
+        self.cut_on_return = True
+        """Whether questions that wait are cut when the store returns from a copy."""
+        self.on_page = lambda: None
+        """Called when a page of a reading is answered."""
         self.copies = collections.deque(maxlen=COPIES)
         """The state before each of the latest changes, the newest last."""
         self.edit = lambda key, content: content
@@ -146,13 +152,15 @@
             return messages.Answer(503, self._headers())
         if self.fault == "silent":
             await asyncio.sleep(60)
+        headers = self._headers()
         status, body = await self._answer(call, asked, json.loads(request.body or b"{}"))
         if self.fault == "lost":
             await asyncio.sleep(60)
-        return messages.Answer(status, self._headers(), json.dumps(body).encode())
+        return messages.Answer(status, headers, json.dumps(body).encode())
 
     def _headers(self):
-        return () if self.era is None else ((ERA_HEADER, b"%d" % self.era),)
+        told = b"%d" % self.era if self.told_era is None else self.told_era
+        return ((ERA_HEADER, told),)
 
     async def _answer(self, call, asked, body):
         name, _, rest = call.partition("/")
@@ -169,14 +177,18 @@
         stale = asked.get("Serializable") == "1"
         self.stale_reads += stale
         lag = self.lags.pop(0) if stale and self.lags else 0
-        return OK, {"items": items, "HasMore": more, "AsOf": self.revision - lag}
+        answer = {"items": items, "HasMore": more, "AsOf": self.revision - lag}
+        self.on_page()
+        return OK, answer
 
     async def _kv_watch(self, asked, body, rest):
         after, era = int(asked["after"]), self.era
         until = asyncio.get_running_loop().time() + int(asked["WaitMs"]) / 1000
         while True:
+            if self.era != era and not self.cut_on_return:
+                await asyncio.sleep(60)
             if self.era != era:
-                raise ConnectionResetError("the store was away")
+                return 503, {}
             if after < self.first_known or after > self.revision:
                 return 410, {}
             events = [each for each in self.history if each["Revision"] > after]
