An evacuation that is missing in a copy stays in force until it is written again

Callers would see requests sent to an evacuated data centre for the seconds until the operator has written its key again. The test failed before (set() for {a, b}); a mutant.

--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -60,6 +60,7 @@
         self._returned_s = float("-inf")
         self.era: int | None = None
         """Of the source, as of the latest news; ``None`` before the first."""
+        self._era_changed_s = float("-inf")
         self._heard_s = float("-inf")
         self._counts = recent.RecentMaximum(INSTANCES_MEMORY_S)
         self._born_ms: collections.OrderedDict[str, int] = collections.OrderedDict()
@@ -194,7 +195,7 @@
         and the replicas write it again.
         """
         if self.era is not None and era > self.era:
-            self._returned_s = self._now_s()
+            self._era_changed_s = self._returned_s = self._now_s()
             decisions.log("view.era", era=era, before=self.era)
         self.era = era if self.era is None else max(self.era, era)
 
@@ -306,6 +307,7 @@
             return
         now_s = self._now_s()
         hold = self._away_since_s is not None or now_s - self._returned_s < RETURN_HOLD_S
+        lost = now_s - self._era_changed_s < RETURN_HOLD_S
         kept = sum(map(_is_replica, self._keys.values()))
         if len(keys) >= max(MASS_REMOVAL_LEAST, MASS_REMOVAL_SHARE * kept):
             hold = True
@@ -321,7 +323,7 @@
                 del self._keys[key]
                 self.own_entry_removed = True
                 continue
-            if hold and not isinstance(written.value, news.Evacuation):
+            if lost or hold and not isinstance(written.value, news.Evacuation):
                 self._hold(key, written, revision)
             else:
                 self._forget(key, revision)
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -102,7 +102,7 @@
     "source.error.*": "calls to the platform's store that failed, by reason",
     "source.unreadable": "values that name nothing to use since they are not of the known form",
     "source.fields_ignored": "optional fields of the configuration that could not be read",
-    "source.returned_from_copy": "times the store had returned from a copy and given revisions out again",
+    "source.returned_from_copy": "times the store had returned from a copy, which loses changes",
     "source.history_lost": "times everything was read anew as changes were no longer known",
 }
 
--- a/tests/entry/test_view.py
+++ b/tests/entry/test_view.py
@@ -195,6 +195,20 @@
     assert not view.replicas.instances()
 
 
+def test_an_evacuation_that_a_copy_has_not_is_held_until_it_is_written_again():
+    """Guards against requests to an evacuated data centre as the copy is older than its key."""
+    view, clock = make_view()
+    view.take_snapshot(news.Snapshot((evacuated("a", 8), evacuated("b", 9)), 9, 1))
+    view.take_snapshot(news.Snapshot((), 7, 2))
+    assert set(view.replicas.evacuated) == {"a", "b"}
+    view.take_changes(news.Changes((attrs.evolve(evacuated("a", 8), era=2),), 8, era=2))
+    clock.now_s += view_module.RETURN_HOLD_S + 0.1
+    view.settle()
+    assert set(view.replicas.evacuated) == {"a"}
+    view.take_changes(news.Changes((news.Removed("v/a", 9, 2),), 9, era=2))
+    assert not view.replicas.evacuated
+
+
 def test_only_what_differs_is_passed_on_after_a_return_from_a_copy():
     """Guards against a return that has every relay tell all entries to its whole data centre."""
     view, _ = make_view()
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -104,7 +104,7 @@
     mutant.one(
         "gone-at-once",
         "entry/view.py",
-        "            if hold and not isinstance(written.value, news.Evacuation):\n",
+        "            if lost or hold and not isinstance(written.value, news.Evacuation):\n",
         "            if not key:\n",
         "entry/test_view.py::test_entries_that_lapse_with_the_store_are_kept_for_their_return",
     ),
@@ -293,11 +293,19 @@
         "entry/test_follower.py"
         "::test_a_registration_is_checked_when_the_source_has_returned_from_a_copy",
     ),
+    mutant.one(
+        "evacuation-lost-with-the-copy",
+        "entry/view.py",
+        "            if lost or hold and",
+        "            if hold and",
+        "entry/test_view.py"
+        "::test_an_evacuation_that_a_copy_has_not_is_held_until_it_is_written_again",
+    ),
     mutant.one(
         "missing-is-gone-after-a-return",
         "entry/view.py",
-        'self._returned_s = self._now_s()\n            decisions.log("view.era"',
-        'pass\n            decisions.log("view.era"',
+        "self._era_changed_s = self._returned_s = self._now_s()",
+        "pass",
         "entry/test_view.py::test_what_a_copy_has_not_is_held_until_it_is_written_again",
     ),
     mutant.one(
@@ -581,8 +589,8 @@
     mutant.one(
         "hold-an-evacuation-taken-back",
         "entry/view.py",
-        "            if hold and not isinstance(written.value, news.Evacuation):",
-        "            if hold:",
+        "            if lost or hold and not isinstance(written.value, news.Evacuation):",
+        "            if lost or hold:",
         "entry/test_view.py::test_an_evacuation_is_in_force_until_its_key_goes",
     ),
     mutant.one(
