A replica's older word takes nothing back

Callers would have been sent to a draining replica again, which may end at any moment, for as long as it takes the replica to write its entry once more. Cause: a copy of the store holds an entry that the replica has replaced since, and a write that got no answer may be carried out seconds later; either has a newer position than what is known. A replica counts what it says (Sequence, checked and thrown away until now): what it said before the known entry, in the same start, is passed over; another start is taken by its time of birth as before.

--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -144,6 +144,9 @@
             decisions.log("replica.restarted", replica=entry.instance, service=entry.service)
             self.remove(entry.instance)
             known = None
+        if known is not None and entry.sequence < known.entry.sequence:
+            # Said before what is known, by a copy of the source or a write carried out late.
+            return False
         if known is None:
             replica = replica_module.Replica(entry, self._make_pool(entry), leaving=entry.draining)
             replica.turns_cold(entry.warmup_left_ms, now_s)
--- a/src/turmericlug/direct/routes.py
+++ b/src/turmericlug/direct/routes.py
@@ -116,3 +116,5 @@
     born_ms: int | None = None
     """When it was started, in milliseconds since 1970, where it says so. A later one under the same
     instance is another start, which knows nothing of before."""
+    sequence: int = 0
+    """Counts what it has said since its start."""
--- a/src/turmericlug/platform/decode.py
+++ b/src/turmericlug/platform/decode.py
@@ -169,7 +169,6 @@
     if state not in (_READY, _DRAINING):
         raise ValueError("unknown state")
     _text(item["Version"])
-    _whole(item["Sequence"])
     return routes.ReplicaEntry(
         instance=instance,
         service=_text(item["Service"]),
@@ -180,6 +179,7 @@
         draining=state == _DRAINING,
         warmup_left_ms=_duration_ms(item["WarmupLeftMs"]),
         born_ms=_whole(item["born"]) if "born" in item else None,
+        sequence=_whole(item["Sequence"]),
     )
 
 
--- a/tests/entry/test_view.py
+++ b/tests/entry/test_view.py
@@ -52,8 +52,10 @@
     return news.Written("config", configuration, revision)
 
 
-def replica(instance, revision, draining=False, born_ms=None, port=1):
-    entry = scripted.entry(instance, draining=draining, born_ms=born_ms, port=port)
+def replica(instance, revision, draining=False, born_ms=None, port=1, sequence=0):
+    entry = scripted.entry(
+        instance, draining=draining, born_ms=born_ms, port=port, sequence=sequence
+    )
     return news.Written(f"r/{instance}", entry, revision)
 
 
@@ -209,6 +211,31 @@
     assert not view.replicas.evacuated
 
 
+@pytest.mark.parametrize(
+    ("again", "leaving"),
+    [
+        ({}, True),
+        ({"sequence": 3}, True),
+        ({"sequence": 5}, False),
+        ({"sequence": 1, "born_ms": 2000}, False),
+    ],
+    ids=["nothing", "older word", "newer word", "another start"],
+)
+def test_a_draining_replica_is_not_ready_again_by_an_older_entry(again, leaving):
+    """Guards against requests to a leaving replica as a copy holds what it said before."""
+    view, _ = make_view()
+    said = replica("a", 9, draining=True, born_ms=1000, sequence=4)
+    view.take_snapshot(news.Snapshot((said,), 9, 1))
+    older = replica("a", 5, born_ms=1000, sequence=2)
+    view.take_snapshot(news.Snapshot((attrs.evolve(older, era=2),), 7, 2))
+    if again:
+        written = replica("a", 8, **({"born_ms": 1000} | again))
+        view.take_changes(news.Changes((attrs.evolve(written, era=2),), 8, era=2))
+    assert [each.leaving for each in view.replicas.all()] == [leaving]
+    view.take_changes(news.Changes((news.Removed("r/a", 9, 2),), 9, era=2))
+    assert not view.replicas.instances() or view._held
+
+
 def test_only_what_differs_is_passed_on_after_a_return_from_a_copy():
     """Guards against a return that has every relay tell all entries to its whole data centre."""
     view, _ = make_view()
@@ -413,6 +440,7 @@
         self.synced = False
         self.era = 1
         self.copies = []
+        self.said = 0
         self.learnt = set()
         """The starts of replicas that the view was told of, by number and time."""
         self.owed = {}
@@ -436,7 +464,11 @@
     )
     def write_replica(self, number, draining, again):
         self.born_ms[number] = born_ms = self.born_ms.get(number, 1000) + 700 * again
-        self._write(lambda revision: replica(f"i{number}", revision, draining, born_ms))
+        self.said += 1
+        said = self.said
+        self._write(
+            lambda revision: replica(f"i{number}", revision, draining, born_ms, sequence=said)
+        )
 
     @stateful.rule(number=strategies.integers(0, 5))
     def spoil_replica(self, number):
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -293,6 +293,13 @@
         "entry/test_follower.py"
         "::test_a_registration_is_checked_when_the_source_has_returned_from_a_copy",
     ),
+    mutant.one(
+        "older-word-of-a-replica",
+        "direct/replicas.py",
+        "entry.sequence < known.entry.sequence",
+        "entry.sequence < 0",
+        "entry/test_view.py::test_a_draining_replica_is_not_ready_again_by_an_older_entry",
+    ),
     mutant.one(
         "evacuation-lost-with-the-copy",
         "entry/view.py",
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -57,7 +57,7 @@
     replica.address = ("10.0.0.7", 8080)
     content = json.dumps(replica.entry(state)).encode()
     assert decode.value("servers/i-1", content, []) == routes.ReplicaEntry(
-        "i-1", "s", "10.0.0.7", 8080, "dc-1", 2, draining, 0, replica.born_ms
+        "i-1", "s", "10.0.0.7", 8080, "dc-1", 2, draining, 0, replica.born_ms, 1
     )
 
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -107,9 +107,18 @@
         return await super().connect()
 
 
-def entry(instance, service="s", data_centre="dc", draining=False, slots=2, born_ms=None, port=1):
+def entry(
+    instance,
+    service="s",
+    data_centre="dc",
+    draining=False,
+    slots=2,
+    born_ms=None,
+    port=1,
+    sequence=0,
+):
     return routes.ReplicaEntry(
-        instance, service, "h", port, data_centre, slots, draining, 0, born_ms
+        instance, service, "h", port, data_centre, slots, draining, 0, born_ms, sequence
     )
 
 
