What operators wrote is read anew where a stale first reading may show what was lost

An instance that starts reads the store's replicas, which may lag by seconds. Now, of a store that tells its era, what operators wrote is read once more and not stale, and everything is where the stale reading is ahead of that. One call a start, none where no era is told. Replicas and instances that only the lost past had stay known until they fail or lapse.

--- a/src/turmericlug/platform/names.py
+++ b/src/turmericlug/platform/names.py
@@ -36,6 +36,7 @@
 RESOLVE_PATH = b"/turmericlug/resolve"
 READY_PATH = b"/turmericlug/ready"
 
+OPERATORS_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
 EVACUATIONS_PREFIX = "op/evacuate/"
 REPLICAS_PREFIX = "servers/"
--- a/src/turmericlug/platform/store.py
+++ b/src/turmericlug/platform/store.py
@@ -72,13 +72,26 @@
         """
         Read every key, page by page; changes since the oldest page are followed from there.
 
-        Stale pages lag by different times, so that any of them may be the oldest.
+        Stale pages lag by different times, so that any of them may be the oldest. Of a store that
+        has returned from a copy they may show what it lost: then what operators wrote is read anew.
 
         :raises SourceError: no answer
         """
+        snapshot = await self._read("", may_be_stale)
+        if not (may_be_stale and snapshot.era):
+            return snapshot
+        operators = await self._read(names.OPERATORS_PREFIX, may_be_stale=False)
+        if operators.position < snapshot.position:
+            return await self._read("", may_be_stale=False)
+        others = [
+            each for each in snapshot.written if not each.key.startswith(names.OPERATORS_PREFIX)
+        ]
+        return attrs.evolve(snapshot, written=(*others, *operators.written))
+
+    async def _read(self, prefix: str, may_be_stale: bool) -> news.Snapshot:
         written: list[news.Written | news.Unreadable] = []
         positions: set[news.Position] = set()
-        query = {"Prefix": ""} | ({"Serializable": "1"} if may_be_stale else {})
+        query = {"Prefix": prefix} | ({"Serializable": "1"} if may_be_stale else {})
         while True:
             answer = await self._get("kv-range", query)
             page = answer.body
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -293,6 +293,14 @@
         "entry/test_follower.py"
         "::test_a_registration_is_checked_when_the_source_has_returned_from_a_copy",
     ),
+    mutant.one(
+        "stale-reading-trusted-after-a-return",
+        "platform/store.py",
+        "        if not (may_be_stale and snapshot.era):",
+        "        if snapshot:",
+        "platform/test_store.py"
+        "::test_a_stale_reading_from_before_a_return_does_not_hide_what_operators_wrote",
+    ),
     mutant.one(
         "older-word-of-a-replica",
         "direct/replicas.py",
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -160,6 +160,32 @@
     asyncio.run(main())
 
 
+def evacuate(standin):
+    standin.put("op/evacuate/dc-1", b"{}")
+
+
+@pytest.mark.parametrize("counted", [1, 8], ids=["behind", "past"])
+def test_a_stale_reading_from_before_a_return_does_not_hide_what_operators_wrote(counted):
+    """Guards against an instance that starts on revisions which were given out again."""
+
+    async def main():
+        async with connected() as (standin, store):
+            write_some(standin, 4)
+            standin.remove("op/evacuate/dc-1")
+            evacuate(standin)
+            standin.stale_copy = standin.copied()
+            standin.return_from_copy(4)
+            for version in range(counted):
+                standin.put("op/config", standin_platform.configuration(10 + version, [], []))
+            snapshot = await store.read_all(may_be_stale=True)
+            found = {each.key: each for each in snapshot.written}
+            assert found["op/config"].value.version == 9 + counted
+            assert "op/evacuate/dc-1" not in found
+            assert len(found) == (5 if counted > 4 else 3)
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("told", [b"", b"-1", b"2.5", b"x", b"9" * 30], ids=repr)
 def test_an_era_that_cannot_be_read_is_taken_for_the_latest(told):
     """Guards against answers of a store that tells its era in no or another form."""
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -47,6 +47,8 @@
         self.lags = []
         """Revisions by which the next stale reads say that they lag."""
         self.stale_reads = 0
+        self.stale_copy = None
+        """What stale reads show instead of the present state."""
         self.era = 1
         """Rises each time the store returns from a copy; told in every answer."""
         self.told_era = None
@@ -91,7 +93,11 @@
         self._wake()
 
     def _keep_copy(self):
-        self.copies.append(Copy(self.revision, dict(self.items), dict(self.leases)))
+        self.copies.append(self.copied())
+
+    def copied(self):
+        """Return what the store holds now."""
+        return Copy(self.revision, dict(self.items), dict(self.leases))
 
     def return_from_copy(self, changes):
         """
@@ -167,17 +173,18 @@
         return await getattr(self, "_" + name.replace("-", "_"))(asked, body, rest)
 
     async def _kv_range(self, asked, body, rest):
+        stale = asked.get("Serializable") == "1"
+        state = self.stale_copy if stale and self.stale_copy else self
         keys = sorted(
             key
-            for key in self.items
+            for key in state.items
             if key.startswith(asked.get("Prefix", "")) and key > asked.get("after", "")
         )
-        items = [self.items[key] for key in keys[: self.page]]
+        items = [state.items[key] for key in keys[: self.page]]
         more = len(keys) > self.page
-        stale = asked.get("Serializable") == "1"
         self.stale_reads += stale
         lag = self.lags.pop(0) if stale and self.lags else 0
-        answer = {"items": items, "HasMore": more, "AsOf": self.revision - lag}
+        answer = {"items": items, "HasMore": more, "AsOf": state.revision - lag}
         self.on_page()
         return OK, answer
 
