An instance whose registration was lost with the store's past registers again at once

Callers were told of an instance up to 2.6 s too late: one that follows the store through others hears of a return from them, while its own registration was checked at its next renewal only, and an entry that nobody else had seen yet brings no news of its removal.

--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -144,6 +144,10 @@
         self.lease = None
         self.written = False
 
+    def is_older_than(self, era: int | None) -> bool:
+        """Whether an entry was last shown in an era before one."""
+        return self.lease is not None and era is not None and era > self.era
+
 
 async def stay_registered(
     source: news.Source,
@@ -172,7 +176,7 @@
             tried_s = loop.time()
             worked = await _renewed(source, view, own, standing)
             jitter = rng.uniform(0.8, 1.2)
-            while not view.own_entry_removed:
+            while not (view.own_entry_removed or standing.is_older_than(view.era)):
                 every_s = KEEP_AGAIN_S if not worked else KEEP_EVERY_S
                 every_s = min(every_s, KEEP_OFTEN_S) if tells_others() else every_s
                 left_s = tried_s + every_s * jitter - loop.time()
@@ -196,13 +200,13 @@
         try:
             if standing.lease is None:
                 standing.lease = await source.lease(LEASE_S)
-                standing.era = source.era
+                standing.era = max(source.era, view.era or 0)
                 standing.written = False
             if standing.written:
                 await source.keep(standing.lease)
             else:
                 await source.register(own, standing.lease)
-                if source.era != standing.era:
+                if source.era > standing.era:
                     # The number of the lease may be another instance's by now.
                     standing.lose()
                     continue
@@ -231,12 +235,12 @@
     """
     if view.own_entry_removed:
         view.own_entry_removed = standing.written = False
-    if standing.lease is None or standing.era == source.era or view.era != source.era:
+    if not standing.is_older_than(view.era) or source.era > (view.era or 0):
         return
     if view.lease_of(own) == standing.lease:
-        standing.era = source.era
+        standing.era = view.era or 0
         return
-    decisions.log("instance.registration_lost", lease=standing.lease, era=source.era)
+    decisions.log("instance.registration_lost", lease=standing.lease, era=view.era)
     standing.lose()
 
 
