An entry that was taken out stays out when the store returns from a copy

Callers would be told an instance that has left, or lost power, until the lease that the copy still has lapses: up to 8 s, past the time allowed for a directory that names lost instances. Cause: the acknowledgement of a removal was taken for lasting. A leaving instance looks for its entry in later eras until it ends; whoever took out a silent one's entry takes it out again where it is shown as it was. Both rows of the test failed before (1.5 s); two mutants fail it.

--- a/src/turmericlug/entry/absence.py
+++ b/src/turmericlug/entry/absence.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+from collections import abc
 
 from turmericlug.entry import news
 from turmericlug.entry import relay
@@ -14,6 +16,8 @@
 """Adds to the 3 s of silence for which callers are told an instance that has ended."""
 MOST_AT_ONCE = 16
 """Entries taken out by one call: half of what a source may have to take."""
+REMEMBERED = 256
+"""Entries taken out lately: a copy from which the source returns is some seconds old."""
 
 
 async def take_out_missed(
@@ -26,24 +30,43 @@
     Look for ever for instances that have fallen silent, and take out their entries.
 
     An instance that lives all the same (only its connection here was lost) sees that as news and
-    registers again.
+    registers again. An entry that was taken out and is shown again, as the source has returned from
+    a copy, is taken out again.
     """
     loop = asyncio.get_running_loop()
+    taken_out: collections.OrderedDict[str, news.Written] = collections.OrderedDict()
     while True:
         await asyncio.sleep(LOOK_EVERY_S)
         if view.source_away or view.source_age_s() > relay.STALE_S:
             # Cut off, or just awake: it is this instance that is missing.
             continue
-        missed = relayed.missed(loop.time())[:MOST_AT_ONCE]
-        entries = view.entries(missed)
+        missed = relayed.missed(loop.time())
+        entries = [*view.entries(missed), *_shown_again(view, taken_out)][:MOST_AT_ONCE]
         if not entries:
             continue
+        names = [each.value.name for each in entries]
         try:
             removed = await source.remove(entries)
         except (news.SourceError, news.LeaseEndedError) as error:
-            decisions.log("instance.not_taken_out", names=missed, reason=str(error))
+            decisions.log("instance.not_taken_out", names=names, reason=str(error))
             continue
         counters.add("instance.missed", len(entries) if removed else 0)
-        decisions.log("instance.missed", names=missed, taken_out=removed)
-        for name in missed:
+        decisions.log("instance.missed", names=names, taken_out=removed)
+        for name, entry in zip(names, entries, strict=True):
             relayed.attendance.forget(name)
+            taken_out[name] = entry
+            if len(taken_out) > REMEMBERED:
+                taken_out.popitem(last=False)
+
+
+def _shown_again(
+    view: view_module.View, taken_out: abc.Mapping[str, news.Written]
+) -> list[news.Written]:
+    """Return the entries that are shown in a later era as they were when they were taken out."""
+    return [
+        each
+        for each in view.entries(taken_out)
+        if each.era > taken_out[each.value.name].era
+        and (each.revision, each.value)
+        == (taken_out[each.value.name].revision, taken_out[each.value.name].value)
+    ]
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -363,10 +363,14 @@
     refuse_at_s = began_s + REFUSE_AFTER_SHARE * grace_s
     end_s = began_s + grace_s - END_BEFORE_S
     handler.leave(refuse_at_s, end_s)
-    while loop.time() < end_s:
-        if loop.time() >= began_s + QUIET_S and not entrance.connections:
-            break
-        await asyncio.sleep(0.05)
+    unregistered = follower.stay_unregistered(
+        kernel.find("source"), kernel.find("view"), kernel.find("settings").entry.name
+    )
+    async with tasks.background(unregistered):
+        while loop.time() < end_s:
+            if loop.time() >= began_s + QUIET_S and not entrance.connections:
+                break
+            await asyncio.sleep(0.05)
 
 
 _SERVICES: tuple[tuple[str, kernel_module.ServiceFactory], ...] = (
--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -222,6 +222,22 @@
             return False
 
 
+async def stay_unregistered(source: news.Source, view: view_module.View, name: str) -> None:
+    """Take an ended entry out again if the source returns from a copy that still has it."""
+    ended_era = source.era
+    while True:
+        await asyncio.sleep(TICK_S)
+        entries = [each for each in view.entries([name]) if each.era > ended_era]
+        if not entries:
+            continue
+        try:
+            await source.remove(entries)
+            ended_era = entries[0].era
+            decisions.log("instance.unregistered_again", era=ended_era)
+        except (news.SourceError, news.LeaseEndedError) as error:
+            decisions.log("instance.unregister_failed", reason=str(error))
+
+
 def _confirm(
     source: news.Source,
     view: view_module.View,
--- a/tests/integration/test_store_returns.py
+++ b/tests/integration/test_store_returns.py
@@ -95,6 +95,23 @@
     return version
 
 
+@contextlib.asynccontextmanager
+async def started(tmp_path, port):
+    """Run instances until the block ends."""
+    running = [entry_process.make(tmp_path, f"e-{number}", port) for number in range(INSTANCES)]
+    try:
+        for each in running:
+            await each.start()
+        for each in running:
+            await entry_process.until(lambda each=each: entry_process.ready(each))
+        yield running
+    finally:
+        for each in running:
+            each.signal(signal.SIGCONT)
+            each.signal(signal.SIGKILL)
+            await each.process.wait()
+
+
 @pytest.mark.parametrize(
     "returns", [return_once, return_twice, return_unheard, return_beside_a_start]
 )
@@ -103,23 +120,63 @@
 
     async def main():
         async with platform() as (store, port), asyncio.timeout(60):
-            running = [
-                entry_process.make(tmp_path, f"e-{number}", port) for number in range(INSTANCES)
-            ]
-            try:
-                for each in running:
-                    await each.start()
-                for each in running:
-                    await entry_process.until(lambda each=each: entry_process.ready(each))
+            async with started(tmp_path, port) as running:
                 version = await returns(store, running, await change_often(store, running))
                 await all_by(running, version)
                 for later in range(version + 1, version + 4):
                     configure(store, later)
                     await all_by(running, later)
-            finally:
-                for each in running:
-                    each.signal(signal.SIGCONT)
-                    each.signal(signal.SIGKILL)
-                    await each.process.wait()
+
+    asyncio.run(main())
+
+
+def entries(store):
+    """Return the names of the instances that the store has entries of."""
+    return {key.rpartition("/")[2] for key in store.items if "/instances/" in key}
+
+
+TOLD_S = 1.5
+"""Within two answers of the directory, after which callers ask again."""
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGKILL], ids=["leaving", "killed"])
+def test_an_entry_that_was_taken_out_stays_out_when_the_store_has_returned(tmp_path, number):
+    """Guards against callers that are told an instance again as the copy still has its entry."""
+
+    async def main():
+        async with platform() as (store, port), asyncio.timeout(60):
+            async with started(tmp_path, port) as running:
+                names = {each.name for each in running}
+                await entry_process.until(lambda: entries(store) == names)
+                # Long enough for each to have been heard by those that it asks.
+                await asyncio.sleep(2.0)
+                gone = running[2]
+                gone.signal(number)
+                await entry_process.until(lambda: entries(store) == names - {gone.name})
+                store.return_from_copy(1)
+                assert entries(store) == names
+                await entry_process.until(lambda: entries(store) == names - {gone.name}, TOLD_S)
+                await asyncio.sleep(1.0)
+                assert entries(store) == names - {gone.name}
+
+    asyncio.run(main())
+
+
+def test_instances_register_again_when_the_store_has_returned(tmp_path):
+    """Guards against instances that no caller is told of, as the copy has no entry of them."""
+
+    async def main():
+        async with platform() as (store, port), asyncio.timeout(60):
+            before = store.revision
+            async with started(tmp_path, port) as running:
+                names = {each.name for each in running}
+                await entry_process.until(lambda: entries(store) == names)
+                for _ in range(2):
+                    store.write_again(store.return_from_copy(store.revision - before))
+                    assert not entries(store)
+                    await entry_process.until(lambda: entries(store) == names, TOLD_S)
+                leases = {each["Lease"] for key, each in store.items.items() if "/inst" in key}
+                assert len(leases) == len(names)
+                assert leases <= set(store.leases)
 
     asyncio.run(main())
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -293,6 +293,22 @@
         "entry/test_follower.py"
         "::test_a_registration_is_checked_when_the_source_has_returned_from_a_copy",
     ),
+    mutant.one(
+        "taken-out-for-good",
+        "entry/absence.py",
+        "[*view.entries(missed), *_shown_again(view, taken_out)]",
+        "[*view.entries(missed)]",
+        "integration/test_store_returns.py"
+        "::test_an_entry_that_was_taken_out_stays_out_when_the_store_has_returned[killed]",
+    ),
+    mutant.one(
+        "unregistered-for-good",
+        "entry/daemon.py",
+        "    async with tasks.background(unregistered):",
+        "    unregistered.close()\n    if True:",
+        "integration/test_store_returns.py"
+        "::test_an_entry_that_was_taken_out_stays_out_when_the_store_has_returned[leaving]",
+    ),
     mutant.one(
         "stale-reading-trusted-after-a-return",
         "platform/store.py",
