--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,6 +29,7 @@
             self._forget_history, self._replica_trouble, self._drain, self._new_version,
             self._delay, self._reset, self._cut_one_way, self._silence,
             self._start_again, self._foreign_entries, self._lethal,
+            self._return_from_copy, self._return_from_copy,
         )  # fmt: skip
         # One fault at a time for each three instances: some are left to serve.
         pause_s = 1.2 * 3 / self.world.instances_count
@@ -113,6 +114,18 @@
         await asyncio.sleep(world.rng.uniform(0.2, 1.5))
         world.write_replicas(lapsed)
 
+    async def _return_from_copy(self):
+        """Let the store be away for a moment and come back with what it held before, or twice."""
+        rng, world = self.world.rng, self.world
+        for _ in range(rng.randint(1, 2)):
+            world.store.fault = "silent"
+            await asyncio.sleep(rng.uniform(0.05, 0.6))
+            world.store.cut_on_return = rng.random() < 0.8
+            lost = world.store.return_from_copy(rng.randint(0, 30))
+            world.store.fault = None
+            await asyncio.sleep(rng.uniform(0.0, 1.0))
+            world.write_again(lost)
+
     async def _forget_history(self):
         self.world.store.forget_history()
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -50,6 +50,7 @@
             await _recover(world, callers)
             await _leave_calmly(world, callers)
             await _all_in_force(world, callers)
+            await _return_calmly(world, callers)
             await _hold_back_what_ends_replicas(world, callers)
             await _evacuate_calmly(world, callers)
         finally:
@@ -98,6 +99,18 @@
                 callers.broken.append(f"CONFIG {instance.name} answers {path} {answer.status}")
 
 
+async def _return_calmly(world, callers):
+    """What is confirmed after the store has returned from a copy comes into force as before."""
+    for _ in range(world.rng.randint(2, 6)):
+        world.configure()
+    await asyncio.sleep(IN_FORCE_S)
+    for _ in range(world.rng.randint(1, 2)):
+        lost = world.store.return_from_copy(world.rng.randint(2, 8))
+        await asyncio.sleep(world.rng.uniform(0.0, 0.5))
+        world.write_again(lost)
+    await _all_in_force(world, callers)
+
+
 async def _hold_back_what_ends_replicas(world, callers):
     """A request that ended three replicas reaches some more at most, at whichever instance."""
     while len(world.lethal_reached) < ENDS_KNOWN:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -41,6 +41,8 @@
     links: standin_proxy.Proxy | None = None
     """Proxied connections: ``store/INSTANCE``, ``replica/REPLICA`` and ``peer/INSTANCE``."""
     version: int = 0
+    newest: dict = attrs.field(factory=dict)
+    """The configuration of that version, as the operator writes it."""
     lethal_reached: list[tuple[float, bytes]] = attrs.field(factory=list)
     """When replicas ended under the request that ends them, and which attempt it was."""
     _restarts: set[asyncio.Task] = attrs.field(factory=set)
@@ -134,7 +136,17 @@
             standin_platform.route(f"v{self.version}", f"/v{self.version}/", Service="s0"),
         ]
         services = [*SHARDS, BILLS]
-        self.store.put("op/config", standin_platform.configuration(self.version, routes, services))
+        self.newest = standin_platform.configuration(self.version, routes, services)
+        self.store.put("op/config", self.newest)
+
+    def write_again(self, lost):
+        """Let the operator and the replicas write what they have to say of what the store lost."""
+        if "op/config" in lost:
+            self.store.put("op/config", self.newest)
+        for key in lost.keys() - {"op/config"}:
+            if key.startswith("op/"):
+                self.store.write_again({key: lost[key]})
+        self.write_replicas([each for each in self.replicas if f"servers/{each.instance}" in lost])
 
     async def all_ready(self):
         """Wait until every instance says that it is ready."""
