A swap needs the key as it was read, not its revision alone

Callers could have had a request with an idempotency key run twice: an owner of records that had read a head under a revision of the lost past swapped it although another had written it anew under the same revision since, and decided by records that the store does not have. Heads carry a mark of their write now, and swaps compare their contents as well.

The daemons' stand-in returns from a copy without its latest writes, gives their revisions out again, ends watches and tells Store-Era (lose_writes instead of rewind, which kept the revision). Without the mark the test's second claim is granted instead of open; without the content the swap succeeds; two mutants.

--- a/src/turmericlug/records/ledger.py
+++ b/src/turmericlug/records/ledger.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+import uuid
 
 import attrs
 
@@ -121,7 +122,8 @@
         self._interval_s = write_interval_ms / 1000
         self._counters = counters
         self._entries: dict[str, Entry] = {}
-        self._head_revision = -1
+        self._head: store_module.Value | None = None
+        """As it was read or written last; ``None``: to be read."""
         self._next = 0
         self._base = 0
         self._waiting: list[_Waiting] = []
@@ -150,7 +152,7 @@
                 try:
                     await self._write_batch(self._waiting[:MAX_BATCH])
                 except store_module.StoreError:
-                    self._head_revision = -1
+                    self._head = None
                     await asyncio.sleep(0.05)
             left_s = began_at_s + self._interval_s - time.monotonic()
             if left_s > 0:
@@ -163,7 +165,7 @@
         After an answer was lost, the log is read again: an operation that is already in it is
         judged as granted, since its attempt is the recorded one, and nothing is written twice.
         """
-        if self._head_revision < 0:
+        if self._head is None:
             await self._load()
         changed: dict[str, Entry] = {}
         verdicts = []
@@ -174,7 +176,6 @@
             if entry is not None:
                 changed[key] = entry
         if changed and not await self._append(changed):
-            self._head_revision = -1
             return
         self._entries.update(changed)
         for waiting, verdict in zip(batch, verdicts, strict=True):
@@ -194,15 +195,15 @@
         return written
 
     async def _swap(self, segments: dict[str, str], base: int, following: int) -> bool:
-        head = json.dumps({"base": base, "next": following})
+        # Another text with each write, so that no other write is taken for the one that was read.
+        head = json.dumps({"base": base, "next": following, "write": uuid.uuid4().hex})
         puts = {self._head_key: head, **segments}
-        expected = {self._head_key: self._head_revision}
-        # Until the answer is here the head's revision is unknown; a lost one leaves it so.
-        self._head_revision = -1
-        revision = await self._store.swap(expected, puts)
+        # Until the answer is here the head is unknown; a lost one leaves it so.
+        known, self._head = self._head, None
+        revision = await self._store.swap([known], puts)
         if not revision:
             return False
-        self._head_revision = revision
+        self._head = store_module.Value(self._head_key, head, revision)
         self._base, self._next = base, following
         return True
 
@@ -212,7 +213,7 @@
         self._entries = {}
         self._base = self._next = 0
         if head is None:
-            self._head_revision = 0
+            self._head = store_module.Value(self._head_key, "", 0)
             return
         plain = json.loads(head.text)
         self._base, self._next = plain["base"], plain["next"]
@@ -220,7 +221,7 @@
         for value in values:
             if value.key != self._head_key and value.key >= first:
                 self._entries.update(_from_lines(value.text))
-        self._head_revision = head.revision
+        self._head = head
 
     async def _compact(self) -> None:
         """Replace the log by its result, without what has outlived its retention."""
--- a/src/turmericlug/rules/configuration.py
+++ b/src/turmericlug/rules/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import uuid
 from collections import abc
 
 import attrs
@@ -10,6 +11,7 @@
 from turmericlug.catalog import catalog as catalog_module
 from turmericlug.membership import freshness as freshness_module
 from turmericlug.rules import model
+from turmericlug.storage import store as store_module
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import events
 
@@ -80,7 +82,8 @@
 
     rules: int
     catalog: int
-    swap_revision: int
+    stored: store_module.Value
+    """The key as it was read, for swapping it."""
 
     @property
     def revisions(self) -> freshness_module.Revisions:
@@ -89,13 +92,13 @@
 
 
 def head_to_json(rules: int, catalog: int) -> str:
-    """Turn a head into the text kept in the store."""
-    return json.dumps({RULES: rules, CATALOG: catalog})
+    """Turn a head into the text kept in the store, another one with each write."""
+    return json.dumps({RULES: rules, CATALOG: catalog, "write": uuid.uuid4().hex})
 
 
-def head_from_json(text: str, swap_revision: int) -> Head:
+def head_from(stored: store_module.Value) -> Head:
     """Read a head as the store holds it; an empty text is a store never written."""
-    if not text:
-        return Head(0, 0, swap_revision)
-    plain = json.loads(text)
-    return Head(plain[RULES], plain[CATALOG], swap_revision)
+    if not stored.text:
+        return Head(0, 0, stored)
+    plain = json.loads(stored.text)
+    return Head(plain[RULES], plain[CATALOG], stored)
--- a/src/turmericlug/rules/repository.py
+++ b/src/turmericlug/rules/repository.py
@@ -76,7 +76,7 @@
             value = await self._store.read(self.head_key)
         except store_module.StoreError as error:
             raise RepositoryError(error.reason) from error
-        return configuration.head_from_json(value.text, value.revision)
+        return configuration.head_from(value)
 
     async def read(self) -> Contents:
         """
@@ -92,8 +92,7 @@
         except store_module.StoreError as error:
             raise RepositoryError(error.reason) from error
         by_key = {value.key: value for value in values}
-        head_value = by_key[self.head_key]
-        head = configuration.head_from_json(head_value.text, head_value.revision)
+        head = configuration.head_from(by_key[self.head_key])
         rules_text = by_key[f"{self._prefix}rules"].text
         catalog_text = by_key[f"{self._prefix}catalog"].text
         texts = [
@@ -104,7 +103,7 @@
 
     async def _create(self) -> None:
         await self._store.swap(
-            {self.head_key: 0},
+            [store_module.Value(self.head_key, "", 0)],
             {
                 self.head_key: configuration.head_to_json(1, 1),
                 f"{self._prefix}rules": model.to_json(model.Document(1, (), ())),
@@ -152,7 +151,7 @@
         text = model.to_json(document)
         try:
             return await self._store.swap(
-                {self.head_key: head.swap_revision},
+                [head.stored],
                 {
                     self.head_key: configuration.head_to_json(document.revision, head.catalog),
                     f"{self._prefix}rules": text,
@@ -176,7 +175,7 @@
                 revision = contents.head.catalog + 1
                 head_text = configuration.head_to_json(contents.head.rules, revision)
                 puts = {self.head_key: head_text, f"{self._prefix}catalog": text}
-                if await self._store.swap({self.head_key: contents.head.swap_revision}, puts):
+                if await self._store.swap([contents.head.stored], puts):
                     return Stored(revision)
             except (RepositoryError, store_module.StoreError) as error:
                 return Unknown(str(error))
--- a/src/turmericlug/storage/store.py
+++ b/src/turmericlug/storage/store.py
@@ -67,18 +67,18 @@
         found = await self._call("range", {"key": _pack(prefix), "range_end": _pack(end)})
         return _values(found)
 
-    async def swap(self, expected: dict[str, int], puts: dict[str, str]) -> int:
+    async def swap(self, expected: abc.Sequence[Value], puts: dict[str, str]) -> int:
         """
-        Write all keys if each expected key still has its revision; else write none.
+        Write all keys if each expected key is still as it was read; else write none.
 
-        :param expected: revision by key, 0 for a key that must not exist
+        A store that returns from a copy gives revisions out again: a key with the same revision may
+        hold something else. So contents are compared as well.
+
+        :param expected: values as they were read, with revision 0 for a key that must not exist
         :returns: the revision that the written keys have now; 0: nothing was written
         :raises StoreError: no answer; **the write may have taken effect**
         """
-        compare = [
-            {"key": _pack(key), "target": "MOD", "result": "EQUAL", "mod_revision": str(revision)}
-            for key, revision in expected.items()
-        ]
+        compare = [each for value in expected for each in _comparisons(value)]
         success = [
             {"request_put": {"key": _pack(key), "value": _pack(text)}} for key, text in puts.items()
         ]
@@ -153,6 +153,14 @@
         yield Store(session, url, timeout_ms, counters)
 
 
+def _comparisons(value: Value) -> list[dict[str, str]]:
+    same = {"key": _pack(value.key), "result": "EQUAL"}
+    found = [same | {"target": "MOD", "mod_revision": str(value.revision)}]
+    if value.revision:
+        found.append(same | {"target": "VALUE", "value": _pack(value.text)})
+    return found
+
+
 def _pack(text: str) -> str:
     return base64.b64encode(text.encode()).decode()
 
--- a/src/turmericlug_lab/standin_platform.py
+++ b/src/turmericlug_lab/standin_platform.py
@@ -25,8 +25,15 @@
     lose_answers: int = 0
     """This many writes take effect and their answers are lost."""
     list_lag_ms: float = 0.0
-    rewind: bool = False
-    """Set once: the store goes back to the state before its latest write."""
+    lose_writes: int = 0
+    """Set once: the store returns from a copy without so many of its latest writes, and gives their
+    revisions out again."""
+
+
+ERA_HEADER = "Store-Era"
+"""Tells in every answer how often the store has returned from a copy."""
+_COPIES = 500
+"""Writes back to which the store can return."""
 
 
 @attrs.frozen
@@ -43,8 +50,11 @@
         self.behaviour = behaviour
         self.calls: collections.Counter[str] = collections.Counter()
         self._entries: dict[bytes, _Entry] = {}
-        self._previous: dict[bytes, _Entry] = {}
+        self._copies: collections.deque[tuple[int, dict[bytes, _Entry]]] = collections.deque(
+            maxlen=_COPIES
+        )
         self._revision = 0
+        self._era = 1
         self._watches: set[tuple[bytes, bytes, asyncio.Queue[dict[str, typing.Any]]]] = set()
 
     def routes(self, application: web.Application) -> None:
@@ -66,20 +76,36 @@
             while self.behaviour.store_hangs:
                 await asyncio.sleep(0.05)
             if self.behaviour.store_down:
-                return web.json_response({"error": "unavailable", "code": 14}, status=503)
-            if self.behaviour.rewind:
-                self.behaviour.rewind = False
-                self._entries = dict(self._previous)
+                return self._unavailable()
+            if self.behaviour.lose_writes > 0:
+                self._return_from_copy()
             answer = action(body)
             if kind == "txn" and self.behaviour.lose_answers > 0:
                 self.behaviour.lose_answers -= 1
                 self.calls["lost"] += 1
                 if request.transport is not None:
                     request.transport.abort()
-            return web.json_response({"header": {"revision": str(self._revision)}, **answer})
+            plain = {"header": {"revision": str(self._revision)}, **answer}
+            return web.json_response(plain, headers=self._headers())
 
         return handle
 
+    def _headers(self) -> dict[str, str]:
+        return {ERA_HEADER: str(self._era)}
+
+    def _unavailable(self) -> web.Response:
+        plain = {"error": "unavailable", "code": 14}
+        return web.json_response(plain, status=503, headers=self._headers())
+
+    def _keep_copy(self) -> None:
+        self._copies.append((self._revision, dict(self._entries)))
+
+    def _return_from_copy(self) -> None:
+        for _ in range(min(self.behaviour.lose_writes, len(self._copies))):
+            self._revision, self._entries = self._copies.pop()
+        self.behaviour.lose_writes = 0
+        self._era += 1
+
     def _selected(self, body: dict[str, typing.Any]) -> list[tuple[bytes, _Entry]]:
         key = base64.b64decode(body["key"])
         end = base64.b64decode(body["range_end"]) if "range_end" in body else key + b"\0"
@@ -92,9 +118,13 @@
     def _txn(self, body: dict[str, typing.Any]) -> dict[str, typing.Any]:
         for compare in body.get("compare", []):
             entry = self._entries.get(base64.b64decode(compare["key"]))
-            if (entry.mod_revision if entry else 0) != int(compare["mod_revision"]):
+            if compare["target"] == "VALUE":
+                same = entry is not None and entry.value == compare["value"]
+            else:
+                same = (entry.mod_revision if entry else 0) == int(compare["mod_revision"])
+            if not same:
                 return {"succeeded": False}
-        self._previous = dict(self._entries)
+        self._keep_copy()
         self._revision += 1
         for operation in body.get("success", []):
             put = operation["request_put"]
@@ -107,6 +137,7 @@
 
     def _delete(self, body: dict[str, typing.Any]) -> dict[str, typing.Any]:
         selected = self._selected(body)
+        self._keep_copy()
         self._revision += 1
         for key, _ in selected:
             del self._entries[key]
@@ -120,18 +151,22 @@
     async def _watch(self, request: web.Request) -> web.StreamResponse:
         self.calls["watch"] += 1
         if self.behaviour.store_down or self.behaviour.store_hangs:
-            return web.json_response({"error": "unavailable", "code": 14}, status=503)
+            return self._unavailable()
+        era = self._era
         create = (await request.json())["create_request"]
         key = base64.b64decode(create["key"])
         end = base64.b64decode(create["range_end"]) if "range_end" in create else key + b"\0"
         queue: asyncio.Queue[dict[str, typing.Any]] = asyncio.Queue()
         watch = (key, end, queue)
         self._watches.add(watch)
-        response = web.StreamResponse(headers={"Content-Type": "application/json"})
+        headers = {"Content-Type": "application/json"} | self._headers()
+        response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         try:
             await response.write(json.dumps({"result": {"created": True}}).encode() + b"\n")
-            while not (self.behaviour.store_down or self.behaviour.store_hangs):
+            while era == self._era and not (
+                self.behaviour.store_down or self.behaviour.store_hangs
+            ):
                 try:
                     async with asyncio.timeout(0.05):
                         event = await queue.get()
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -17,6 +17,9 @@
         when ``deliver`` is called), ``dropped`` (never applied)."""
         self.delayed = []
         self.swaps = 0
+        self.copies = []
+        """The state before each write, the newest last."""
+        self.era = 1
 
     async def read(self, key):
         if self.down:
@@ -43,15 +46,21 @@
         return revision
 
     def _apply(self, expected, puts):
-        for key, revision in expected.items():
-            known = self.values.get(key)
-            if (known.revision if known else 0) != revision:
+        for value in expected:
+            if self.values.get(value.key, store_module.Value(value.key, "", 0)) != value:
                 return 0
+        self.copies.append((self.revision, dict(self.values)))
         self.revision += 1
         for key, text in puts.items():
             self.values[key] = store_module.Value(key, text, self.revision)
         return self.revision
 
+    def return_from_copy(self, writes):
+        """Lose the latest writes; their revisions are given out again."""
+        for _ in range(min(writes, len(self.copies))):
+            self.revision, self.values = self.copies.pop()
+        self.era += 1
+
     def deliver(self):
         """Let the late writes arrive."""
         for expected, puts in self.delayed:
--- a/tests/integration/test_rules.py
+++ b/tests/integration/test_rules.py
@@ -228,7 +228,7 @@
         await edit(fleet, "e1", "add", text=rule("accepted"))
         _, history = await fleet.operate("e1", "GET", "/v1/rules/history")
         assert history["edits"]
-        await fleet.control("platform", rewind=True)
+        await fleet.control("platform", lose_writes=1)
         await asyncio.sleep(1.5)
         for name in fleet.daemons:
             assert (await reason_of(fleet, name, "accepted"))[0] == "rule_shut"
--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -63,10 +63,25 @@
     mutant.one(
         "records-without-swap",
         "records/ledger.py",
-        "expected = {self._head_key: self._head_revision}",
-        "expected = {}",
+        "revision = await self._store.swap([known], puts)",
+        "revision = await self._store.swap([], puts)",
         "records/test_ledger.py::TestWriters",
     ),
+    mutant.one(
+        "heads-alike",
+        "records/ledger.py",
+        ', "write": uuid.uuid4().hex',
+        "",
+        "records/test_ledger.py::test_a_writer_takes_no_other_write_for_the_one_that_it_read",
+    ),
+    mutant.one(
+        "swapped-by-revision-alone",
+        "storage/store.py",
+        "    if value.revision:\n",
+        "    if not value.key:\n",
+        "storage/test_store.py"
+        "::test_a_key_that_holds_something_else_under_the_same_revision_is_not_swapped",
+    ),
     mutant.one(
         "settled-once-or-never",
         "records/records.py",
--- a/tests/records/test_ledger.py
+++ b/tests/records/test_ledger.py
@@ -107,6 +107,21 @@
     asyncio.run(main())
 
 
+def test_a_writer_takes_no_other_write_for_the_one_that_it_read():
+    """Guards against a request that runs twice as a head's revision was given out again."""
+
+    async def main():
+        store = fake_store.FakeStore()
+        first, second = bucket(store), bucket(store)
+        for number in range(2):
+            await ask(first, operation("claim", f"a{number}", f"k{number}"))
+        store.return_from_copy(1)
+        assert (await ask(second, operation("claim", "b", "y"))).outcome == "granted"
+        assert (await ask(first, operation("claim", "c", "y"))).outcome == "open"
+
+    asyncio.run(main())
+
+
 class Writers(stateful.RuleBasedStateMachine):
     """
     Three writers believe to own the same bucket; writes are lost, late or dropped, the store has
--- /dev/null
+++ b/tests/storage/test_store.py
@@ -0,0 +1,84 @@
+"""The client of the general key-value store against the stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import aiohttp
+import pytest
+
+from turmericlug.storage import store as store_module
+from turmericlug.telemetry import counters
+from turmericlug_lab import fleet_spec
+from turmericlug_lab import standin_platform
+
+
+@contextlib.asynccontextmanager
+async def connected():
+    """Run the stand-in; yields a client of it, and what sets its behaviour."""
+    (port,) = fleet_spec.free_ports(1)
+    url = f"http://127.0.0.1:{port}"
+    serving = asyncio.create_task(standin_platform.serve("127.0.0.1", port))
+    try:
+        async with (
+            store_module.connected(url, 1000, counters.Counters()) as store,
+            aiohttp.ClientSession() as session,
+        ):
+
+            async def control(**behaviour):
+                async with session.post(f"{url}/control", json=behaviour) as response:
+                    assert response.status == 200
+
+            async with asyncio.timeout(10):
+                while True:
+                    with contextlib.suppress(store_module.StoreError):
+                        await store.read("probe")
+                        break
+                    await asyncio.sleep(0.02)
+            yield store, control
+    finally:
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+
+
+def absent(key):
+    return store_module.Value(key, "", 0)
+
+
+@pytest.mark.parametrize(
+    ("expected", "written"),
+    [
+        (store_module.Value("k", "a", 1), True),
+        (store_module.Value("k", "a", 9), False),
+        (store_module.Value("k", "b", 1), False),
+        (absent("k"), False),
+        (absent("other"), True),
+    ],
+    ids=["as read", "older revision", "other content", "taken for absent", "absent"],
+)
+def test_a_swap_needs_the_key_as_it_was_read(expected, written):
+    async def main():
+        async with connected() as (store, _):
+            assert await store.swap([absent("k")], {"k": "a"}) == 1
+            assert bool(await store.swap([expected], {"k": "c"})) is written
+            assert (await store.read("k")).text == ("c" if written else "a")
+
+    asyncio.run(main())
+
+
+def test_a_key_that_holds_something_else_under_the_same_revision_is_not_swapped():
+    """Guards against a swap of what a store that returned from a copy has written anew."""
+
+    async def main():
+        async with connected() as (store, control):
+            await store.swap([absent("k")], {"k": "a"})
+            known = await store.read("k")
+            await control(lose_writes=1)
+            assert (await store.read("k")).revision == 0
+            await store.swap([absent("k")], {"k": "b"})
+            assert (await store.read("k")).revision == known.revision
+            assert not await store.swap([known], {"k": "c"})
+            assert (await store.read("k")).text == "b"
+
+    asyncio.run(main())
