Records that the store lost by returning from a copy are put back, or count as open

Callers could have had a request with an idempotency key run twice: its claim was acknowledged, the store returned from a copy without it, and a repeat was granted.

Instances hear of a later era in each of the store's answers and tell each other with their probes. Writers then read their logs again and put back what they know and the log lacks. What nobody knows any more may have been granted: a key made before the return that is not recorded counts as open, which is told as 'in use' and promises nothing; until when is kept in the log's head, for writers that start later. A write that may be of the lost past gives no verdict. An outcome of a lost claim is recorded. Left: a key made by a clock that is ahead of the store's return; a bucket whose only writes were lost and whose writers are gone.

--- a/src/turmericlug/daemon.py
+++ b/src/turmericlug/daemon.py
@@ -31,6 +31,7 @@
 from turmericlug.rules import configuration
 from turmericlug.rules import distribution as distribution_module
 from turmericlug.rules import repository as repository_module
+from turmericlug.storage import eras as eras_module
 from turmericlug.storage import instances
 from turmericlug.storage import store as store_module
 from turmericlug.telemetry import counters as counters_module
@@ -57,7 +58,10 @@
 async def _store(kernel: Kernel) -> abc.AsyncIterator[store_module.Store]:
     platform = kernel.find("settings").platform
     async with store_module.connected(
-        platform.store_url, platform.store_timeout_ms, kernel.find("counters")
+        platform.store_url,
+        platform.store_timeout_ms,
+        kernel.find("counters"),
+        kernel.find("eras"),
     ) as store:
         yield store
 
@@ -100,6 +104,7 @@
         settings.membership.probe_interval_ms,
         settings.membership.probe_timeout_ms,
         settings.membership.suspicion_ms,
+        kernel.find("eras"),
     )
     platform = settings.platform
     follow = detector.follow_list(
@@ -151,6 +156,7 @@
     records = records_module.Records(
         kernel.find("settings"), kernel.find("store"), kernel.find("mesh"), kernel.find("counters")
     )
+    kernel.find("eras").on_return.append(records.check)
     try:
         yield records
     finally:
@@ -286,6 +292,7 @@
     kernel.provide("settings", settings)
     kernel.provide("counters", counters)
     kernel.provide("stop", stop)
+    kernel.provide("eras", eras_module.Eras())
     kernel.provide("configuration", configuration.Configuration(freshness, counters))
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_report_failure)
--- a/src/turmericlug/membership/detector.py
+++ b/src/turmericlug/membership/detector.py
@@ -15,6 +15,7 @@
 from turmericlug.membership import freshness as freshness_module
 from turmericlug.membership import members as members_module
 from turmericlug.membership import mesh as mesh_module
+from turmericlug.storage import eras as eras_module
 from turmericlug.storage import instances
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import events
@@ -39,8 +40,10 @@
         interval_ms: int,
         timeout_ms: int,
         suspicion_ms: int,
+        eras: eras_module.Eras | None = None,
     ) -> None:
         self.mesh = mesh
+        self.eras = eras or eras_module.Eras()
         self.members = mesh.members
         self.listed: dict[str, instances.Listed] = {}
         self.reads_often: abc.Callable[[], bool] = lambda: True
@@ -63,6 +66,7 @@
             "catalogRevision": held.catalog,
             "evidenceAgeMs": self._freshness.age_ms(),
             "loadPermille": self.members.own.load_permille,
+            "storeEra": self.eras.latest,
         }
 
     async def run(self) -> None:
@@ -160,6 +164,7 @@
                 self._suspects.setdefault(member.instance, time.monotonic())
 
     def _take_stamp(self, peer: str, stamp: typing.Any, asked_at_s: float) -> None:
+        self.eras.heard(stamp.storeEra)
         revisions = freshness_module.Revisions(stamp.rulesRevision, stamp.catalogRevision)
         self._freshness.from_peer(asked_at_s, revisions, stamp.evidenceAgeMs)
         if not self._freshness.held.covers(revisions):
@@ -212,6 +217,7 @@
         """Answer a probe, or make one for a peer that can't reach the instance itself."""
         probe = request.message.probe
         self._learn(probe.news)
+        self.eras.heard(probe.stamp.storeEra)
         revisions = freshness_module.Revisions(
             probe.stamp.rulesRevision, probe.stamp.catalogRevision
         )
--- a/src/turmericlug/records/ledger.py
+++ b/src/turmericlug/records/ledger.py
@@ -105,6 +105,10 @@
     Any instance may write; what makes it safe is that each write swaps the bucket's head, so that
     it takes effect only for a writer that has seen every record before it. A writer that was
     paused, or that wrongly believes to own the bucket, fails its swap, reads and decides again.
+
+    A store that returns from a copy has lost its latest writes. A writer puts back what it knows of
+    them. What nobody knows may have been granted: a key made before the return that is not recorded
+    counts as open, which promises neither that it has run nor that it has not.
     """
 
     def __init__(
@@ -122,6 +126,13 @@
         self._interval_s = write_interval_ms / 1000
         self._counters = counters
         self._entries: dict[str, Entry] = {}
+        self._lost: dict[str, Entry] = {}
+        """Records that were acknowledged and that the store does not have any more."""
+        self._era = 0
+        """Of the store, when the head was read."""
+        self._doubted_until_s = 0.0
+        """Records of keys made until then may be lost; Unix time."""
+        self._unchecked = False
         self._head: store_module.Value | None = None
         """As it was read or written last; ``None``: to be read."""
         self._next = 0
@@ -142,13 +153,20 @@
             if waiting in self._waiting:
                 self._waiting.remove(waiting)
 
+    def check(self) -> None:
+        """Read the log again and put back what is missing there."""
+        self._head = None
+        if self._entries:
+            self._unchecked = True
+            self._wake.set()
+
     async def run(self) -> None:
         """Write batches until cancelled: one write at a time, at most one per interval."""
         while True:
             await self._wake.wait()
             self._wake.clear()
             began_at_s = time.monotonic()
-            while self._waiting:
+            while self._waiting or self._unchecked:
                 try:
                     await self._write_batch(self._waiting[:MAX_BATCH])
                 except store_module.StoreError:
@@ -167,17 +185,24 @@
         """
         if self._head is None:
             await self._load()
-        changed: dict[str, Entry] = {}
+        changed = dict(self._lost)
         verdicts = []
         for waiting in batch:
             key = waiting.wanted.key
-            verdict, entry = judge(changed.get(key) or self._entries.get(key), waiting.wanted)
+            known = changed.get(key) or self._entries.get(key)
+            verdict, entry = self._judge(known, waiting.wanted)
             verdicts.append(verdict)
             if entry is not None:
                 changed[key] = entry
         if changed and not await self._append(changed):
             return
+        if self._store.eras.latest != self._era:
+            # The write may be of the store's lost past.
+            self._head = None
+            return
         self._entries.update(changed)
+        self._counters.add("records.written_again", len(self._lost))
+        self._lost, self._unchecked = {}, False
         for waiting, verdict in zip(batch, verdicts, strict=True):
             if waiting in self._waiting:
                 self._waiting.remove(waiting)
@@ -186,6 +211,16 @@
         if self._next - self._base > _COMPACT_SEGMENTS + len(self._entries) // 500:
             await self._compact()
 
+    def _judge(self, entry: Entry | None, wanted: Operation) -> tuple[Verdict, Entry | None]:
+        if entry is None and wanted.created_at_s <= self._doubted_until_s:
+            if wanted.operation == CLAIM:
+                return Verdict(OPEN, "store_returned"), None
+            if wanted.operation == SETTLE:
+                attempt, fingerprint = wanted.attempt, wanted.fingerprint
+                settled = Entry(attempt, fingerprint, wanted.created_at_s, wanted.outcome)
+                return Verdict(GRANTED), settled
+        return judge(entry, wanted)
+
     async def _append(self, changed: dict[str, Entry]) -> bool:
         text = _to_lines(changed)
         written = await self._swap({self._segment(self._next): text}, self._base, self._next + 1)
@@ -196,7 +231,15 @@
 
     async def _swap(self, segments: dict[str, str], base: int, following: int) -> bool:
         # Another text with each write, so that no other write is taken for the one that was read.
-        head = json.dumps({"base": base, "next": following, "write": uuid.uuid4().hex})
+        head = json.dumps(
+            {
+                "base": base,
+                "next": following,
+                "era": self._era,
+                "doubted_until_s": self._doubted_until_s,
+                "write": uuid.uuid4().hex,
+            }
+        )
         puts = {self._head_key: head, **segments}
         # Until the answer is here the head is unknown; a lost one leaves it so.
         known, self._head = self._head, None
@@ -210,22 +253,34 @@
     async def _load(self) -> None:
         values = await self._store.read_prefix(self._prefix)
         head = next((value for value in values if value.key == self._head_key), None)
-        self._entries = {}
-        self._base = self._next = 0
-        if head is None:
-            self._head = store_module.Value(self._head_key, "", 0)
-            return
-        plain = json.loads(head.text)
+        plain = json.loads(head.text) if head else {"base": 0, "next": 0}
         self._base, self._next = plain["base"], plain["next"]
         first = self._segment(self._base)
+        stored: dict[str, Entry] = {}
         for value in values:
             if value.key != self._head_key and value.key >= first:
-                self._entries.update(_from_lines(value.text))
-        self._head = head
+                stored.update(_from_lines(value.text))
+        self._doubt(plain.get("era", 0), plain.get("doubted_until_s", 0.0))
+        self._lost = _missing(self._entries | self._lost, stored, self._oldest_s())
+        self._entries = stored
+        self._head = head or store_module.Value(self._head_key, "", 0)
+
+    def _doubt(self, written_era: int, doubted_until_s: float) -> None:
+        """Tell until when records may be lost, given the era in which the log was written."""
+        eras = self._store.eras
+        self._era = eras.latest
+        if eras.returned_at_s is not None:
+            doubted_until_s = max(doubted_until_s, eras.returned_at_s)
+        elif 0 < written_era < self._era:
+            doubted_until_s = time.time()
+        self._doubted_until_s = max(doubted_until_s, self._doubted_until_s)
+
+    def _oldest_s(self) -> float:
+        return time.time() - self._retention_s - _MARGIN_S
 
     async def _compact(self) -> None:
         """Replace the log by its result, without what has outlived its retention."""
-        oldest_s = time.time() - self._retention_s - _MARGIN_S
+        oldest_s = self._oldest_s()
         live = {key: each for key, each in self._entries.items() if each.created_at_s > oldest_s}
         base, following = self._next, self._next
         segments = {}
@@ -242,6 +297,24 @@
         return f"{self._prefix}seg/{number:012d}"
 
 
+def _missing(
+    known: dict[str, Entry], stored: dict[str, Entry], oldest_s: float
+) -> dict[str, Entry]:
+    """Return what was acknowledged and is not stored, but for what has outlived its retention."""
+    return {
+        key: entry
+        for key, entry in known.items()
+        if entry.created_at_s > oldest_s and (key not in stored or _is_behind(stored[key], entry))
+    }
+
+
+def _is_behind(stored: Entry, known: Entry) -> bool:
+    """Whether a stored record is of the same attempt as the known one, and tells less of it."""
+    if stored.attempt != known.attempt or stored.outcome or stored.released:
+        return False
+    return bool(known.outcome) or known.released
+
+
 def _to_lines(entries: dict[str, Entry]) -> str:
     return "\n".join(
         json.dumps(
--- a/src/turmericlug/records/records.py
+++ b/src/turmericlug/records/records.py
@@ -93,6 +93,11 @@
             self._tasks.start(bucket.run())
         return self._buckets[number]
 
+    def check(self) -> None:
+        """Compare the store's records with those known here, as it has returned from a copy."""
+        for bucket in self._buckets.values():
+            bucket.check()
+
     async def ask(self, wanted: ledger.Operation, timeout_s: float) -> ledger.Verdict:
         """
         Have an operation recorded by the bucket's owner, or by the next in rank.
--- a/src/turmericlug/storage/store.py
+++ b/src/turmericlug/storage/store.py
@@ -12,8 +12,13 @@
 import aiohttp
 import attrs
 
+from turmericlug.storage import eras as eras_module
 from turmericlug.telemetry import counters as counters_module
 
+_ERA_HEADER = "Store-Era"
+_ERA_DIGITS = 18
+"""Fits into the 64 bits with which instances tell each other."""
+
 
 class StoreError(Exception):
     """The store gave no usable answer; ``reason`` is ``timeout``, ``unreachable``, ``refused``."""
@@ -41,7 +46,9 @@
         url: str,
         timeout_ms: int,
         counters: counters_module.Counters,
+        eras: eras_module.Eras | None = None,
     ) -> None:
+        self.eras = eras or eras_module.Eras()
         self._session = session
         self._url = url
         self._timeout_s = timeout_ms / 1000
@@ -112,6 +119,7 @@
             async with self._session.post(
                 f"{self._url}/v3/watch", json=body, timeout=timeout
             ) as response:
+                self._hear_era(response)
                 async for line in response.content:
                     for event in json.loads(line).get("result", {}).get("events", []):
                         yield _value(event["kv"])
@@ -126,12 +134,18 @@
                 async with self._session.post(
                     f"{self._url}/v3/kv/{operation}", json=body
                 ) as response:
+                    self._hear_era(response)
                     if response.status != 200:
                         raise aiohttp.ClientError(f"status {response.status}")
                     return await response.json(content_type=None)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise self._failed(error) from error
 
+    def _hear_era(self, response: aiohttp.ClientResponse) -> None:
+        told = response.headers.get(_ERA_HEADER, "")
+        if told.isascii() and told.isdigit() and len(told) <= _ERA_DIGITS:
+            self.eras.heard(int(told))
+
     def _failed(self, error: BaseException) -> StoreError:
         if isinstance(error, TimeoutError):
             reason = "timeout"
@@ -145,12 +159,15 @@
 
 @contextlib.asynccontextmanager
 async def connected(
-    url: str, timeout_ms: int, counters: counters_module.Counters
+    url: str,
+    timeout_ms: int,
+    counters: counters_module.Counters,
+    eras: eras_module.Eras | None = None,
 ) -> abc.AsyncIterator[Store]:
     """Hold a client with its few connections for the length of the block."""
     connector = aiohttp.TCPConnector(limit=8)
     async with aiohttp.ClientSession(connector=connector) as session:
-        yield Store(session, url, timeout_ms, counters)
+        yield Store(session, url, timeout_ms, counters, eras)
 
 
 def _comparisons(value: Value) -> list[dict[str, str]]:
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -46,6 +46,7 @@
     "membership.stepped_aside": "times this instance stopped serving for want of news",
     "store.call.*": "calls to the store, by operation",
     "store.error.*": "calls to the store that failed, by reason",
+    "records.written_again": "records put back, as the store had returned from a copy",
     "rules.applied": "revisions put in force",
     "rules.edit.*": "operators' edits, by outcome",
     "records.claim.*": "idempotency claims, by outcome",
--- a/src/turmericlug/wire/peer.capnp
+++ b/src/turmericlug/wire/peer.capnp
@@ -42,6 +42,8 @@
   catalogRevision @1 :UInt64;
   evidenceAgeMs @2 :UInt32;
   loadPermille @3 :UInt16;
+  storeEra @4 :UInt64;
+  # How often the store has returned from a copy, as far as the sender knows; 0: not known.
 }
 
 struct Member {
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from turmericlug.storage import eras as eras_module
 from turmericlug.storage import store as store_module
 
 
@@ -20,6 +21,7 @@
         self.copies = []
         """The state before each write, the newest last."""
         self.era = 1
+        self.eras = eras_module.Eras()
 
     async def read(self, key):
         if self.down:
@@ -29,12 +31,14 @@
     async def read_prefix(self, prefix):
         if self.down:
             raise store_module.StoreError("unreachable")
+        self.eras.heard(self.era)
         return [self.values[key] for key in sorted(self.values) if key.startswith(prefix)]
 
     async def swap(self, expected, puts):
         if self.down:
             raise store_module.StoreError("unreachable")
         self.swaps += 1
+        self.eras.heard(self.era)
         fate = self.plan.pop(0) if self.plan else "ok"
         if fate == "late":
             self.delayed.append((expected, puts))
