Edits that the store lost by returning from a copy are put back

An operator was told 'accepted: in force everywhere' for an edit that was in force nowhere, and the edit before it was gone from the store: the store had returned from a copy, the next edit was made on the older document and got the revision that every instance knew for the lost one, so that none took it. Cause, the incident's class: the document's own revision was given out again.

Whoever reads the configuration and has a later document in force writes that back by the swap of the head, before any edit; readers do so at their next reading of the head. Left: an instance that knows no later document and is asked for an edit before a peer or reader has put it back, which takes a reading of the head, about a second.

--- a/src/turmericlug/daemon.py
+++ b/src/turmericlug/daemon.py
@@ -303,9 +303,9 @@
             await kernel.open(name, factory)
             if name == "store":
                 prefix = settings.platform.store_prefix
-                kernel.provide(
-                    "repository", repository_module.Repository(kernel.find("store"), prefix)
-                )
+                repository = repository_module.Repository(kernel.find("store"), prefix)
+                repository.held = kernel.find("configuration").texts
+                kernel.provide("repository", repository)
         await kernel.find("detector").join(_JOIN_WAIT_S)
         events.emit("instance.started", callers_port=settings.instance.callers_port)
         await stop.wait()
--- a/src/turmericlug/rules/distribution.py
+++ b/src/turmericlug/rules/distribution.py
@@ -121,7 +121,7 @@
         began_at_s = time.monotonic()
         try:
             head = await self._repository.read_head()
-            if not head.rules or not self._config.freshness.held.covers(head.revisions):
+            if not head.rules or head.revisions != self._config.freshness.held:
                 contents = await self._repository.read()
                 head = contents.head
                 for text in contents.texts:
--- a/src/turmericlug/rules/repository.py
+++ b/src/turmericlug/rules/repository.py
@@ -6,6 +6,7 @@
 import json
 import time
 import typing
+from collections import abc
 
 import attrs
 
@@ -15,6 +16,7 @@
 from turmericlug.rules import model
 from turmericlug.rules import text as text_module
 from turmericlug.storage import store as store_module
+from turmericlug.telemetry import events
 
 _TRIES = 12
 _EMPTY_CATALOG = json.dumps({"services": {}, "groups": {}, "snapshots": []})
@@ -65,6 +67,8 @@
         self.head_key = f"{prefix}config/head"
         self._prefix = f"{prefix}config/"
         self._history = f"{prefix}history/"
+        self.held: abc.Callable[[], list[configuration.Text]] = list
+        """Returns the documents in force here, which the store accepted once."""
 
     async def read_head(self) -> configuration.Head:
         """
@@ -82,15 +86,25 @@
         """
         Read all of the configuration at one moment, creating an empty one in a new store.
 
+        Documents that are older there than in force here were lost, as the store has returned from
+        a copy. They are put back: an edit of the older ones would get a revision that instances
+        know for another edit, and would be in force nowhere.
+
         :raises RepositoryError: the store gave no answer
         """
         try:
-            values = await self._store.read_prefix(self._prefix)
-            if not values:
-                await self._create()
-                values = await self._store.read_prefix(self._prefix)
+            contents = await self._read()
+            if await self._put_back(contents):
+                contents = await self._read()
         except store_module.StoreError as error:
             raise RepositoryError(error.reason) from error
+        return contents
+
+    async def _read(self) -> Contents:
+        values = await self._store.read_prefix(self._prefix)
+        if not values:
+            await self._create()
+            values = await self._store.read_prefix(self._prefix)
         by_key = {value.key: value for value in values}
         head = configuration.head_from(by_key[self.head_key])
         rules_text = by_key[f"{self._prefix}rules"].text
@@ -101,6 +115,31 @@
         ]
         return Contents(head, model.from_json(rules_text), texts)
 
+    async def _put_back(self, contents: Contents) -> bool:
+        """Write the documents that were lost; tells whether there were any."""
+        stored = {text.name: text.revision for text in contents.texts}
+        lost = [text for text in self.held() if text.revision > stored[text.name]]
+        if not lost:
+            return False
+        revisions = stored | {text.name: text.revision for text in lost}
+        puts = {f"{self._prefix}{text.name}": text.text for text in lost}
+        for text in lost:
+            if text.name == configuration.RULES:
+                puts[f"{self._history}{text.revision:012d}"] = text.text
+        puts[self.head_key] = configuration.head_to_json(
+            revisions[configuration.RULES], revisions[configuration.CATALOG]
+        )
+        if await self._store.swap([contents.head.stored], puts):
+            for text in lost:
+                events.emit(
+                    "rules.put_back",
+                    "warning",
+                    document=text.name,
+                    revision=text.revision,
+                    stored=stored[text.name],
+                )
+        return True
+
     async def _create(self) -> None:
         await self._store.swap(
             [store_module.Value(self.head_key, "", 0)],
--- a/tests/integration/test_rules.py
+++ b/tests/integration/test_rules.py
@@ -236,6 +236,23 @@
     play(scenario)
 
 
+def test_rules_accepted_after_the_store_returned_from_a_copy_are_in_force(play):
+    """Guards against an edit that is accepted under a revision that instances know for another."""
+
+    async def scenario(fleet):
+        for name in ("first", "second"):
+            await edit(fleet, "e1", "add", text=rule(name))
+        for number, writes in enumerate((1, 2)):
+            await fleet.control("platform", lose_writes=writes)
+            _, answer = await edit(fleet, "e2", "add", text=rule(f"later{number}"))
+            assert answer["outcome"] == "accepted"
+            for name in fleet.daemons:
+                for each in ("first", "second", f"later{number}"):
+                    assert (await reason_of(fleet, name, each))[0] == "rule_shut"
+
+    play(scenario)
+
+
 def test_running_query_delays_acceptance(play):
     """
     A long query began under the old rules when the operator edits. Its answer must not come after
--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -89,6 +89,13 @@
         "        if not self._store:",
         "records/test_ledger.py::test_a_claim_written_while_the_store_returned_is_checked",
     ),
+    mutant.one(
+        "lost-edits-stay-lost",
+        "rules/repository.py",
+        "        if not lost:\n            return False",
+        "        if stored:\n            return False",
+        "rules/test_repository.py::test_edits_that_the_store_lost_are_put_back",
+    ),
     mutant.one(
         "heads-alike",
         "records/ledger.py",
--- a/tests/rules/test_repository.py
+++ b/tests/rules/test_repository.py
@@ -7,6 +7,7 @@
 
 import fake_store
 import hypothesis
+import pytest
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -67,6 +68,28 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("lost", [1, 2, 5], ids=["the latest", "both", "all"])
+def test_edits_that_the_store_lost_are_put_back(lost):
+    """Guards against an accepted edit that is gone, and its revision given to another."""
+
+    async def main():
+        store = fake_store.FakeStore()
+        first = repository.Repository(store, "t/")
+        await first.read()
+        for number, name in enumerate("ab"):
+            await first.edit(change(f"e{number}", "add", name))
+        held = (await first.read()).texts
+        first.held = lambda: held
+        store.return_from_copy(lost)
+        assert await first.edit(change("e2", "add", "c")) == repository.Stored(4)
+        contents = await repository.Repository(store, "t/").read()
+        assert {rule.name for rule in contents.rules.rules} == {"a", "b", "c"}
+        assert [edit.edit for edit in contents.rules.edits] == ["e0", "e1", "e2"]
+        assert "t/history/000000000003" in store.values
+
+    asyncio.run(main())
+
+
 class Operators(stateful.RuleBasedStateMachine):
     """
     Operators edit through instances that share nothing but the store, whose answers get lost or
