A question for changes does not wait in an era that may be past

Seen by the soak, seeds 3104 and 3207: one of three instances went by an older configuration 3 s after the store had returned from a copy. Its log has the return at 55.308 s (told by a renewal) and source.history_lost at 58.547 s: between them it waited for changes after revision 212 of the lost past, up to which the store had counted again, so that there was neither a 410 nor an answer that tells the era.

Now no question is asked for an era that is known to be past, and the first one after a call that failed or a connection that was lost comes back at once, with the era: one call more after an outage. Both new rows failed before; two mutants; the seeds stay in the short soak.

--- a/src/turmericlug/platform/store.py
+++ b/src/turmericlug/platform/store.py
@@ -49,6 +49,14 @@
     connection: client.Connection | None = None
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
+    failed: bool = False
+    """Whether the last call got no usable answer."""
+
+    @property
+    def was_lost(self) -> bool:
+        """Whether the other side may have been away since the last call."""
+        return self.failed or (self.connection is not None and self.connection.closed)
+
 
 @attrs.frozen
 class _Answer:
@@ -114,10 +122,17 @@
             returned from a copy, whose revisions stand for other changes
         :raises SourceError: no answer
         """
+        if after.era < self.era:
+            raise news.HistoryLostError
+        if self._watch.was_lost:
+            # The store may have been away. Its era comes with the answer, which is not waited for.
+            wait_s = 0.0
         query = {"Prefix": "", "after": str(after.revision), "WaitMs": str(int(wait_s * 1000))}
         try:
             answer = await self._get("kv-watch", query, self._watch, wait_s + WATCH_SLACK_S)
+            self._watch.failed = False
         except news.SourceError:
+            self._watch.failed = True
             if self.era != after.era:
                 raise news.HistoryLostError from None
             raise
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -271,6 +271,22 @@
         "",
         "platform/test_store.py::test_changes_are_not_followed_over_a_return_from_a_copy",
     ),
+    mutant.one(
+        "question-of-a-known-past",
+        "platform/store.py",
+        "        if after.era < self.era:\n            raise news.HistoryLostError\n",
+        "",
+        "platform/test_store.py"
+        "::test_changes_are_not_followed_over_a_return_from_a_copy[_known]",
+    ),
+    mutant.one(
+        "long-question-after-an-outage",
+        "platform/store.py",
+        "        if self._watch.was_lost:",
+        "        if not self._watch:",
+        "platform/test_store.py"
+        "::test_changes_are_not_followed_over_a_return_from_a_copy[_reconnected]",
+    ),
     mutant.one(
         "silent-question-after-a-return",
         "platform/store.py",
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -120,15 +120,35 @@
         return await waiting
 
 
-def returned(standin):
-    """Return from a copy and count past the revision that was known."""
+def returned(standin, past=1):
+    """Return from a copy and count up to the revision that was known, or past it."""
     known = standin.revision
     standin.return_from_copy(2)
-    while standin.revision <= known:
+    while standin.revision < known + past:
         standin.put("other/key", b"again")
 
 
-@pytest.mark.parametrize("ask", [_at_once, _while_waiting, _silent])
+async def _known(standin, store, after):
+    """Ask when another call has told of the return."""
+    returned(standin, past=0)
+    await store.lease(3.0)
+    async with asyncio.timeout(1.0):
+        return await store.changes(after, 20.0)
+
+
+async def _reconnected(standin, store, after):
+    """Ask on a new connection, as the old one was cut, when nothing told of the return."""
+    with pytest.raises(news.SourceError):
+        standin.fault = "busy"
+        await store.changes(after, 0.01)
+    standin.fault = None
+    store.close()
+    returned(standin, past=0)
+    async with asyncio.timeout(1.0):
+        return await store.changes(after, 20.0)
+
+
+@pytest.mark.parametrize("ask", [_at_once, _while_waiting, _silent, _known, _reconnected])
 def test_changes_are_not_followed_over_a_return_from_a_copy(ask):
     """Guards against changes that are missed as their revisions were known before the return."""
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,7 +7,10 @@
 
 SHORT_S = 4.0
 FIXED = (101, 102)
-REGRESSIONS: dict[int, str] = {}
+REGRESSIONS = {
+    3104: "a question for changes waited in an era that was known to be past",
+    3207: "a question for changes waited in an era that was known to be past",
+}
 """Seeds that broke a promise once, with the cause; played again for ever."""
 
 
