--- a/tests/direct/test_quarantine.py
+++ b/tests/direct/test_quarantine.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import random
 import socket
 import threading
 import time
@@ -223,6 +225,35 @@
     assert play(scripts, scenario, **changes) == 0
 
 
+def stall_often(sender, rng):
+    """Block the event loop up to seven times, while parts of a query begin and between them."""
+    begin, begun = sender.replicas.extra_sends, itertools.count(1)
+    stalled = set(rng.sample(range(1, 2 * len(SHARDS) + 1), rng.randint(1, 3)))
+
+    def extra_sends(service):
+        if next(begun) in stalled:
+            time.sleep(rng.uniform(0.02, 0.2))
+        return begin(service)
+
+    sender.replicas.extra_sends = extra_sends
+    for _ in range(4):
+        loop = asyncio.get_running_loop()
+        loop.call_later(rng.uniform(0.0, 0.2), time.sleep, rng.uniform(0.01, 0.13))
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_a_process_that_stalls_again_and_again_does_not_hedge_parts_that_have_ended(seed):
+    """Hedges fell due in one of several stalls and reached replicas before the ends were known."""
+    scripts, changes = query(scripted.Ending)
+
+    async def scenario(sender, call):
+        stall_often(sender, random.Random(seed))
+        return await answering.all_shards(sender, call)
+
+    play(scripts, scenario, **changes)
+    assert reached(scripts) <= len(SHARDS) + poison.ENDS_TO_SUSPECT - 1
+
+
 class EndingSlowly(scripted.Ending):
     """A replica that ends under a request, and whose machine is slow to refuse connections."""
 
