A store that is down is not read without a pause by buckets that nobody waits for

Found on reading: a bucket whose records are to be checked after a return of the store tried its reading twenty times a second for as long as the store was away. It waits for a second, or for the first operation. The test counts one reading in 0.4 s; 8 with the former pause.

--- a/src/turmericlug/records/ledger.py
+++ b/src/turmericlug/records/ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import time
 import uuid
@@ -26,6 +27,8 @@
 """Records outlive the age at which their key is refused by this much clock error."""
 _COMPACT_SEGMENTS = 48
 _CHUNK_BYTES = 512 * 1024
+_RETRY_S = 0.05
+_CHECK_AGAIN_S = 1.0
 
 
 @attrs.frozen
@@ -171,11 +174,20 @@
                     await self._write_batch(self._waiting[:MAX_BATCH])
                 except store_module.StoreError:
                     self._head = None
-                    await asyncio.sleep(0.05)
+                    await self._pause()
             left_s = began_at_s + self._interval_s - time.monotonic()
             if left_s > 0:
                 await asyncio.sleep(left_s)
 
+    async def _pause(self) -> None:
+        """Leave a store that does not answer alone, for longer when nobody waits for it."""
+        if self._waiting:
+            await asyncio.sleep(_RETRY_S)
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_CHECK_AGAIN_S):
+                await self._wake.wait()
+
     async def _write_batch(self, batch: list[_Waiting]) -> None:
         """
         Decide a batch and record what changes, in one write.
--- a/tests/records/test_ledger.py
+++ b/tests/records/test_ledger.py
@@ -13,6 +13,7 @@
 
 from turmericlug.records import ledger
 from turmericlug.storage import eras
+from turmericlug.storage import store as store_module
 from turmericlug.telemetry import counters as counters_module
 
 NOW_S = int(time.time())
@@ -210,6 +211,30 @@
     asyncio.run(main())
 
 
+def test_a_store_that_is_down_is_not_asked_without_a_pause():
+    """Guards against each bucket reading its log twenty times a second when nobody waits."""
+
+    async def main():
+        store = fake_store.FakeStore()
+        writer = bucket(store)
+        await ask(writer, operation("claim"))
+        store.down = True
+        reads = []
+
+        async def read_prefix(prefix):
+            reads.append(prefix)
+            raise store_module.StoreError("unreachable")
+
+        store.read_prefix = read_prefix
+        running = asyncio.create_task(writer.run())
+        writer.check()
+        await asyncio.sleep(0.4)
+        running.cancel()
+        assert len(reads) == 1
+
+    asyncio.run(main())
+
+
 def test_the_outcome_of_a_lost_claim_is_recorded():
     """Guards against an answered request that is told to be under way for ever."""
 
