--- a/src/turmericlug_lab/standin_platform.py
+++ b/src/turmericlug_lab/standin_platform.py
@@ -32,7 +32,7 @@
 
 ERA_HEADER = "Store-Era"
 """Tells in every answer how often the store has returned from a copy."""
-_COPIES = 500
+_COPIES = 100
 """Writes back to which the store can return."""
 
 
