--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -88,8 +88,8 @@
             many = not placement.everyone_sends(view.instances_count())
             await asyncio.sleep(PAUSE_MANY_S if many else PAUSE_S)
         except news.HistoryLostError:
-            after = position.revision if position else None
-            decisions.log("source.history_lost", after=after, era=position and position.era)
+            if position is not None:
+                decisions.log("source.history_lost", after=position.revision, era=position.era)
             counters.add("source.history_lost")
             position = None
         except news.SourceError as error:
@@ -144,9 +144,9 @@
         self.lease = None
         self.written = False
 
-    def is_older_than(self, era: int | None) -> bool:
+    def is_older_than(self, era: int) -> bool:
         """Whether an entry was last shown in an era before one."""
-        return self.lease is not None and era is not None and era > self.era
+        return self.lease is not None and era > self.era
 
 
 async def stay_registered(
@@ -170,7 +170,7 @@
     while not may_serve():
         await asyncio.sleep(0.05)
     lease = view.lease_of(own)
-    standing = _Standing(lease, lease is not None, view.era or 0)
+    standing = _Standing(lease, lease is not None, view.era)
     try:
         while True:
             tried_s = loop.time()
@@ -200,7 +200,7 @@
         try:
             if standing.lease is None:
                 standing.lease = await source.lease(LEASE_S)
-                standing.era = max(source.era, view.era or 0)
+                standing.era = max(source.era, view.era)
                 standing.written = False
             if standing.written:
                 await source.keep(standing.lease)
@@ -251,10 +251,10 @@
     """
     if view.own_entry_removed:
         view.own_entry_removed = standing.written = False
-    if not standing.is_older_than(view.era) or source.era > (view.era or 0):
+    if not standing.is_older_than(view.era) or source.era > view.era:
         return
     if view.lease_of(own) == standing.lease:
-        standing.era = view.era or 0
+        standing.era = view.era
         return
     decisions.log("instance.registration_lost", lease=standing.lease, era=view.era)
     standing.lose()
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -14,6 +14,7 @@
 
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
+from turmericlug.entry import differences
 from turmericlug.entry import news
 from turmericlug.entry import recent
 from turmericlug.telemetry import decisions
@@ -58,8 +59,8 @@
         """When entries vanished that may come back, by key."""
         self._away_since_s: float | None = None
         self._returned_s = float("-inf")
-        self.era: int | None = None
-        """Of the source, as of the latest news; ``None`` before the first."""
+        self.era = 0
+        """Of the source, as of the latest news; 0: none was told yet."""
         self._era_changed_s = float("-inf")
         self._heard_s = float("-inf")
         self._counts = recent.RecentMaximum(INSTANCES_MEMORY_S)
@@ -123,19 +124,7 @@
 
     def news_in(self, snapshot: news.Snapshot) -> news.Changes:
         """Return what a fresh reading tells that was not known, as changes."""
-        present = {written.key for written in snapshot.written}
-        written = [
-            each
-            for each in snapshot.written
-            if each.key not in self._keys or _is_news(each, self._keys[each.key])
-        ]
-        removed = [
-            news.Removed(key, snapshot.revision, snapshot.era)
-            for key in self._keys
-            if key not in present
-        ]
-        changes = sorted([*written, *removed], key=lambda each: each.position)
-        return news.Changes(tuple(changes), snapshot.revision, era=snapshot.era)
+        return differences.between(self._keys, snapshot)
 
     def _note_count(self) -> None:
         self._counts.note(self._now_s(), len(self.instances))
@@ -145,7 +134,7 @@
         self._enter(snapshot.era)
         present = {written.key for written in snapshot.written}
         missing = [key for key in self._keys if key not in present]
-        self._tell_passed_over(snapshot.written, snapshot.revision)
+        differences.tell_passed_over(self._keys, snapshot.written, snapshot.revision)
         for written in snapshot.written:
             self._write(written)
         self._remove([key for key in missing if key not in self._held], snapshot.revision)
@@ -154,7 +143,7 @@
         """Take over what has changed, in order."""
         removed = []
         self._enter(changes.era)
-        self._tell_passed_over(changes.changes, changes.revision)
+        differences.tell_passed_over(self._keys, changes.changes, changes.revision)
         for change in changes.changes:
             if isinstance(change, news.Removed):
                 if self._is_newer(change):
@@ -165,23 +154,6 @@
             self._write(change)
         self._remove(removed, changes.revision)
 
-    def _tell_passed_over(self, changes: abc.Iterable[news.Change], revision: int) -> None:
-        """Log what is told of no later position than what is known, as one line."""
-        found = [
-            each
-            for each in changes
-            if each.key in self._keys and _is_passed_over(each, self._keys[each.key])
-        ]
-        if found:
-            decisions.log(
-                "view.passed_over",
-                count=len(found),
-                key=found[-1].key,
-                revision=found[-1].revision,
-                known_revision=self._keys[found[-1].key].revision,
-                told_revision=revision,
-            )
-
     def _is_newer(self, removed: news.Removed) -> bool:
         """Whether a removal is not of an entry that has been written again since."""
         known = self._keys.get(removed.key)
@@ -194,10 +166,10 @@
         In a new one, what is missing has been lost by the source perhaps, not removed: the operator
         and the replicas write it again.
         """
-        if self.era is not None and era > self.era:
+        if 0 < self.era < era:
             self._era_changed_s = self._returned_s = self._now_s()
             decisions.log("view.era", era=era, before=self.era)
-        self.era = era if self.era is None else max(self.era, era)
+        self.era = max(self.era, era)
 
     def _write(self, written: news.Written | news.Unreadable) -> None:
         known = self._keys.get(written.key)
@@ -387,20 +359,6 @@
             self._forget(key, self._keys[key].revision)
 
 
-def _is_passed_over(change: news.Change, known: news.Written | news.Unreadable) -> bool:
-    if change.position != known.position:
-        return change.position < known.position
-    return isinstance(change, news.Removed) or change.content != known.content
-
-
-def _is_news(
-    written: news.Written | news.Unreadable, known: news.Written | news.Unreadable
-) -> bool:
-    """Whether an entry is another one than is known; in a new era, most are just the same."""
-    same = (written.revision, written.content) == (known.revision, known.content)
-    return known.position < written.position and not same
-
-
 def _is_replica(written: news.Written | news.Unreadable | None) -> bool:
     return isinstance(written, news.Written) and isinstance(written.value, routes.ReplicaEntry)
 
--- a/src/turmericlug/platform/store.py
+++ b/src/turmericlug/platform/store.py
@@ -31,8 +31,6 @@
 MOST_KEYS = 32
 """Keys that the store takes in one call."""
 _REASONS = {429: "rate", 503: "busy"}
-
-
 _ERA_HEADER = b"store-era"
 _ERA_DIGITS = 18
 """Fits into the 64 bits with which instances tell each other."""
@@ -48,7 +46,6 @@
 
     connection: client.Connection | None = None
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
-
     failed: bool = False
     """Whether the last call got no usable answer."""
 
@@ -60,6 +57,8 @@
 
 @attrs.frozen
 class _Answer:
+    """What a call was answered, and the era that the answer is of."""
+
     era: int
     body: typing.Any
 
