--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -108,7 +108,7 @@
         "storage/store.py",
         "    if value.revision:\n",
         "    if not value.key:\n",
-        "storage/test_store.py"
+        "storage/test_storage.py"
         "::test_a_key_that_holds_something_else_under_the_same_revision_is_not_swapped",
     ),
     mutant.one(
