--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
-import os
 import pathlib
 import signal
 import sys
@@ -26,7 +26,9 @@
     """
     # Ended from outside, it still ends the instances that it has started.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_PLAYED))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--trouble", choices=("0", "1"), default="1")
+    trouble = parser.parse_args().trouble == "1"
     with tempfile.TemporaryDirectory() as folder:
         try:
             record, broken = asyncio.run(play(pathlib.Path(folder), trouble))
