Log the requests in flight at the exit of a leaving instance

No line told how a leaving instance ended: after instance.leaving, a request whose connection closed without an answer could be one that was accepted too late, one that the exit cut off, one that a replica broke off, or one of an instance that noticed its signal late. instance.leaving has noticed_after_ms and send.broken_off names the replica; instance.exiting now has the number of requests that were read and have no answer yet.

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -12,7 +12,6 @@
 import random
 import signal
 import socket
-import time
 import typing
 from collections import abc
 
@@ -31,6 +30,7 @@
 from turmericlug.entry import callers as callers_module
 from turmericlug.entry import deregistration
 from turmericlug.entry import directory as directory_module
+from turmericlug.entry import draining
 from turmericlug.entry import follower
 from turmericlug.entry import journal as journal_module
 from turmericlug.entry import listeners
@@ -67,15 +67,6 @@
 """With eight new connections per round, 40 replicas are connected 1.5 s after the start."""
 TOTALS_INTERVAL_S = 10.0
 """Each log line of totals has about 1 kB, a thousandth of what may be logged in a busy second."""
-REFUSE_AFTER_SHARE = 0.6
-"""Share of the grace period after which a draining instance refuses requests: those accepted later
-could be interrupted by the forced termination."""
-EXIT_MARGIN_S = 0.7
-"""Time between the exit and the forced termination, so that a slow instance can still send its
-last answers."""
-MIN_DRAIN_S = 2.5
-"""A draining instance without connections exits after this time, which is longer than callers cache
-its address (2 s)."""
 _GC_THRESHOLDS = (20_000, 20, 50)
 
 Kernel = kernel_module.Kernel
@@ -137,7 +128,7 @@
         for name, factory in _SERVICES:
             await kernel.open(name, factory)
         decisions.log("instance.started")
-        await _drain(kernel, await stop_requested)
+        await draining.drain(kernel, await stop_requested)
     finally:
         await kernel.close()
     decisions.log("instance.stopped")
@@ -373,44 +364,6 @@
         yield running
 
 
-async def _drain(kernel: Kernel, stop_requested_s: float) -> None:
-    """
-    Drain the instance so that no request is interrupted.
-
-    Its registration is removed first, so that new callers connect elsewhere. Callers that still
-    have the address are served, and each answer asks them to connect elsewhere. Late in the grace
-    period, new requests that could be interrupted are refused, and until its end the process waits
-    for the last answers.
-
-    :param stop_requested_s: when the grace period began, by ``time.monotonic``
-    """
-    loop = asyncio.get_running_loop()
-    noticed_after_s = time.monotonic() - stop_requested_s
-    began_s = loop.time() - noticed_after_s
-    grace_s = kernel.find("live settings").policy.grace_s
-    caller_server, handler = kernel.find("caller server"), kernel.find("request handler")
-    decisions.log(
-        "instance.leaving",
-        connections=len(caller_server.connections),
-        grace_s=grace_s,
-        noticed_after_ms=round(noticed_after_s * 1000),
-    )
-    caller_server.drain()
-    quota_service.leave(kernel)
-    await kernel.find("registration tasks").close()
-    refuse_at_s = began_s + REFUSE_AFTER_SHARE * grace_s
-    exit_at_s = began_s + grace_s - EXIT_MARGIN_S
-    handler.start_draining(refuse_at_s, exit_at_s)
-    deregistered = follower.stay_deregistered(
-        kernel.find("source"), kernel.find("view"), kernel.find("settings").entry.name
-    )
-    async with tasks.background(deregistered):
-        while loop.time() < exit_at_s:
-            if loop.time() >= began_s + MIN_DRAIN_S and not caller_server.connections:
-                break
-            await asyncio.sleep(0.05)
-
-
 _SERVICES: tuple[tuple[str, kernel_module.ServiceFactory], ...] = (
     ("source", _source),
     ("view", _view),
--- /dev/null
+++ b/src/turmericlug/entry/draining.py
@@ -0,0 +1,61 @@
+"""Draining of an entry instance: it leaves the directory, finishes its requests and exits."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from turmericlug.entry import follower
+from turmericlug.entry import quota_service
+from turmericlug.kernel import kernel as kernel_module
+from turmericlug.kernel import tasks
+from turmericlug.telemetry import decisions
+
+REFUSE_AFTER_SHARE = 0.6
+"""Share of the grace period after which a draining instance refuses requests: those accepted later
+could be interrupted by the forced termination."""
+EXIT_MARGIN_S = 0.7
+"""Time between the exit and the forced termination, so that a slow instance can still send its
+last answers."""
+MIN_DRAIN_S = 2.5
+"""A draining instance without connections exits after this time, which is longer than callers cache
+its address (2 s)."""
+
+
+async def drain(kernel: kernel_module.Kernel, stop_requested_s: float) -> None:
+    """
+    Drain the instance so that no request is interrupted.
+
+    Its registration is removed first, so that new callers connect elsewhere. Callers that still
+    have the address are served, and each answer asks them to connect elsewhere. Late in the grace
+    period, new requests that could be interrupted are refused, and until its end the process waits
+    for the last answers.
+
+    :param stop_requested_s: when the grace period began, by ``time.monotonic``
+    """
+    loop = asyncio.get_running_loop()
+    noticed_after_s = time.monotonic() - stop_requested_s
+    began_s = loop.time() - noticed_after_s
+    grace_s = kernel.find("live settings").policy.grace_s
+    caller_server, handler = kernel.find("caller server"), kernel.find("request handler")
+    decisions.log(
+        "instance.leaving",
+        connections=len(caller_server.connections),
+        grace_s=grace_s,
+        noticed_after_ms=round(noticed_after_s * 1000),
+    )
+    caller_server.drain()
+    quota_service.leave(kernel)
+    await kernel.find("registration tasks").close()
+    refuse_at_s = began_s + REFUSE_AFTER_SHARE * grace_s
+    exit_at_s = began_s + grace_s - EXIT_MARGIN_S
+    handler.start_draining(refuse_at_s, exit_at_s)
+    deregistered = follower.stay_deregistered(
+        kernel.find("source"), kernel.find("view"), kernel.find("settings").entry.name
+    )
+    async with tasks.background(deregistered):
+        while loop.time() < exit_at_s:
+            if loop.time() >= began_s + MIN_DRAIN_S and not caller_server.connections:
+                break
+            await asyncio.sleep(0.05)
+    decisions.log("instance.exiting", in_flight=caller_server.busy_count())
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -76,6 +76,10 @@
         """Start draining: every response from now on has ``connection: close``."""
         self.draining = True
 
+    def busy_count(self) -> int:
+        """Return how many connections have a request that was read and has no response yet."""
+        return sum(connection.busy for connection in self.connections)
+
     def close(self) -> None:
         """Close every connection."""
         for connection in list(self.connections):
