Answer all requests in flight when a leaving instance exits

Callers saw: a request that a leaving instance read 3.3 s after its SIGTERM was passed on to a replica with a queue, and its connection ended without an answer at 5.3 s.

A request that isn't idempotent was accepted until 0.6 of the grace period, 3.6 s of 6, although its deadline was beyond the exit; and whatever was in flight at the exit was closed without an answer, whenever it had been read.

Change: at the exit every request in flight ends: 503 if no replica can have received it, otherwise 502, also while it waits for a quota, for admission or for a connection. Requests that aren't idempotent are refused from 3 s on (or 0.6 of the grace period if that is sooner) if they may outlast the process; the limit of idempotent ones stays, since most of them are answered in time and the others can be repeated. Refusing begins before the deregistration, which waits up to a second for a silent store.

No request that is idempotent is refused sooner.

--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import typing
 from collections import abc
 
@@ -98,6 +99,12 @@
             return True
         return any(attempt.ran for attempt in self.attempts_by_service.get(service, ()))
 
+    def may_have_been_sent(self) -> bool:
+        """Whether a replica may have run the request; false if it was not written to any."""
+        attempts = itertools.chain.from_iterable(self.attempts_by_service.values())
+        may_run = any(attempt.ran and attempt.written_s is not None for attempt in attempts)
+        return may_run or bool(self.handed_over)
+
     def shorten_timeouts(self, stuck_after_s: float) -> None:
         """
         Shorten the timeouts of pending attempts, as the caller has its response.
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -20,6 +20,7 @@
 from turmericlug.direct import weighted_round_robin
 from turmericlug.entry import admission as admission_module
 from turmericlug.entry import identity
+from turmericlug.entry import in_flight
 from turmericlug.entry import organisation_counts
 from turmericlug.entry import quota_check
 from turmericlug.entry import quotas as quotas_module
@@ -43,6 +44,8 @@
 MAX_SPENT_SHARE = 0.5
 """Largest share of a goal that may count as spent before the request was sent, on the caller's
 address lookup and connection setup."""
+LEAVING = "leaving"
+"""Reason for refusing or failing a request because the process exits."""
 MIN_TIME_LEFT_S = 0.003
 """A request with less time left is refused: a round trip to a replica takes longer."""
 
@@ -62,7 +65,9 @@
         self.sender = sender
         self.organisation_counts = organisation_counts.OrganisationCounts()
         self._quota_check = quota_check.QuotaCheck(quotas, sender, self.organisation_counts)
+        self._in_flight = in_flight.InFlight()
         self._refuse_from_s = math.inf
+        self._refuse_unrepeatable_from_s = math.inf
         self._exits_at_s = math.inf
         self._source_age_s = source_age_s
         self._admission = admission
@@ -95,16 +100,18 @@
             return identified
         organisation = identified.organisation
         if organisation is not None:
-            refusal = await self._quota_check.refusal(request, route, organisation)
+            try:
+                async with self._in_flight.until_exit():
+                    refusal = await self._quota_check.refusal(request, route, organisation)
+            except in_flight.ExitingError:
+                return self._refused_leaving(request, organisation)
             if refusal is not None:
                 return refusal
             route = route.restricted_to(organisation.regions)
         call = self._make_call(request, request_id, target, route, configuration, organisation)
         if self._may_be_interrupted(call):
-            if organisation is not None:
-                self.organisation_counts.add(organisation.name, "refused", "leaving")
             self._quota_check.refund(call)
-            return attrs.evolve(self._refused(request, "leaving"), close=True)
+            return self._refused_leaving(request, organisation)
         return await self._answer_call(call, request.caller_host)
 
     def _identify(
@@ -126,24 +133,40 @@
             case identity.Rejected():
                 return self._unauthorised(request, route, configuration, result.reason)
 
-    def start_draining(self, refuse_from_s: float, exits_at_s: float) -> None:
+    def start_draining(
+        self, refuse_unrepeatable_from_s: float, refuse_from_s: float, exits_at_s: float
+    ) -> None:
         """
         Begin draining: refuse requests that may still be in flight when the process exits.
 
-        :param refuse_from_s: time until which every request is accepted
+        :param refuse_unrepeatable_from_s: time until which requests that aren't idempotent are
+            accepted
+        :param refuse_from_s: time until which idempotent requests are accepted
         :param exits_at_s: time at which the process exits
         """
+        self._refuse_unrepeatable_from_s = refuse_unrepeatable_from_s
         self._refuse_from_s, self._exits_at_s = refuse_from_s, exits_at_s
 
+    def end_requests(self) -> None:
+        """
+        Answer all requests in flight now, as the process exits.
+
+        One that no replica has received is refused; the others fail, as they may have run.
+        """
+        self._in_flight.end()
+
     def _may_be_interrupted(self, call: sending.Call) -> bool:
         """
         Whether this process may exit before the request's deadline.
 
         Requests with an earlier deadline are still accepted: there is time to answer them long
-        before the exit, and if they were refused, they would be answered late after a retry.
+        before the exit, and if they were refused, they would be answered late after a retry. A
+        request that isn't idempotent is refused sooner: its caller can't repeat it once it fails.
         """
         now_s = asyncio.get_running_loop().time()
-        return now_s >= self._refuse_from_s and call.deadline_s > self._exits_at_s
+        idempotent = call.route.idempotent
+        refuse_from_s = self._refuse_from_s if idempotent else self._refuse_unrepeatable_from_s
+        return now_s >= refuse_from_s and call.deadline_s > self._exits_at_s
 
     def on_configured(self) -> None:
         """Wake requests that wait for the first configuration."""
@@ -233,7 +256,10 @@
         )
         try:
             with self.sender.quarantine.in_flight(call):
-                result = await self._get_result(call, loop.time())
+                async with self._in_flight.until_exit():
+                    result = await self._get_result(call, loop.time())
+        except in_flight.ExitingError:
+            result = self._interrupt(call)
         except asyncio.CancelledError:
             self._on_caller_left(call, loop.time())
             self._quota_check.refund_unsent(call)
@@ -260,6 +286,13 @@
             )
         return await answering.request_service(self.sender, call, service)
 
+    def _interrupt(self, call: sending.Call) -> answering.Result:
+        """End a request that the process can't wait for; it may have run if it was sent."""
+        call.abandon()
+        if call.may_have_been_sent():
+            return answering.failure(502, LEAVING)
+        return answering.refusal(self.sender, LEAVING)
+
     async def _query_shards(self, call: sending.Call) -> answering.Result:
         loop = asyncio.get_running_loop()
         trial_result = await trial.try_query(self.sender, call)
@@ -345,6 +378,13 @@
             repeats=call.retries,
         )
 
+    def _refused_leaving(
+        self, request: messages.Request, organisation: organisations_module.Organisation | None
+    ) -> messages.Response:
+        if organisation is not None:
+            self.organisation_counts.add(organisation.name, "refused", LEAVING)
+        return attrs.evolve(self._refused(request, LEAVING), close=True)
+
     def _refused(self, request: messages.Request, reason: str) -> messages.Response:
         self.sender.counters.add(f"entry.refused.{reason}")
         decisions.log(
--- a/src/turmericlug/entry/draining.py
+++ b/src/turmericlug/entry/draining.py
@@ -3,20 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 
 from turmericlug.entry import follower
 from turmericlug.entry import quota_service
+from turmericlug.http1 import server
 from turmericlug.kernel import kernel as kernel_module
 from turmericlug.kernel import tasks
 from turmericlug.telemetry import decisions
 
 REFUSE_AFTER_SHARE = 0.6
-"""Share of the grace period after which a draining instance refuses requests: those accepted later
-could be interrupted by the forced termination."""
+"""Share of the grace period after which a draining instance refuses requests that may outlast the
+process."""
+REFUSE_UNREPEATABLE_AFTER_S = 3.0
+"""The same for requests that aren't idempotent, if this is sooner: callers take into account that
+one of these which was sent earlier may be interrupted."""
 EXIT_MARGIN_S = 0.7
-"""Time between the exit and the forced termination, so that a slow instance can still send its
-last answers."""
+"""Time between the end of the last requests and the forced termination, so that a slow instance can
+still send its last answers."""
+LAST_ANSWERS_S = 0.2
+"""Time to write these answers; with the margin above, the process ends before it is forced to
+(``stop_signal.FORCED_EXIT_MARGIN_S``)."""
 MIN_DRAIN_S = 2.5
 """A draining instance without connections exits after this time, which is longer than callers cache
 its address (2 s)."""
@@ -24,12 +32,13 @@
 
 async def drain(kernel: kernel_module.Kernel, stop_requested_s: float) -> None:
     """
-    Drain the instance so that no request is interrupted.
+    Drain the instance, and answer every request that it has read.
 
     Its registration is removed first, so that new callers connect elsewhere. Callers that still
     have the address are served, and each answer asks them to connect elsewhere. Late in the grace
-    period, new requests that could be interrupted are refused, and until its end the process waits
-    for the last answers.
+    period, new requests that could be interrupted are refused. Requests that are still in flight at
+    its end are refused or fail, since a connection that ends without an answer leaves open whether
+    the request was read at all.
 
     :param stop_requested_s: when the grace period began, by ``time.monotonic``
     """
@@ -45,11 +54,14 @@
         noticed_after_ms=round(noticed_after_s * 1000),
     )
     caller_server.drain()
+    refuse_after_s = REFUSE_AFTER_SHARE * grace_s
+    refuse_unrepeatable_after_s = min(refuse_after_s, REFUSE_UNREPEATABLE_AFTER_S)
+    exit_at_s = began_s + grace_s - EXIT_MARGIN_S
+    handler.start_draining(
+        began_s + refuse_unrepeatable_after_s, began_s + refuse_after_s, exit_at_s
+    )
     quota_service.leave(kernel)
     await kernel.find("registration tasks").close()
-    refuse_at_s = began_s + REFUSE_AFTER_SHARE * grace_s
-    exit_at_s = began_s + grace_s - EXIT_MARGIN_S
-    handler.start_draining(refuse_at_s, exit_at_s)
     deregistered = follower.stay_deregistered(
         kernel.find("source"), kernel.find("view"), kernel.find("settings").entry.name
     )
@@ -58,4 +70,13 @@
             if loop.time() >= began_s + MIN_DRAIN_S and not caller_server.connections:
                 break
             await asyncio.sleep(0.05)
-    decisions.log("instance.exiting", in_flight=caller_server.busy_count())
+        decisions.log("instance.exiting", in_flight=caller_server.busy_count())
+        handler.end_requests()
+        await _wait_for_last_answers(caller_server)
+
+
+async def _wait_for_last_answers(caller_server: server.Server) -> None:
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(LAST_ANSWERS_S):
+            while caller_server.busy_count():
+                await asyncio.sleep(0.01)
--- a/src/turmericlug/entry/quota_check.py
+++ b/src/turmericlug/entry/quota_check.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import math
 
 from turmericlug.direct import organisations as organisations_module
@@ -93,7 +92,5 @@
 
     def refund_unsent(self, call: sending.Call) -> None:
         """Take back the token of an abandoned request, unless it has been sent."""
-        attempts = itertools.chain.from_iterable(call.attempts_by_service.values())
-        may_run = any(attempt.ran and attempt.written_s is not None for attempt in attempts)
-        if not (may_run or call.handed_over):
+        if not call.may_have_been_sent():
             self.refund(call)
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -34,7 +34,7 @@
         handler = callers_module.RequestHandler(view, sender, lambda: age_s)
         now_s = asyncio.get_running_loop().time()
         if draining:
-            handler.start_draining(now_s - 0.1, now_s + 1.0)
+            handler.start_draining(now_s - 0.1, now_s - 0.1, now_s + 1.0)
         answer = await handler.handle(
             messages.Request(b"GET", target, tuple(headers), b"", now_s, now_s)
         )
@@ -92,6 +92,76 @@
     assert (b"%s: %s\r\n" % header in request) == forwarded
 
 
+def make_handler(replica, idempotent):
+    sender = scripted.make_sender({"s": {"a": replica}})
+    view = view_module.View("own", sender.replicas, sender.replicas, lambda: 0.0)
+    services = (routes.WeightedService("s", 1.0),)
+    route = routes.Route("r", "h.example", "/x/", idempotent, 2000, 100, 1, 2, services)
+    view.configuration = routes.Configuration(3, (route,), {}, messages.Limits())
+    return callers_module.RequestHandler(view, sender, lambda: 0.0), sender
+
+
+def make_request():
+    now_s = asyncio.get_running_loop().time()
+    return messages.Request(b"GET", b"/x/1", (HOST, ID), b"", now_s, now_s)
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "draining_s", "exits_in_s", "status"),
+    [
+        (False, 2.9, 1.0, 200),
+        (False, 3.1, 1.0, 503),
+        (False, 3.1, 3.0, 200),
+        (True, 3.1, 1.0, 200),
+        (True, 3.9, 1.0, 200),
+        (True, 4.1, 1.0, 503),
+        (True, 4.1, 3.0, 200),
+    ],
+)
+def test_what_a_draining_instance_refuses(idempotent, draining_s, exits_in_s, status):
+    """
+    Guards against requests that are cut off at the exit and can't be repeated, and against refusals
+    of requests that are answered in time.
+    """
+
+    async def main():
+        replica = scripted.ScriptedReplica(scripted.response(body=b"good"))
+        handler, _ = make_handler(replica, idempotent)
+        now_s = asyncio.get_running_loop().time()
+        began_s = now_s - draining_s
+        handler.start_draining(began_s + 3.0, began_s + 4.0, now_s + exits_in_s)
+        return (await handler.handle(make_request())).status, len(replica.requests)
+
+    assert asyncio.run(main()) == (status, int(status == 200))
+
+
+@pytest.mark.parametrize("idempotent", [False, True], ids=["not idempotent", "idempotent"])
+@pytest.mark.parametrize(
+    ("replica", "sent", "status"),
+    [(scripted.SlowToConnect, 0, 503), (scripted.ScriptedReplica, 1, 502)],
+    ids=["waiting for a connection", "in flight"],
+)
+def test_requests_in_flight_at_the_exit_are_answered(replica, sent, status, idempotent):
+    """
+    Guards against connections that end without an answer when a leaving instance exits, and against
+    a request that is refused as not run and sent after that.
+    """
+
+    async def main():
+        slow = replica(0.5, scripted.response(body=b"good"))
+        handler, sender = make_handler(slow, idempotent)
+        task = asyncio.create_task(handler.handle(make_request()))
+        await asyncio.sleep(0.05)
+        handler.end_requests()
+        async with asyncio.timeout(0.1):
+            answer = await task
+        await asyncio.sleep(0.2)
+        await sender.tasks.finish()
+        return answer.status, len(slow.requests)
+
+    assert asyncio.run(main()) == (status, sent)
+
+
 @pytest.mark.parametrize(
     ("replica", "idempotent", "sent", "cancelled"),
     [
@@ -116,24 +186,8 @@
 
     async def main():
         slow = replica(0.2, scripted.response(body=b"good"))
-        sender = scripted.make_sender({"s": {"a": slow}})
-        view = view_module.View("own", sender.replicas, sender.replicas, lambda: 0.0)
-        route = routes.Route(
-            "r",
-            "h.example",
-            "/x/",
-            idempotent,
-            2000,
-            100,
-            1,
-            2,
-            (routes.WeightedService("s", 1.0),),
-        )
-        view.configuration = routes.Configuration(3, (route,), {}, messages.Limits())
-        handler = callers_module.RequestHandler(view, sender, lambda: 0.0)
-        now_s = asyncio.get_running_loop().time()
-        request = messages.Request(b"GET", b"/x/1", (HOST, ID), b"", now_s, now_s)
-        task = asyncio.create_task(handler.handle(request))
+        handler, sender = make_handler(slow, idempotent)
+        task = asyncio.create_task(handler.handle(make_request()))
         await asyncio.sleep(0.05)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
--- a/tests/entry/test_quota_check.py
+++ b/tests/entry/test_quota_check.py
@@ -17,6 +17,7 @@
 from turmericlug.entry import quotas as quotas_module
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import messages
+from turmericlug.policy import quota_share
 from turmericlug.telemetry import decisions
 
 NAMES = attrs.evolve(scripted.NAMES, api_key=b"key", organisation=b"organisation")
@@ -122,12 +123,33 @@
     async def main():
         handler, quotas, _ = make_handler(scripted.ScriptedReplica(GOOD))
         now_s = asyncio.get_running_loop().time()
-        handler.start_draining(now_s - 0.1, now_s + 0.1)
+        handler.start_draining(now_s - 0.1, now_s - 0.1, now_s + 0.1)
         return (await send(handler, (b"key", b"k"))).status, used(quotas)
 
     assert asyncio.run(main()) == (503, {"limited": 0})
 
 
+def test_a_request_that_waits_for_its_quota_at_the_exit_is_refused(monkeypatch):
+    """Guards against a connection that ends without an answer while the holder is silent."""
+
+    async def main():
+        replica = scripted.ScriptedReplica(GOOD)
+        handler, quotas, _ = make_handler(replica)
+
+        async def ask(*_):
+            await asyncio.sleep(10)
+
+        monkeypatch.setattr(quotas, "try_admit", lambda *_: quota_share.MustAsk())
+        monkeypatch.setattr(quotas, "ask", ask)
+        task = asyncio.create_task(send(handler, (b"key", b"k")))
+        await asyncio.sleep(0.01)
+        handler.end_requests()
+        async with asyncio.timeout(0.1):
+            return (await task).status, len(replica.requests)
+
+    assert asyncio.run(main()) == (503, 0)
+
+
 @pytest.mark.parametrize(
     ("replica", "counted"), [(scripted.SlowToConnect, 0), (scripted.ScriptedReplica, 1)]
 )
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -30,6 +30,27 @@
         '        self._fail(ConnectionLostError("closed"))',
         "http1/test_client.py::test_incomplete_responses",
     ),
+    mutant.one(
+        "cut-off-requests-at-the-exit",
+        "entry/draining.py",
+        "        handler.end_requests()\n",
+        "",
+        "integration/test_leaving_entry.py::test_requests_that_outlast_the_process_are_answered",
+    ),
+    mutant.one(
+        "refuse-what-has-been-sent-at-the-exit",
+        "entry/callers.py",
+        "        if call.may_have_been_sent():\n",
+        "        if not call:\n",
+        "entry/test_callers.py::test_requests_in_flight_at_the_exit_are_answered",
+    ),
+    mutant.one(
+        "accept-unrepeatable-requests-as-long-as-others",
+        "entry/callers.py",
+        "self._refuse_from_s if idempotent else self._refuse_unrepeatable_from_s",
+        "self._refuse_from_s",
+        "entry/test_callers.py::test_what_a_draining_instance_refuses",
+    ),
     mutant.one(
         "accept-response-of-another-request",
         "direct/sending.py",
@@ -833,7 +854,7 @@
     mutant.one(
         "refund-what-has-been-sent",
         "entry/quota_check.py",
-        "        if not (may_run or call.handed_over):\n",
+        "        if not call.may_have_been_sent():\n",
         "        if not call.handed_over:\n",
         "entry/test_quota_check.py::test_the_request_of_a_caller_that_leaves",
     ),
@@ -847,7 +868,7 @@
     ),
     mutant.one(
         "count-the-grace-period-late",
-        "entry/daemon.py",
+        "entry/draining.py",
         "    began_s = loop.time() - noticed_after_s",
         "    began_s = loop.time()",
         "integration/test_grace_period.py::test_exits_in_time_while_its_event_loop_is_blocked",
