Log the connection of each failed send

send.failed named the replica but not the connection, so that a refusal that the replica sent twice looked like two refusals. With the number of the connection, two lines of one request on the same connection (and a send.unasked_bytes of the replica after them, when the true response arrives) stand out from a replica that refused twice and from one that ran a request after refusing it.

--- a/src/turmericlug/direct/replica.py
+++ b/src/turmericlug/direct/replica.py
@@ -8,6 +8,7 @@
 
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import routes
+from turmericlug.http1 import client
 from turmericlug.owner import policy
 
 EWMA_WEIGHT = 0.2
@@ -36,6 +37,8 @@
     """Name of the replica."""
     written_s: float | None = None
     """When the request was written to a connection; ``None`` before."""
+    connection: client.Connection | None = None
+    """The connection that it was written to."""
     ended_s: float | None = None
     ran: bool = True
     """False once the attempt has ended and the replica is known not to have run the request."""
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -307,7 +307,7 @@
                 left_ms = int((call.deadline_s - now_s) * 1000)
                 if left_ms < 1:
                     return NotRun("no_time_left", sent=False)
-                attempt.written_s = now_s
+                attempt.written_s, attempt.connection = now_s, connection
                 response = await connection.exchange(build_request(call, replica, names, left_ms))
                 outcome = classify(response, call, replica, names)
                 if isinstance(outcome, Unknown):
--- a/src/turmericlug/direct/tracking.py
+++ b/src/turmericlug/direct/tracking.py
@@ -32,7 +32,7 @@
     finally:
         attempt.ended_s = asyncio.get_running_loop().time()
         on_ended(outcome)
-    _record_outcome(sender, call, replica, outcome, attempt.began_s)
+    _record_outcome(sender, call, replica, outcome, attempt)
     try:
         await sender.quarantine.record_outcome(call, replica, outcome)
     except asyncio.CancelledError:
@@ -46,10 +46,10 @@
     call: sending.Call,
     replica: replica_module.Replica,
     outcome: sending.Outcome,
-    began_s: float,
+    attempt: replica_module.Attempt,
 ) -> None:
     now_s = asyncio.get_running_loop().time()
-    duration_ms = (now_s - began_s) * 1000
+    duration_ms = (now_s - attempt.began_s) * 1000
     if isinstance(outcome, sending.Answered | sending.Failed):
         sender.quarantine.record_answer(call)
     if isinstance(outcome, sending.Answered):
@@ -86,5 +86,6 @@
         replica=replica.entry.instance,
         reason=sending.reason(outcome),
         age_ms=round(duration_ms, 1),
+        connection=attempt.connection.number if attempt.connection else None,
         set_aside=set_aside,
     )
--- a/src/turmericlug/http1/client.py
+++ b/src/turmericlug/http1/client.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import socket
 import struct
 from collections import abc
@@ -27,6 +28,7 @@
 _TCP_INFO = struct.Struct("8B24I")
 _TCP_INFO_RTT_INDEX = 8 + 15
 """Field index of the smoothed round-trip time (µs) in Linux's ``tcp_info``."""
+_connection_numbers = itertools.count(1)
 _HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -97,6 +99,8 @@
         self._partial = _PartialResponse([], [])
         self._complete: Response | None = None
         self._on_unexpected_bytes = on_unexpected_bytes
+        self.number = next(_connection_numbers)
+        """Identifies the connection in the log."""
         self.closed = False
         self.idle_since_s = 0.0
         self.keep_alive_timeout_s: float | None = None
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -46,6 +46,7 @@
 
     def __init__(self, replica):
         self.replica = replica
+        self.number = 0
         self.closed = False
         self.idle_since_s = 0.0
         self.keep_alive_timeout_s = None
