Never send a request twice over the same connection

A refused request goes to the same replica again after 15 ms, over the connection that has just carried the refusal, and all attempts have the identifier of the caller. The check of the identifier can't see the difference; the choice of the connection is what went wrong.

Change: an attempt takes no connection that has carried the request before, for all requests, since a copied error of an idempotent request hid the answer to its retry in the same way. The trial of a suspected query now counts among its attempts. Refusals may lack the identifier; a copy of one passes for the refusal of any request, so that a connection with an unnamed response no longer carries requests that must not run twice.

--- a/src/turmericlug/direct/pool.py
+++ b/src/turmericlug/direct/pool.py
@@ -106,16 +106,20 @@
 
     @contextlib.asynccontextmanager
     async def connection(
-        self, priority: int, fresh: bool = False
+        self,
+        priority: int,
+        runs_once: bool = False,
+        avoid: abc.Collection[client.Connection] = (),
     ) -> abc.AsyncIterator[client.Connection]:
         """
         Provide a connection for one exchange; close it if the exchange is interrupted.
 
         :param priority: order among the waiters; 0 goes first
-        :param fresh: whether the connection has to be new or recently used
+        :param runs_once: whether the connection is for a request that must not run twice
+        :param avoid: connections that must not be used
         :raises ConnectError: a connection could not be opened, or the pool is closed
         """
-        connection = await self._acquire(priority, fresh)
+        connection = await self._acquire(priority, runs_once, avoid)
         exchanges_before = connection.exchanges
         try:
             yield connection
@@ -125,16 +129,18 @@
         finally:
             self._release(connection, used=connection.exchanges > exchanges_before)
 
-    async def _acquire(self, priority: int, fresh: bool) -> client.Connection:
+    async def _acquire(
+        self, priority: int, runs_once: bool, avoid: abc.Collection[client.Connection]
+    ) -> client.Connection:
         while True:
             if self.closed:
                 raise client.ConnectError("replica gone")
-            connection = self._pop_idle(fresh)
+            connection = self._pop_idle(runs_once, avoid)
             if connection is not None:
                 return connection
             if self.open_count < self.limit():
                 return await self._open()
-            if fresh and self._idle:
+            if self._idle:
                 self._discard(self._idle.popleft())
                 continue
             await self._wait(priority)
@@ -151,17 +157,23 @@
         connection.idle_since_s = self.now_s()
         return connection
 
-    def _pop_idle(self, fresh: bool) -> client.Connection | None:
-        while self._idle:
-            connection = self._idle[-1]
+    def _pop_idle(
+        self, runs_once: bool, avoid: abc.Collection[client.Connection]
+    ) -> client.Connection | None:
+        """Take the idle connection that was used last, of those that may be used."""
+        passed_over: list[client.Connection] = []
+        found = None
+        while self._idle and found is None:
+            connection = self._idle.pop()
             age_s = self.now_s() - connection.idle_since_s
             if connection.closed or age_s > self._max_idle_s(connection):
-                self._discard(self._idle.pop())
-            elif fresh and age_s > MAX_FRESH_IDLE_S:
-                return None
+                self._discard(connection)
+            elif connection in avoid or (runs_once and not _may_run_once(connection, age_s)):
+                passed_over.append(connection)
             else:
-                return self._idle.pop()
-        return None
+                found = connection
+        self._idle.extend(reversed(passed_over))
+        return found
 
     async def _wait(self, priority: int) -> None:
         available: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -260,3 +272,8 @@
             if advertised_s is None
             else min(advertised_s * IDLE_TIMEOUT_SHARE, 60.0)
         )
+
+
+def _may_run_once(connection: client.Connection, idle_s: float) -> bool:
+    """Whether the outcome of a request that must not run twice can be told on a connection."""
+    return idle_s <= MAX_FRESH_IDLE_S and not connection.had_unnamed_response
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -99,6 +99,16 @@
             return True
         return any(attempt.ran for attempt in self.attempts_by_service.get(service, ()))
 
+    def connections_used(self, service: str) -> list[client.Connection]:
+        """
+        Return the connections on which the request was sent to replicas of a service.
+
+        No other attempt may use them: all attempts have the same identifier, so that a late copy of
+        the response to one can't be told from the response to another.
+        """
+        attempts = self.attempts_by_service.get(service, ())
+        return [attempt.connection for attempt in attempts if attempt.connection is not None]
+
     def may_have_been_sent(self) -> bool:
         """Whether a replica may have run the request; false if it was not written to any."""
         attempts = itertools.chain.from_iterable(self.attempts_by_service.values())
@@ -219,7 +229,9 @@
 
     A response with another request's identifier belongs to that request: it was late or duplicated,
     and further responses on the connection can't be attributed either. Replicas echo the identifier
-    in every response except a refusal.
+    in every response except a refusal. A response that belongs to another attempt, or to another
+    request without its identifier, can't be recognized here: ``send`` chooses the connection so
+    that none can arrive.
     """
     echoed = response.header(names.request_id)
     if echoed is not None and echoed != call.request_id:
@@ -297,8 +309,9 @@
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout_at(call.deadline_s) as attempt.timeout:
-            fresh = not call.route.idempotent
-            async with replica.pool.connection(call.rank, fresh) as connection:
+            runs_once = not call.route.idempotent
+            used = call.connections_used(replica.entry.service)
+            async with replica.pool.connection(call.rank, runs_once, used) as connection:
                 if attempt.unwanted:
                     return UNWANTED
                 if withhold_reason := get_withhold_reason():
@@ -310,6 +323,7 @@
                 attempt.written_s, attempt.connection = now_s, connection
                 response = await connection.exchange(build_request(call, replica, names, left_ms))
                 outcome = classify(response, call, replica, names)
+                connection.had_unnamed_response |= response.header(names.request_id) is None
                 if isinstance(outcome, Unknown):
                     connection.close()
                 return outcome
--- a/src/turmericlug/direct/trial.py
+++ b/src/turmericlug/direct/trial.py
@@ -42,7 +42,7 @@
         sender.quarantine.cancel_trial(call)
         return answering.refusal(sender, sending.CRASHES_REPLICAS)
     route = attrs.evolve(call.route, max_attempts=1)
-    trial_call = attrs.evolve(call, route=route, on_trial=True, attempts_by_service={}, tasks=set())
+    trial_call = attrs.evolve(call, route=route, on_trial=True, tasks=set())
     shard = sender.rng.choice(shards)
     try:
         outcome = await attempts.get_answer(sender, trial_call, shard)
--- a/src/turmericlug/http1/client.py
+++ b/src/turmericlug/http1/client.py
@@ -106,6 +106,9 @@
         self.keep_alive_timeout_s: float | None = None
         """Keep-alive timeout that the server announced; ``None`` without one."""
         self.exchanges = 0
+        self.had_unnamed_response = False
+        """Whether a response on it did not name its request; a late copy of such a response can't
+        be told from the response to another request."""
         self._on_interim: abc.Callable[[], None] | None = None
         self._on_chunk: abc.Callable[[bytes], None] | None = None
 
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -51,6 +51,22 @@
         "self._refuse_from_s",
         "entry/test_callers.py::test_what_a_draining_instance_refuses",
     ),
+    mutant.one(
+        "retry-on-the-connection-of-a-refusal",
+        "direct/sending.py",
+        "            used = call.connections_used(replica.entry.service)\n",
+        "            used = []\n",
+        "direct/test_late_copies.py::"
+        "test_a_copied_refusal_is_not_taken_for_the_answer_to_a_retry",
+    ),
+    mutant.one(
+        "run-once-on-a-connection-with-an-unnamed-refusal",
+        "direct/pool.py",
+        "idle_s <= MAX_FRESH_IDLE_S and not connection.had_unnamed_response",
+        "idle_s <= MAX_FRESH_IDLE_S",
+        "direct/test_late_copies.py::"
+        "test_a_refusal_without_identifier_is_not_taken_for_that_of_another_request",
+    ),
     mutant.one(
         "accept-response-of-another-request",
         "direct/sending.py",
@@ -338,7 +354,7 @@
     ),
     mutant.one(
         "stop-deregistering-when-draining",
-        "entry/daemon.py",
+        "entry/draining.py",
         "    async with tasks.background(deregistered):",
         "    deregistered.close()\n    if True:",
         "integration/test_store_returns.py"
@@ -526,15 +542,15 @@
     mutant.one(
         "refuse-all-when-draining",
         "entry/callers.py",
-        "now_s >= self._refuse_from_s and call.deadline_s > self._exits_at_s",
-        "now_s >= self._refuse_from_s",
+        "now_s >= refuse_from_s and call.deadline_s > self._exits_at_s",
+        "now_s >= refuse_from_s",
         "entry/test_callers.py::test_status",
     ),
     mutant.one(
         "interrupt-requests-when-draining",
         "entry/callers.py",
-        "now_s >= self._refuse_from_s and call.deadline_s > self._exits_at_s",
-        "now_s >= self._refuse_from_s + 60.0",
+        "now_s >= refuse_from_s and call.deadline_s > self._exits_at_s",
+        "now_s >= refuse_from_s + 60.0",
         "entry/test_callers.py::test_status",
     ),
     mutant.one(
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -51,6 +51,7 @@
         self.idle_since_s = 0.0
         self.keep_alive_timeout_s = None
         self.exchanges = 0
+        self.had_unnamed_response = False
 
     async def exchange(self, request):
         self.exchanges += 1
