State an age by what waits at the source, and don't wait twice for a relay

Causes that were considered: a late answer of the source, a change that the relay had but did not pass on, and a wrong reply of the standby. Besides, an instance waited 1.4 s for the frozen relay a second time before it skipped it.

Change: a renewal counts only while the request waits at the source itself, and only if no call to the source has failed since it was sent. A relay whose last request failed is asked without waiting, and in the round in which one fails the source is asked without waiting, unless all relays are skipped.

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -358,6 +358,7 @@
         own_entry.make(kernel.find("settings")),
         lambda: listeners.ready(kernel),
         kernel.find("relayed source").serves_peers,
+        kernel.find("relayed source").source_asked_s,
         random.Random(),
     )
     async with tasks.background(work) as running:
--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import math
 import random
 from collections import abc
@@ -88,8 +87,7 @@
                 _update_journal(snapshot, view, journal)
                 view.apply_snapshot(snapshot)
                 position = snapshot.position
-            with _pending_request(view):
-                changes = await request_changes(position, CHANGES_WAIT_S)
+            changes = await request_changes(position, CHANGES_WAIT_S)
             view.record_source_answer(changes.age_s)
             _report_unreadable(changes.changes, counters)
             view.apply_changes(changes)
@@ -108,15 +106,6 @@
             await asyncio.sleep(rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
 
-@contextlib.contextmanager
-def _pending_request(view: view_module.View) -> abc.Iterator[None]:
-    view.changes_requested_s = asyncio.get_running_loop().time()
-    try:
-        yield
-    finally:
-        view.changes_requested_s = math.inf
-
-
 def _update_journal(
     snapshot: source_module.Snapshot, view: view_module.View, journal: journal_module.Journal
 ) -> None:
@@ -177,6 +166,7 @@
     own: source_module.EntryInstance,
     may_serve: abc.Callable[[], bool],
     serves_peers: abc.Callable[[], bool],
+    source_asked_s: abc.Callable[[], float],
     rng: random.Random,
 ) -> None:
     """
@@ -188,6 +178,8 @@
 
     :param serves_peers: whether other instances use this one as a relay, and so depend on how
         recently the source has answered it
+    :param source_asked_s: returns when the request for changes that is pending at the source was
+        sent; infinite if none is
     """
     loop = asyncio.get_running_loop()
     while not may_serve():
@@ -198,6 +190,8 @@
         while True:
             attempted_s = loop.time()
             succeeded = await _renew(source, view, own, registration)
+            if succeeded:
+                _record_renewal(view, source_asked_s())
             jitter = rng.uniform(0.8, 1.2)
             while not (view.own_entry_removed or registration.is_older_than(view.era)):
                 interval_s = RENEWAL_RETRY_S if not succeeded else RENEWAL_INTERVAL_S
@@ -237,7 +231,6 @@
                     continue
                 registration.written = True
                 decisions.log("instance.registered", lease=registration.lease)
-            _record_renewal(view)
             return True
         except source_module.LeaseEndedError:
             decisions.log("instance.lease_ended", lease=registration.lease)
@@ -247,14 +240,18 @@
             return False
 
 
-def _record_renewal(view: view_module.View) -> None:
+def _record_renewal(view: view_module.View, source_asked_s: float) -> None:
     """
-    Record that the source answers; only a pending request for changes shows the view up to date.
+    Record that the source answers; only a request for changes that waits there shows the view up to
+    date.
 
-    Between failed requests for changes, the source may know of a change that this instance doesn't.
+    Between failed requests for changes, or while a relay has the request, the source may know of a
+    change that this instance doesn't. A request sent before the source failed to answer another
+    call may be lost.
     """
-    waited_s = asyncio.get_running_loop().time() - view.changes_requested_s
-    view.record_source_answer(0.0 if waited_s >= CHANGES_ANSWER_S else math.inf)
+    waited_s = asyncio.get_running_loop().time() - source_asked_s
+    is_current = waited_s >= CHANGES_ANSWER_S and source_asked_s > view.source_failed_s
+    view.record_source_answer(0.0 if is_current else math.inf)
 
 
 async def stay_deregistered(
--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections import abc
 
@@ -112,6 +113,8 @@
     )
     """Returns the weights of the named instances among each other."""
     _failures: dict[str, _Failures] = attrs.field(factory=dict)
+    _source_asked_s: float = math.inf
+    """When the request for changes that is pending at the source was sent; infinite if none is."""
     _source_retry_at_s: float = 0.0
     """The time from which the source may be asked again."""
     _source_failures: int = 0
@@ -129,6 +132,8 @@
         for relay in relays:
             if self._is_skipped(relay):
                 continue
+            if self._has_failed(relay):
+                relay_wait_s = 0.0
             reply = await self._ask_relay(relay, after, relay_wait_s)
             if reply is None:
                 # A wait at the next relay would add to the time spent on this one.
@@ -145,6 +150,10 @@
                     _log_standby_reply(relay, reply.changes)
                 return reply.changes
             self.counters.add("relay.stale")
+        if relay_wait_s == 0.0 and not all(map(self._is_skipped, relays)):
+            # The relays are asked again soon, and a change while instances wait at the source costs
+            # it a call for each of them.
+            wait_s = 0.0
         return await self._ask_source(after, wait_s, has_relays=bool(relays))
 
     def relays(self) -> list[replica_module.Replica]:
@@ -177,6 +186,15 @@
         """Whether this instance is a relay that requests its changes from the source."""
         return self._uses_source and self.place.name in self._relay_names()
 
+    def source_asked_s(self) -> float:
+        """
+        Return when the pending request for changes was sent to the source.
+
+        Infinite if none is pending there: a request that waits at a relay tells nothing about the
+        source, since the relay may be frozen or cut off.
+        """
+        return self._source_asked_s
+
     def _relay_names(self) -> list[str]:
         peers = self.peers.of(self.place.data_centre)
         names = [self.place.name, *(peer.entry.instance for peer in peers)]
@@ -190,6 +208,7 @@
         self._uses_source = True
         if has_relays and now_s < self._source_retry_at_s:
             raise source_module.SourceError("asked_lately")
+        self._source_asked_s = now_s
         try:
             changes = await self.source.changes(after, wait_s)
         except source_module.SourceError:
@@ -198,6 +217,8 @@
             now_s = asyncio.get_running_loop().time()
             self._source_retry_at_s = now_s + delay_s * self.rng.uniform(0.75, 1.25)
             raise
+        finally:
+            self._source_asked_s = math.inf
         self._source_failures = 0
         return changes
 
@@ -205,6 +226,12 @@
         failures = self._failures.get(relay.entry.instance)
         return failures is not None and asyncio.get_running_loop().time() < failures.skipped_until_s
 
+    def _has_failed(self, relay: replica_module.Replica) -> bool:
+        failures = self._failures.get(relay.entry.instance)
+        return (
+            failures is not None and asyncio.get_running_loop().time() >= failures.skipped_until_s
+        )
+
     async def _ask_relay(
         self, relay: replica_module.Replica, after: source_module.Position, wait_s: float
     ) -> relay_codec.Reply | None:
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -68,8 +68,8 @@
         """The latest known era of the source; 0: none yet."""
         self._era_changed_s = float("-inf")
         self._last_answer_s = float("-inf")
-        self.changes_requested_s = float("inf")
-        """When the pending request for changes was sent; infinite if none is pending."""
+        self.source_failed_s = float("-inf")
+        """When a request to the source failed last."""
         self.capacities = capacities.Capacities(own_name, now_s, INSTANCE_COUNT_WINDOW_S)
         self._instance_counts = sliding_maximum.SlidingMaximum(INSTANCE_COUNT_WINDOW_S)
         self._removed_start_ms: collections.OrderedDict[str, int] = collections.OrderedDict()
@@ -87,8 +87,9 @@
 
     def record_source_failure(self, reason: str) -> None:
         """Record that the source does not answer."""
+        self.source_failed_s = self._now_s()
         if self._unreachable_since_s is None:
-            self._unreachable_since_s = self._now_s()
+            self._unreachable_since_s = self.source_failed_s
             decisions.log("source.lost", reason=reason)
 
     def record_source_answer(self, age_s: float = 0.0) -> None:
--- a/tests/entry/test_follower.py
+++ b/tests/entry/test_follower.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import random
 
 import attrs
@@ -12,14 +13,17 @@
 import scripted
 
 from turmericlug.direct import budget
+from turmericlug.direct import placement
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.entry import follower
 from turmericlug.entry import journal as journal_module
+from turmericlug.entry import relay
 from turmericlug.entry import source as source_module
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import messages
+from turmericlug.policy import liveness
 from turmericlug.telemetry import counters
 
 OWN = source_module.EntryInstance("own", "10.0.0.1:80", "dc", "r")
@@ -104,8 +108,16 @@
     monkeypatch.setattr(follower, "RENEWAL_RETRY_S", 0.001)
 
 
-def stay_registered(source, view, may_serve=lambda: True, serves_peers=lambda: False):
-    return follower.stay_registered(source, view, OWN, may_serve, serves_peers, random.Random(1))
+def stay_registered(
+    source,
+    view,
+    may_serve=lambda: True,
+    serves_peers=lambda: False,
+    source_asked_s=lambda: math.inf,
+):
+    return follower.stay_registered(
+        source, view, OWN, may_serve, serves_peers, source_asked_s, random.Random(1)
+    )
 
 
 async def while_running(work, until):
@@ -423,10 +435,20 @@
         view._now_s = loop.time
         source = Source([source_module.Snapshot((configured(1),), 1)], replies, ["kept"] * 1000)
         journal = journal_module.Journal()
+        relayed = relay.RelayedSource(
+            source,
+            lambda *_: None,
+            placement.Place(OWN.name, OWN.data_centre, {OWN.data_centre: OWN.region}),
+            view.peers,
+            counters.Counters(),
+            liveness.PeerLiveness(),
+        )
         following = follower.follow(
-            source, source.changes, view, journal, counters.Counters(), random.Random(1)
+            source, relayed.changes, view, journal, counters.Counters(), random.Random(1)
+        )
+        work = asyncio.gather(
+            following, stay_registered(source, view, source_asked_s=relayed.source_asked_s)
         )
-        work = asyncio.gather(following, stay_registered(source, view))
         await asyncio.sleep(0.2)
         age_s, renewals = view.source_age_s(), len(source.kept)
         work.cancel()
@@ -436,3 +458,33 @@
     age_s, renewals = asyncio.run(main())
     assert renewals > 1
     assert (age_s < 0.1) == is_current
+
+
+@pytest.mark.parametrize(
+    ("asked_s_ago", "failed_s_ago", "is_current"),
+    [
+        (0.5, math.inf, True),
+        (0.2, math.inf, False),
+        (-math.inf, math.inf, False),
+        (0.5, 0.4, False),
+        (0.5, 0.6, True),
+    ],
+    ids=["waits", "perhaps on its way", "waits at a relay", "source failed since", "failed before"],
+)
+def test_what_a_renewal_says_about_the_view(asked_s_ago, failed_s_ago, is_current):
+    """
+    Guards against a relay that states that what it knows is current although its request for
+    changes waits at another relay, or on a connection that was cut.
+    """
+
+    async def main():
+        now_s = asyncio.get_running_loop().time()
+        view = make_view()
+        view._now_s = lambda: now_s
+        view.source_failed_s = now_s - failed_s_ago
+        source = Source([], [], ["kept"])
+        work = stay_registered(source, view, source_asked_s=lambda: now_s - asked_s_ago)
+        await while_running(work, lambda: source.kept)
+        return view.source_age_s()
+
+    assert (asyncio.run(main()) < 1.0) == is_current
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -52,10 +52,12 @@
 
     def __init__(self):
         self.asked = 0
+        self.waits_s = []
         self.unreachable = False
 
     async def changes(self, after, wait_s):
         self.asked += 1
+        self.waits_s.append(wait_s)
         if self.unreachable:
             raise source_module.SourceError("unreachable")
         return source_module.Changes((), after.revision, era=after.era)
@@ -274,6 +276,39 @@
     asyncio.run(main())
 
 
+def test_a_failed_relay_is_not_waited_for_again(short_waits):
+    """
+    Guards against an instance that waits twice for a frozen relay, and against all instances of a
+    data centre that wait at the store while the standby can answer.
+    """
+    waits_ms = []
+
+    async def first(request):
+        waits_ms.append(int(request.target.split(b"/")[3]))
+        await asyncio.sleep(30)
+
+    async def main():
+        async with relayed(first, stale) as (source, store):
+            for _ in range(3):
+                await source.changes(at(10), 5.0)
+            return store.waits_s
+
+    assert asyncio.run(main()) == [0.0, 0.0, 5.0]
+    assert waits_ms == [50, 0]
+
+
+def test_instances_wait_at_the_store_once_all_relays_are_skipped(short_waits):
+    """Guards against instances that ask the store again and again while both relays are frozen."""
+
+    async def main():
+        async with relayed(silent, silent) as (source, store):
+            for _ in range(4):
+                await source.changes(at(10), 5.0)
+            return store.waits_s
+
+    assert asyncio.run(main()) == [0.0, 5.0, 5.0, 5.0]
+
+
 def test_second_relay_asks_the_first_before_the_store(short_waits):
     async def main():
         healthy = relay_handler(journal_with(replica("a", 11)))
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -797,11 +797,32 @@
     mutant.one(
         "count-any-renewal-as-up-to-date",
         "entry/follower.py",
-        "0.0 if waited_s >= CHANGES_ANSWER_S else math.inf",
-        "0.0",
+        "    view.record_source_answer(0.0 if is_current else math.inf)",
+        "    view.record_source_answer(0.0)",
         "entry/test_follower.py::"
         "test_a_renewal_shows_the_view_up_to_date_only_while_changes_are_awaited",
     ),
+    mutant.one(
+        "count-a-wait-at-a-relay-as-up-to-date",
+        "entry/relay.py",
+        "        return self._source_asked_s\n",
+        "        return asyncio.get_running_loop().time() - 1.0\n",
+        "entry/test_frozen_relays.py::test_sound_instances_apply_a_configuration_in_time",
+    ),
+    mutant.one(
+        "trust-a-wait-from-before-a-failure",
+        "entry/follower.py",
+        "waited_s >= CHANGES_ANSWER_S and source_asked_s > view.source_failed_s",
+        "waited_s >= CHANGES_ANSWER_S",
+        "entry/test_follower.py::test_what_a_renewal_says_about_the_view",
+    ),
+    mutant.one(
+        "wait-twice-for-a-failed-relay",
+        "entry/relay.py",
+        "            if self._has_failed(relay):\n                relay_wait_s = 0.0\n",
+        "",
+        "entry/test_relay.py::test_a_failed_relay_is_not_waited_for_again",
+    ),
     mutant.one(
         "forward-the-key",
         "entry/callers.py",
