--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -264,6 +264,51 @@
         return (200, {}) if self._end(int(argument)) else (404, {})
 
 
+class Proxy:
+    """A TCP proxy that can be cut: then it passes nothing on, and closes nothing."""
+
+    def __init__(self, target: str) -> None:
+        self.address = ""
+        self._target = target
+        self._passes = asyncio.Event()
+        self._passes.set()
+
+    async def listen(self) -> None:
+        """Listen on a free port."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def cut(self) -> None:
+        """Pass nothing on from now on."""
+        self._passes.clear()
+
+    def heal(self) -> None:
+        """Pass everything on again, also what was held up."""
+        self._passes.set()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await self._passes.wait()
+        host, port = self._target.split(":")
+        try:
+            to_reader, to_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(self._pass_on(reader, to_writer), self._pass_on(to_reader, writer))
+
+    async def _pass_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(65536):
+                await self._passes.wait()
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+
 class Replica(HttpServer):
     """A replica with slots, a short queue and signed answers, registered in the store."""
 
