--- a/review/4/main.py
+++ b/review/4/main.py
@@ -1,4 +1,4 @@
-"""One tenant sends many times its usual: does every request have an answer at its time-out?"""
+"""A caller leaves its requests, some of which wait: are the requests of others still answered?"""
 
 from __future__ import annotations
 
@@ -11,13 +11,16 @@
 import rig  # noqa: E402
 
 HOST = "desk.example"
-TIMEOUT_S, DEADLINE_S = 2.5, 8.0
+TIMEOUT_S, DEADLINE_S = 1.2, 8.0
 LATE_AFTER_S = 0.5
 MIN_LATE = 8
 """The rule of time-outs counts from eight requests on."""
 STABLE_S = 6.0
-CALLERS, EACH_PER_S = 10, 5.0
-HOT_X, HOT_S, CALM_S = 7.5, 8.0, 6.0
+PER_S, BURST_X, LAST_BURST_X, BURST_S = 40.0, 2.6, 2.3, 6.6
+"""Requests of the callers that stay, in a second, and their bursts."""
+BATCH, BATCH_INTERVAL_S, LEAVES_AFTER_S = 60, 1.35, 0.15
+"""Requests that one more caller sends at once, to all instances together, in the first bursts."""
+BURSTS, CALM_S = 6, 7.0
 
 
 def configuration() -> dict:
@@ -39,33 +42,45 @@
                 "Service": "desk",
             }
         ],
-        "Tenants": [
-            {"Name": f"org-{number}", "ApiKeys": [f"key-{number}"]} for number in range(CALLERS)
-        ],
+        "Tenants": [{"Name": "org-1", "ApiKeys": ["key-1"]}],
     }
 
 
 class Traffic:
-    """Callers of one tenant each; the first one is hot at times."""
+    """Callers that stay, and one with many requests that may leave."""
 
     def __init__(self, bed: rig.Testbed) -> None:
         self.bed = bed
-        self.caller = rig.Caller(bed.record, HOST)
+        self.stays = rig.Caller(bed.record, HOST)
+        self.leaves = rig.Caller(bed.record, HOST)
         self.tasks: set[asyncio.Task] = set()
-        self.is_hot = False
+        self.burst_x = 1.0
+
+    def ask(self, caller: rig.Caller) -> None:
+        """Send one request to any instance."""
+        address = random.choice(self.bed.instances).front
+        request = caller.ask(address, "fetch", "/fetch/1", DEADLINE_S, key="key-1")
+        task = asyncio.ensure_future(request)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def send(self) -> None:
+        """Send the requests of the callers that stay, until cancelled."""
+        while True:
+            await asyncio.sleep(random.expovariate(PER_S * self.burst_x))
+            self.ask(self.stays)
 
-    async def send(self, number: int) -> None:
-        """Send the requests of one caller, at random times and to any instance, until cancelled."""
+    async def send_batches(self) -> None:
+        """Send the batches of the other caller, which may leave them, until cancelled."""
         while True:
-            hot = self.is_hot and number == 0
-            await asyncio.sleep(random.expovariate(EACH_PER_S * (HOT_X if hot else 1.0)))
-            address = random.choice(self.bed.instances).front
-            request = self.caller.ask(
-                address, "fetch", "/fetch/1", DEADLINE_S, key=f"key-{number}"
-            )
-            task = asyncio.ensure_future(request)
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            for _ in range(BATCH):
+                self.ask(self.leaves)
+            await asyncio.sleep(LEAVES_AFTER_S)
+            if rig.TROUBLE:
+                requests = [answer for answer in self.leaves.answers if answer.open]
+                self.leaves.leave(requests)
+                self.bed.record.write(f"the caller leaves {len(requests)} requests")
+            await asyncio.sleep(BATCH_INTERVAL_S - LEAVES_AFTER_S)
 
 
 async def main() -> int:
@@ -73,7 +88,7 @@
     async with rig.Testbed(__file__) as bed:
         bed.store.put("op/config", configuration())
         for number, zone in enumerate(("zone-a", "zone-b", "zone-c")):
-            await bed.add_replica(f"i-{number}", "desk", zone, slots=2, queue=8, work_s=0.09)
+            await bed.add_replica(f"i-{number}", "desk", zone, slots=2, queue=12, work_s=0.09)
         bed.add_instances(
             ["zone-a", "zone-b", "zone-c"],
             {"QuotaWindowS": 5, "QuotaOverage": 0.1, "QuotaSlack": 20},
@@ -81,33 +96,43 @@
         if not await bed.start_instances():
             return rig.COULD_NOT_RUN
         traffic = Traffic(bed)
-        senders = [bed.background(traffic.send(number)) for number in range(CALLERS)]
+        sender = bed.background(traffic.send())
         await asyncio.sleep(STABLE_S + 1.0)
-        in_touch_s = rig.now_s()
-        traffic.is_hot = rig.TROUBLE
-        await asyncio.sleep(HOT_S)
-        traffic.is_hot = False
+        for _ in range(BURSTS):
+            traffic.burst_x = BURST_X
+            batches = bed.background(traffic.send_batches())
+            await asyncio.sleep(BURST_S)
+            batches.cancel()
+            traffic.burst_x = 1.0
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(CALM_S)
+        # The check covers a later burst, without the other caller.
+        began_s = rig.now_s()
+        traffic.burst_x = LAST_BURST_X
+        await asyncio.sleep(BURST_S)
+        traffic.burst_x = 1.0
         await asyncio.sleep(CALM_S)
-        for sender in senders:
-            sender.cancel()
+        sender.cancel()
         await asyncio.gather(*traffic.tasks, return_exceptions=True)
-        return judge(bed, traffic.caller.answers, in_touch_s)
+        return judge(bed, traffic.stays.answers, began_s)
 
 
-def judge(bed: rig.Testbed, answers: list[rig.Answer], in_touch_s: float) -> int:
+def judge(bed: rig.Testbed, answers: list[rig.Answer], began_s: float) -> int:
     """Apply the rule of time-outs to the requests whose callers have stayed."""
     overdue = late = 0
     for answer in answers:
         waited_s = answer.took_s
         if waited_s is None:
             waited_s = answer.left_s - answer.sent_s if answer.left_s is not None else 0.0
-        if answer.sent_s < in_touch_s or waited_s <= TIMEOUT_S:
+        if answer.sent_s < began_s or waited_s <= TIMEOUT_S:
             continue
         overdue += 1
         late += waited_s > TIMEOUT_S + LATE_AFTER_S
     bed.record.say(
         f"sent {len(answers)}, unanswered at the time-out {overdue}, half a second later {late}"
     )
+    failures = sum(len(instance.log_lines("caller.failed")) for instance in bed.instances)
+    bed.record.say(f"failures in the handler of callers: {failures}")
     broken = late >= MIN_LATE and late > overdue / 4
     bed.record.say("CONFIG is broken" if broken else "the rule held")
     return rig.BROKEN if broken else rig.HELD
--- a/review/7/main.py
+++ b/review/7/main.py
@@ -1,30 +1,27 @@
-"""A caller leaves its requests, some of which wait: are the requests of others still answered?"""
+"""A process is killed while the store is down: are the quotas kept that it has to keep?"""
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
 import random
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "rig"))
 import rig  # noqa: E402
 
 HOST = "desk.example"
-TIMEOUT_S, DEADLINE_S = 1.2, 8.0
-LATE_AFTER_S = 0.5
-MIN_LATE = 8
-"""The rule of time-outs counts from eight requests on."""
+RATE_PER_S, BURST = 8.0, 8.0
+WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20.0
+LARGEST = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
 STABLE_S = 6.0
-PER_S, BURST_X, BURST_S = 40.0, 2.6, 6.6
-"""Requests of the callers that stay, in a second, and their bursts."""
-BATCH, BATCH_INTERVAL_S, LEAVES_AFTER_S = 60, 1.35, 0.15
-"""Requests that one more caller sends at once, to all instances together, in the first bursts."""
-BURSTS, CALM_S = 6, 7.0
+USUAL_PER_S, HOT_X = 8.0, 7.5
+DOWN_S, KILLED_AFTER_S, RESTART_DELAY_S, ENDS_AFTER_S = 4.5, 0.5, 0.3, 8.0
 
 
 def configuration() -> dict:
-    """Return the operator's configuration: one route, and one tenant without a quota."""
+    """Return the operator's configuration, with two tenants."""
     return {
         "Version": 3,
         "Limits": rig.LIMITS,
@@ -35,106 +32,80 @@
                 "Host": HOST,
                 "Prefix": "/fetch/",
                 "RouteType": "idempotent",
-                "TimeoutMs": int(TIMEOUT_S * 1000),
+                "TimeoutMs": 2500,
                 "GoalMs": 400,
                 "Priority": 1,
                 "MaxAttempts": 2,
                 "Service": "desk",
             }
         ],
-        "Tenants": [{"Name": "org-1", "ApiKeys": ["key-1"]}],
+        "Tenants": [
+            {"Name": "org-1", "ApiKeys": ["key-1"], "RatePerS": RATE_PER_S, "Burst": BURST},
+            {"Name": "org-2", "ApiKeys": ["key-2"], "RatePerS": RATE_PER_S, "Burst": BURST},
+        ],
     }
 
 
-class Traffic:
-    """Callers that stay, and one with many requests that may leave."""
-
-    def __init__(self, bed: rig.Testbed) -> None:
-        self.bed = bed
-        self.stays = rig.Caller(bed.record, HOST)
-        self.leaves = rig.Caller(bed.record, HOST)
-        self.tasks: set[asyncio.Task] = set()
-        self.is_burst = False
-
-    def ask(self, caller: rig.Caller) -> None:
-        """Send one request to any instance."""
-        address = random.choice(self.bed.instances).front
-        request = caller.ask(address, "fetch", "/fetch/1", DEADLINE_S, key="key-1")
-        task = asyncio.ensure_future(request)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def send(self) -> None:
-        """Send the requests of the callers that stay, until cancelled."""
-        while True:
-            await asyncio.sleep(random.expovariate(PER_S * (BURST_X if self.is_burst else 1.0)))
-            self.ask(self.stays)
-
-    async def send_batches(self) -> None:
-        """Send the batches of the other caller, which may leave them, until cancelled."""
-        while True:
-            for _ in range(BATCH):
-                self.ask(self.leaves)
-            await asyncio.sleep(LEAVES_AFTER_S)
-            if rig.TROUBLE:
-                requests = [answer for answer in self.leaves.answers if answer.open]
-                self.leaves.leave(requests)
-                self.bed.record.write(f"the caller leaves {len(requests)} requests")
-            await asyncio.sleep(BATCH_INTERVAL_S - LEAVES_AFTER_S)
+async def kill(bed: rig.Testbed) -> None:
+    """Let the store refuse all calls for a while; kill one process, and start it as usual."""
+    if rig.TROUBLE:
+        bed.store.is_down = True
+        bed.record.write("the store is down")
+    await asyncio.sleep(KILLED_AFTER_S)
+    killed = bed.instances[2]
+    killed.signal(signal.SIGKILL)
+    bed.record.write(f"{killed.name} is killed")
+    await killed.process.wait()
+    await asyncio.sleep(RESTART_DELAY_S)
+    await killed.start()
+    bed.record.write(f"{killed.name} is started")
+    await asyncio.sleep(DOWN_S - KILLED_AFTER_S - RESTART_DELAY_S)
+    bed.store.is_down = False
+    bed.record.write("the store is back")
 
 
 async def main() -> int:
     """Run the case."""
     async with rig.Testbed(__file__) as bed:
         bed.store.put("op/config", configuration())
-        for number, zone in enumerate(("zone-a", "zone-b", "zone-c")):
-            await bed.add_replica(f"i-{number}", "desk", zone, slots=2, queue=12, work_s=0.09)
+        for number, zone in enumerate(("zone-a", "zone-a", "zone-b", "zone-c")):
+            await bed.add_replica(f"i-{number}", "desk", zone, slots=4, queue=12, work_s=0.02)
         bed.add_instances(
-            ["zone-a", "zone-b", "zone-c"],
-            {"QuotaWindowS": 5, "QuotaOverage": 0.1, "QuotaSlack": 20},
+            ["zone-a"] * 3,
+            {"QuotaWindowS": WINDOW_S, "QuotaOverage": OVERAGE, "QuotaSlack": SLACK},
         )
         if not await bed.start_instances():
             return rig.COULD_NOT_RUN
-        traffic = Traffic(bed)
-        sender = bed.background(traffic.send())
-        await asyncio.sleep(STABLE_S + 1.0)
-        for _ in range(BURSTS):
-            traffic.is_burst = True
-            batches = bed.background(traffic.send_batches())
-            await asyncio.sleep(BURST_S)
-            batches.cancel()
-            traffic.is_burst = False
-            await asyncio.sleep(1.0)
-        await asyncio.sleep(CALM_S)
-        # The check covers a later burst, without the other caller.
-        began_s = rig.now_s()
-        traffic.is_burst = True
-        await asyncio.sleep(BURST_S)
-        traffic.is_burst = False
-        await asyncio.sleep(CALM_S)
-        sender.cancel()
-        await asyncio.gather(*traffic.tasks, return_exceptions=True)
-        return judge(bed, traffic.stays.answers, began_s)
-
-
-def judge(bed: rig.Testbed, answers: list[rig.Answer], began_s: float) -> int:
-    """Apply the rule of time-outs to the requests whose callers have stayed."""
-    overdue = late = 0
-    for answer in answers:
-        waited_s = answer.took_s
-        if waited_s is None:
-            waited_s = answer.left_s - answer.sent_s if answer.left_s is not None else 0.0
-        if answer.sent_s < began_s or waited_s <= TIMEOUT_S:
-            continue
-        overdue += 1
-        late += waited_s > TIMEOUT_S + LATE_AFTER_S
-    bed.record.say(
-        f"sent {len(answers)}, unanswered at the time-out {overdue}, half a second later {late}"
+        await asyncio.sleep(STABLE_S)
+        bed.background(kill(bed))
+        caller = rig.Caller(bed.record, HOST)
+        tasks = []
+        until_s = rig.now_s() + ENDS_AFTER_S
+        while rig.now_s() < until_s:
+            await asyncio.sleep(random.expovariate(USUAL_PER_S * HOT_X))
+            address = random.choice(bed.instances).front
+            request = caller.ask(address, "fetch", "/fetch/1", 2.5, key="key-1")
+            tasks.append(asyncio.ensure_future(request))
+        await asyncio.gather(*tasks)
+        return judge(bed, caller.answers)
+
+
+def judge(bed: rig.Testbed, answers: list[rig.Answer]) -> int:
+    """Count the requests that are sent and arrive within one window, in each window."""
+    sent_s = {answer.request_id: answer.sent_s for answer in answers}
+    runs: dict[str, float] = {}
+    for replica in bed.replicas:
+        for at_s, request_id, status in replica.arrivals:
+            if status == 200:
+                runs[request_id] = min(at_s, runs.get(request_id, at_s))
+    spans = sorted((sent_s[request_id], at_s) for request_id, at_s in runs.items())
+    most = max(
+        sum(began_s >= first_s and at_s < first_s + WINDOW_S for began_s, at_s in spans)
+        for first_s, _ in spans
     )
-    failures = sum(len(instance.log_lines("caller.failed")) for instance in bed.instances)
-    bed.record.say(f"failures in the handler of callers: {failures}")
-    broken = late >= MIN_LATE and late > overdue / 4
-    bed.record.say("CONFIG is broken" if broken else "the rule held")
+    bed.record.say(f"sent {len(answers)}, run {len(runs)}, most in a window {most} of {LARGEST:.0f}")
+    broken = most > LARGEST
+    bed.record.say("QUOTA is broken" if broken else "the rule held")
     return rig.BROKEN if broken else rig.HELD
 
 
--- a/review/8/main.py
+++ b/review/8/main.py
@@ -1,4 +1,4 @@
-"""A tenant's keys are taken away while one machine is cut from the store: is its quota kept?"""
+"""A tenant's quota is lowered by mistake and restored: is its burst granted a second time?"""
 
 from __future__ import annotations
 
@@ -11,16 +11,17 @@
 import rig  # noqa: E402
 
 HOST = "desk.example"
-RATE_PER_S, BURST = 8.0, 8.0
+RATE_PER_S, BURST = 4.0, 100.0
+LOWERED_RATE_PER_S, LOWERED_BURST = 0.4, 10.0
 WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20.0
 LARGEST = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
 STABLE_S = 6.0
-USUAL_PER_S, HOT_X = 8.0, 7.5
-REVOKED_AFTER_S, CUT_S, ENDS_AFTER_S = 1.0, 5.5, 10.0
+SENT_PER_S = 60.0
+LOWERED_AFTER_S, RESTORED_AFTER_S, ENDS_AFTER_S = 2.0, 3.5, 10.0
 
 
-def configuration(version: int, keys: list[str]) -> dict:
-    """Return the operator's configuration, with two tenants."""
+def configuration(version: int, rate_per_s: float, burst: float) -> dict:
+    """Return the operator's configuration, with one tenant."""
     return {
         "Version": version,
         "Limits": rig.LIMITS,
@@ -39,47 +40,41 @@
             }
         ],
         "Tenants": [
-            {"Name": "org-1", "ApiKeys": keys, "RatePerS": RATE_PER_S, "Burst": BURST},
-            {"Name": "org-2", "ApiKeys": ["key-2"], "RatePerS": RATE_PER_S, "Burst": BURST},
+            {"Name": "org-1", "ApiKeys": ["key-1"], "RatePerS": rate_per_s, "Burst": burst}
         ],
     }
 
 
-async def cut_and_revoke(bed: rig.Testbed, proxy: rig.Proxy) -> None:
-    """Cut one machine from the store for a while; take a tenant's keys away at once."""
-    if rig.TROUBLE:
-        proxy.cut()
-        bed.record.write(f"{bed.instances[0].name} is cut from the store")
-    await asyncio.sleep(REVOKED_AFTER_S)
-    bed.store.put("op/config", configuration(5, []))
-    bed.record.write("the store accepts version 5, without the tenant's keys")
-    await asyncio.sleep(CUT_S - REVOKED_AFTER_S)
-    proxy.heal()
-    bed.record.write("the cut has healed")
+async def change(bed: rig.Testbed) -> None:
+    """Lower the tenant's quota, and restore it a little later."""
+    await asyncio.sleep(LOWERED_AFTER_S)
+    bed.store.put("op/config", configuration(5, LOWERED_RATE_PER_S, LOWERED_BURST))
+    bed.record.write("the store accepts version 5, with a lowered quota")
+    await asyncio.sleep(RESTORED_AFTER_S - LOWERED_AFTER_S)
+    bed.store.put("op/config", configuration(8, RATE_PER_S, BURST))
+    bed.record.write("the store accepts version 8, with the first quota again")
 
 
 async def main() -> int:
     """Run the case."""
     async with rig.Testbed(__file__) as bed:
-        bed.store.put("op/config", configuration(3, ["key-1"]))
+        bed.store.put("op/config", configuration(3, RATE_PER_S, BURST))
         for number, zone in enumerate(("zone-a", "zone-a", "zone-b", "zone-c")):
             await bed.add_replica(f"i-{number}", "desk", zone, slots=4, queue=12, work_s=0.02)
         bed.add_instances(
-            ["zone-a"] * 3,
+            ["zone-a", "zone-b", "zone-c"],
             {"QuotaWindowS": WINDOW_S, "QuotaOverage": OVERAGE, "QuotaSlack": SLACK},
         )
-        proxy = rig.Proxy(bed.store.address)
-        await proxy.listen()
-        bed.instances[0].fields["platform"] = {"Address": proxy.address}
         if not await bed.start_instances():
             return rig.COULD_NOT_RUN
         await asyncio.sleep(STABLE_S)
-        bed.background(cut_and_revoke(bed, proxy))
+        if rig.TROUBLE:
+            bed.background(change(bed))
         caller = rig.Caller(bed.record, HOST)
         tasks = []
         until_s = rig.now_s() + ENDS_AFTER_S
         while rig.now_s() < until_s:
-            await asyncio.sleep(random.expovariate(USUAL_PER_S * HOT_X))
+            await asyncio.sleep(random.expovariate(SENT_PER_S))
             address = random.choice(bed.instances).front
             request = caller.ask(address, "fetch", "/fetch/1", 2.5, key="key-1")
             tasks.append(asyncio.ensure_future(request))
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -155,6 +155,8 @@
         self.record = record
         self.items: dict[str, dict] = {}
         self.history: list[dict] = []
+        self.is_down = False
+        """Whether it refuses all calls."""
         self.revision = 100
         self._leases: dict[int, list[float]] = {}
         self._lease_ids = itertools.count(7000)
@@ -202,6 +204,8 @@
     async def handle(self, request: Request) -> tuple[int, list[tuple[str, str]], bytes]:
         """Serve one call."""
         await asyncio.sleep(0.004)
+        if self.is_down:
+            return 503, [], b""
         path, _, query = request.target.partition("?")
         name, _, argument = path.removeprefix("/turmericlug/").partition("/")
         parameters = {key: values[0] for key, values in urllib.parse.parse_qs(query).items()}
