--- a/review/7/main.py
+++ b/review/7/main.py
@@ -16,7 +16,8 @@
 WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20.0
 LARGEST = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
 STABLE_S = 6.0
-USUAL_PER_S, HOT_X = 8.0, 7.5
+USUAL_PER_S, HOT_X = 5.0, 7.5
+"""The quota is 1.6 times what the tenant usually sends."""
 DOWN_S, KILLED_AFTER_S, RESTART_DELAY_S, ENDS_AFTER_S = 4.5, 0.5, 0.3, 8.0
 
 
--- a/review/8/main.py
+++ b/review/8/main.py
@@ -11,13 +11,14 @@
 import rig  # noqa: E402
 
 HOST = "desk.example"
-RATE_PER_S, BURST = 4.0, 100.0
-LOWERED_RATE_PER_S, LOWERED_BURST = 0.4, 10.0
+RATE_PER_S, BURST = 16.0, 80.0
+LOWERED_RATE_PER_S, LOWERED_BURST = 1.6, 8.0
 WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20.0
 LARGEST = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
 STABLE_S = 6.0
-SENT_PER_S = 60.0
-LOWERED_AFTER_S, RESTORED_AFTER_S, ENDS_AFTER_S = 2.0, 3.5, 10.0
+USUAL_PER_S, HOT_X = 10.0, 7.5
+"""The quota is 1.6 times what the tenant usually sends."""
+LOWERED_AFTER_S, RESTORED_AFTER_S, ENDS_AFTER_S = 2.0, 3.2, 10.0
 
 
 def configuration(version: int, rate_per_s: float, burst: float) -> dict:
@@ -74,7 +75,7 @@
         tasks = []
         until_s = rig.now_s() + ENDS_AFTER_S
         while rig.now_s() < until_s:
-            await asyncio.sleep(random.expovariate(SENT_PER_S))
+            await asyncio.sleep(random.expovariate(USUAL_PER_S * HOT_X))
             address = random.choice(bed.instances).front
             request = caller.ask(address, "fetch", "/fetch/1", 2.5, key="key-1")
             tasks.append(asyncio.ensure_future(request))
