--- a/review/7/main.py
+++ b/review/7/main.py
@@ -53,6 +53,7 @@
         bed.store.is_down = True
         bed.record.write("the store is down")
     await asyncio.sleep(KILLED_AFTER_S)
+    # By the names of the instances and of the tenant, this one keeps the tenant's tokens.
     killed = bed.instances[2]
     killed.signal(signal.SIGKILL)
     bed.record.write(f"{killed.name} is killed")
@@ -104,7 +105,9 @@
         sum(began_s >= first_s and at_s < first_s + WINDOW_S for began_s, at_s in spans)
         for first_s, _ in spans
     )
-    bed.record.say(f"sent {len(answers)}, run {len(runs)}, most in a window {most} of {LARGEST:.0f}")
+    bed.record.say(
+        f"sent {len(answers)}, run {len(runs)}, most in a window {most} of {LARGEST:.0f}"
+    )
     broken = most > LARGEST
     bed.record.say("QUOTA is broken" if broken else "the rule held")
     return rig.BROKEN if broken else rig.HELD
--- a/review/8/main.py
+++ b/review/8/main.py
@@ -96,7 +96,9 @@
         sum(began_s >= first_s and at_s < first_s + WINDOW_S for began_s, at_s in spans)
         for first_s, _ in spans
     )
-    bed.record.say(f"sent {len(answers)}, run {len(runs)}, most in a window {most} of {LARGEST:.0f}")
+    bed.record.say(
+        f"sent {len(answers)}, run {len(runs)}, most in a window {most} of {LARGEST:.0f}"
+    )
     broken = most > LARGEST
     bed.record.say("QUOTA is broken" if broken else "the rule held")
     return rig.BROKEN if broken else rig.HELD
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -367,7 +367,7 @@
         """Write the entry again and again, until cancelled."""
         while True:
             await asyncio.sleep(interval_s)
-            if self.is_up:
+            if self.is_up and not self.store.is_down:
                 self.register()
 
     async def handle(self, request: Request):
@@ -612,7 +612,9 @@
         # The metrics address has a fixed port in the template; every instance has its own IP.
         self.settings.write_text(render(template, self.fields), encoding="utf-8")
         words = [render(word, self.fields) for word in shlex.split(role["run"])]
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+        }
         environment |= {
             "TURMERICLUG_NODE_FILE": str(self.settings),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
@@ -727,7 +729,9 @@
         self.record.write(f"instances ready: {ready}")
         for instance, is_ready in zip(self.instances, ready, strict=True):
             if not is_ready:
-                self.record.say(f"{instance.name} is not ready: {instance.log_path.read_text()[-600:]}")
+                self.record.say(
+                    f"{instance.name} is not ready: {instance.log_path.read_text()[-600:]}"
+                )
         return all(ready)
 
 
