Log the answers of a holder for an organisation without a limit

More of an organisation's requests may run than its quota allows because a holder answers that there is no limit, because holder and standby both grant tokens, because a new bucket starts too full, or by the fixed shares of instances that are cut off. The last three have a log line. The new counter quota.unlimited and its line state the holder's configuration version and whether it names the organisation.

--- a/src/turmericlug/entry/quota_shares.py
+++ b/src/turmericlug/entry/quota_shares.py
@@ -40,13 +40,20 @@
 
     def organisation(self, name: str) -> organisations_module.Organisation | None:
         """Return an organisation of the configuration in force, if it has a limit there."""
+        organisation = self._configured().get(name)
+        return organisation if organisation is not None and organisation.rate_per_s else None
+
+    def is_named(self, name: str) -> bool:
+        """Whether the configuration in force names an organisation that holds a key."""
+        return name in self._configured()
+
+    def _configured(self) -> dict[str, organisations_module.Organisation]:
         configuration = self._view.configuration
         if configuration is not self._organisations_of:
             organisations = configuration.organisations if configuration else None
             self._organisations = organisations.by_name if organisations else {}
             self._organisations_of = configuration
-        organisation = self._organisations.get(name)
-        return organisation if organisation is not None and organisation.rate_per_s else None
+        return self._organisations
 
     def forget_idle(self, now_s: float, in_use: abc.Container[str]) -> None:
         """
--- a/src/turmericlug/entry/quotas.py
+++ b/src/turmericlug/entry/quotas.py
@@ -231,6 +231,7 @@
         for report in message.reports:
             organisation = self._shares.organisation(report.organisation)
             if organisation is None:
+                self._log_unlimited(report.organisation, message.sender)
                 notices.append(_unlimited(report))
                 continue
             notices.append(
@@ -247,6 +248,17 @@
             notices=notices, held=self._holder.active_ones(message.held, now_s)
         )
 
+    def _log_unlimited(self, name: str, asker: str) -> None:
+        configuration = self._view.configuration
+        self._counters.add("quota.unlimited")
+        decisions.log(
+            "quota.unlimited",
+            organisation=name,
+            asker=asker,
+            version=configuration.version if configuration is not None else None,
+            is_named=self._shares.is_named(name),
+        )
+
     # Reports to holders.
 
     def _schedule(self, target: str, name: str) -> None:
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -96,6 +96,7 @@
     "quota.not_told": "notices that an organisation is limited that got no answer",
     "quota.limited": "times that an organisation became limited at its holder",
     "quota.opened": "times that a limited organisation became open again at its holder",
+    "quota.unlimited": "reports that the holder answered as for an organisation without a limit",
     "quota.refunded": "tokens taken back because no replica ran the request",
     "poison.ended": "crashes of replicas, counted for each request they were running",
     "poison.trial": "trials: attempts of a suspected request at one replica, to see if it crashes",
