Don't answer that an organisation has no limit when none is known

The holder of an organisation's tokens was killed and started again while the store was down.

Cause: Quotas.handle answered any number of tokens and an infinite level for an organisation without a limit, for one that holds no key in its configuration, and without any configuration.

Now a report states the limit of its sender, and a message the version of its configuration. A holder that doesn't know the organisation accounts by the stated limit. That serves callers within their quota as before, also where holder and standby have both restarted. Where one side is of the last build, a report without a limit is rejected, and an infinite level without the new mark is not believed; the standby is asked instead.

Same cause elsewhere: waiting requests of an organisation that loses its keys were admitted, and an infinite level was handed to the next holder as a full bucket.

test_an_organisation_without_a_limit_at_the_holder_is_admitted asked about an organisation that the configuration doesn't name, which is the fault; it now asks about one that it names without a limit, as its text says, and checks that the answer says so.

--- a/src/turmericlug/entry/quota_peers.py
+++ b/src/turmericlug/entry/quota_peers.py
@@ -69,6 +69,8 @@
         self._is_listed = True
         self._is_leaving = False
         self._down_until_s: dict[str, float] = {}
+        self._unknown_until_s: dict[tuple[str, str], float] = {}
+        """Until when an instance is not asked about an organisation that it may not know."""
         self._tasks = tasks_module.Tasks()
 
     def __len__(self) -> int:
@@ -96,12 +98,20 @@
         return candidates
 
     def target(self, organisation: str, now_s: float) -> str | None:
-        """Return the instance to ask; ``None`` if neither holder nor standby answers."""
+        """Return the instance to ask; ``None`` if neither holder nor standby can answer."""
         for candidate in self.candidates(organisation):
-            if candidate == self.own_name or now_s >= self._down_until_s.get(candidate, now_s):
+            if candidate == self.own_name:
+                return candidate
+            down_until_s = self._down_until_s.get(candidate, now_s)
+            unknown_until_s = self._unknown_until_s.get((candidate, organisation), now_s)
+            if now_s >= max(down_until_s, unknown_until_s):
                 return candidate
         return None
 
+    def pass_over(self, name: str, organisation: str, now_s: float) -> None:
+        """Ask an instance no more about an organisation for a time, as it may not know it."""
+        self._unknown_until_s[name, organisation] = now_s + DOWN_S
+
     def next_sequence(self) -> int:
         """Return the number of the next message."""
         self._sequence += 1
@@ -121,8 +131,15 @@
             tuple(reports),
             tuple(notices),
             tuple(held),
+            self.version,
         )
 
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force; 0 if there is none."""
+        configuration = self._view.configuration
+        return configuration.version if configuration is not None else 0
+
     async def exchange(
         self, name: str, message: quota_codec.Message, now_s: abc.Callable[[], float]
     ) -> Outcome:
@@ -190,6 +207,9 @@
         self._down_until_s = {
             name: until_s for name, until_s in self._down_until_s.items() if until_s > now_s
         }
+        self._unknown_until_s = {
+            pair: until_s for pair, until_s in self._unknown_until_s.items() if until_s > now_s
+        }
 
     async def close(self) -> None:
         """End the notices that are on their way."""
--- a/src/turmericlug/entry/quota_service.py
+++ b/src/turmericlug/entry/quota_service.py
@@ -15,6 +15,9 @@
 from turmericlug.telemetry import decisions
 from turmericlug.wire import quota_codec
 
+_UNKNOWN_LIMIT_STATUS = 503
+"""Answer to a report whose limit is not known; the sender then asks the standby."""
+
 
 @contextlib.asynccontextmanager
 async def run(kernel: kernel_module.Kernel) -> abc.AsyncIterator[quotas_module.Quotas | None]:
@@ -58,6 +61,9 @@
         except quota_codec.MessageError as error:
             decisions.log("quota.unreadable", reason=str(error))
             return messages.Response(400)
-        return messages.Response(200, body=quota_codec.encode(quotas.handle(message)))
+        answer = quotas.handle(message)
+        if isinstance(answer, quotas_module.UnknownLimit):
+            return messages.Response(_UNKNOWN_LIMIT_STATUS)
+        return messages.Response(200, body=quota_codec.encode(answer))
 
     return handle
--- a/src/turmericlug/entry/quota_shares.py
+++ b/src/turmericlug/entry/quota_shares.py
@@ -4,6 +4,8 @@
 
 from collections import abc
 
+import attrs
+
 from turmericlug.direct import organisations as organisations_module
 from turmericlug.entry import view as view_module
 from turmericlug.policy import quota
@@ -38,14 +40,23 @@
             share.set_limit(quota.Limit(self._rule, organisation.rate_per_s, organisation.burst))
         return share
 
-    def organisation(self, name: str) -> organisations_module.Organisation | None:
-        """Return an organisation of the configuration in force, if it has a limit there."""
-        organisation = self._configured().get(name)
-        return organisation if organisation is not None and organisation.rate_per_s else None
+    def configured(self, name: str) -> organisations_module.Organisation | None:
+        """
+        Return an organisation as the configuration in force names it, with or without a limit.
+
+        ``None`` if there is no configuration, or if the organisation holds no key in it: that says
+        nothing about its limit in the configuration of another instance.
+        """
+        return self._configured().get(name)
 
-    def is_named(self, name: str) -> bool:
-        """Whether the configuration in force names an organisation that holds a key."""
-        return name in self._configured()
+    def report(self, name: str, waiting: int, now_s: float) -> quota.Report:
+        """Return the report about a known organisation, with the limit that is applied here."""
+        share = self.known[name]
+        return attrs.evolve(
+            share.report(name, waiting, now_s),
+            rate_per_s=share.limit.rate_per_s,
+            burst=share.limit.burst,
+        )
 
     def _configured(self) -> dict[str, organisations_module.Organisation]:
         configuration = self._view.configuration
--- a/src/turmericlug/entry/quotas.py
+++ b/src/turmericlug/entry/quotas.py
@@ -45,10 +45,18 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+@dataclasses.dataclass(frozen=True)
+class UnknownLimit:
+    """A report can't be accounted for: whether the organisation has a limit is not known here."""
+
+    organisation: str
+
+
 @attrs.define(eq=False)
 class _Waiter:
     """A request that waits for the holder's answer."""
 
+    organisation: organisations_module.Organisation
     rank: int
     decided: asyncio.Future[quota_share.Admitted | quota_share.OverQuota]
 
@@ -153,7 +161,7 @@
         target = self._peers.target(name, now_s)
         if target is None or target == self._peers.own_name:
             return self._decide_now(organisation, now_s)
-        waiter = _Waiter(rank, asyncio.get_running_loop().create_future())
+        waiter = _Waiter(organisation, rank, asyncio.get_running_loop().create_future())
         self._waiters.setdefault(name, []).append(waiter)
         self._schedule(target, name)
         try:
@@ -223,23 +231,26 @@
             share.begin_cut_off(now_s)
             decisions.log("quota.cut_off", organisation=name, was_limited=share.is_limited(now_s))
 
-    def handle(self, message: quota_codec.Message) -> quota_codec.Message:
+    def handle(self, message: quota_codec.Message) -> quota_codec.Message | UnknownLimit:
         """Account for the reports of another instance and apply its notices."""
         now_s = self.now_s()
         sender = (message.sender, message.start)
+        organisations = [self._with_limit(report, message) for report in message.reports]
+        if None in organisations:
+            # Nothing is accounted for: the sender reports all of it to the standbys instead.
+            return self._unknown_limit(message, organisations.index(None))
         notices = []
-        for report in message.reports:
-            organisation = self._shares.organisation(report.organisation)
-            if organisation is None:
-                self._log_unlimited(report.organisation, message.sender)
+        for organisation, report in zip(organisations, message.reports, strict=True):
+            if not organisation.rate_per_s:
+                self._log_limit("quota.unlimited", report.organisation, message.sender)
                 notices.append(_unlimited(report))
                 continue
             notices.append(
                 self._holder.account(organisation, sender, message.sequence, report, now_s)
             )
         for notice in message.notices:
-            organisation = self._shares.organisation(notice.organisation)
-            if organisation is not None:
+            organisation = self._shares.configured(notice.organisation)
+            if organisation is not None and organisation.rate_per_s:
                 share = self._shares.of(organisation, now_s)
                 if not share.is_limited(now_s):
                     self._peers.forward(notice, except_for=message.sender)
@@ -248,15 +259,45 @@
             notices=notices, held=self._holder.active_ones(message.held, now_s)
         )
 
-    def _log_unlimited(self, name: str, asker: str) -> None:
-        configuration = self._view.configuration
-        self._counters.add("quota.unlimited")
+    def _with_limit(
+        self, report: quota.Report, message: quota_codec.Message
+    ) -> organisations_module.Organisation | None:
+        """
+        Return an organisation with the limit to account by; ``None`` if that is not known.
+
+        The configuration here decides if it names the organisation, but lifts no limit that a
+        newer one sets. Otherwise the limit that the sender states counts, or the last one.
+        """
+        name = report.organisation
+        configured = self._shares.configured(name)
+        if configured is not None:
+            if configured.rate_per_s or message.version <= self._peers.version:
+                return configured
+        if report.rate_per_s:
+            self._log_limit("quota.limit_stated", name, message.sender)
+            return organisations_module.Organisation(
+                name, rate_per_s=report.rate_per_s, burst=report.burst
+            )
+        bucket = self._holder.bucket(name)
+        if bucket is not None:
+            return organisations_module.Organisation(
+                name, rate_per_s=bucket.limit.rate_per_s, burst=bucket.limit.burst
+            )
+        return configured
+
+    def _unknown_limit(self, message: quota_codec.Message, index: int) -> UnknownLimit:
+        name = message.reports[index].organisation
+        self._log_limit("quota.unknown_limit", name, message.sender)
+        return UnknownLimit(name)
+
+    def _log_limit(self, event: str, name: str, asker: str) -> None:
+        self._counters.add(event)
         decisions.log(
-            "quota.unlimited",
+            event,
             organisation=name,
             asker=asker,
-            version=configuration.version if configuration is not None else None,
-            is_named=self._shares.is_named(name),
+            version=self._peers.version or None,
+            is_named=self._shares.configured(name) is not None,
         )
 
     # Reports to holders.
@@ -288,7 +329,7 @@
         asked_s = self.now_s()
         waiting = {name: list(self._waiters.get(name, ())) for name in names}
         reports = {
-            name: self._shares.known[name].report(name, len(waiting[name]), asked_s)
+            name: self._shares.report(name, len(waiting[name]), asked_s)
             for name in names
             if name in self._shares.known
         }
@@ -311,7 +352,14 @@
                 notices = outcome.message.notices
         for notice in notices:
             name = notice.organisation
-            if name in reports and name in self._shares.known:
+            if name not in reports or name not in self._shares.known:
+                continue
+            if not notice.is_known:
+                self._counters.add("quota.not_known")
+                decisions.log("quota.not_known", organisation=name, holder=target)
+                self._peers.pass_over(target, name, now_s)
+                self._on_no_answer(name, now_s)
+            else:
                 self._on_reply(target, reports[name], notice, waiting[name], asked_s, now_s)
 
     def _on_reply(
@@ -344,7 +392,7 @@
 
     def _on_no_answer(self, name: str, now_s: float) -> None:
         """Ask the standby instead; admit a fixed share if it doesn't answer either."""
-        share, organisation = self._shares.known.get(name), self._shares.organisation(name)
+        share, configured = self._shares.known.get(name), self._shares.configured(name)
         other = self._peers.target(name, now_s)
         if share is None:
             return
@@ -356,10 +404,9 @@
         for waiter in sorted(self._waiters.get(name, ()), key=lambda waiter: waiter.rank):
             if waiter.decided.done():
                 continue
-            if organisation is None:
-                waiter.decided.set_result(quota_share.ADMITTED)
-            else:
-                waiter.decided.set_result(self._decide_now(organisation, now_s))
+            # A limit holds until a configuration lifts it, also without a key of the organisation.
+            organisation = configured or waiter.organisation
+            waiter.decided.set_result(self._decide_now(organisation, now_s))
 
     # Timers.
 
--- a/src/turmericlug/policy/quota.py
+++ b/src/turmericlug/policy/quota.py
@@ -113,6 +113,9 @@
     known_age_s: float = 0.0
     known_origin: int = 0
     """The start of the instance that has stated it."""
+    rate_per_s: float = 0.0
+    """The limit by the instance's configuration, with ``burst``; 0: not stated."""
+    burst: float = 0.0
 
 
 @attrs.frozen
@@ -127,8 +130,11 @@
     refuse_s: float = 0.0
     """Time for which the instance should refuse without asking."""
     level: float = 0.0
+    """Infinite if the organisation has no limit."""
     origin: int = 0
     """Identifies the start of the holder."""
+    is_known: bool = True
+    """Whether an infinite level means that there is no limit; otherwise the sender may not know."""
 
 
 Sender = tuple[str, int]
--- a/src/turmericlug/policy/quota_share.py
+++ b/src/turmericlug/policy/quota_share.py
@@ -255,6 +255,8 @@
         if now_s >= self.lease_ends_s:
             self.held = 0
         expected = self._expected(now_s)
+        # The level of an organisation without a limit says nothing about its tokens under one.
+        is_known = self.known_level is not None and math.isfinite(self.known_level)
         return quota.Report(
             organisation,
             used=self.used,
@@ -263,9 +265,9 @@
             held=self.held,
             waiting=waiting,
             wanted=max(expected - self.held - waiting, 0) if expected >= MIN_EXPECTED else 0,
-            known_level=self.known_level,
-            known_age_s=now_s - self.known_s if self.known_level is not None else 0.0,
-            known_origin=self._known_origin,
+            known_level=self.known_level if is_known else None,
+            known_age_s=now_s - self.known_s if is_known else 0.0,
+            known_origin=self._known_origin if is_known else 0,
         )
 
     def on_reply(
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -97,6 +97,15 @@
     "quota.limited": "times that an organisation became limited at its holder",
     "quota.opened": "times that a limited organisation became open again at its holder",
     "quota.unlimited": "reports that the holder answered as for an organisation without a limit",
+    "quota.limit_stated": (
+        "reports accounted for by the limit that the sender states, as the holder knows none"
+    ),
+    "quota.unknown_limit": (
+        "messages rejected because neither side states the limit of an organisation"
+    ),
+    "quota.not_known": (
+        "answers of older software that may mean that it doesn't know the organisation"
+    ),
     "quota.refunded": "tokens taken back because no replica ran the request",
     "poison.ended": "crashes of replicas, counted for each request they were running",
     "poison.trial": "trials: attempts of a suspected request at one replica, to see if it crashes",
--- a/src/turmericlug/telemetry/decisions.py
+++ b/src/turmericlug/telemetry/decisions.py
@@ -16,8 +16,13 @@
 import time
 import typing
 
-EVENT_LIMITS_PER_S = {"query.routed": 50, "query.answered": 20, "send.hedged": 20}
-"""Lines per second for events of served queries: the first ones of each second, as a sample."""
+EVENT_LIMITS_PER_S = {
+    "query.routed": 50,
+    "query.answered": 20,
+    "send.hedged": 20,
+    "quota.limit_stated": 20,
+}
+"""Lines per second for events of served requests: the first ones of each second, as a sample."""
 DEFAULT_LIMIT_PER_S = 100
 """Lines per second for any other event; refusals and failures have priority over served queries."""
 MAX_BUFFER_BYTES = 256 * 1024
--- a/src/turmericlug/wire/quota_codec.py
+++ b/src/turmericlug/wire/quota_codec.py
@@ -18,7 +18,7 @@
 _ROUNDING = 1e-6
 """Difference that the multiplication of a whole number of thousandths may make."""
 _MAX_MILLI = 1 << 53
-"""Largest level in thousandths that a float represents exactly."""
+"""Largest level in thousandths that a float represents exactly; stands for an infinite one."""
 
 
 class MessageError(Exception):
@@ -37,6 +37,8 @@
     held: tuple[str, ...] = ()
     """Organisations in use that the sender holds as the first; in the answer, those of them for
     which the receiver grants tokens as well."""
+    version: int = 0
+    """Version of the sender's configuration; 0: it has none, or doesn't state it."""
 
 
 def encode(message: Message) -> bytes:
@@ -55,10 +57,12 @@
                 "refuseMs": _milli(notice.refuse_s),
                 "levelMilli": _level_milli(notice.level),
                 "origin": notice.origin,
+                "isUnlimited": notice.is_known and notice.level == math.inf,
             }
             for notice in message.notices
         ],
         held=list(message.held),
+        version=message.version,
     ).to_bytes_packed()
 
 
@@ -71,6 +75,8 @@
         "held": report.held,
         "waiting": report.waiting,
         "wanted": report.wanted,
+        "ratePerS": report.rate_per_s,
+        "burst": report.burst,
     }
     if report.known_level is not None:
         encoded["knownLevelMilli"] = _level_milli(report.known_level)
@@ -105,6 +111,7 @@
             tuple(_report(report) for report in message.reports),
             tuple(_notice(notice) for notice in message.notices),
             tuple(message.held),
+            message.version,
         )
     except MessageError:
         raise
@@ -113,7 +120,9 @@
 
 
 def _report(report: capnp.lib.capnp._DynamicStructReader) -> quota.Report:
-    is_known = report.knownAgeMs != _UNKNOWN
+    # The level of an organisation without a limit says nothing about its tokens under one.
+    is_known = report.knownAgeMs != _UNKNOWN and report.knownLevelMilli < _MAX_MILLI
+    has_limit = _is_positive(report.ratePerS) and (not report.burst or _is_positive(report.burst))
     return quota.Report(
         report.organisation,
         report.used,
@@ -124,17 +133,25 @@
         report.wanted,
         report.knownLevelMilli / 1000 if is_known else None,
         report.knownAgeMs / 1000 if is_known else 0.0,
-        report.knownOrigin,
+        report.knownOrigin if is_known else 0,
+        report.ratePerS if has_limit else 0.0,
+        report.burst if has_limit else 0.0,
     )
 
 
+def _is_positive(value: float) -> bool:
+    return math.isfinite(value) and value > 0
+
+
 def _notice(notice: capnp.lib.capnp._DynamicStructReader) -> quota.Notice:
+    is_infinite = notice.levelMilli >= _MAX_MILLI
     return quota.Notice(
         notice.organisation,
         notice.granted,
         notice.leaseMs / 1000,
         notice.limitedMs / 1000,
         notice.refuseMs / 1000,
-        notice.levelMilli / 1000,
+        math.inf if is_infinite else notice.levelMilli / 1000,
         notice.origin,
+        is_known=notice.isUnlimited or not is_infinite,
     )
--- a/src/turmericlug/wire/quotas.capnp
+++ b/src/turmericlug/wire/quotas.capnp
@@ -14,6 +14,8 @@
   held @5 :List(Text);
   # In a request: organisations in use that the sender holds as the first. In the answer: those of
   # them for which the receiver grants tokens as well.
+  version @6 :UInt64;
+  # Version of the sender's configuration. 0: it has none, or doesn't state it.
 }
 
 struct Report {
@@ -28,6 +30,9 @@
   knownAgeMs @8 :UInt32 = 0xffffffff;
   # The largest value: no level is known.
   knownOrigin @9 :UInt64;
+  ratePerS @10 :Float64;
+  # The limit in the sender's configuration, with the burst. 0: not stated.
+  burst @11 :Float64;
 }
 
 struct Notice {
@@ -38,4 +43,7 @@
   refuseMs @4 :UInt32;
   levelMilli @5 :Int64;
   origin @6 :UInt64;
+  isUnlimited @7 :Bool;
+  # The sender knows that there is no limit. Without it, the largest level means that the sender may
+  # not know the organisation.
 }
--- a/tests/entry/test_quotas.py
+++ b/tests/entry/test_quotas.py
@@ -57,6 +57,7 @@
     """The holder has a newer configuration without the limit: its own version decides."""
 
     async def scenario(fleet):
+        fleet.configure(quota_fleet.organisation(0.0, 0.0, "none"))
         (notice,) = (
             fleet.quotas["e0"].handle(message(quota.Report("none", 5, 5, waiting=3, wanted=2)))
         ).notices
@@ -64,6 +65,7 @@
 
     notice = play(scenario)
     assert (notice.granted, notice.limited_s, notice.level) == (5, 0.0, math.inf)
+    assert notice.is_known
 
 
 def test_instances_that_know_no_quotas_do_not_count_as_lost():
--- a/tests/wire/test_quota_codec.py
+++ b/tests/wire/test_quota_codec.py
@@ -20,13 +20,23 @@
     strategies.tuples(strategies.none(), strategies.just(0.0), strategies.just(0)),
     strategies.tuples(LEVELS, SECONDS, STARTS),
 )
+RATES_PER_S = strategies.floats(1e-3, 1e9)
+LIMITS = strategies.one_of(
+    strategies.just((0.0, 0.0)),
+    strategies.tuples(RATES_PER_S, strategies.one_of(strategies.just(0.0), RATES_PER_S)),
+)
 REPORTS = strategies.builds(
-    lambda name, counts, known: quota.Report(name, *counts, *known),
+    lambda name, counts, known, limit: quota.Report(name, *counts, *known, *limit),
     NAMES,
     strategies.tuples(*[COUNTS] * 6),
     KNOWN_LEVELS,
+    LIMITS,
+)
+INFINITE = strategies.just(math.inf)
+NOTICES = strategies.one_of(
+    strategies.builds(quota.Notice, NAMES, COUNTS, SECONDS, SECONDS, SECONDS, LEVELS, STARTS),
+    strategies.builds(quota.Notice, NAMES, COUNTS, level=INFINITE, is_known=strategies.booleans()),
 )
-NOTICES = strategies.builds(quota.Notice, NAMES, COUNTS, SECONDS, SECONDS, SECONDS, LEVELS, STARTS)
 
 
 @given(
@@ -38,6 +48,7 @@
         strategies.lists(REPORTS, max_size=3).map(tuple),
         strategies.lists(NOTICES, max_size=3).map(tuple),
         strategies.lists(NAMES, max_size=3).map(tuple),
+        STARTS,
     )
 )
 def test_messages_survive_the_wire(message):
@@ -65,6 +76,26 @@
     assert quota_codec.decode(quota_codec.encode(message)).notices[0].level > 1e9
 
 
+@pytest.mark.parametrize(
+    ("rate_per_s", "burst"),
+    [(math.inf, 1.0), (math.nan, 1.0), (-1.0, 1.0), (5.0, math.nan), (5.0, -1.0)],
+)
+def test_a_corrupt_limit_is_not_stated(rate_per_s, burst):
+    """A holder without a configuration would grant any number of tokens, or none."""
+    report = quota.Report("o", 1, 1, rate_per_s=rate_per_s, burst=burst)
+    message = quota_codec.Message("e1", 1, 1, reports=(report,))
+    (decoded,) = quota_codec.decode(quota_codec.encode(message)).reports
+    assert (decoded.rate_per_s, decoded.burst) == (0.0, 0.0)
+
+
+def test_an_infinite_level_is_no_known_level():
+    """A new holder would take it for a full bucket, whatever has been used in the window."""
+    report = quota.Report("o", 9, 9, known_level=math.inf, known_age_s=1.0, known_origin=7)
+    message = quota_codec.Message("e1", 1, 1, reports=(report,))
+    (decoded,) = quota_codec.decode(quota_codec.encode(message)).reports
+    assert decoded.known_level is None
+
+
 @given(strategies.binary(max_size=200))
 def test_corrupt_messages_are_rejected(content):
     """Any other exception would end the connection of the peer that sent the message."""
