Log the requests in progress beside those that wait for a slot

A request that waits too long for a slot may wait because replicas are slow, because the limit has fallen, or because a slot is lost. admission.waited now states the requests in progress and the limit, and admission.left is the line and the counter of a caller that leaves while it waits.

--- a/src/turmericlug/entry/admission.py
+++ b/src/turmericlug/entry/admission.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import math
 import statistics
 from collections import abc
 
@@ -131,17 +132,25 @@
             if slot.done() and not slot.cancelled() and slot.result():
                 # The slot was granted while the caller disconnected: pass it on.
                 self.release(call, began_s, answered=False)
+            self._log_wait("admission.left", call, began_s)
             raise
-        self._sender.counters.add("admission.waited")
+        self._log_wait("admission.waited", call, began_s)
+        return True
+
+    def _log_wait(self, event: str, call: sending.Call, began_s: float) -> None:
+        limit, now_s = self._limit(call), self._loop.time()
+        allowed = limit.limit(now_s)
+        self._sender.counters.add(event)
         decisions.log(
-            "admission.waited",
+            event,
             request=call.request_id,
             rank=call.rank,
-            organisation=waiting.organisation or None,
-            waited_ms=round((self._loop.time() - began_s) * 1000, 1),
+            organisation=call.organisation_name or None,
+            waited_ms=round((now_s - began_s) * 1000, 1),
             others=limit.queue_length,
+            active=limit.active,
+            limit=round(allowed, 1) if math.isfinite(allowed) else None,
         )
-        return True
 
     def load(self) -> handover_codec.Load:
         """Return the load to tell other instances."""
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -69,6 +69,7 @@
     "entry.no_route": "requests that no route matches",
     "entry.caller_left": "callers that disconnected before their answer",
     "admission.waited": "requests that waited in the instance below its concurrency limit",
+    "admission.left": "requests whose callers disconnected while they waited below that limit",
     "admission.refused.*": "requests refused by the overload control, by reason",
     "entry.waited": "queries over shards delayed by the slow start of an instance",
     "entry.total_ms": "timer: a request, from its arrival to its answer",
