Hand no slot of the concurrency limit to a caller that has left

Cause: the future of a waiting request is cancelled at once, is_cancelled is set when its task runs. ConcurrencyLimit.start_waiting, called in between, counted one more active request and set the result of the cancelled future. The queue now asks the future itself at that decision.

--- a/src/turmericlug/entry/admission.py
+++ b/src/turmericlug/entry/admission.py
@@ -120,6 +120,7 @@
             call.goal_at_s,
             call.deadline_s,
             slot.set_result,
+            slot.cancelled,
         )
         began_s = self._loop.time()
         if not limit.wait(waiting, began_s):
--- a/src/turmericlug/policy/concurrency.py
+++ b/src/turmericlug/policy/concurrency.py
@@ -62,6 +62,8 @@
     deadline_s: float
     on_decided: abc.Callable[[bool], None]
     """Called with true when the request may start, with false when it is refused after all."""
+    has_left: abc.Callable[[], bool] = lambda: False
+    """Whether its caller has left, which may be known before ``is_cancelled`` is set."""
     is_cancelled: bool = False
     is_late: bool = False
     """Whether it waits among the requests that miss their goal."""
@@ -97,7 +99,7 @@
         )
         """Time and lateness of recent answers."""
         self._waiting: fair_queue.FairQueue[Waiting] = fair_queue.FairQueue(
-            lambda waiting: waiting.is_cancelled
+            lambda waiting: waiting.is_cancelled or waiting.has_left()
         )
 
     @property
