Remove requests from the queue when their callers leave

A request whose caller has left stayed in the queue of the concurrency limit until its turn, and counted among those ahead of others: after 60 callers had left an instance, one with 1 s left was refused for want of time although nobody waited. The same held for cancelled parts in the queue of an owner, where they also count against the largest length and the share of a caller.

test_callers_that_have_left_are_not_counted_ahead failed before.

--- a/src/turmericlug/entry/admission.py
+++ b/src/turmericlug/entry/admission.py
@@ -129,7 +129,7 @@
             if not await slot:
                 return False
         except asyncio.CancelledError:
-            waiting.is_cancelled = True
+            limit.leave(waiting)
             if slot.done() and not slot.cancelled() and slot.result():
                 # The slot was granted while the caller disconnected: pass it on.
                 self.release(call, began_s, answered=False)
--- a/src/turmericlug/owner/fair_queue.py
+++ b/src/turmericlug/owner/fair_queue.py
@@ -38,6 +38,10 @@
         # The highest priority goes first, the lowest rank.
         self._queue.push(item, -item.priority, item.caller, item.deadline_s)
 
+    def remove(self, item: Item) -> None:
+        """Remove an item, if it is still in the queue."""
+        self._queue.remove(item, -item.priority, item.caller)
+
     def pop(self) -> Item | None:
         """Remove and return the next item that is not done."""
         return self._queue.pop()
--- a/src/turmericlug/owner/service_queue.py
+++ b/src/turmericlug/owner/service_queue.py
@@ -154,6 +154,7 @@
         if not part.done:
             self._counters.add("owner.part.cancelled")
             self._mark_done(part)
+            self._queue.remove(part)
 
     def refuse_queued(self) -> None:
         """Refuse the queued parts, so that coordinators submit them to the next owner."""
--- a/src/turmericlug/policy/concurrency.py
+++ b/src/turmericlug/policy/concurrency.py
@@ -144,6 +144,12 @@
             waiting.cost,
         )
 
+    def leave(self, waiting: Waiting) -> None:
+        """Remove a request whose caller has left, so that others don't wait behind it."""
+        waiting.is_cancelled = True
+        rank = (waiting.is_late, waiting.rank)
+        self._waiting.remove(waiting, rank, waiting.organisation)
+
     def release(self, now_s: float, answer: Answer | None) -> None:
         """
         Record the end of an active request and start waiting ones.
--- a/src/turmericlug/policy/fair_queue.py
+++ b/src/turmericlug/policy/fair_queue.py
@@ -73,6 +73,20 @@
         heapq.heappush(level.flows[flow].items, entry)
         self._length += 1
 
+    def remove(self, item: Item, rank: Rank, flow: str) -> None:
+        """Remove an item, if it is still in the queue, with the rank and flow that it has there."""
+        level = self._levels.get(rank)
+        waiting = level.flows.get(flow) if level is not None else None
+        if waiting is None:
+            return
+        left = [entry for entry in waiting.items if entry[-1] is not item]
+        self._length -= len(waiting.items) - len(left)
+        heapq.heapify(left)
+        waiting.items = left
+        if not left:
+            del level.flows[flow]
+            level.finish_tags[flow] = waiting.start_tag
+
     def pop(self) -> Item | None:
         """Remove and return the next item that is not done."""
         for rank in sorted(self._levels):
--- a/tests/policy/test_concurrency.py
+++ b/tests/policy/test_concurrency.py
@@ -123,6 +123,23 @@
     assert limit.try_acquire(0.2)
 
 
+def test_callers_that_have_left_are_not_counted_ahead():
+    """A caller is refused for want of time, behind requests that nobody waits for."""
+    limit = concurrency.ConcurrencyLimit(0.0)
+    start(limit, 100, 0.0)
+    left = [waiting(f"left {number}", []) for number in range(60)]
+    for request in left:
+        assert limit.wait(request, 0.0)
+    started = []
+    assert not limit.wait(waiting("stays", started, deadline_s=1.0), 0.0)
+    for request in left:
+        limit.leave(request)
+    assert limit.queue_length == 0
+    assert limit.wait(waiting("stays", started, deadline_s=1.0), 0.0)
+    limit.release(0.1, None)
+    assert started == ["stays"]
+
+
 def simulate_outage(began_s, seed, busy_share=0.0):
     """
     Return the shares of queries in time and answered after an outage, by organisation.
--- a/tests/policy/test_flow_queue.py
+++ b/tests/policy/test_flow_queue.py
@@ -68,3 +68,31 @@
     assert sorted(order) == list(range(len(items)))
     ranks = [items[index][1] for index in order]
     assert ranks == sorted(ranks)
+
+
+@hypothesis.settings(derandomize=True)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 2), strategies.sampled_from("abc"), strategies.integers(0, 9)
+        ),
+        max_size=30,
+    ),
+    strategies.sets(strategies.integers(0, 29)),
+)
+def test_removed_items_are_as_if_never_queued(items, removed):
+    """A request that nobody waits for delays others, or changes their order."""
+    queue, left = fair_queue.FairQueue(), fair_queue.FairQueue()
+    for number, (rank, flow, deadline_s) in enumerate(items):
+        queue.push(number, rank, flow, float(deadline_s))
+        if number not in removed:
+            left.push(number, rank, flow, float(deadline_s))
+    for number, (rank, flow, _) in enumerate(items):
+        if number in removed:
+            queue.remove(number, rank, flow)
+            queue.remove(number, rank, flow)
+    assert len(queue) == len(left)
+    for rank in range(3):
+        for flow in "abc":
+            assert queue.count_ahead_of(rank, flow) == left.count_ahead_of(rank, flow)
+    assert sorted(queue.drain()) == sorted(left.drain())
