Refuse a waiting request in time, whether or not another one ends

Cause: only the end of another request decides about the one at the head of the queue.

Each waiting request now has a timer: it is refused once it can't be answered before its deadline, and waits on if requests have become shorter. The same for queries in the slow start, which were never refused while they waited.

--- a/src/turmericlug/entry/admission.py
+++ b/src/turmericlug/entry/admission.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import contextlib
 import math
 import statistics
 from collections import abc
@@ -126,8 +127,9 @@
         if not limit.wait(waiting, began_s):
             return False
         try:
-            if not await slot:
-                return False
+            with self._refusing_in_time(limit, waiting, slot):
+                if not await slot:
+                    return False
         except asyncio.CancelledError:
             limit.leave(waiting)
             if slot.done() and not slot.cancelled() and slot.result():
@@ -138,6 +140,32 @@
         self._log_wait("admission.waited", call, began_s)
         return True
 
+    @contextlib.contextmanager
+    def _refusing_in_time(
+        self,
+        limit: concurrency.ConcurrencyLimit,
+        waiting: concurrency.Waiting,
+        slot: asyncio.Future[bool],
+    ) -> abc.Iterator[None]:
+        """Refuse a waiting request once it is too late to start it, whatever others do."""
+
+        def decide() -> None:
+            nonlocal timer
+            if slot.done():
+                return
+            if self._loop.time() < limit.latest_start_s(waiting):
+                # Requests have become shorter meanwhile.
+                timer = self._loop.call_at(limit.latest_start_s(waiting), decide)
+                return
+            limit.leave(waiting)
+            slot.set_result(False)
+
+        timer = self._loop.call_at(limit.latest_start_s(waiting), decide)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
     def _log_wait(self, event: str, call: sending.Call, began_s: float) -> None:
         limit, now_s = self._limit(call), self._loop.time()
         allowed = limit.limit(now_s)
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -323,12 +323,15 @@
             return False
         began_s = loop.time()
         try:
-            await admitted.wait()
-        except asyncio.CancelledError:
+            async with asyncio.timeout_at(self._slow_start.latest_start_s(waiting)):
+                await admitted.wait()
+        except (asyncio.CancelledError, TimeoutError) as error:
             self._slow_start.cancel(waiting)
             if admitted.is_set():
-                # It was admitted while the caller disconnected: the next query gets its slot.
+                # It was admitted in the same moment: the next query gets its slot.
                 self._slow_start.release(loop.time(), 0.0, in_time=False)
+            if isinstance(error, TimeoutError):
+                return False
             raise
         self.sender.counters.add("entry.waited")
         decisions.log(
--- a/src/turmericlug/policy/concurrency.py
+++ b/src/turmericlug/policy/concurrency.py
@@ -130,7 +130,7 @@
         key = (waiting.is_late, waiting.rank)
         ahead = self._waiting.count_ahead_of(key, waiting.organisation)
         wait_s = (ahead + 1) * self._mean_duration_s / self.limit(now_s)
-        if now_s + wait_s + self._mean_duration_s > waiting.deadline_s:
+        if now_s + wait_s > self.latest_start_s(waiting):
             return False
         self._push(waiting)
         return True
@@ -144,8 +144,12 @@
             waiting.cost,
         )
 
+    def latest_start_s(self, waiting: Waiting) -> float:
+        """Return when a request has to start at the latest to be answered before its deadline."""
+        return waiting.deadline_s - self._mean_duration_s
+
     def leave(self, waiting: Waiting) -> None:
-        """Remove a request whose caller has left, so that others don't wait behind it."""
+        """Remove a request that doesn't wait any more, so that others don't wait behind it."""
         waiting.is_cancelled = True
         rank = (waiting.is_late, waiting.rank)
         self._waiting.remove(waiting, rank, waiting.organisation)
@@ -188,7 +192,7 @@
             waiting = self._waiting.pop()
             if waiting is None:
                 return
-            if now_s + self._mean_duration_s > waiting.deadline_s:
+            if now_s > self.latest_start_s(waiting):
                 waiting.on_decided(False)
                 continue
             if not waiting.is_late and self._is_late(waiting, now_s):
--- a/src/turmericlug/policy/slow_start.py
+++ b/src/turmericlug/policy/slow_start.py
@@ -90,13 +90,17 @@
         """Queue a query; false if it is expected to end after its deadline."""
         ahead = sum(self._rank(other, now_s) < self._rank(query, now_s) for other in self._waiting)
         wait_s = (ahead + 1) * self._mean_duration_s / self._limit(now_s)
-        if now_s + wait_s + self._mean_duration_s > query.deadline_s:
+        if now_s + wait_s > self.latest_start_s(query):
             return False
         self._waiting.append(query)
         return True
 
+    def latest_start_s(self, query: WaitingQuery) -> float:
+        """Return when a query has to start at the latest to be answered before its deadline."""
+        return query.deadline_s - self._mean_duration_s
+
     def cancel(self, query: WaitingQuery) -> None:
-        """Remove a waiting query whose caller has left."""
+        """Remove a query that doesn't wait any more."""
         if query in self._waiting:
             self._waiting.remove(query)
 
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -7,6 +7,7 @@
 import random
 
 import pytest
+import quota_fleet
 import scripted
 
 from turmericlug.direct import answering
@@ -247,6 +248,28 @@
     assert cancelled == [0, admitted]
 
 
+def test_a_query_that_waits_in_slow_start_is_refused_before_its_deadline():
+    """While no other query ends, one that waits is held far beyond its deadline."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        sender = scripted.make_sender({"s": {"a": scripted.ScriptedReplica()}})
+        view = view_module.View("own", sender.replicas, sender.replicas, lambda: 0.0)
+        route = routes.Route("r", "h.example", "/x/", True, 1000, 900, 1, 2, shards=("s",))
+        view.configuration = routes.Configuration(3, (route,), {}, messages.Limits())
+        handler = callers_module.RequestHandler(view, sender, lambda: 0.0)
+        handler._slow_start._active = slow_start.INITIAL_LIMIT
+        now_s = loop.time()
+        request = messages.Request(b"GET", b"/x/1", (HOST, ID), b"", now_s, now_s)
+        task = asyncio.create_task(handler.handle(request))
+        await asyncio.wait([task], timeout=60.0)
+        return task.done() and task.result(), loop.time() - now_s, handler._slow_start.queue_length
+
+    refused, waited_s, queued = quota_fleet.run(main)
+    assert (refused.status, refused.body, queued) == (503, b"starting", 0)
+    assert waited_s <= 1.0
+
+
 def test_slow_start_limits_queries_after_a_start():
     """
     After a power loss all instances restart, and all their callers retry at the same moment.
--- a/tests/entry/test_waiting_callers.py
+++ b/tests/entry/test_waiting_callers.py
@@ -12,6 +12,7 @@
 import scripted
 
 from turmericlug.entry import admission
+from turmericlug.policy import admission as policy
 from turmericlug.policy import concurrency
 
 LIMIT = int(concurrency.INITIAL_LIMIT)
@@ -115,3 +116,57 @@
     assert answered == [True] * (LIMIT + STAYING)
     assert (active, queued) == (0, 0)
     assert counters["admission.left"] == leaving
+
+
+@pytest.mark.parametrize("is_query", [True, False], ids=["query", "one replica"])
+@pytest.mark.parametrize("left_s", [0.3, 1.2, 5.0])
+def test_a_waiting_request_is_refused_before_its_deadline(is_query, left_s):
+    """While no other request ends, one that waits is held far beyond its deadline."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        control = admission.Admission(scripted.make_sender({}), lambda: True)
+        never = asyncio.Event()
+
+        async def answer_never():
+            await never.wait()
+
+        active = [
+            asyncio.create_task(control.run(make_call(is_query), answer_never))
+            for _ in range(LIMIT)
+        ]
+        await asyncio.sleep(0)
+        call = attrs.evolve(make_call(is_query), deadline_s=loop.time() + left_s)
+        task = asyncio.create_task(control.acquire(call))
+        await asyncio.wait([task], timeout=GIVE_UP_S)
+        decided_s, queued = loop.time(), control.load().queued
+        for each in [*active, task]:
+            each.cancel()
+        await asyncio.wait([*active, task])
+        return task.done() and not task.cancelled() and task.result(), call, decided_s, queued
+
+    refused, call, decided_s, queued = quota_fleet.run(main)
+    assert refused.reason == admission.TOO_LONG_A_WAIT
+    assert 0 <= call.deadline_s - decided_s <= concurrency.INITIAL_DURATION_S + 0.001
+    assert queued == 0
+
+
+def test_a_request_waits_as_long_as_it_can_be_served():
+    """Requests have become shorter since it began to wait; it is refused with time left."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        control = admission.Admission(scripted.make_sender({}), lambda: True)
+        limit = control._requests
+        limit._mean_duration_s = 0.3
+        for _ in range(LIMIT):
+            assert limit.try_acquire(loop.time())
+        call = attrs.evolve(make_call(False), deadline_s=loop.time() + 1.0)
+        task = asyncio.create_task(control.acquire(call))
+        await asyncio.sleep(0.1)
+        limit._mean_duration_s = 0.05
+        await asyncio.sleep(0.75)
+        limit.release(loop.time(), None)
+        return await task
+
+    assert quota_fleet.run(main) == policy.ADMITTED
