Log the changes of an organisation's limit at its holder

More may run after a change of the limit because the holder's level is wrong, because instances admit too many before they ask, or because two instances hold tokens. quota.limit_changed states the limit and the level before and after.

--- a/src/turmericlug/entry/quota_holder.py
+++ b/src/turmericlug/entry/quota_holder.py
@@ -130,9 +130,25 @@
                     level=round(bucket.level, 2),
                 )
         held.is_first = is_first
-        held.bucket.set_limit(limit, self._share(held), now_s)
+        self._set_limit(name, held, limit, now_s)
         return held
 
+    def _set_limit(self, name: str, held: _Held, limit: quota.Limit, now_s: float) -> None:
+        bucket, last = held.bucket, held.bucket.limit
+        bucket.advance(now_s)
+        level = bucket.level
+        bucket.set_limit(limit, self._share(held), now_s)
+        if limit != last:
+            self._counters.add("quota.limit_changed")
+            decisions.log(
+                "quota.limit_changed",
+                organisation=name,
+                rate_per_s=[last.rate_per_s, limit.rate_per_s],
+                burst=[last.burst, limit.burst],
+                level=[round(level, 2), round(bucket.level, 2)],
+                share=bucket.share,
+            )
+
     def _share(self, held: _Held) -> float:
         """Return what this instance may grant of an organisation's rate and capacity."""
         if held.is_whole:
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -97,6 +97,7 @@
     "quota.not_told": "notices that an organisation is limited that got no answer",
     "quota.limited": "times that an organisation became limited at its holder",
     "quota.opened": "times that a limited organisation became open again at its holder",
+    "quota.limit_changed": "times that a holder applied another limit to an organisation",
     "quota.unlimited": "reports that the holder answered as for an organisation without a limit",
     "quota.limit_stated": (
         "reports accounted for by the limit that the sender states, as the holder knows none"
