Grant no burst again when a lowered quota is restored

Cause: Bucket.set_limit adds the difference of the capacities when the limit is raised, and takes only tokens beyond the capacity when it is lowered, so that a spent bucket loses nothing and gains the whole burst. Evidence: quota.limit_changed, level 1.43 before and 73.43 after restoring.

The bucket now remembers the tokens taken in the last window. A new holder counts what instances report for their window. A burst that is raised counts at once, as far as it has not been used.

--- a/src/turmericlug/policy/quota_bucket.py
+++ b/src/turmericlug/policy/quota_bucket.py
@@ -28,6 +28,7 @@
 import attrs
 
 from turmericlug.policy import quota
+from turmericlug.policy import quota_usage
 
 MAX_LIMITED_S = 60.0
 """Longest time for which an instance treats an organisation as limited without being told again."""
@@ -108,6 +109,9 @@
         self.leased = 0
         """Tokens that are leased and, as far as known, not used."""
         self._committed = self._excess = 0.0
+        self._recent_use = quota_usage.RecentUse(limit.rule.window_s)
+        self._raised_s = self._raised_from = -math.inf
+        """When the limit was raised last, and the level before."""
         self._largest_start = math.inf
         if is_young or share < 1:
             self._largest_start = limit.uncertain_level
@@ -143,6 +147,12 @@
         committed = min(tokens, max(math.floor(self._committed + _EPSILON), 0))
         self._committed -= committed
         self._excess -= tokens - committed
+        self._recent_use.add(self._updated_s, tokens)
+
+    def _give_back(self, tokens: int) -> None:
+        """Add tokens that were taken and not used."""
+        self._add(tokens)
+        self._recent_use.add(self._updated_s, -tokens)
 
     def _lower_to(self, level: float) -> None:
         """Lower the level if it is higher; what is left is committed as far as possible."""
@@ -171,6 +181,9 @@
         """
         Apply the limit of the configuration in force; a raised one counts at once.
 
+        Its tokens are added as far as they have not been spent in the last window: a limit that is
+        lowered and restored doesn't grant its burst again.
+
         :param share: what this holder may grant of rate and capacity
         """
         if limit == self.limit and share == self.share:
@@ -181,11 +194,17 @@
             self._lower_to(self.level * min(share / self.share, 1.0))
         raised_by = (limit.capacity - self.limit.capacity) * share
         self.limit, self.share = limit, share
-        self._add(max(raised_by, 0.0))
+        if raised_by > 0:
+            self._raised_s, self._raised_from = now_s, self.level
+            self._add(min(raised_by, max(self._unspent(now_s) - self.level, 0.0)))
         self._committed = min(self._committed, limit.committed * share)
         self._lower_to(self._capacity - self.leased)
         self._update_state(now_s)
 
+    def _unspent(self, now_s: float) -> float:
+        """Return the level that the bucket would have if the limit had been in force before."""
+        return self._recent_use.level(self._capacity, self._refill_per_s, now_s)
+
     def advance(self, now_s: float) -> None:
         """Add the tokens of the time that has passed, and take back those of expired leases."""
         if now_s >= self._next_expiry_s:
@@ -206,7 +225,7 @@
                 continue
             if now_s >= account.expires_s:
                 self.leased -= account.held
-                self._add(account.held)
+                self._give_back(account.held)
                 account.held = 0
             else:
                 self._next_expiry_s = min(self._next_expiry_s, account.expires_s)
@@ -248,7 +267,7 @@
         if taken >= 0:
             self._take(taken)
         else:
-            self._add(-taken)
+            self._give_back(-taken)
         account.used, account.held = report.used, report.held
         self._uses.add(now_s, max(used, 0))
         self._update_state(now_s)
@@ -271,8 +290,12 @@
         if not (is_young and self._is_inherited):
             return Account(report.used - report.used_in_window, now_s)
         # The stated level excludes tokens that the instance holds, which are deducted as reported.
-        self._add(report.held)
-        return Account(report.used - min(report.unreported, report.used_in_window), now_s)
+        self._give_back(report.held)
+        unreported = min(report.unreported, report.used_in_window)
+        self._recent_use.add(now_s, report.used_in_window - unreported)
+        if now_s - self._raised_s <= self.limit.rule.window_s:
+            self._lower_to(max(self._unspent(now_s), self._raised_from))
+        return Account(report.used - unreported, now_s)
 
     def _grant(self, account: Account, report: quota.Report, now_s: float) -> quota.Notice:
         granted = min(report.waiting, self._whole_tokens())
