Drop a rank of the queue with its last flow; bound the version in messages

A rank whose last request left stayed in the queue, with an order of flows from before, until the next request was started. A configuration version beyond 64 bits would have made every message about quotas unreadable for its sender.

--- a/src/turmericlug/policy/fair_queue.py
+++ b/src/turmericlug/policy/fair_queue.py
@@ -86,6 +86,8 @@
         if not left:
             del level.flows[flow]
             level.finish_tags[flow] = waiting.start_tag
+        if not level.flows:
+            del self._levels[rank]
 
     def pop(self) -> Item | None:
         """Remove and return the next item that is not done."""
--- a/src/turmericlug/wire/quota_codec.py
+++ b/src/turmericlug/wire/quota_codec.py
@@ -19,6 +19,7 @@
 """Difference that the multiplication of a whole number of thousandths may make."""
 _MAX_MILLI = 1 << 53
 """Largest level in thousandths that a float represents exactly; stands for an infinite one."""
+_MAX_VERSION = (1 << 64) - 1
 
 
 class MessageError(Exception):
@@ -62,7 +63,7 @@
             for notice in message.notices
         ],
         held=list(message.held),
-        version=message.version,
+        version=min(max(message.version, 0), _MAX_VERSION),
     ).to_bytes_packed()
 
 
