--- a/src/turmericlug/entry/quota_service.py
+++ b/src/turmericlug/entry/quota_service.py
@@ -6,6 +6,7 @@
 import random
 from collections import abc
 
+from turmericlug.entry import quota_limits
 from turmericlug.entry import quotas as quotas_module
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import messages
@@ -62,7 +63,7 @@
             decisions.log("quota.unreadable", reason=str(error))
             return messages.Response(400)
         answer = quotas.handle(message)
-        if isinstance(answer, quotas_module.UnknownLimit):
+        if isinstance(answer, quota_limits.UnknownLimit):
             return messages.Response(_UNKNOWN_LIMIT_STATUS)
         return messages.Response(200, body=quota_codec.encode(answer))
 
--- a/src/turmericlug/entry/quotas.py
+++ b/src/turmericlug/entry/quotas.py
@@ -20,13 +20,13 @@
 
 from turmericlug.direct import organisations as organisations_module
 from turmericlug.entry import quota_holder
+from turmericlug.entry import quota_limits
 from turmericlug.entry import quota_peers
 from turmericlug.entry import quota_shares
 from turmericlug.entry import quota_status
 from turmericlug.entry import view as view_module
 from turmericlug.kernel import tasks as tasks_module
 from turmericlug.policy import quota
-from turmericlug.policy import quota_bucket
 from turmericlug.policy import quota_share
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
@@ -45,13 +45,6 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-@dataclasses.dataclass(frozen=True)
-class UnknownLimit:
-    """A report can't be accounted for: whether the organisation has a limit is not known here."""
-
-    organisation: str
-
-
 @attrs.define(eq=False)
 class _Waiter:
     """A request that waits for the holder's answer."""
@@ -231,7 +224,9 @@
             share.begin_cut_off(now_s)
             decisions.log("quota.cut_off", organisation=name, was_limited=share.is_limited(now_s))
 
-    def handle(self, message: quota_codec.Message) -> quota_codec.Message | UnknownLimit:
+    def handle(
+        self, message: quota_codec.Message
+    ) -> quota_codec.Message | quota_limits.UnknownLimit:
         """Account for the reports of another instance and apply its notices."""
         now_s = self.now_s()
         sender = (message.sender, message.start)
@@ -243,7 +238,7 @@
         for organisation, report in zip(organisations, message.reports, strict=True):
             if not organisation.rate_per_s:
                 self._log_limit("quota.unlimited", report.organisation, message.sender)
-                notices.append(_unlimited(report))
+                notices.append(quota_limits.unlimited(report))
                 continue
             notices.append(
                 self._holder.account(organisation, sender, message.sequence, report, now_s)
@@ -262,33 +257,20 @@
     def _with_limit(
         self, report: quota.Report, message: quota_codec.Message
     ) -> organisations_module.Organisation | None:
-        """
-        Return an organisation with the limit to account by; ``None`` if that is not known.
-
-        The configuration here decides if it names the organisation, but lifts no limit that a
-        newer one sets. Otherwise the limit that the sender states counts, or the last one.
-        """
         name = report.organisation
-        configured = self._shares.configured(name)
-        if configured is not None:
-            if configured.rate_per_s or message.version <= self._peers.version:
-                return configured
-        if report.rate_per_s:
+        configured, bucket = self._shares.configured(name), self._holder.bucket(name)
+        last = bucket.limit if bucket is not None else None
+        organisation = quota_limits.find(
+            report, message.version, configured, self._peers.version, last
+        )
+        if organisation is not None and organisation is not configured:
             self._log_limit("quota.limit_stated", name, message.sender)
-            return organisations_module.Organisation(
-                name, rate_per_s=report.rate_per_s, burst=report.burst
-            )
-        bucket = self._holder.bucket(name)
-        if bucket is not None:
-            return organisations_module.Organisation(
-                name, rate_per_s=bucket.limit.rate_per_s, burst=bucket.limit.burst
-            )
-        return configured
+        return organisation
 
-    def _unknown_limit(self, message: quota_codec.Message, index: int) -> UnknownLimit:
+    def _unknown_limit(self, message: quota_codec.Message, index: int) -> quota_limits.UnknownLimit:
         name = message.reports[index].organisation
         self._log_limit("quota.unknown_limit", name, message.sender)
-        return UnknownLimit(name)
+        return quota_limits.UnknownLimit(name)
 
     def _log_limit(self, event: str, name: str, asker: str) -> None:
         self._counters.add(event)
@@ -347,7 +329,7 @@
                     self._on_no_answer(name, now_s)
                 return
             case quota_peers.NoQuotas():
-                notices = tuple(_unlimited(report) for report in reports.values())
+                notices = tuple(quota_limits.unlimited(report) for report in reports.values())
             case quota_peers.Answered():
                 notices = outcome.message.notices
         for notice in notices:
@@ -442,9 +424,3 @@
         self._holder.forget_idle(now_s)
         self._peers.forget_idle(now_s)
         self.refusals.forget_idle(now_s)
-
-
-def _unlimited(report: quota.Report) -> quota.Notice:
-    """Return the answer of a holder in whose configuration an organisation has no limit."""
-    granted = report.waiting + report.wanted
-    return quota.Notice(report.organisation, granted, quota_bucket.OPEN_LEASE_S, level=math.inf)
