--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import os
 import pathlib
@@ -46,18 +47,26 @@
     disturbed: bool = False
     """Whether a test is stopping, killing, freezing or restarting it."""
     program: pathlib.Path = ROOT / "src" / "turmericlug_entry.py"
+    arguments: tuple[str, ...] = ()
 
     @property
     def log(self):
         """The log file, next to the settings file."""
         return self.settings.with_suffix(".log")
 
-    async def start(self):
-        """Start the process; its output is appended to the log file."""
+    async def start(self, streams=True):
+        """
+        Start the process; its output is appended to the log file.
+
+        :param streams: whether its standard streams are open
+        """
+        close_streams = None if streams else functools.partial(os.closerange, 0, 3)
         with self.log.open("ab") as output:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(self.program),
+                *self.arguments,
+                preexec_fn=close_streams,
                 env=os.environ | {"TURMERICLUG_NODE_FILE": str(self.settings)},
                 stdout=output,
                 stderr=output,
