Log why a start fails, as JSON lines

What was seen: a process that ended while it started left a trace or a sentence on standard error, without the instance's name and not in the log's format, or nothing at all. A signal, a held port and unreadable settings could not be told apart afterwards, and programs that read the log stopped at the text. Change: `instance.exiting_with` gives the status and the reason of every exit by an error, with the trace or all problems of the settings; `listener.not_early` and `listener.not_bound` name the address and the error of a failed bind. A port beyond 65535 for the early listener no longer ends the process. Evidence: tests/integration/test_start_log.py, 4 of 4 failed before and pass; in tests/entry/test_early.py the text of the line is replaced by its fields, and a port out of range is added (4 of 8 failed before, of which that one by OverflowError).

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -12,6 +12,7 @@
 import random
 import signal
 import socket
+import traceback
 import typing
 from collections import abc
 
@@ -67,6 +68,9 @@
 """With eight new connections per round, 40 replicas are connected 1.5 s after the start."""
 TOTALS_INTERVAL_S = 10.0
 """Each log line of totals has about 1 kB, a thousandth of what may be logged in a busy second."""
+EXIT_FAILED = 1
+"""Status of a process that an unexpected error ends."""
+_MAX_TRACE_CHARACTERS = 4000
 _GC_THRESHOLDS = (20_000, 20, 50)
 
 Kernel = kernel_module.Kernel
@@ -100,10 +104,20 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(*_GC_THRESHOLDS)
-    asyncio.run(_serve(settings, adapter, settings_file, early_listener))
+    status = 0
+    try:
+        asyncio.run(_serve(settings, adapter, settings_file, early_listener))
+    except (Exception, asyncio.CancelledError) as error:
+        status = EXIT_FAILED
+        decisions.log(
+            "instance.exiting_with",
+            status=status,
+            reason=f"{type(error).__name__}: {error}"[:500],
+            trace=traceback.format_exc()[-_MAX_TRACE_CHARACTERS:],
+        )
     decisions.flush()
     # Nothing is left to do, and releasing all objects took an overloaded instance half a second.
-    os._exit(0)
+    os._exit(status)
 
 
 async def _serve(
--- a/src/turmericlug/entry/early.py
+++ b/src/turmericlug/entry/early.py
@@ -6,17 +6,22 @@
 that makes both its attempts within it gets no answer. On a port that already listens, its request
 waits until the program is loaded, and is served.
 
-This module imports only the standard library's ``socket`` and ``sys``, so that it loads first.
+This module imports only the standard library's ``socket``, ``sys`` and ``types``, so that it loads
+first.
+Log lines are written to standard error, since the decision log is not loaded yet.
 """
 
 from __future__ import annotations
 
 import socket
 import sys
+import types
 
 OPTION = "--listen-early"
 BACKLOG = 1024
 """Backlog of connections that wait until the program is loaded: several seconds of traffic."""
+STATUS_FAILED = 1
+_MAX_TRACE_CHARACTERS = 4000
 
 
 def listener(arguments: list[str]) -> socket.socket | None:
@@ -36,9 +41,32 @@
         early.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         early.bind((host, int(port)))
         early.listen(BACKLOG)
-    except (OSError, ValueError) as error:
-        print(f"not listening early at {arguments[1]}: {error}", file=sys.stderr)
+    except (OSError, OverflowError, ValueError) as error:
+        log("listener.not_early", listener="callers", address=arguments[1], error=str(error))
         early.close()
         return None
     early.setblocking(False)
     return early
+
+
+def log(event: str, **fields: object) -> None:
+    """Write a line in the format of the decision log, without an instance's name."""
+    import json
+    import time
+
+    line = {"time_s": round(time.time(), 4), "instance": "", "event": event} | fields
+    print(json.dumps(line, separators=(",", ":")), file=sys.stderr, flush=True)
+
+
+def log_uncaught(
+    kind: type[BaseException], error: BaseException, trace: types.TracebackType | None
+) -> None:
+    """Log the error that ends the program, in place of ``sys.excepthook``."""
+    import traceback
+
+    log(
+        "instance.exiting_with",
+        status=STATUS_FAILED,
+        reason=f"{kind.__name__}: {error}"[:500],
+        trace="".join(traceback.format_exception(kind, error, trace))[-_MAX_TRACE_CHARACTERS:],
+    )
--- a/src/turmericlug/entry/listeners.py
+++ b/src/turmericlug/entry/listeners.py
@@ -44,7 +44,11 @@
         decisions.log("instance.listened_elsewhere", address=early.getsockname()[0])
         early.close()
         early = None
-    listener = await server.listen(http_server, *address, early)
+    try:
+        listener = await server.listen(http_server, *address, early)
+    except OSError as error:
+        decisions.log("listener.not_bound", address=f"{address[0]}:{address[1]}", error=str(error))
+        raise
     try:
         yield listener
     finally:
--- a/src/turmericlug/platform/start.py
+++ b/src/turmericlug/platform/start.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import socket
-import sys
 
 import uvloop
 
@@ -17,6 +16,7 @@
 from turmericlug.platform import names
 from turmericlug.platform import store
 from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import decisions
 
 SETTINGS_VARIABLE = "TURMERICLUG_NODE_FILE"
 EXIT_SETTINGS = 2
@@ -43,12 +43,19 @@
 
     :param early_listener: socket that is already listening for callers
     """
+    decisions.setup("")
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, "entry.ini"))
     try:
         settings = settings_module.load(path)
     except ini.SettingsError as error:
-        for problem in error.problems:
-            print(problem, file=sys.stderr)
+        decisions.log(
+            "instance.exiting_with",
+            status=EXIT_SETTINGS,
+            reason="settings",
+            path=str(path),
+            problems=error.problems,
+        )
+        decisions.flush()
         raise SystemExit(EXIT_SETTINGS) from error
     uvloop.install()
     daemon.run(settings, ADAPTER, path, early_listener)
--- a/src/turmericlug_entry.py
+++ b/src/turmericlug_entry.py
@@ -11,6 +11,7 @@
 from turmericlug.entry import early
 
 if __name__ == "__main__":
+    sys.excepthook = early.log_uncaught
     listener = early.listener(sys.argv[1:])
     from turmericlug.platform import start
 
--- a/tests/entry/test_early.py
+++ b/tests/entry/test_early.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import pathlib
 import subprocess
 import sys
@@ -48,20 +49,23 @@
 
 
 @pytest.mark.parametrize(
-    ("arguments", "message"),
+    ("arguments", "addresses"),
     [
-        ([], ""),
-        (["serve"], ""),
-        ([early.OPTION], ""),
-        (["--other", "127.0.0.1:1"], ""),
-        ([early.OPTION, "nowhere"], "not listening early at nowhere"),
-        ([early.OPTION, "127.0.0.1:port"], "not listening early at 127.0.0.1:port"),
-        ([early.OPTION, "192.0.2.1:8080"], "not listening early at 192.0.2.1:8080"),
+        ([], []),
+        (["serve"], []),
+        ([early.OPTION], []),
+        (["--other", "127.0.0.1:1"], []),
+        ([early.OPTION, "nowhere"], ["nowhere"]),
+        ([early.OPTION, "127.0.0.1:port"], ["127.0.0.1:port"]),
+        ([early.OPTION, "127.0.0.1:70000"], ["127.0.0.1:70000"]),
+        ([early.OPTION, "192.0.2.1:8080"], ["192.0.2.1:8080"]),
     ],
 )
-def test_no_early_listener_without_a_usable_address(arguments, message, capsys):
+def test_no_early_listener_without_a_usable_address(arguments, addresses, capsys):
     assert early.listener(arguments) is None
-    assert message in capsys.readouterr().err
+    lines = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
+    assert [line["address"] for line in lines] == addresses
+    assert all(line["event"] == "listener.not_early" and line["error"] for line in lines)
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/integration/test_start_log.py
@@ -0,0 +1,84 @@
+"""What a start does is in the log, as JSON lines."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+
+import entry_process
+import pytest
+from integration import test_start
+
+_FAILING_PROGRAM = """\
+import sys
+sys.path.insert(0, {source!r})
+from turmericlug.entry import daemon, early
+sys.excepthook = early.log_uncaught
+{failure}
+from turmericlug.platform import start
+start.run()
+"""
+FAILURES = {
+    "import": ("import absent_module", "ModuleNotFoundError", ""),
+    "service": (
+        "daemon._SERVICES = [('source', lambda kernel: kernel.find('absent'))]",
+        "UnknownServiceError: absent",
+        "e-1",
+    ),
+}
+
+
+@pytest.mark.parametrize(("failure", "reason", "name"), FAILURES.values(), ids=FAILURES)
+def test_an_error_that_ends_the_process_is_in_the_log(tmp_path, failure, reason, name):
+    """A failed start left a trace on standard error, without the instance's name and not JSON."""
+
+    async def scenario():
+        async with test_start.stopped_instance(tmp_path) as instance:
+            instance.program = tmp_path / "program.py"
+            source = str(entry_process.ROOT / "src")
+            instance.program.write_text(_FAILING_PROGRAM.format(source=source, failure=failure))
+            await instance.start()
+            assert await instance.process.wait() == 1
+            (line,) = instance.lines("instance.exiting_with")
+            assert (line["status"], line["instance"]) == (1, name)
+            assert reason in line["reason"]
+            assert "Traceback" in line["trace"]
+
+    asyncio.run(scenario())
+
+
+def test_a_settings_file_with_problems_is_in_the_log(tmp_path):
+    """The problems were on standard error as text, where readers of the log did not see them."""
+
+    async def scenario():
+        async with test_start.stopped_instance(tmp_path) as instance:
+            with instance.settings.open("a") as settings:
+                settings.write("quarantine = 3\nsurplus = 1\n")
+            await instance.start()
+            assert await instance.process.wait() == 2
+            (line,) = instance.lines("instance.exiting_with")
+            assert line["status"] == 2
+            assert line["problems"] == [
+                "[policy] surplus: unknown key",
+                "[policy] quarantine: 3 is outside 0..1",
+            ]
+
+    asyncio.run(scenario())
+
+
+def test_an_early_listener_without_its_port_is_in_the_log(tmp_path):
+    """The line about it was text, so that programs that read the log stopped there."""
+
+    async def scenario():
+        async with test_start.stopped_instance(tmp_path) as instance:
+            port = instance.ports[test_start.CALLERS]
+            with test_start.holding_port(port):
+                await instance.start()
+                await entry_process.until(lambda: instance.lines("listener.not_early"))
+            (line,) = instance.lines("listener.not_early")
+            assert (line["listener"], line["address"]) == ("callers", f"127.0.0.1:{port}")
+            assert os.strerror(98) in line["error"]
+            instance.signal(signal.SIGKILL)
+
+    asyncio.run(scenario())
