Remember signals that arrive while an entry instance is loaded

What callers saw: an instance that got SIGHUP or SIGTERM in its first 0.3 s was gone, and the connections that waited at its early listener were reset. A settings file that changed between its load and the installation of the handler stayed unread. Cause: the handlers were installed after the load; until then the default action ends the process. The file's version was taken after the load. Change: handlers that remember the signals are the program's first import and statement (early_signals). A remembered SIGHUP reloads, a remembered SIGTERM or SIGINT starts the ordinary drain, and grace period and forced exit count from its arrival. `signal.early` logs both. The version of the file is taken before it is read, and a reload before the services run is in force in all of them.

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -8,10 +8,10 @@
 import functools
 import gc
 import os
-import pathlib
 import random
 import signal
 import socket
+import time
 import traceback
 import typing
 from collections import abc
@@ -32,6 +32,7 @@
 from turmericlug.entry import deregistration
 from turmericlug.entry import directory as directory_module
 from turmericlug.entry import draining
+from turmericlug.entry import early_signals
 from turmericlug.entry import follower
 from turmericlug.entry import journal as journal_module
 from turmericlug.entry import listeners
@@ -88,17 +89,18 @@
 
 
 def run(
-    settings: settings_module.Settings,
+    live: live_settings.LiveSettings,
     adapter: Adapter,
-    settings_file: pathlib.Path,
-    early_listener: socket.socket | None = None,
+    early_listener: socket.socket | None,
+    signals: early_signals.Remembered,
 ) -> None:
     """
     Run one entry instance until it receives SIGTERM or SIGINT, then end the process.
 
     :param early_listener: socket that already listens for callers
+    :param signals: signals that have arrived while the program was loaded
     """
-    decisions.setup(settings.entry.name)
+    decisions.setup(live.initial.entry.name)
     # A full garbage collection over all loaded modules blocks the event loop for tens of
     # milliseconds, so their objects are excluded and collections made rare.
     gc.collect()
@@ -106,7 +108,7 @@
     gc.set_threshold(*_GC_THRESHOLDS)
     status = 0
     try:
-        asyncio.run(_serve(settings, adapter, settings_file, early_listener))
+        asyncio.run(_serve(live, adapter, early_listener, signals))
     except (Exception, asyncio.CancelledError) as error:
         status = EXIT_FAILED
         decisions.log(
@@ -121,18 +123,22 @@
 
 
 async def _serve(
-    settings: settings_module.Settings,
+    live: live_settings.LiveSettings,
     adapter: Adapter,
-    settings_file: pathlib.Path,
     early_listener: socket.socket | None,
+    signals: early_signals.Remembered,
 ) -> None:
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_log_task_failure)
-    live = live_settings.LiveSettings(settings_file, settings)
-    stop_requested = stop_signal.expect(loop, live)
+    stop_requested = stop_signal.expect(loop, live, signals.stop_requested_s)
     loop.add_signal_handler(signal.SIGHUP, live.reload)
+    for name, arrived_s in signals.arrived_s.items():
+        waited_ms = round((time.monotonic() - arrived_s) * 1000)
+        decisions.log("signal.early", signal=name, waited_ms=waited_ms)
+    if early_signals.HANGUP in signals.arrived_s:
+        live.reload()
     kernel = kernel_module.Kernel()
-    kernel.provide("settings", settings)
+    kernel.provide("settings", live.initial)
     kernel.provide("live settings", live)
     kernel.provide("adapter", adapter)
     kernel.provide("early listener", early_listener)
@@ -209,7 +215,7 @@
         )
 
     live = kernel.find("live settings")
-    allowance = _allowance(settings.policy)
+    allowance = _allowance(live.policy)
     place = own_entry.place(settings)
     replicas = replicas_module.Replicas(make_pool, place, allowance)
     peers = replicas_module.Replicas(make_peer_pool, place, allowance)
@@ -293,13 +299,13 @@
     sender.own_load = own_load.reporter(sender, kernel.find("waiting parts"))
     view.replicas.cold_limit = cold_share
     live = kernel.find("live settings")
-    sender.quarantine.enabled = bool(live.policy.quarantine)
 
     def on_policy(policy: settings_module.Policy) -> None:
         view.replicas.set_allowance(_allowance(policy))
         sender.quarantine.enabled = bool(policy.quarantine)
 
     live.on_policy = on_policy
+    on_policy(live.policy)
     view.on_instances_changed = peers.clear_owner_cache
     quotas = kernel.find("quotas")
     quota_service.follow_instances(view, quotas)
--- a/src/turmericlug/entry/live_settings.py
+++ b/src/turmericlug/entry/live_settings.py
@@ -31,22 +31,25 @@
         self,
         path: pathlib.Path,
         settings: settings_module.Settings,
+        version: FileVersion | None,
         on_policy: abc.Callable[[settings_module.Policy], None] = lambda policy: None,
     ) -> None:
         """
         Initialise with the settings that the instance was started with.
 
+        :param version: version of the file before the settings were read from it, so that a change
+            since then is found
         :param on_policy: called with the policy each time it has changed
         """
         self.policy = settings.policy
         self.on_policy = on_policy
         self._path = path
-        self._initial = settings
-        self._version = _version(path)
+        self.initial = settings
+        self._version = version
 
     def reload(self) -> None:
         """Reload the file; a file with errors leaves the settings unchanged."""
-        self._version = _version(self._path)
+        self._version = file_version(self._path)
         try:
             loaded = settings_module.load(self._path)
         except ini.SettingsError as error:
@@ -67,7 +70,7 @@
 
     def _pending_restart(self, loaded: settings_module.Settings) -> list[str]:
         """Return the changed settings that only take effect at the next start."""
-        running = attrs.evolve(self._initial, policy=self.policy)
+        running = attrs.evolve(self.initial, policy=self.policy)
         return [
             f"{section}.{key}"
             for section, kind in settings_module.SECTIONS.items()
@@ -79,12 +82,12 @@
         """Poll the file until cancelled, and reload it whenever it has changed."""
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
-            version = _version(self._path)
+            version = file_version(self._path)
             if version is not None and version != self._version:
                 self.reload()
 
 
-def _version(path: pathlib.Path) -> FileVersion | None:
+def file_version(path: pathlib.Path) -> FileVersion | None:
     """Return the version of a file, ``None`` while it is missing because it is being replaced."""
     try:
         status = path.stat()
--- a/src/turmericlug/entry/stop_signal.py
+++ b/src/turmericlug/entry/stop_signal.py
@@ -17,7 +17,9 @@
 
 
 def expect(
-    loop: asyncio.AbstractEventLoop, live: live_settings.LiveSettings
+    loop: asyncio.AbstractEventLoop,
+    live: live_settings.LiveSettings,
+    early_stop_s: float | None = None,
 ) -> asyncio.Future[float]:
     """
     Return a future with the time at which SIGTERM or SIGINT arrives, by ``time.monotonic``.
@@ -25,6 +27,8 @@
     The grace period begins then, but the event loop runs its own signal handlers only between two
     turns. These handlers interrupt a turn; they also ensure that the process exits in time if the
     loop is still blocked near the end of the grace period.
+
+    :param early_stop_s: when such a signal arrived before this call, if one did
     """
     stop_requested: asyncio.Future[float] = loop.create_future()
 
@@ -32,11 +36,15 @@
         if not stop_requested.done():
             stop_requested.set_result(arrived_s)
 
-    def on_stop_signal(number: int, frame: types.FrameType | None) -> None:
+    def begin_grace_period(arrived_s: float) -> None:
         if signal.getitimer(signal.ITIMER_REAL) == (0.0, 0.0):
-            exit_after_s = max(live.policy.grace_s - FORCED_EXIT_MARGIN_S, 0.01)
+            exit_at_s = arrived_s + live.policy.grace_s - FORCED_EXIT_MARGIN_S
+            exit_after_s = max(exit_at_s - time.monotonic(), 0.01)
             signal.setitimer(signal.ITIMER_REAL, exit_after_s)
-            loop.call_soon_threadsafe(on_stop, time.monotonic())
+            loop.call_soon_threadsafe(on_stop, arrived_s)
+
+    def on_stop_signal(number: int, frame: types.FrameType | None) -> None:
+        begin_grace_period(time.monotonic())
 
     def on_alarm(number: int, frame: types.FrameType | None) -> None:
         decisions.log("instance.exit_forced")
@@ -46,4 +54,6 @@
     signal.signal(signal.SIGALRM, on_alarm)
     signal.signal(signal.SIGTERM, on_stop_signal)
     signal.signal(signal.SIGINT, on_stop_signal)
+    if early_stop_s is not None:
+        begin_grace_period(early_stop_s)
     return stop_requested
--- a/src/turmericlug/platform/start.py
+++ b/src/turmericlug/platform/start.py
@@ -10,6 +10,8 @@
 
 from turmericlug.config import ini
 from turmericlug.entry import daemon
+from turmericlug.entry import early_signals
+from turmericlug.entry import live_settings
 from turmericlug.entry import settings as settings_module
 from turmericlug.platform import decode
 from turmericlug.platform import interfaces
@@ -37,14 +39,19 @@
 )
 
 
-def run(early_listener: socket.socket | None = None) -> None:
+def run(
+    early_listener: socket.socket | None = None,
+    signals: early_signals.Remembered | None = None,
+) -> None:
     """
     Run an entry instance with the settings file that ``SETTINGS_VARIABLE`` names.
 
     :param early_listener: socket that is already listening for callers
+    :param signals: signals that have arrived while the program was loaded
     """
     decisions.setup("")
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, "entry.ini"))
+    version = live_settings.file_version(path)
     try:
         settings = settings_module.load(path)
     except ini.SettingsError as error:
@@ -58,4 +65,9 @@
         decisions.flush()
         raise SystemExit(EXIT_SETTINGS) from error
     uvloop.install()
-    daemon.run(settings, ADAPTER, path, early_listener)
+    daemon.run(
+        live_settings.LiveSettings(path, settings, version),
+        ADAPTER,
+        early_listener,
+        signals or early_signals.Remembered(),
+    )
--- a/tests/entry/test_early.py
+++ b/tests/entry/test_early.py
@@ -71,6 +71,10 @@
 @pytest.mark.parametrize(
     ("module", "unwanted"),
     [
+        (
+            "turmericlug.entry.early_signals",
+            ("asyncio", "attr", "collections", "enum", "json", "signal", "socket", "typing"),
+        ),
         ("turmericlug.entry.early", ("asyncio", "attr", "capnp", "json", "logging", "ssl")),
         (
             "turmericlug.platform.start",
--- a/tests/entry/test_live_settings.py
+++ b/tests/entry/test_live_settings.py
@@ -15,7 +15,9 @@
     path = tmp_path / "entry.ini"
     path.write_text(test_entry_settings.render())
     notified, logged = [], []
-    live = live_settings.LiveSettings(path, settings_module.load(path), notified.append)
+    version = live_settings.file_version(path)
+    settings = settings_module.load(path)
+    live = live_settings.LiveSettings(path, settings, version, notified.append)
     return path, live, notified, logged
 
 
@@ -68,6 +70,26 @@
     assert (live.policy, notified) == (before, [])
 
 
+def test_a_change_between_the_load_and_the_handler_is_detected(tmp_path, monkeypatch):
+    """The file's version was taken after the load, so that a change meanwhile was never read."""
+    path = tmp_path / "entry.ini"
+    path.write_text(test_entry_settings.render())
+    version = live_settings.file_version(path)
+    settings = settings_module.load(path)
+    path.write_text(test_entry_settings.render(**{"Bounds.RetrySlack": "2000"}))
+    live = live_settings.LiveSettings(path, settings, version)
+    pauses = iter([None])
+
+    async def pause_once(_):
+        if next(pauses, "none left") is not None:
+            raise asyncio.CancelledError
+
+    monkeypatch.setattr(live_settings.asyncio, "sleep", pause_once)
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(live.watch())
+    assert live.policy.extra_slack == 2000.0
+
+
 @pytest.mark.parametrize(
     ("steps", "reloads"),
     [
