Open closed standard streams before any socket

What callers saw: an instance started without open standard streams ended with status 1, without a line. With standard output alone closed, its early listener got descriptor 1. Cause: the lowest free descriptors go to the first sockets, and Python has no sys.stdout then. Change: /dev/null takes the place of missing descriptors 0 to 2 first; the decision log writes to descriptor 1.

--- a/src/turmericlug/entry/early.py
+++ b/src/turmericlug/entry/early.py
@@ -6,13 +6,13 @@
 that makes both its attempts within it gets no answer. On a port that already listens, its request
 waits until the program is loaded, and is served.
 
-This module imports only the standard library's ``socket``, ``sys`` and ``types``, so that it loads
-first.
+This module imports only ``os``, ``socket``, ``sys`` and ``types``, so that it loads first.
 Log lines are written to standard error, since the decision log is not loaded yet.
 """
 
 from __future__ import annotations
 
+import os
 import socket
 import sys
 import types
@@ -24,6 +24,20 @@
 _MAX_TRACE_CHARACTERS = 4000
 
 
+def open_standard_streams() -> None:
+    """
+    Open ``/dev/null`` in place of closed standard streams.
+
+    Otherwise a socket gets the descriptor of standard output, and log lines are sent to a caller.
+    """
+    for descriptor in range(3):
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            # The lowest free descriptor is this one, since those below are open.
+            os.open(os.devnull, os.O_RDWR)
+
+
 def listener(arguments: list[str]) -> socket.socket | None:
     """
     Listen at the address given in the program's arguments.
--- a/src/turmericlug/telemetry/decisions.py
+++ b/src/turmericlug/telemetry/decisions.py
@@ -29,6 +29,7 @@
 """About one second of lines when all events reach their limit."""
 FLUSH_DELAY_S = 0.1
 """How long lines are collected for one write call; a call per line cost more than the line."""
+_STDOUT_DESCRIPTOR = 1
 
 
 class Writer:
@@ -111,7 +112,8 @@
 def setup(instance: str) -> Writer:
     """Start logging to standard output, which becomes non-blocking."""
     global _writer
-    descriptor = sys.stdout.fileno()
+    # Python has no ``sys.stdout`` if the descriptor was closed when it started.
+    descriptor = sys.stdout.fileno() if sys.stdout is not None else _STDOUT_DESCRIPTOR
     os.set_blocking(descriptor, False)
     _writer = Writer(descriptor, instance)
     return _writer
--- a/src/turmericlug_entry.py
+++ b/src/turmericlug_entry.py
@@ -14,6 +14,7 @@
     from turmericlug.entry import early
 
     sys.excepthook = early.log_uncaught
+    early.open_standard_streams()
     listener = early.listener(sys.argv[1:])
 
     from turmericlug.platform import start
--- a/tests/entry/test_early.py
+++ b/tests/entry/test_early.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import subprocess
 import sys
@@ -68,6 +69,26 @@
     assert all(line["event"] == "listener.not_early" and line["error"] for line in lines)
 
 
+@pytest.mark.parametrize("closed", [(), (0,), (1,), (2,), (0, 1), (1, 2), (0, 1, 2)])
+def test_no_socket_takes_the_place_of_a_closed_standard_stream(closed):
+    """A listening socket got descriptor 1, and log lines were written to a caller's connection."""
+    program = (
+        "import sys, socket\n"
+        "from turmericlug.entry import early\n"
+        "early.open_standard_streams()\n"
+        "sys.exit(socket.socket().fileno() < 3)"
+    )
+
+    def close_streams():
+        for descriptor in closed:
+            os.close(descriptor)
+
+    completed = subprocess.run(
+        [sys.executable, "-c", program], preexec_fn=close_streams, env={"PYTHONPATH": str(SOURCE)}
+    )
+    assert completed.returncode == 0
+
+
 @pytest.mark.parametrize(
     ("module", "unwanted"),
     [
--- a/tests/integration/test_start_log.py
+++ b/tests/integration/test_start_log.py
@@ -82,3 +82,16 @@
             instance.signal(signal.SIGKILL)
 
     asyncio.run(scenario())
+
+
+def test_closed_standard_streams_are_replaced(tmp_path):
+    """A listening socket got the descriptor of standard output, and log lines went to a caller."""
+
+    async def scenario():
+        async with test_start.stopped_instance(tmp_path) as instance:
+            await instance.start(streams=False)
+            await test_start.assert_serves(instance)
+            descriptors = f"/proc/{instance.process.pid}/fd"
+            assert {os.readlink(f"{descriptors}/{number}") for number in range(3)} == {os.devnull}
+
+    asyncio.run(scenario())
