Keep lines for a stalled reader without an event loop

What operators would see: an instance whose log reader had stalled ended its planned stop with status 1 and a RecursionError, not with 0. Found while reading; not seen in a run of a whole instance. Cause: without a running event loop, a failed write scheduled a flush, which wrote at once, and so on without end. Change: only a new line is written at once where no loop runs; an unwritten rest stays in the bounded buffer. Evidence: tests/telemetry/test_decisions.py failed with RecursionError before and passes.

--- a/src/turmericlug/telemetry/decisions.py
+++ b/src/turmericlug/telemetry/decisions.py
@@ -65,17 +65,18 @@
             return
         self._lines.append(line)
         self._buffered_bytes += len(line)
-        self._schedule_flush()
-
-    def _schedule_flush(self) -> None:
-        if self._flush_timer is not None:
-            return
-        try:
-            loop = asyncio.get_running_loop()
-        except RuntimeError:
+        if not self._schedule_flush():
             self.flush()
-            return
-        self._flush_timer = loop.call_later(FLUSH_DELAY_S, self.flush)
+
+    def _schedule_flush(self) -> bool:
+        """Flush soon; false if no event loop is running."""
+        if self._flush_timer is None:
+            try:
+                loop = asyncio.get_running_loop()
+            except RuntimeError:
+                return False
+            self._flush_timer = loop.call_later(FLUSH_DELAY_S, self.flush)
+        return True
 
     def flush(self) -> None:
         """Write as much as the descriptor accepts; the rest stays buffered."""
