Wait for a settings file that is being replaced; empty limits are the defaults

What callers saw: an instance started while its settings file was missing, empty or half written ended with status 2, and so did each further start in that moment. Where a deployment states no figure for a key of [policy], or an unlimited number of descriptors, no instance started at all. Cause: the file was read once; only [capacity] and [quota] took empty values; descriptors ended at 2^20. Change: a file with problems is read again for SETTINGS_WAIT_S, with a line for each distinct set of problems, before the exit with status 2 and all problems; a stop meanwhile exits with status 0. Empty values mean the default in [limits] and [policy] too (one declaration for all sections), larger numbers of descriptors count as 2^20. Unknown keys stay errors. Not covered: a file cut off at the end of a line after its last required key passes as complete.

--- a/src/turmericlug/config/ini.py
+++ b/src/turmericlug/config/ini.py
@@ -72,9 +72,16 @@
     return raw.rstrip("/")
 
 
-def key(parse: Parser, default: typing.Any, doc: str) -> typing.Any:
-    """Declare a key: its parser, its default (``None``: required) and its description."""
-    return attrs.field(default=default, metadata={"parse": parse, "doc": doc})
+def key(parse: Parser, default: typing.Any, doc: str, empty_is_default: bool = False) -> typing.Any:
+    """
+    Declare a key.
+
+    :param default: the value where the key is missing; ``None``: it is required
+    :param empty_is_default: whether an empty value means the default, for keys that a template
+        renders from a field that may be absent
+    """
+    metadata = {"parse": parse, "doc": doc, "empty_is_default": empty_is_default}
+    return attrs.field(default=default, metadata=metadata)
 
 
 def read(path: pathlib.Path, sections: dict[str, type]) -> dict[str, typing.Any]:
@@ -111,6 +118,8 @@
             if field.default is None:
                 problems.append(f"[{name}] {key}: missing ({field.metadata['doc']})")
             continue
+        if not raw_values[key] and field.metadata["empty_is_default"]:
+            continue
         try:
             values[key] = field.metadata["parse"](raw_values[key])
         except ValueError as error:
--- a/src/turmericlug/entry/settings.py
+++ b/src/turmericlug/entry/settings.py
@@ -27,9 +27,18 @@
     return {name: region for name, _, region in pairs}
 
 
-def _optional(parse: ini.Parser) -> ini.Parser:
-    """Return a parser that reads an empty value as 0."""
-    return lambda raw: parse(raw) if raw else 0.0
+def _optional(parse: ini.Parser, default: typing.Any, doc: str) -> typing.Any:
+    """Declare a key whose default applies where the platform has no value and renders nothing."""
+    return ini.key(parse, default, doc, empty_is_default=True)
+
+
+MAX_DESCRIPTORS = 1 << 20
+"""More are not used; platforms state an unlimited number by numbers of up to 64 bits."""
+_parse_descriptor_count = ini.integer(256, (1 << 64) - 1)
+
+
+def _parse_descriptors(raw: str) -> int:
+    return min(_parse_descriptor_count(raw), MAX_DESCRIPTORS)
 
 
 @attrs.frozen
@@ -64,22 +73,17 @@
 class Limits:
     """Section ``[limits]``: resource limits of the process."""
 
-    descriptors: int = ini.key(ini.integer(256, 1 << 20), 4096, "file descriptors")
-
-
-def _parse_resource(raw: str) -> float:
-    """Parse an amount of a resource; the platform leaves out those that it does not limit."""
-    return _parse_amount(raw) if raw else 0.0
+    descriptors: int = _optional(_parse_descriptors, 4096, "file descriptors")
 
 
 @attrs.frozen
 class Capacity:
-    """Section ``[capacity]``: resources of the machine; 0 or an empty value: unknown."""
+    """Section ``[capacity]``: resources of the machine; 0: unknown."""
 
-    cpu_share: float = ini.key(_parse_resource, 0.0, "share of a core")
-    cpu_cores: float = ini.key(_parse_resource, 0.0, "relative speed of the core")
-    memory_mb: float = ini.key(_parse_resource, 0.0, "memory")
-    link_mbps: float = ini.key(_parse_resource, 0.0, "bandwidth of the link")
+    cpu_share: float = _optional(_parse_amount, 0.0, "share of a core")
+    cpu_cores: float = _optional(_parse_amount, 0.0, "relative speed of the core")
+    memory_mb: float = _optional(_parse_amount, 0.0, "memory")
+    link_mbps: float = _optional(_parse_amount, 0.0, "bandwidth of the link")
 
     @property
     def cores(self) -> float:
@@ -91,16 +95,16 @@
 class Policy:
     """Section ``[policy]``: limits that apply to all instances together."""
 
-    extra_ratio: float = ini.key(ini.number_up_to(10.0), 0.2, "hedges and retries per request")
-    extra_slack: float = ini.key(
+    extra_ratio: float = _optional(ini.number_up_to(10.0), 0.2, "hedges and retries per request")
+    extra_slack: float = _optional(
         ini.number_up_to(1e6), 50.0, "further hedges and retries in each window"
     )
-    extra_window_s: float = ini.key(ini.number_up_to(3600.0), 10.0, "length of a window")
-    grace_s: float = ini.key(
+    extra_window_s: float = _optional(ini.number_up_to(3600.0), 10.0, "length of a window")
+    grace_s: float = _optional(
         ini.number_up_to(3600.0), 6.0, "time from SIGTERM to forced termination"
     )
-    quarantine: int = ini.key(ini.integer(0, 1), 1, "1: withhold requests that crash replicas")
-    overload_control: int = ini.key(
+    quarantine: int = _optional(ini.integer(0, 1), 1, "1: withhold requests that crash replicas")
+    overload_control: int = _optional(
         ini.integer(0, 1), 0, "1: control overload also where no organisations are configured"
     )
 
@@ -111,14 +115,12 @@
     Section ``[quota]``: how far organisations may exceed their rates and bursts.
 
     In any window, no more than (rate x window + burst) x (1 + overage) + slack requests of one
-    organisation run. The platform renders an absent value as nothing.
+    organisation run.
     """
 
-    window_s: float = ini.key(
-        _optional(ini.number_up_to(3600.0)), 0.0, "length of a window; 0: no quotas"
-    )
-    overage: float = ini.key(_optional(ini.number_up_to(10.0)), 0.0, "share of a window's quota")
-    slack: float = ini.key(_optional(ini.number_up_to(1e6)), 0.0, "further requests in a window")
+    window_s: float = _optional(ini.number_up_to(3600.0), 0.0, "length of a window; 0: no quotas")
+    overage: float = _optional(ini.number_up_to(10.0), 0.0, "share of a window's quota")
+    slack: float = _optional(ini.number_up_to(1e6), 0.0, "further requests in a window")
 
 
 @attrs.frozen
--- a/src/turmericlug/platform/start.py
+++ b/src/turmericlug/platform/start.py
@@ -5,6 +5,8 @@
 import os
 import pathlib
 import socket
+import time
+import typing
 
 import uvloop
 
@@ -21,7 +23,11 @@
 from turmericlug.telemetry import decisions
 
 SETTINGS_VARIABLE = "TURMERICLUG_NODE_FILE"
+EXIT_STOPPED = 0
 EXIT_SETTINGS = 2
+SETTINGS_WAIT_S = 3.0
+"""How long a settings file that can't be used is read again: it may just be being replaced."""
+SETTINGS_POLL_S = 0.05
 
 
 def _make_source(
@@ -49,25 +55,37 @@
     :param early_listener: socket that is already listening for callers
     :param signals: signals that have arrived while the program was loaded
     """
+    signals = signals or early_signals.Remembered()
     decisions.setup("")
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, "entry.ini"))
-    version = live_settings.file_version(path)
-    try:
-        settings = settings_module.load(path)
-    except ini.SettingsError as error:
-        decisions.log(
-            "instance.exiting_with",
-            status=EXIT_SETTINGS,
-            reason="settings",
-            path=str(path),
-            problems=error.problems,
-        )
-        decisions.flush()
-        raise SystemExit(EXIT_SETTINGS) from error
+    live = _load_settings(path, signals)
     uvloop.install()
-    daemon.run(
-        live_settings.LiveSettings(path, settings, version),
-        ADAPTER,
-        early_listener,
-        signals or early_signals.Remembered(),
-    )
+    daemon.run(live, ADAPTER, early_listener, signals)
+
+
+def _load_settings(
+    path: pathlib.Path, signals: early_signals.Remembered
+) -> live_settings.LiveSettings:
+    """Load the settings; read a file with problems again for a while, then exit."""
+    deadline_s = time.monotonic() + SETTINGS_WAIT_S
+    known_problems: list[str] = []
+    while True:
+        version = live_settings.file_version(path)
+        try:
+            return live_settings.LiveSettings(path, settings_module.load(path), version)
+        except ini.SettingsError as error:
+            problems = error.problems
+        if signals.stop_requested_s is not None:
+            _exit(EXIT_STOPPED, "stopped while the settings could not be used", problems)
+        if time.monotonic() >= deadline_s:
+            _exit(EXIT_SETTINGS, "settings", problems)
+        if problems != known_problems:
+            decisions.log("settings.not_usable", path=str(path), problems=problems)
+            known_problems = problems
+        time.sleep(SETTINGS_POLL_S)
+
+
+def _exit(status: int, reason: str, problems: list[str]) -> typing.NoReturn:
+    decisions.log("instance.exiting_with", status=status, reason=reason, problems=problems)
+    decisions.flush()
+    raise SystemExit(status)
--- a/tests/entry/test_entry_settings.py
+++ b/tests/entry/test_entry_settings.py
@@ -70,6 +70,21 @@
     assert load(tmp_path, rendered).capacity == settings_module.Capacity()
 
 
+def test_limits_that_the_platform_does_not_state_are_the_defaults(tmp_path):
+    """An empty figure in [policy] or [limits] kept all instances from starting."""
+    absent = [name for name in PLATFORM if name.startswith("Bounds.")] + ["Limits.MaxFds"]
+    settings = load(tmp_path, render(**dict.fromkeys(absent, "")))
+    assert settings.policy == settings_module.Policy()
+    assert settings.limits == settings_module.Limits()
+
+
+@pytest.mark.parametrize("raw", ["1073741816", "9223372036854775807", str(2**64 - 1)])
+def test_unlimited_descriptors(tmp_path, raw):
+    """A platform that does not limit descriptors states a large number, which ended the start."""
+    settings = load(tmp_path, render(**{"Limits.MaxFds": raw}))
+    assert settings.limits.descriptors == settings_module.MAX_DESCRIPTORS
+
+
 def test_a_deployment_without_quotas(tmp_path):
     """The platform renders values that it does not have as nothing; instances must start."""
     absent = {"Bounds.QuotaWindowS": "", "Bounds.QuotaOverage": "", "Bounds.QuotaSlack": ""}
@@ -86,6 +101,12 @@
         ("grace_s = 6", "grace_s = soon", ["[policy] grace_s: 'soon' is not a number"]),
         ("grace_s = 6", "surplus = 6", ["[policy] surplus: unknown key"]),
         ("memory_mb = 200", "memory_mb = much", ["[capacity] memory_mb: 'much' is not a"]),
+        (
+            "descriptors = 4100",
+            "descriptors = 255",
+            ["[limits] descriptors: 255 is outside 256..1"],
+        ),
+        ("data_centre = dc-1", "data_centre =", ["[entry] data_centre: must not be empty"]),
         ("[policy]", "[polcy]", ["[polcy]: unknown section"]),
         ("dc-1=r-1,dc-2=r-2", "dc-1", ["[entry] data_centres: must list"]),
     ],
--- a/tests/integration/test_start_log.py
+++ b/tests/integration/test_start_log.py
@@ -67,6 +67,42 @@
     asyncio.run(scenario())
 
 
+def test_each_distinct_problem_of_a_settings_file_is_in_the_log_once(tmp_path):
+    """Guards against a wait for a file without a line, and against a line for each reading."""
+
+    async def scenario():
+        async with test_start.stopped_instance(tmp_path) as instance:
+            text = instance.settings.read_text()
+            instance.settings.unlink()
+            await instance.start()
+            await entry_process.until(lambda: len(instance.lines("settings.not_usable")) == 1)
+            instance.settings.write_text("[odd]\n" + text)
+            await entry_process.until(lambda: len(instance.lines("settings.not_usable")) == 2)
+            instance.settings.write_text(text)
+            await test_start.assert_serves(instance)
+            missing, odd = instance.lines("settings.not_usable")
+            assert "No such file" in missing["problems"][0]
+            assert odd["problems"] == ["[odd]: unknown section"]
+
+    asyncio.run(scenario())
+
+
+def test_a_stop_while_the_settings_are_waited_for(tmp_path):
+    """Guards against a process that must be killed, or looks failed, as its settings are absent."""
+
+    async def scenario():
+        async with test_start.stopped_instance(tmp_path) as instance:
+            instance.settings.unlink()
+            await instance.start()
+            await entry_process.until(lambda: instance.lines("settings.not_usable"))
+            instance.signal(signal.SIGTERM)
+            assert await instance.process.wait() == 0
+            (line,) = instance.lines("instance.exiting_with")
+            assert line["status"] == 0
+
+    asyncio.run(scenario())
+
+
 def test_an_early_listener_without_its_port_is_in_the_log(tmp_path):
     """The line about it was text, so that programs that read the log stopped there."""
 
