Name the task that fails, with the place, and count it

Operators saw only 'task.failed' with the exception, so that a follower that had ended for good could not be told from a failed exchange of one message.

The line now has the name of the coroutine function or callback, the type and message of the exception, and the innermost file and line; task.failed.NAME counts them in the metrics of both daemons. The name is not that of the asyncio task, which contains a number and would give each task a metric.

--- a/src/turmericlug/daemon.py
+++ b/src/turmericlug/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import gc
 import pathlib
 import signal
@@ -17,6 +18,7 @@
 
 from turmericlug.config import settings as settings_module
 from turmericlug.config import version as version_module
+from turmericlug.kernel import failures
 from turmericlug.kernel import kernel as kernel_module
 from turmericlug.kernel import tasks
 from turmericlug.membership import detector as detector_module
@@ -297,7 +299,7 @@
     kernel.provide("eras", eras_module.Eras())
     kernel.provide("configuration", configuration.Configuration(freshness, counters))
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(_report_failure)
+    loop.set_exception_handler(functools.partial(_report_failure, counters))
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     try:
@@ -317,10 +319,16 @@
     events.emit("instance.stopped")
 
 
-def _report_failure(loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]) -> None:
-    error = context.get("exception")
-    reason = f"{type(error).__name__}: {error}" if error else str(context.get("message"))
-    events.emit("task.failed", "error", reason=reason[:500])
+def _report_failure(
+    counters: counters_module.Counters,
+    loop: asyncio.AbstractEventLoop,
+    context: dict[str, typing.Any],
+) -> None:
+    failure = failures.of_context(context)
+    counters.add(f"task.failed.{failure.name}")
+    events.emit(
+        "task.failed", "error", name=failure.name, reason=failure.reason, place=failure.place
+    )
 
 
 async def _drain(kernel: Kernel) -> None:
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -51,6 +51,7 @@
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
 from turmericlug.http1 import server
+from turmericlug.kernel import failures
 from turmericlug.kernel import kernel as kernel_module
 from turmericlug.kernel import tasks
 from turmericlug.policy import liveness
@@ -129,7 +130,6 @@
     signals: early_signals.Remembered,
 ) -> None:
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(_log_task_failure)
     stop_requested = stop_signal.expect(loop, live, signals.stop_requested_s)
     loop.add_signal_handler(signal.SIGHUP, live.reload)
     for name, arrived_s in signals.arrived_s.items():
@@ -142,7 +142,9 @@
     kernel.provide("live settings", live)
     kernel.provide("adapter", adapter)
     kernel.provide("early listener", early_listener)
-    kernel.provide("counters", counters_module.Counters())
+    counters = counters_module.Counters()
+    loop.set_exception_handler(functools.partial(_report_failure, counters))
+    kernel.provide("counters", counters)
     decisions.log("instance.starting")
     try:
         for name, factory in _SERVICES:
@@ -154,10 +156,14 @@
     decisions.log("instance.stopped")
 
 
-def _log_task_failure(loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]) -> None:
-    error = context.get("exception")
-    reason = f"{type(error).__name__}: {error}" if error else str(context.get("message"))
-    decisions.log("task.failed", reason=reason[:500])
+def _report_failure(
+    counters: counters_module.Counters,
+    loop: asyncio.AbstractEventLoop,
+    context: dict[str, typing.Any],
+) -> None:
+    failure = failures.of_context(context)
+    counters.add(f"task.failed.{failure.name}")
+    decisions.log("task.failed", name=failure.name, reason=failure.reason, place=failure.place)
 
 
 @contextlib.asynccontextmanager
--- a/src/turmericlug/kernel/tasks.py
+++ b/src/turmericlug/kernel/tasks.py
@@ -31,7 +31,7 @@
         if not task.cancelled() and task.exception() is not None:
             # Each daemon sets an exception handler that writes the failure to its log.
             task.get_loop().call_exception_handler(
-                {"message": "task failed", "exception": task.exception()}
+                {"message": "task failed", "exception": task.exception(), "task": task}
             )
 
     async def finish(self) -> None:
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -41,6 +41,7 @@
     "owner.mismatched_reply": "target replies for another attempt",
     "owner.handed_over": "queued parts returned when this instance left",
     "instance.loop_lag_ms": "timer: delay of this process's event loop, which shows CPU overload",
+    "task.failed.*": "tasks and callbacks that ended by an unexpected error, by name",
     "membership.suspected": "peers that missed a probe",
     "membership.died": "peers declared dead",
     "membership.refuted": "times this instance refuted reports of its own death",
