Restart the tasks of an entry instance that end by an error

Callers were served by an old configuration for good, or never given an instance's address: the task that followed the store or renewed the lease had ended by an exception (a weight of 400 digits in the configuration, an answer without a field), which was logged, and nobody started it again.

All tasks that run as long as an entry instance are jobs of the supervisor, in the table entry/long_running.py. What outlives an attempt:

An answer counts as the source's only once it is applied, and after a failure the source counts as unreachable until one is, whatever the renewals of the lease hear. - The registration doesn't end its lease on the way down of a failed attempt, adopts its entry as at a start, and ends the lease once when it is closed, also between two attempts. - Quotas cancel reports in flight only when closed. The deregistration keeps the entries that it has removed, and a draining instance the era in which it has left. Without ticks of its monitor, an instance doesn't look stalled.

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -37,6 +37,7 @@
 from turmericlug.entry import journal as journal_module
 from turmericlug.entry import listeners
 from turmericlug.entry import live_settings
+from turmericlug.entry import long_running
 from turmericlug.entry import own_entry
 from turmericlug.entry import own_load
 from turmericlug.entry import quota_service
@@ -53,6 +54,7 @@
 from turmericlug.http1 import server
 from turmericlug.kernel import failures
 from turmericlug.kernel import kernel as kernel_module
+from turmericlug.kernel import supervisor as supervisor_module
 from turmericlug.kernel import tasks
 from turmericlug.policy import liveness
 from turmericlug.policy import warm_up
@@ -76,6 +78,7 @@
 _GC_THRESHOLDS = (20_000, 20, 50)
 
 Kernel = kernel_module.Kernel
+Job = supervisor_module.Job
 
 
 @attrs.frozen
@@ -227,7 +230,11 @@
     peers = replicas_module.Replicas(make_peer_pool, place, allowance)
     view = view_module.View(settings.entry.name, replicas, peers, loop.time)
     view.capacities.set_own(own_entry.capacity(settings))
-    async with tasks.background(_run_housekeeping(view), _log_totals(view, counters), live.watch()):
+    async with kernel.find("supervisor").background(
+        Job(long_running.HOUSEKEEPING, lambda: _run_housekeeping(view)),
+        Job(long_running.TOTALS, lambda: _log_totals(view, counters)),
+        Job(long_running.SETTINGS_POLL, live.watch),
+    ):
         yield view
 
 
@@ -269,9 +276,20 @@
     kernel.provide("relayed source", relayed_source)
     journal = journal_module.Journal()
     kernel.provide("journal", journal)
-    work = follower.follow(source, relayed_source.changes, view, journal, counters, random.Random())
-    cleanup = deregistration.deregister_silent(source, view, relayed_source, counters)
-    async with tasks.background(work, cleanup) as running:
+    rng = random.Random()
+    removed_entries: deregistration.RemovedEntries = collections.OrderedDict()
+    async with kernel.find("supervisor").background(
+        Job(
+            long_running.FOLLOWER,
+            lambda: follower.follow(source, relayed_source.changes, view, journal, counters, rng),
+        ),
+        Job(
+            long_running.DEREGISTRATION,
+            lambda: deregistration.deregister_silent(
+                source, view, relayed_source, counters, removed_entries
+            ),
+        ),
+    ) as running:
         yield running
 
 
@@ -342,11 +360,11 @@
         listeners.listen(
             caller_server, settings.entry.callers_address, kernel.find("early listener")
         ),
-        tasks.background(
-            _warm_connections(sender),
-            gossip.run_broadcast(),
-            gossip.run_sync(),
-            stall_monitor.watch(),
+        kernel.find("supervisor").background(
+            Job(long_running.WARM_UP, lambda: _warm_connections(sender)),
+            Job(long_running.SUSPECTS_BROADCAST, gossip.run_broadcast),
+            Job(long_running.SUSPECTS_EXCHANGE, gossip.run_sync),
+            Job(long_running.STALL_MONITOR, stall_monitor.watch),
         ),
     ):
         yield caller_server
@@ -378,20 +396,33 @@
 
 @contextlib.asynccontextmanager
 async def _stay_registered(kernel: Kernel) -> abc.AsyncIterator[tasks.Tasks]:
-    work = follower.stay_registered(
-        kernel.find("source"),
-        kernel.find("view"),
-        own_entry.make(kernel.find("settings")),
-        lambda: listeners.ready(kernel),
-        kernel.find("relayed source").serves_peers,
-        kernel.find("relayed source").source_asked_s,
-        random.Random(),
-    )
-    async with tasks.background(work) as running:
+    source, registration = kernel.find("source"), follower.Registration()
+    rng = random.Random()
+
+    def work() -> tasks.AnyCoroutine:
+        return follower.stay_registered(
+            source,
+            kernel.find("view"),
+            own_entry.make(kernel.find("settings")),
+            lambda: listeners.ready(kernel),
+            kernel.find("relayed source").serves_peers,
+            kernel.find("relayed source").source_asked_s,
+            rng,
+            registration,
+        )
+
+    async with kernel.find("supervisor").background(
+        Job(
+            long_running.REGISTRATION,
+            work,
+            on_close=lambda: follower.end_registration(source, registration),
+        )
+    ) as running:
         yield running
 
 
 _SERVICES: tuple[tuple[str, kernel_module.ServiceFactory], ...] = (
+    ("supervisor", long_running.supervisor),
     ("source", _source),
     ("view", _view),
     ("source tasks", _follow_source),
--- a/src/turmericlug/entry/deregistration.py
+++ b/src/turmericlug/entry/deregistration.py
@@ -21,12 +21,16 @@
 """Entries removed recently that are remembered, in case the source is restored from a copy that
 still holds them; such a copy is some seconds old."""
 
+RemovedEntries = collections.OrderedDict[str, source_module.Written]
+"""Recently removed entries of instances, by name."""
+
 
 async def deregister_silent(
     source: source_module.Source,
     view: view_module.View,
     relayed_source: relay.RelayedSource,
     counters: counters_module.Counters,
+    removed_entries: RemovedEntries,
 ) -> None:
     """
     Remove the entries of silent instances from the source, until cancelled.
@@ -34,9 +38,10 @@
     An instance that still runs, and has only lost its connection to this one, receives the removal
     as a change and registers again. An entry that reappears because the source has been restored
     from a copy is removed again.
+
+    :param removed_entries: the entries removed before, to which it adds
     """
     loop = asyncio.get_running_loop()
-    removed_entries: collections.OrderedDict[str, source_module.Written] = collections.OrderedDict()
     while True:
         await asyncio.sleep(CHECK_INTERVAL_S)
         if view.source_unreachable or view.source_age_s() > relay.MAX_AGE_S:
--- a/src/turmericlug/entry/draining.py
+++ b/src/turmericlug/entry/draining.py
@@ -7,10 +7,11 @@
 import time
 
 from turmericlug.entry import follower
+from turmericlug.entry import long_running
 from turmericlug.entry import quota_service
 from turmericlug.http1 import server
 from turmericlug.kernel import kernel as kernel_module
-from turmericlug.kernel import tasks
+from turmericlug.kernel import supervisor
 from turmericlug.telemetry import decisions
 
 REFUSE_AFTER_SHARE = 0.6
@@ -62,10 +63,15 @@
     )
     quota_service.leave(kernel)
     await kernel.find("registration tasks").close()
-    deregistered = follower.stay_deregistered(
-        kernel.find("source"), kernel.find("view"), kernel.find("settings").entry.name
+    source = kernel.find("source")
+    ended_era = source.era
+    deregistered = supervisor.Job(
+        long_running.STAY_DEREGISTERED,
+        lambda: follower.stay_deregistered(
+            source, kernel.find("view"), kernel.find("settings").entry.name, ended_era
+        ),
     )
-    async with tasks.background(deregistered):
+    async with kernel.find("supervisor").background(deregistered):
         while loop.time() < exit_at_s:
             if loop.time() >= began_s + MIN_DRAIN_S and not caller_server.connections:
                 break
--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -13,6 +13,7 @@
 from turmericlug.entry import journal as journal_module
 from turmericlug.entry import source as source_module
 from turmericlug.entry import view as view_module
+from turmericlug.kernel import supervisor
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
 
@@ -47,11 +48,12 @@
 """How often an instance checks whether its entry has been removed."""
 
 
+RequestChanges = abc.Callable[[source_module.Position, float], abc.Awaitable[source_module.Changes]]
+
+
 async def follow(
     source: source_module.Source,
-    request_changes: abc.Callable[
-        [source_module.Position, float], abc.Awaitable[source_module.Changes]
-    ],
+    request_changes: RequestChanges,
     view: view_module.View,
     journal: journal_module.Journal,
     counters: counters_module.Counters,
@@ -64,18 +66,37 @@
     a stale read costs the source a tenth of a fresh one. Later snapshots have to be fresh, because
     entries missing from them are treated as removed.
 
+    If it ends by an error, the next call starts with a fresh snapshot. Until it has applied one,
+    the view counts as one whose source is unreachable: an answer that can't be applied doesn't make
+    the view more recent.
+
     :param request_changes: requests the changes after a position, from the source or a relay
     :param journal: receives all changes, to serve them to other instances
     """
+    try:
+        await _follow(source, request_changes, view, journal, counters, rng)
+    except (Exception, asyncio.CancelledError):
+        if not supervisor.is_closing():
+            # Some changes may be applied to the view and missing from the journal.
+            journal.discard()
+            view.record_follower_failure()
+        raise
+
+
+async def _follow(
+    source: source_module.Source,
+    request_changes: RequestChanges,
+    view: view_module.View,
+    journal: journal_module.Journal,
+    counters: counters_module.Counters,
+    rng: random.Random,
+) -> None:
     position: source_module.Position | None = None
-    has_snapshot = False
     while True:
         try:
             if position is None:
-                stale_allowed = not has_snapshot
+                stale_allowed = not view.has_snapshot
                 snapshot = await source.read_all(may_be_stale=stale_allowed)
-                has_snapshot = True
-                view.record_source_answer()
                 decisions.log(
                     "source.read",
                     era=snapshot.era,
@@ -86,12 +107,13 @@
                 _report_unreadable(snapshot.entries, counters)
                 _update_journal(snapshot, view, journal)
                 view.apply_snapshot(snapshot)
+                view.record_applied()
                 position = snapshot.position
             changes = await request_changes(position, CHANGES_WAIT_S)
-            view.record_source_answer(changes.age_s)
             _report_unreadable(changes.changes, counters)
             view.apply_changes(changes)
             journal.add(changes)
+            view.record_applied(changes.age_s)
             position = max(changes.position, position)
             many_instances = not placement.all_send_directly(view.instance_count())
             await asyncio.sleep(CHANGES_INTERVAL_MANY_S if many_instances else CHANGES_INTERVAL_S)
@@ -141,8 +163,8 @@
 
 
 @attrs.define
-class _Registration:
-    """The registration of this instance in the source."""
+class Registration:
+    """The registration of this instance in the source, across restarts of the task."""
 
     lease: int | None = None
     written: bool = False
@@ -150,6 +172,10 @@
     era: int = 0
     """The era in which the source last confirmed that."""
 
+    def adopt(self, lease: int | None, era: int) -> None:
+        """Continue with the lease of the own entry, if the source is known to hold one."""
+        self.lease, self.written, self.era = lease, lease is not None, era
+
     def reset(self) -> None:
         """Discard the acknowledged lease and entry."""
         self.lease = None
@@ -168,9 +194,12 @@
     serves_peers: abc.Callable[[], bool],
     source_asked_s: abc.Callable[[], float],
     rng: random.Random,
+    registration: Registration | None = None,
 ) -> None:
     """
-    Keep this instance registered in the source while it may serve, and deregister it at the end.
+    Keep this instance registered in the source while it may serve, and deregister it when it is
+    cancelled. After an error the lease goes on: the instance still serves, and the next call
+    continues with it.
 
     The entry can be removed without a failed renewal (its lease was ended, or another instance
     found this one silent); the view receives that as a change. An entry left by the previous run of
@@ -180,38 +209,61 @@
         recently the source has answered it
     :param source_asked_s: returns when the request for changes that is pending at the source was
         sent; infinite if none is
+    :param registration: state kept between the calls
     """
+    registration = registration or Registration()
+    try:
+        await _stay_registered(
+            source, view, own, may_serve, serves_peers, source_asked_s, rng, registration
+        )
+    except asyncio.CancelledError:
+        if supervisor.is_closing():
+            await end_registration(source, registration)
+        raise
+
+
+async def _stay_registered(
+    source: source_module.Source,
+    view: view_module.View,
+    own: source_module.EntryInstance,
+    may_serve: abc.Callable[[], bool],
+    serves_peers: abc.Callable[[], bool],
+    source_asked_s: abc.Callable[[], float],
+    rng: random.Random,
+    registration: Registration,
+) -> None:
     loop = asyncio.get_running_loop()
     while not may_serve():
         await asyncio.sleep(0.05)
     lease = view.lease_of(own)
-    registration = _Registration(lease, lease is not None, view.era)
-    try:
-        while True:
-            attempted_s = loop.time()
-            succeeded = await _renew(source, view, own, registration)
-            if succeeded:
-                _record_renewal(view, source_asked_s())
-            jitter = rng.uniform(0.8, 1.2)
-            while not (view.own_entry_removed or registration.is_older_than(view.era)):
-                interval_s = RENEWAL_RETRY_S if not succeeded else RENEWAL_INTERVAL_S
-                interval_s = (
-                    min(interval_s, RELAY_RENEWAL_INTERVAL_S) if serves_peers() else interval_s
-                )
-                left_s = attempted_s + interval_s * jitter - loop.time()
-                if left_s <= 0:
-                    break
-                await asyncio.sleep(min(left_s, CHECK_INTERVAL_S))
-    finally:
-        if registration.lease is not None:
-            await _end_lease(source, registration.lease)
+    registration.adopt(lease, view.era)
+    while True:
+        attempted_s = loop.time()
+        succeeded = await _renew(source, view, own, registration)
+        if succeeded:
+            _record_renewal(view, source_asked_s())
+        jitter = rng.uniform(0.8, 1.2)
+        while not (view.own_entry_removed or registration.is_older_than(view.era)):
+            interval_s = RENEWAL_RETRY_S if not succeeded else RENEWAL_INTERVAL_S
+            interval_s = min(interval_s, RELAY_RENEWAL_INTERVAL_S) if serves_peers() else interval_s
+            left_s = attempted_s + interval_s * jitter - loop.time()
+            if left_s <= 0:
+                break
+            await asyncio.sleep(min(left_s, CHECK_INTERVAL_S))
+
+
+async def end_registration(source: source_module.Source, registration: Registration) -> None:
+    """Deregister this instance, once."""
+    lease, registration.lease = registration.lease, None
+    if lease is not None:
+        await _end_lease(source, lease)
 
 
 async def _renew(
     source: source_module.Source,
     view: view_module.View,
     own: source_module.EntryInstance,
-    registration: _Registration,
+    registration: Registration,
 ) -> bool:
     """Renew the lease, or open one and write the entry, whichever is due; false on failure."""
     _revalidate(source, view, own, registration)
@@ -255,10 +307,13 @@
 
 
 async def stay_deregistered(
-    source: source_module.Source, view: view_module.View, name: str
+    source: source_module.Source, view: view_module.View, name: str, ended_era: int
 ) -> None:
-    """Remove this instance's entry again if the source is restored from a copy that holds it."""
-    ended_era = source.era
+    """
+    Remove this instance's entry again if the source is restored from a copy that holds it.
+
+    :param ended_era: the latest era when the instance was deregistered
+    """
     while True:
         await asyncio.sleep(CHECK_INTERVAL_S)
         entries = [entry for entry in view.instance_entries([name]) if entry.era > ended_era]
@@ -276,7 +331,7 @@
     source: source_module.Source,
     view: view_module.View,
     own: source_module.EntryInstance,
-    registration: _Registration,
+    registration: Registration,
 ) -> None:
     """
     Check a registration from before the source was restored against its present content.
--- a/src/turmericlug/entry/journal.py
+++ b/src/turmericlug/entry/journal.py
@@ -30,6 +30,13 @@
         self._known_from = self.position = position
         self._eras = {position.era: (position.revision, math.inf)}
 
+    def discard(self) -> None:
+        """Drop all changes, as some may be missing; the next snapshot starts the journal again."""
+        self._changes.clear()
+        self._known_from = self.position = None
+        self._eras = {}
+        self._wake_waiting()
+
     def add(self, changes: source.Changes) -> None:
         """
         Append changes, in order.
@@ -49,6 +56,9 @@
                 self._known_from = self._changes[0].position
             self._changes.append(change)
         self.position = max(self.position, changes.position)
+        self._wake_waiting()
+
+    def _wake_waiting(self) -> None:
         arrived, self._arrived = self._arrived, asyncio.Event()
         arrived.set()
 
--- a/src/turmericlug/entry/quota_service.py
+++ b/src/turmericlug/entry/quota_service.py
@@ -6,12 +6,13 @@
 import random
 from collections import abc
 
+from turmericlug.entry import long_running
 from turmericlug.entry import quota_limits
 from turmericlug.entry import quotas as quotas_module
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import messages
 from turmericlug.kernel import kernel as kernel_module
-from turmericlug.kernel import tasks
+from turmericlug.kernel import supervisor
 from turmericlug.policy import quota
 from turmericlug.telemetry import decisions
 from turmericlug.wire import quota_codec
@@ -30,7 +31,8 @@
         return
     view, counters = kernel.find("view"), kernel.find("counters")
     quotas = quotas_module.Quotas(rule, settings.entry.name, view, counters, random.Random())
-    async with tasks.background(quotas.run()):
+    job = supervisor.Job(long_running.QUOTAS, quotas.run, on_close=quotas.close)
+    async with kernel.find("supervisor").background(job):
         yield quotas
 
 
--- a/src/turmericlug/entry/quotas.py
+++ b/src/turmericlug/entry/quotas.py
@@ -395,21 +395,22 @@
     async def run(self) -> None:
         """Report the use of leases before they end, and forget idle organisations."""
         forgot_s = checked_s = -math.inf
-        try:
-            while True:
-                await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
-                now_s = self.now_s()
-                self._report_ended_leases(now_s)
-                if now_s - checked_s >= quota_holder.CHECK_INTERVAL_S:
-                    checked_s = now_s
-                    self._holder.check_standbys(now_s)
-                if now_s - forgot_s >= FORGET_INTERVAL_S:
-                    forgot_s = now_s
-                    self._forget_idle(now_s)
-        finally:
-            await self._tasks.close()
-            await self._holder.close()
-            await self._peers.close()
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
+            now_s = self.now_s()
+            self._report_ended_leases(now_s)
+            if now_s - checked_s >= quota_holder.CHECK_INTERVAL_S:
+                checked_s = now_s
+                self._holder.check_standbys(now_s)
+            if now_s - forgot_s >= FORGET_INTERVAL_S:
+                forgot_s = now_s
+                self._forget_idle(now_s)
+
+    async def close(self) -> None:
+        """Cancel the reports and checks in flight."""
+        await self._tasks.close()
+        await self._holder.close()
+        await self._peers.close()
 
     def _report_ended_leases(self, now_s: float) -> None:
         for name in [name for name, ends_s in self._leases.items() if now_s >= ends_s]:
--- a/src/turmericlug/entry/stalls.py
+++ b/src/turmericlug/entry/stalls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from turmericlug.owner import policy
 from turmericlug.telemetry import decisions
@@ -24,13 +25,19 @@
     async def watch(self) -> None:
         """Tick until cancelled, and log stalls."""
         loop = asyncio.get_running_loop()
-        while True:
-            late_s = self.overdue_s()
-            self._lags.add(late_s * 1000)
-            if late_s > LOG_THRESHOLD_S:
-                decisions.log("instance.stalled", stood_ms=round(late_s * 1000))
+        if self._last_tick_s == math.inf:
             self._last_tick_s = loop.time()
-            await asyncio.sleep(TICK_S)
+        try:
+            while True:
+                late_s = self.overdue_s()
+                self._lags.add(late_s * 1000)
+                if late_s > LOG_THRESHOLD_S:
+                    decisions.log("instance.stalled", stood_ms=round(late_s * 1000))
+                self._last_tick_s = loop.time()
+                await asyncio.sleep(TICK_S)
+        finally:
+            # Without ticks, the process would look more and more stalled.
+            self._last_tick_s = math.inf
 
     def lag_ms(self) -> float | None:
         """Return a high percentile of the last ticks' delays; ``None`` while there are too few."""
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -68,6 +68,10 @@
         """The latest known era of the source; 0: none yet."""
         self._era_changed_s = float("-inf")
         self._last_answer_s = float("-inf")
+        self.has_snapshot = False
+        """Whether a snapshot has been applied, at least in part."""
+        self._follower_failed = False
+        """Whether the changes of the source can't be applied."""
         self.source_failed_s = float("-inf")
         """When a request to the source failed last."""
         self.capacities = capacities.Capacities(own_name, now_s, INSTANCE_COUNT_WINDOW_S)
@@ -92,12 +96,33 @@
             self._unreachable_since_s = self.source_failed_s
             decisions.log("source.lost", reason=reason)
 
+    def record_follower_failure(self) -> None:
+        """
+        Record that what the source answers can't be applied.
+
+        The source counts as unreachable until something has been applied again, whatever other
+        calls succeed: without the changes, entries may be missing here that it holds.
+        """
+        self._follower_failed = True
+        self.record_source_failure("follower_failed")
+
+    def record_applied(self, age_s: float = 0.0) -> None:
+        """
+        Record that an answer of the source has been applied.
+
+        :param age_s: age of the answer, if another instance has relayed it
+        """
+        self._follower_failed = False
+        self.record_source_answer(age_s)
+
     def record_source_answer(self, age_s: float = 0.0) -> None:
         """
         Record that the source answers.
 
         :param age_s: age of the answer, if another instance has relayed it
         """
+        if self._follower_failed:
+            return
         self._last_answer_s = max(self._last_answer_s, self._now_s() - age_s)
         if self._unreachable_since_s is None:
             return
@@ -140,6 +165,7 @@
 
     def apply_snapshot(self, snapshot: source.Snapshot) -> None:
         """Apply a full snapshot; entries missing from it have been removed."""
+        self.has_snapshot = True
         self._update_era(snapshot.era)
         present = {written.key for written in snapshot.entries}
         missing = [key for key in self._known if key not in present]
@@ -321,8 +347,7 @@
             decisions.log("view.replica_held", replica=written.value.instance, revision=revision)
 
     def _delete(self, key: str, revision: int) -> None:
-        written = self._known.pop(key)
-        self._held.pop(key, None)
+        written = self._known[key]
         match written.value:
             case routes.ReplicaEntry():
                 self._remember_start(key, written.value)
@@ -347,6 +372,9 @@
                     age_s=round(age_s, 3),
                     revision=revision,
                 )
+        # Last, so that a removal that failed is made up for by the next snapshot.
+        del self._known[key]
+        self._held.pop(key, None)
 
     def _remember_start(self, key: str, entry: routes.ReplicaEntry) -> None:
         if entry.born_ms is None:
--- a/tests/entry/test_deregistration.py
+++ b/tests/entry/test_deregistration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 
 import pytest
@@ -85,7 +86,9 @@
 
     async def main():
         task = asyncio.create_task(
-            deregistration.deregister_silent(source, view, relayed_source, totals)
+            deregistration.deregister_silent(
+                source, view, relayed_source, totals, collections.OrderedDict()
+            )
         )
         async with asyncio.timeout(10):
             while len(source.calls) < calls or (not calls and len(checked_s) < 3 and age_s < 1):
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -355,8 +355,8 @@
     mutant.one(
         "stop-deregistering-when-draining",
         "entry/draining.py",
-        "    async with tasks.background(deregistered):",
-        "    deregistered.close()\n    if True:",
+        '    async with kernel.find("supervisor").background(deregistered):',
+        "    if True:",
         "integration/test_store_returns.py"
         "::test_an_entry_that_was_taken_out_stays_out_when_the_store_has_returned[leaving]",
     ),
@@ -1008,4 +1008,46 @@
         "        if not self and not self._organisation_may_spend(",
         "direct/test_budget.py::test_one_organisation_leaves_a_part_of_the_budget",
     ),
+    mutant.one(
+        "keep-the-journal-after-a-failed-application",
+        "entry/follower.py",
+        "            journal.discard()\n",
+        "",
+        "entry/test_restarts.py::test_follower_reads_all_again_after_a_failed_application",
+    ),
+    mutant.one(
+        "read-stale-after-a-failed-application",
+        "entry/follower.py",
+        "stale_allowed = not view.has_snapshot",
+        "stale_allowed = True",
+        "entry/test_restarts.py::test_follower_reads_all_again_after_a_failed_application",
+    ),
+    mutant.one(
+        "count-as-current-what-is-not-applied",
+        "entry/view.py",
+        "        if self._follower_failed:\n            return\n",
+        "",
+        "entry/test_restarts.py::test_poisoned_snapshot_is_not_read_in_a_tight_loop",
+    ),
+    mutant.one(
+        "restart-without-backoff",
+        "kernel/supervisor.py",
+        "RESTART_MIN_S * 2**doublings",
+        "RESTART_MIN_S",
+        "entry/test_restarts.py::test_poisoned_snapshot_is_not_read_in_a_tight_loop",
+    ),
+    mutant.one(
+        "end-the-lease-after-a-failed-attempt",
+        "entry/follower.py",
+        "    except asyncio.CancelledError:\n        if supervisor.is_closing():\n",
+        "    except BaseException:\n        if True:\n",
+        "entry/test_restarts.py::test_restarted_registration_keeps_the_entry",
+    ),
+    mutant.one(
+        "leave-the-lease-when-closed-between-attempts",
+        "kernel/supervisor.py",
+        "            await job.on_close()\n",
+        "            pass\n",
+        "entry/test_restarts.py::test_instance_that_stops_between_two_attempts_is_deregistered",
+    ),
 )
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -41,6 +41,14 @@
     return organisations.Organisation(name, None, rate_per_s, burst)
 
 
+async def _run(instance_quotas):
+    """Run the quotas of an instance until cancelled."""
+    try:
+        await instance_quotas.run()
+    finally:
+        await instance_quotas.close()
+
+
 class _Peer:
     """Another instance as the replica object that messages are sent through."""
 
@@ -129,7 +137,7 @@
         if not is_young:
             self.quotas[name]._holder._started_s -= 60
         self.list_at(name)
-        self.runs[name] = loop.create_task(self.quotas[name].run())
+        self.runs[name] = loop.create_task(_run(self.quotas[name]))
 
     def start_all(self, is_young=False):
         for name in self.names:
