Show the state of the long-running tasks to operators

An instance whose follower had ended looked well: /status had no tasks, and the age of the store's answers went on being renewed by the lease.

/status has 'tasks' (state, restarts, failures in a row, effect, last reason and place) and 'source_unreachable'; /metrics has turmericlug_task_running and turmericlug_task_restarts by task; 'turmericlug entry status' shows the tasks that don't run.

tests/entry/test_inspection.py, telemetry, operators, integration/test_entry and test_samples: 94 passed.

--- a/src/turmericlug/entry/inspection.py
+++ b/src/turmericlug/entry/inspection.py
@@ -27,6 +27,7 @@
 from turmericlug.entry import quota_status
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import messages
+from turmericlug.kernel import supervisor
 
 STATUS_PATH = b"/status"
 QUARANTINE_PATH = b"/quarantine"
@@ -70,13 +71,18 @@
     quarantine: quarantine_module.Quarantine,
     counts: organisation_counts.OrganisationCounts,
     quotas: abc.Callable[[], abc.Iterable[quota_status.Status]] = tuple,
+    tasks: abc.Callable[[], abc.Mapping[str, supervisor.Status]] = dict,
 ) -> messages.Handler:
-    """Return the handler of the inspection endpoints; any other path is answered with 404."""
+    """
+    Return the handler of the inspection endpoints; any other path is answered with 404.
+
+    :param tasks: returns the states of the long-running tasks by name
+    """
 
     async def handle(request: messages.Request) -> messages.Response:
         path, _, query = request.target.partition(b"?")
         if path == STATUS_PATH:
-            return _answer(status(name, view, ready()))
+            return _answer(status(name, view, ready(), tasks()))
         if path == QUARANTINE_PATH:
             return _answer(
                 {"requests": [attrs.asdict(withheld) for withheld in list_withheld(quarantine)]}
@@ -128,7 +134,12 @@
     return _answer({"lifted": fingerprint.hex()})
 
 
-def status(name: str, view: view_module.View, ready: bool) -> Json:
+def status(
+    name: str,
+    view: view_module.View,
+    ready: bool,
+    tasks: abc.Mapping[str, supervisor.Status],
+) -> Json:
     """Return the state of the instance as a whole."""
     now_s = asyncio.get_running_loop().time()
     states = [_state(replica, now_s) for replica in view.replicas.all()]
@@ -137,6 +148,8 @@
         "ready": ready,
         "configuration_version": _version(view),
         "source_age_s": view_module.rounded_age_s(view.source_age_s()),
+        "source_unreachable": view.source_unreachable,
+        "tasks": {task: _task_status(task_status) for task, task_status in tasks.items()},
         "instances": sorted(view.instances),
         "instances_counted": view.instance_count(),
         "replicas": {state: states.count(state) for state in sorted(set(states))},
@@ -158,6 +171,18 @@
     }
 
 
+def _task_status(status: supervisor.Status) -> Json:
+    failure = status.last_failure
+    return {
+        "state": status.state,
+        "restarts": status.restarts,
+        "failures_in_a_row": status.failures_in_a_row,
+        "effect": status.effect,
+        "reason": failure.reason if failure else None,
+        "place": failure.place if failure else None,
+    }
+
+
 def organisations(
     view: view_module.View,
     counts: organisation_counts.OrganisationCounts,
--- a/src/turmericlug/entry/listeners.py
+++ b/src/turmericlug/entry/listeners.py
@@ -96,7 +96,8 @@
 def _operators_handler(kernel: Kernel) -> messages.Handler:
     counts = kernel.find("request handler").organisation_counts
     quotas = kernel.find("quotas")
-    serve_metrics = metrics.handler(kernel.find("counters"), counts)
+    tasks = kernel.find("supervisor").statuses
+    serve_metrics = metrics.handler(kernel.find("counters"), counts, tasks)
     serve_inspection = inspection.handler(
         kernel.find("settings").entry.name,
         kernel.find("view"),
@@ -104,6 +105,7 @@
         kernel.find("sender").quarantine,
         counts,
         quotas.status if quotas is not None else tuple,
+        tasks,
     )
 
     async def handle(request: messages.Request) -> messages.Response:
--- a/src/turmericlug/entry/metrics.py
+++ b/src/turmericlug/entry/metrics.py
@@ -2,22 +2,31 @@
 
 from __future__ import annotations
 
+from collections import abc
+
 from turmericlug.entry import organisation_counts
 from turmericlug.http1 import messages
+from turmericlug.kernel import supervisor
 from turmericlug.telemetry import counters as counters_module
 
 PATH = b"/metrics"
 
 
 def handler(
-    counters: counters_module.Counters, counts: organisation_counts.OrganisationCounts
+    counters: counters_module.Counters,
+    counts: organisation_counts.OrganisationCounts,
+    tasks: abc.Callable[[], abc.Mapping[str, supervisor.Status]] = dict,
 ) -> messages.Handler:
-    """Return the handler of the metrics endpoint."""
+    """
+    Return the handler of the metrics endpoint.
+
+    :param tasks: returns the states of the long-running tasks by name
+    """
 
     async def handle(request: messages.Request) -> messages.Response:
         if request.target.partition(b"?")[0] != PATH:
             return messages.Response(404)
-        body = text(counters) + organisations_text(counts)
+        body = text(counters) + tasks_text(tasks()) + organisations_text(counts)
         return messages.Response(200, ((b"content-type", b"text/plain"),), body.encode())
 
     return handle
@@ -36,6 +45,17 @@
     return "\n".join(lines) + "\n"
 
 
+def tasks_text(tasks: abc.Mapping[str, supervisor.Status]) -> str:
+    """Format whether each long-running task runs, and how often it was restarted."""
+    lines = []
+    for name, status in tasks.items():
+        label = f'{{task="{_escape(name)}"}}'
+        is_running = int(status.state == supervisor.RUNNING)
+        lines.append(f"turmericlug_task_running{label} {is_running}\n")
+        lines.append(f"turmericlug_task_restarts{label} {status.restarts}\n")
+    return "".join(lines)
+
+
 def organisations_text(counts: organisation_counts.OrganisationCounts) -> str:
     """Format the counts of the busiest organisations, and the sum of all others."""
     lines = [
--- a/src/turmericlug/operators/entry_commands.py
+++ b/src/turmericlug/operators/entry_commands.py
@@ -34,12 +34,23 @@
         summary = ", ".join(f"{count} {kind}" for kind, count in response[field].items())
         typer.echo(f"{field}: {summary or 'none'}")
     typer.echo(f"capacity: {_format_capacity(response['capacity'])}")
+    _print_failing_tasks(response.get("tasks", {}))
     for data_centre, age_s in response["evacuated_age_s"].items():
         typer.echo(f"evacuated: {data_centre}, for {age_s} s")
     if response["cold_left_s"]:
         typer.echo(f"cold: {len(response['cold_left_s'])} replicas")
 
 
+def _print_failing_tasks(tasks: Json) -> None:
+    """Show the tasks that don't run, or have failed and run again for a short time only."""
+    for name, task in tasks.items():
+        if task["state"] == "running" and not task["failures_in_a_row"]:
+            continue
+        summary = f"failed {task['failures_in_a_row']} times in a row"
+        typer.echo(f"task {name}: {task['state']}, {summary}: {task['reason']} ({task['place']})")
+        typer.echo(f"  while it does not run: {task['effect']}")
+
+
 def _format_capacity(capacity: Json) -> str:
     if not capacity["weighted"] or capacity["share"] is None:
         return f"{capacity['own']}; work is not weighted, as instances are about equal"
--- a/tests/entry/test_inspection.py
+++ b/tests/entry/test_inspection.py
@@ -15,11 +15,15 @@
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.entry import inspection
+from turmericlug.entry import metrics
 from turmericlug.entry import organisation_counts
 from turmericlug.entry import quota_status
 from turmericlug.entry import source
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import messages
+from turmericlug.kernel import failures
+from turmericlug.kernel import supervisor
+from turmericlug.operators import entry_commands
 from turmericlug.telemetry import counters
 
 ROUTE = routes.Route("r", "h", "/a/", True, 2000.0, 100.0, 1, 2, shards=("x", "y"))
@@ -38,7 +42,7 @@
     return source.Written(key, value, 1)
 
 
-def ask(target, snapshot=(), method=b"GET", withheld=(), counted=(), quotas=()):
+def ask(target, snapshot=(), method=b"GET", withheld=(), counted=(), quotas=(), tasks=()):
     """Send a request to an instance that has read a snapshot; return the status and the reply."""
 
     async def main():
@@ -60,7 +64,13 @@
         for row in counted:
             counts.add(*row)
         handle = inspection.handler(
-            "e-1", view, lambda: view.ready, quarantine, counts, lambda: quotas
+            "e-1",
+            view,
+            lambda: view.ready,
+            quarantine,
+            counts,
+            lambda: quotas,
+            lambda: dict(tasks),
         )
         answer = await handle(messages.Request(method, target, (), b"", 0.0))
         return answer.status, json.loads(answer.body) if answer.status == 200 else None
@@ -196,3 +206,44 @@
 def test_organisations_of_a_deployment_without_any(snapshot):
     _, reply = ask(b"/organisations", snapshot)
     assert (reply["configured"], reply["organisations"]) == (None, [])
+
+
+FAILED = supervisor.Status(
+    "no change is applied",
+    supervisor.WAITING,
+    restarts=3,
+    failures_in_a_row=2,
+    last_failure=failures.Failure("follower", "ValueError: odd", "entry/view.py:1"),
+)
+TASKS = {"follower": FAILED, "quotas": supervisor.Status("leases are kept")}
+
+
+def test_tasks_that_do_not_run_are_shown(capsys):
+    """Guards against an instance whose follower has ended and that looks well to its operators."""
+    _, reply = ask(b"/status", SNAPSHOT, tasks=TASKS)
+    assert reply["tasks"]["follower"] == {
+        "state": "waiting",
+        "restarts": 3,
+        "failures_in_a_row": 2,
+        "effect": "no change is applied",
+        "reason": "ValueError: odd",
+        "place": "entry/view.py:1",
+    }
+    assert reply["tasks"]["quotas"]["state"] == "running"
+    entry_commands._print_status(reply)
+    shown = capsys.readouterr().out
+    assert "task follower: waiting, failed 2 times in a row: ValueError: odd (entry/view.py:1)" in (
+        shown
+    )
+    assert "no change is applied" in shown
+    assert "quotas" not in shown
+
+
+def test_metrics_of_tasks():
+    lines = metrics.tasks_text(TASKS).splitlines()
+    assert lines == [
+        'turmericlug_task_running{task="follower"} 0',
+        'turmericlug_task_restarts{task="follower"} 3',
+        'turmericlug_task_running{task="quotas"} 1',
+        'turmericlug_task_restarts{task="quotas"} 0',
+    ]
