Report refused values with key, field, reason and revision; count them by reason

What operators saw: a line source.unreadable with a Python error as its reason, without the field, and one counter for all reasons, so that neither the log nor the metrics could tell a value of another writer from a value cut short.

A refused value now has the path of its field, a reason that is one keyword, and a description with the limit. source.unreadable.REASON counts them; the counter over all reasons stays.

Tests: test_refused_value_names_its_field_and_reason and test_refused_value_is_logged_and_counted_by_reason, which the code before has no fields for.

--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -149,8 +149,14 @@
     for change in changes:
         if isinstance(change, source_module.Unreadable):
             counters.add("source.unreadable")
+            counters.add(f"source.unreadable.{change.reason}")
             decisions.log(
-                "source.unreadable", key=change.key, revision=change.revision, reason=change.reason
+                "source.unreadable",
+                key=change.key,
+                field=change.field,
+                reason=change.reason,
+                problem=change.problem,
+                revision=change.revision,
             )
         elif isinstance(change, source_module.Written) and change.ignored:
             counters.add("source.fields_ignored", len(change.ignored))
--- a/src/turmericlug/entry/source.py
+++ b/src/turmericlug/entry/source.py
@@ -107,9 +107,14 @@
     key: str
     revision: int
     reason: str
+    """A short keyword, which is also the name of a counter."""
     content: bytes = attrs.field(default=b"", repr=False)
     """The raw value as the source holds it, to be relayed to other instances."""
     era: int = 0
+    field: str = ""
+    """Path of the field that caused the refusal; empty if it concerns the value as a whole."""
+    problem: str = ""
+    """What is wrong, with the limit."""
 
     @property
     def position(self) -> Position:
--- a/src/turmericlug/platform/decode.py
+++ b/src/turmericlug/platform/decode.py
@@ -53,14 +53,28 @@
         )
         value = decode_value(key, raw_value, ignored)
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
-        reason = f"{type(error).__name__}: {error}"[:_MAX_REASON_LENGTH]
-        return source.Unreadable(key, revision, reason, raw_value)
+        return _refuse(key, revision, raw_value, error)
     if value is None:
         return None
     reported = tuple(problem[:_MAX_REASON_LENGTH] for problem in ignored[:_MAX_IGNORED_FIELDS])
     return source.Written(key, value, revision, raw_value, ignored=reported)
 
 
+def _refuse(key: str, revision: int, content: bytes, error: Exception) -> source.Unreadable:
+    problem = f"{type(error).__name__}: {error}"[:_MAX_REASON_LENGTH]
+    reason, field = "type", ""
+    match error:
+        case fields.FieldError():
+            reason, field, problem = error.reason, error.field, str(error)[:_MAX_REASON_LENGTH]
+        case KeyError():
+            reason, field = "missing", str(error.args[0])[:_MAX_REASON_LENGTH]
+        case RecursionError():
+            reason = "depth"
+        case ValueError():
+            reason = "syntax"
+    return source.Unreadable(key, revision, reason, content, field=field, problem=problem)
+
+
 def _is_base64_text(content: bytes | str) -> typing.TypeGuard[str]:
     return isinstance(content, str)
 
--- a/src/turmericlug/platform/fields.py
+++ b/src/turmericlug/platform/fields.py
@@ -21,6 +21,17 @@
 class FieldError(ValueError):
     """A field does not have the published format; the message says how."""
 
+    def __init__(self, problem: str, reason: str = "type", field: str = "") -> None:
+        """
+        Describe a malformed field.
+
+        :param reason: a short keyword, which is also the name of a counter
+        :param field: path of the field; empty if it concerns the value as a whole
+        """
+        super().__init__(problem)
+        self.reason = reason
+        self.field = field
+
 
 _T = typing.TypeVar("_T")
 
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -129,6 +129,7 @@
     "source.call.*": "calls to the platform's store, by operation",
     "source.error.*": "calls to the platform's store that failed, by reason",
     "source.unreadable": "values ignored because they have an unknown format",
+    "source.unreadable.*": "the same values, by reason",
     "source.fields_ignored": "optional fields of the configuration that could not be read",
     "source.returned_from_copy": "times the store was restored from a backup, which loses changes",
     "source.history_lost": "times everything was read again because past changes were unavailable",
--- a/tests/entry/test_follower.py
+++ b/tests/entry/test_follower.py
@@ -488,3 +488,27 @@
         return view.source_age_s()
 
     assert (asyncio.run(main()) < 1.0) == is_current
+
+
+def test_refused_value_is_logged_and_counted_by_reason(monkeypatch):
+    """Guards against refused values that no log line and no counter tell apart."""
+    lines = []
+    monkeypatch.setattr(
+        follower.decisions, "log", lambda event, **fields: lines.append((event, fields))
+    )
+    refused = source_module.Unreadable("r/a", 11, "range", field="Slots", problem="below 1")
+    metrics = counters.Counters()
+    follower._report_unreadable([refused], metrics)
+    assert lines == [
+        (
+            "source.unreadable",
+            {
+                "key": "r/a",
+                "field": "Slots",
+                "reason": "range",
+                "problem": "below 1",
+                "revision": 11,
+            },
+        )
+    ]
+    assert metrics.totals == {"source.unreadable": 1, "source.unreadable.range": 1}
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -239,3 +239,20 @@
 
 def test_unknown_keys_are_not_decoded():
     assert decode.decode_value("somebody/else", b"whatever", []) is None
+
+
+REFUSED_VALUES = [
+    ("servers/i-1", b"{", "syntax", ""),
+    ("servers/i-1", json.dumps({"Service": "s"}).encode(), "missing", "Address"),
+    ("op/config", b'{"Version":1}', "missing", "Services"),
+]
+
+
+@pytest.mark.parametrize(
+    ("key", "content", "reason", "field"), REFUSED_VALUES, ids=lambda value: str(value)[:30]
+)
+def test_refused_value_names_its_field_and_reason(key, content, reason, field):
+    """Guards against refused values of which the log does not tell which field was malformed."""
+    refused = decode.decode_change(key, content, 5)
+    assert (refused.reason, refused.field) == (reason, field)
+    assert refused.problem
