Read each field of the store's answers with a type and a range

What callers saw: after one answer of the store without a field, or with one of another type, an instance applied no later configuration, or was never registered, until it was restarted.

Cause: store.py took fields out of parsed JSON as they came. KeyError, TypeError, AttributeError and RecursionError left the client; the follower and the registration catch SourceError only. So did a status out of place (404 for a read, 410 for a renewal, 412 for either), and a key with a lone surrogate at the end of a page, which no query could be made of. Pages that make no progress were read for ever. A revision of 2^64 or more, or far ahead, became the position to continue from, which the store never reaches, also at all instances behind a relay, and pinned its key at that value.

Change: platform/answers.py reads every field; a malformed one makes the answer a SourceError (malformed, counted by call, one line with field and problem). An item whose key can be told is refused alone, with revision 0, so that what is known of the key stays. A status has its meaning only in the calls that define it.

--- a/src/turmericlug/entry/follower.py
+++ b/src/turmericlug/entry/follower.py
@@ -135,9 +135,10 @@
     Continue the journal with what a new snapshot changes.
 
     A journal restarted after lost history cannot answer requests for earlier positions, so that
-    every instance that asks for one has to take a full fresh snapshot from the source.
+    every instance that asks for one has to take a full fresh snapshot from the source. That is
+    right for a journal whose position the source has never reached.
     """
-    if journal.position is None:
+    if journal.position is None or snapshot.position < journal.position:
         journal.restart(snapshot.position)
     else:
         journal.add(view.changes_in(snapshot))
--- a/src/turmericlug/entry/journal.py
+++ b/src/turmericlug/entry/journal.py
@@ -53,7 +53,8 @@
             self._eras[changes.era] = (changes.revision, math.inf)
         for change in changes.changes:
             if len(self._changes) == MAX_CHANGES:
-                self._known_from = self._changes[0].position
+                # A change whose revision could not be read has position 0.
+                self._known_from = max(self._known_from, self._changes[0].position)
             self._changes.append(change)
         self.position = max(self.position, changes.position)
         self._wake_waiting()
@@ -92,4 +93,7 @@
             raise source.HistoryLostError
         if after < self._known_from:
             raise source.HistoryLostError
+        if after > self.position and not after.can_follow(self.position):
+            # The client took its position from a malformed answer: nothing would ever follow it.
+            raise source.HistoryLostError
         return self.position
--- a/src/turmericlug/entry/source.py
+++ b/src/turmericlug/entry/source.py
@@ -10,6 +10,10 @@
 from turmericlug.direct import routes
 from turmericlug.policy import capacity as capacity_module
 
+MAX_CHANGES = 1_000_000_000
+"""No source makes as many changes between two positions that an instance hears of: that is more
+than a day of 10,000 changes a second."""
+
 
 @attrs.frozen
 class EntryInstance:
@@ -60,6 +64,12 @@
     era: int
     revision: int
 
+    def can_follow(self, earlier: Position) -> bool:
+        """Whether a source that was at an earlier position can be at this one."""
+        if self.era != earlier.era:
+            return self.era > earlier.era
+        return 0 <= self.revision - earlier.revision <= MAX_CHANGES
+
 
 Value = routes.Configuration | routes.ReplicaEntry | EntryInstance | Evacuation
 
--- a/src/turmericlug/platform/fields.py
+++ b/src/turmericlug/platform/fields.py
@@ -32,10 +32,77 @@
         self.reason = reason
         self.field = field
 
+    def within(self, path: str) -> FieldError:
+        """Return the error with its field qualified by the path of what contains it."""
+        self.field = f"{path}.{self.field}" if self.field else path
+        return self
+
 
 _T = typing.TypeVar("_T")
 
 
+def read_field(
+    item: abc.Mapping[str, typing.Any], name: str, read: abc.Callable[[typing.Any], _T]
+) -> _T:
+    """
+    Read a required field.
+
+    :raises FieldError: absent or malformed
+    """
+    if name not in item:
+        raise FieldError("absent", "missing", name)
+    try:
+        return read(item[name])
+    except FieldError as error:
+        raise error.within(name) from None
+
+
+def read_integer(value: typing.Any, minimum: int, maximum: int) -> int:
+    """
+    Read an integer.
+
+    :raises FieldError: not an integer, or not from ``minimum`` to ``maximum``
+    """
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise FieldError("not an integer")
+    if not minimum <= value <= maximum:
+        raise FieldError(f"not from {minimum} to {maximum}", "range")
+    return value
+
+
+def read_flag(value: typing.Any) -> bool:
+    """
+    Read a truth value; ``None`` counts as false.
+
+    :raises FieldError: neither true nor false
+    """
+    if not isinstance(value, bool | None):
+        raise FieldError("neither true nor false")
+    return bool(value)
+
+
+def read_string(value: typing.Any) -> str:
+    """
+    Read a string.
+
+    :raises FieldError: not a string
+    """
+    if not isinstance(value, str):
+        raise FieldError("not a string")
+    return value
+
+
+def read_list(value: typing.Any) -> list[typing.Any]:
+    """
+    Read a list.
+
+    :raises FieldError: not a list
+    """
+    if not isinstance(value, list):
+        raise FieldError("not a list")
+    return value
+
+
 def read_optional(
     item: abc.Mapping[str, typing.Any],
     name: str,
--- a/src/turmericlug/platform/store.py
+++ b/src/turmericlug/platform/store.py
@@ -11,6 +11,7 @@
 import asyncio
 import base64
 import json
+import types
 import typing
 import urllib.parse
 from collections import abc
@@ -19,7 +20,10 @@
 
 from turmericlug.entry import source
 from turmericlug.http1 import client
+from turmericlug.platform import answers
 from turmericlug.platform import decode
+from turmericlug.platform import fields
+from turmericlug.platform import json_values
 from turmericlug.platform import names
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
@@ -34,12 +38,22 @@
 _ERA_HEADER = b"store-era"
 _MAX_ERA_DIGITS = 18
 """An era of this length fits into the 64-bit field of the protocol between instances."""
+MAX_PAGES = 4096
+"""Two million items; a read of more does not end."""
+
+Errors = abc.Mapping[int, type[Exception]]
+"""The errors of a call by the status of its response; any other status is a ``SourceError``."""
+_NO_ERRORS: Errors = types.MappingProxyType({})
 
 
 class _RevisionMismatchError(Exception):
     """A key has another revision than the transaction expects."""
 
 
+_LEASE_ERRORS: Errors = types.MappingProxyType({404: source.LeaseEndedError})
+_T = typing.TypeVar("_T")
+
+
 @attrs.define
 class _Channel:
     """A persistent connection, used by one call at a time."""
@@ -72,6 +86,8 @@
         self._counters = counters
         self._call_channel = _Channel()
         self._watch_channel = _Channel()
+        self._has_lost_position = False
+        """Whether the last watch returned a position that can't follow the previous one."""
         self.era = 0
         """The latest era of any response; 0 if none stated one."""
 
@@ -100,20 +116,22 @@
     async def _read_pages(self, prefix: str, may_be_stale: bool) -> source.Snapshot:
         entries: list[source.Written | source.Unreadable] = []
         positions: set[source.Position] = set()
+        last_keys: set[str] = set()
         query = {"Prefix": prefix} | ({"Serializable": "1"} if may_be_stale else {})
         while True:
             result = await self._get("kv-range", query)
-            page = result.body
-            positions.add(source.Position(result.era, page["AsOf"]))
+            page = self._read("kv-range", answers.read_page, result)
+            positions.add(source.Position(result.era, page.revision))
             if len({position.era for position in positions}) > 1:
                 raise source.SourceError("returned_from_copy")
-            for item in page["items"]:
-                query["after"] = item["Key"]
-                entry = _decode_item(item, result.era)
-                if entry is not None:
-                    entries.append(entry)
-            if not page.get("HasMore"):
+            entries += page.entries
+            if not page.has_more:
                 return source.Snapshot(tuple(entries), min(positions).revision, result.era)
+            if not page.last_key or page.last_key in last_keys or len(last_keys) >= MAX_PAGES:
+                self._log_malformed("kv-range", "HasMore", "range", "the pages make no progress")
+                raise source.SourceError("malformed")
+            last_keys.add(page.last_key)
+            query["after"] = page.last_key
 
     async def changes(self, after: source.Position, wait_s: float) -> source.Changes:
         """
@@ -132,8 +150,13 @@
         query = {"Prefix": "", "after": str(after.revision), "WaitMs": str(int(wait_s * 1000))}
         try:
             result = await self._get(
-                "kv-watch", query, self._watch_channel, wait_s + WATCH_TIMEOUT_SLACK_S
+                "kv-watch",
+                query,
+                self._watch_channel,
+                wait_s + WATCH_TIMEOUT_SLACK_S,
+                {410: source.HistoryLostError},
             )
+            changes = self._read("kv-watch", answers.read_events, result)
             self._watch_channel.failed = False
         except source.SourceError:
             self._watch_channel.failed = True
@@ -142,20 +165,35 @@
             raise
         if result.era != after.era:
             raise source.HistoryLostError
-        changes: list[source.Change] = []
-        for event in result.body["events"]:
-            if event.get("Tombstone"):
-                changes.append(source.Removed(event["Key"], event["Revision"], result.era))
-                continue
-            change = _decode_item(event, result.era)
-            if change is not None:
-                changes.append(change)
-        return source.Changes(tuple(changes), result.body["AsOf"], era=result.era)
+        self._check_progress(after, changes.position)
+        return changes
+
+    def _check_progress(self, after: source.Position, position: source.Position) -> None:
+        """
+        Check that a watch has returned a position that can follow the one that it continues from.
+
+        If twice in a row it can't, the earlier position is not one of this store: the first answer
+        with a malformed revision was the one that stated it.
+
+        :raises HistoryLostError: everything has to be read again
+        :raises SourceError: the same changes are to be requested once more
+        """
+        if position.can_follow(after):
+            self._has_lost_position = False
+            return
+        self._log_malformed(
+            "kv-watch", "AsOf", "range", f"{position.revision} after {after.revision}"
+        )
+        if self._has_lost_position:
+            self._has_lost_position = False
+            raise source.HistoryLostError
+        self._has_lost_position = True
+        raise source.SourceError("malformed")
 
     async def open_lease(self, ttl_s: float) -> int:
         """Open a lease."""
         result = await self._call(b"POST", "kv-lease", {"TtlMs": int(ttl_s * 1000)})
-        return result.body["Lease"]
+        return self._read("kv-lease", lambda body, era: answers.read_lease(body), result)
 
     async def renew_lease(self, lease: int) -> None:
         """
@@ -163,11 +201,11 @@
 
         :raises LeaseEndedError: the lease has ended
         """
-        await self._call(b"POST", f"kv-keep/{lease}", {})
+        await self._call(b"POST", f"kv-keep/{lease}", {}, errors=_LEASE_ERRORS)
 
     async def end_lease(self, lease: int) -> None:
         """End a lease."""
-        await self._call(b"DELETE", f"kv-lease-end/{lease}", None)
+        await self._call(b"DELETE", f"kv-lease-end/{lease}", None, errors=_LEASE_ERRORS)
 
     async def register(self, instance: source.EntryInstance, lease: int) -> None:
         """
@@ -177,7 +215,8 @@
         """
         value = base64.b64encode(decode.encode_instance(instance)).decode()
         put = {"Key": names.INSTANCES_PREFIX + instance.name, "Value": value, "Lease": lease}
-        await self._call(b"POST", "kv-txn", {"ExpectedRev": [], "Puts": [put], "Remove": []})
+        body = {"ExpectedRev": [], "Puts": [put], "Remove": []}
+        await self._call(b"POST", "kv-txn", body, errors=_LEASE_ERRORS)
 
     async def remove(self, written: abc.Sequence[source.Written]) -> bool:
         """
@@ -194,7 +233,7 @@
             "Remove": [entry.key for entry in written],
         }
         try:
-            await self._call(b"POST", "kv-txn", body)
+            await self._call(b"POST", "kv-txn", body, errors={412: _RevisionMismatchError})
         except _RevisionMismatchError:
             return False
         return True
@@ -205,9 +244,11 @@
         query: dict[str, str],
         channel: _Channel | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        errors: Errors = _NO_ERRORS,
     ) -> _Result:
-        target = f"{path}?{urllib.parse.urlencode(query)}"
-        return await self._call(b"GET", target, None, channel, timeout_s)
+        # A key that is not valid Unicode can be the last one of a page.
+        target = f"{path}?{urllib.parse.urlencode(query, errors='surrogatepass')}"
+        return await self._call(b"GET", target, None, channel, timeout_s, errors)
 
     async def _call(
         self,
@@ -216,6 +257,7 @@
         body: typing.Any,
         channel: _Channel | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        errors: Errors = _NO_ERRORS,
     ) -> _Result:
         channel = channel or self._call_channel
         operation = path.partition("?")[0].partition("/")[0]
@@ -223,15 +265,36 @@
         async with channel.lock:
             response = await self._exchange(channel, method, path, body, timeout_s)
         era = self._update_era(response)
-        if response.status == 200:
-            return _Result(era, _parse_json(response.body))
-        if response.status == 410:
-            raise source.HistoryLostError
-        if response.status == 404:
-            raise source.LeaseEndedError
-        if response.status == 412:
-            raise _RevisionMismatchError
-        raise source.SourceError(_STATUS_REASONS.get(response.status, f"status_{response.status}"))
+        if response.status in errors:
+            raise errors[response.status]
+        if response.status != 200:
+            status = response.status
+            raise source.SourceError(_STATUS_REASONS.get(status, f"status_{status}"))
+        try:
+            return _Result(era, json_values.parse(response.body) if response.body else {})
+        except fields.FieldError as error:
+            self._log_malformed(operation, "", error.reason, str(error))
+            raise source.SourceError("unreadable") from None
+
+    def _read(
+        self, operation: str, read: abc.Callable[[typing.Any, int], _T], result: _Result
+    ) -> _T:
+        """
+        Read the body of an answer.
+
+        :raises SourceError: a field is malformed
+        """
+        try:
+            return read(result.body, result.era)
+        except fields.FieldError as error:
+            self._log_malformed(operation, error.field, error.reason, str(error))
+            raise source.SourceError("malformed") from None
+
+    def _log_malformed(self, operation: str, field: str, reason: str, problem: str) -> None:
+        self._counters.add(f"source.malformed.{operation}")
+        decisions.log(
+            "source.malformed", call=operation, field=field, reason=reason, problem=problem
+        )
 
     def _update_era(self, response: client.Response) -> int:
         """
@@ -289,19 +352,3 @@
         """Close both connections."""
         self._close_channel(self._call_channel)
         self._close_channel(self._watch_channel)
-
-
-def _decode_item(
-    item: dict[str, typing.Any], era: int
-) -> source.Written | source.Unreadable | None:
-    change = decode.decode_change(item["Key"], item["Value"], item["Revision"])
-    if isinstance(change, source.Written):
-        return attrs.evolve(change, lease=item.get("Lease") or 0, era=era)
-    return change and attrs.evolve(change, era=era)
-
-
-def _parse_json(body: bytes) -> typing.Any:
-    try:
-        return json.loads(body) if body else {}
-    except ValueError:
-        raise source.SourceError("unreadable") from None
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -128,6 +128,7 @@
     "instance.missed": "registrations of other instances removed because they were silent",
     "source.call.*": "calls to the platform's store, by operation",
     "source.error.*": "calls to the platform's store that failed, by reason",
+    "source.malformed.*": "answers of the platform's store with a malformed field, by operation",
     "source.unreadable": "values ignored because they have an unknown format",
     "source.unreadable.*": "the same values, by reason",
     "source.fields_ignored": "optional fields of the configuration that could not be read",
--- a/tests/entry/test_follower.py
+++ b/tests/entry/test_follower.py
@@ -512,3 +512,43 @@
         )
     ]
     assert metrics.totals == {"source.unreadable": 1, "source.unreadable.range": 1}
+
+
+@pytest.mark.parametrize("ahead, known", [(3, True), (source_module.MAX_CHANGES + 1, False)])
+def test_journal_knows_no_position_that_the_source_cannot_reach(ahead, known):
+    """
+    Guards against an instance that waits for ever: it took its position from a malformed answer,
+    and no change ever follows that.
+    """
+
+    async def main():
+        journal = journal_module.Journal()
+        journal.restart(source_module.Position(1, 10))
+        after = source_module.Position(1, 10 + ahead)
+        if not known:
+            with pytest.raises(source_module.HistoryLostError):
+                await journal.since(after, 0.0)
+            return
+        assert (await journal.since(after, 0.0)).position == after
+
+    asyncio.run(main())
+
+
+def test_journal_is_restarted_where_the_source_is_behind_it():
+    """Guards against a relay that states a position for ever which the source never reaches."""
+    read = (configured(1),)
+    source = Source(
+        [source_module.Snapshot(read, 2**64 - 1), source_module.Snapshot(read, 9)],
+        [source_module.HistoryLostError()],
+    )
+    journal = journal_module.Journal()
+
+    async def main():
+        work = follower.follow(
+            source, source.changes, make_view(), journal, counters.Counters(), random.Random(1)
+        )
+        await while_running(work, lambda: len(source.asked_after) == 2)
+
+    asyncio.run(main())
+    assert journal.position == source_module.Position(0, 9)
+    assert source.asked_after == [2**64 - 1, 9]
