Read each response with a reader of its own, so that none is left over

What callers saw: nothing wrong in their answers, as the echoed identifier did not match; but an exchange on a kept connection whose last response was a 204 or 304 without a length, closed by the server before the first byte of the next response, ended with that earlier response (its headers, its empty body, status 0) instead of ConnectionLostError. A crash of the replica was then not counted as a lost connection, and the store's and the instances' clients got a response with status 0.

Cause: Connection kept the partial response of the exchange before until the first byte of the next one arrived. eof_received found head_done and no length in it, and completed it as a response that ends with its connection.

Evidence: tests/http1/test_cut_responses.py cuts every framing at every byte, by FIN, RST and silence, on a new and a kept connection, at once and byte by byte, in memory and over loopback.

Change: http1/reading.py reads one response; the connection creates a reader for each request. Mutant keep-the-reader-of-the-response-before.

--- a/src/turmericlug/http1/client.py
+++ b/src/turmericlug/http1/client.py
@@ -10,19 +10,17 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import itertools
 import socket
 import struct
 from collections import abc
 
 import attrs
-import httptools
+
+from turmericlug.http1 import reading
 
 CONNECT_TIMEOUT_S = 0.4
 """16 round trips of 25 ms between regions; Linux resends a lost SYN only after 1 s."""
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-"""Bounds the memory per response; the largest measured bodies are some tens of kilobytes."""
 USER_TIMEOUT_MS = 3000
 """Age limit of unacknowledged data; a partition otherwise blocks a connection for minutes."""
 _TCP_INFO = struct.Struct("8B24I")
@@ -59,34 +57,7 @@
     """The server closed or reset the connection before its response was complete."""
 
 
-@attrs.frozen
-class Response:
-    """A complete response as received."""
-
-    status: int
-    reason: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-    reusable: bool
-    """Whether the connection may carry another request."""
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header, by its lower-case name."""
-        for header_name, value in self.headers:
-            if header_name == name:
-                return value
-        return None
-
-
-@dataclasses.dataclass
-class _PartialResponse:
-    """The part of a response received so far."""
-
-    headers: list[tuple[bytes, bytes]]
-    body: list[bytes]
-    reason: bytes = b""
-    size: int = 0
-    head_done: bool = False
+Response = reading.Response
 
 
 class Connection(asyncio.Protocol):
@@ -94,10 +65,8 @@
 
     def __init__(self, on_unexpected_bytes: abc.Callable[[], None] | None = None) -> None:
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
         self._pending: asyncio.Future[Response] | None = None
-        self._partial = _PartialResponse([], [])
-        self._complete: Response | None = None
+        self._reader: reading.Reader | None = None
         self._on_unexpected_bytes = on_unexpected_bytes
         self.number = next(_connection_numbers)
         """Identifies the connection in the log."""
@@ -109,8 +78,6 @@
         self.had_unnamed_response = False
         """Whether a response on it did not name its request; a late copy of such a response can't
         be told from the response to another request."""
-        self._on_interim: abc.Callable[[], None] | None = None
-        self._on_chunk: abc.Callable[[bytes], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -128,21 +95,19 @@
                 self._on_unexpected_bytes()
             self.close()
             return
+        assert self._reader is not None
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            # Garbage after a complete response: deliver it, but don't reuse the connection.
-            if self._complete is None:
-                self._fail(ExchangeError(f"unreadable response: {error}"))
-                return
-            self._prevent_reuse()
+            self._reader.feed(data)
+        except reading.ReadError as error:
+            self._fail(ExchangeError(str(error)))
+            return
         self._deliver()
 
     def eof_received(self) -> bool:
         """Complete a response that has no length and ends when the server closes."""
         self.closed = True
-        if self._pending is not None and self._partial.head_done and self._is_close_delimited():
-            self._finish(reusable=False)
+        if self._reader is not None:
+            self._reader.end()
             self._deliver()
         return False
 
@@ -151,79 +116,20 @@
         self.closed = True
         self._fail(ConnectionLostError("connection reset" if error else "connection closed"))
 
-    def on_status(self, reason: bytes) -> None:
-        """Parser callback: reason phrase."""
-        self._partial.reason += reason
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Parser callback: one header."""
-        self._partial.headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        """Parser callback: end of the header section."""
-        self._partial.head_done = True
-
-    def on_body(self, body: bytes) -> None:
-        """Parser callback: a piece of the body."""
-        self._partial.size += len(body)
-        if self._partial.size > MAX_RESPONSE_BYTES:
-            self._fail(ExchangeError("response too large"))
-            return
-        self._partial.body.append(body)
-
-    def on_chunk_complete(self) -> None:
-        """Parser callback: a chunk of the body is complete."""
-        if self._on_chunk is not None and self._partial.body:
-            self._on_chunk(b"".join(self._partial.body))
-            self._partial.body.clear()
-
-    def on_message_begin(self) -> None:
-        """Parser callback: a response begins; a second one makes the connection unusable."""
-        if self._complete is not None:
-            self._prevent_reuse()
-            return
-        self._partial = _PartialResponse([], [])
-
-    def on_message_complete(self) -> None:
-        """Parser callback: a response is complete; interim ones (1xx) don't end the exchange."""
-        if self._complete is not None:
-            return
-        if 100 <= self._parser.get_status_code() < 200:
-            self._partial = _PartialResponse([], [])
-            if self._on_interim is not None:
-                self._on_interim()
-            return
-        # After an early response, the server would read the unsent rest of the body as a request.
-        unsent = self._transport.get_write_buffer_size() if self._transport else 0
-        self._finish(reusable=self._parser.should_keep_alive() and not unsent)
-
-    def _is_close_delimited(self) -> bool:
-        names = {name for name, _ in self._partial.headers}
-        return b"content-length" not in names and b"transfer-encoding" not in names
-
-    def _finish(self, reusable: bool) -> None:
-        partial = self._partial
-        self._complete = Response(
-            self._parser.get_status_code(),
-            partial.reason,
-            tuple(partial.headers),
-            b"".join(partial.body),
-            reusable,
-        )
-
-    def _prevent_reuse(self) -> None:
-        if self._complete is not None:
-            self._complete = attrs.evolve(self._complete, reusable=False)
-        self.closed = True
-        if self._on_unexpected_bytes is not None:
-            self._on_unexpected_bytes()
-
     def _deliver(self) -> None:
-        if self._complete is None or self._pending is None:
+        if self._pending is None or self._reader is None or self._reader.response is None:
             return
-        response, pending = self._complete, self._pending
-        self._complete = self._pending = None
-        self._parser = httptools.HttpResponseParser(self)
+        response, pending = self._reader.response, self._pending
+        self._pending = None
+        if self._reader.has_surplus:
+            # Deliver the response, but the next one on this connection could be anyone's.
+            response = attrs.evolve(response, reusable=False)
+            if self._on_unexpected_bytes is not None:
+                self._on_unexpected_bytes()
+        if self._transport is not None and self._transport.get_write_buffer_size():
+            # After an early response, the server would read the unsent rest of the body as a
+            # request.
+            response = attrs.evolve(response, reusable=False)
         self.keep_alive_timeout_s = _keep_alive_timeout_s(response.header(b"keep-alive"))
         if not response.reusable:
             self.close()
@@ -254,8 +160,7 @@
         if self.closed or self._transport is None:
             raise ExchangeError("connection closed before sending")
         self.exchanges += 1
-        self._on_interim = on_interim
-        self._on_chunk = on_chunk
+        self._reader = reading.Reader(on_interim, on_chunk)
         self._pending = asyncio.get_running_loop().create_future()
         self._transport.write(request)
         try:
--- /dev/null
+++ b/src/turmericlug/http1/reading.py
@@ -0,0 +1,144 @@
+"""Reads the bytes of one response with httptools; a new reader serves each request."""
+
+from __future__ import annotations
+
+from collections import abc
+
+import attrs
+import httptools
+
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+"""Bounds the memory per response; the largest measured bodies are some tens of kilobytes."""
+
+
+class ReadError(Exception):
+    """The bytes received are not a response that can be used."""
+
+
+@attrs.frozen
+class Response:
+    """A complete response as received."""
+
+    status: int
+    reason: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    reusable: bool
+    """Whether the connection may carry another request."""
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, by its lower-case name."""
+        for header_name, value in self.headers:
+            if header_name == name:
+                return value
+        return None
+
+
+class Reader:
+    """Reads the response to one request, and the interim responses (1xx) before it."""
+
+    def __init__(
+        self,
+        on_interim: abc.Callable[[], None] | None = None,
+        on_chunk: abc.Callable[[bytes], None] | None = None,
+    ) -> None:
+        """
+        Create a reader.
+
+        :param on_interim: called for each interim response
+        :param on_chunk: called for each chunk of the body as it arrives
+        """
+        self.response: Response | None = None
+        """The response, once it is complete."""
+        self.has_surplus = False
+        """Whether bytes followed the complete response."""
+        self._on_interim = on_interim
+        self._on_chunk = on_chunk
+        self._parser = httptools.HttpResponseParser(self)
+        self._begin_message()
+
+    def _begin_message(self) -> None:
+        self._reason = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._head_done = False
+        self._body = bytearray()
+        self._body_size = 0
+
+    def feed(self, data: bytes) -> None:
+        """
+        Read bytes; those after a complete response only set ``has_surplus``.
+
+        :raises ReadError: the response can't be used
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if self.response is not None:
+                self.has_surplus = True
+                return
+            if isinstance(error.__context__, ReadError):
+                raise error.__context__ from None
+            raise ReadError(f"unreadable response: {error}") from error
+
+    def end(self) -> None:
+        """Complete a response that has no length: it ends when the server closes."""
+        if self.response is None and self._head_done and self._is_close_delimited():
+            self._finish(reusable=False)
+
+    def _is_close_delimited(self) -> bool:
+        names = {name for name, _ in self._headers}
+        return b"content-length" not in names and b"transfer-encoding" not in names
+
+    def _finish(self, reusable: bool) -> None:
+        self.response = Response(
+            self._parser.get_status_code(),
+            self._reason,
+            tuple(self._headers),
+            bytes(self._body),
+            reusable,
+        )
+
+    def on_message_begin(self) -> None:
+        """Parser callback: a response begins."""
+        if self.response is not None:
+            self.has_surplus = True
+            return
+        self._begin_message()
+
+    def on_status(self, reason: bytes) -> None:
+        """Parser callback: a piece of the reason phrase."""
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser callback: one header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Parser callback: end of the header section."""
+        self._head_done = True
+
+    def on_body(self, body: bytes) -> None:
+        """Parser callback: a piece of the body."""
+        if self.response is not None:
+            return
+        self._body_size += len(body)
+        if self._body_size > MAX_RESPONSE_BYTES:
+            raise ReadError("response too large")
+        self._body += body
+
+    def on_chunk_complete(self) -> None:
+        """Parser callback: a chunk of the body is complete."""
+        if self._on_chunk is not None and self._body and self.response is None:
+            self._on_chunk(bytes(self._body))
+            self._body.clear()
+
+    def on_message_complete(self) -> None:
+        """Parser callback: a response is complete; interim ones don't end the exchange."""
+        if self.response is not None:
+            return
+        if 100 <= self._parser.get_status_code() < 200:
+            self._begin_message()
+            if self._on_interim is not None:
+                self._on_interim()
+            return
+        self._finish(reusable=self._parser.should_keep_alive())
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -15,9 +15,8 @@
     mutant.one(
         "reuse-a-connection-with-surplus-bytes",
         "http1/client.py",
-        "            self._complete = attrs.evolve(self._complete, reusable=False)\n"
-        "        self.closed = True",
-        "            pass",
+        "        if self._reader.has_surplus:\n",
+        "        if self._reader.has_surplus and not pending:\n",
         "http1/test_client.py::test_complete_responses[doubled]",
     ),
     mutant.one(
@@ -25,11 +24,18 @@
         "http1/client.py",
         '        self._fail(ConnectionLostError("connection reset" if error else "connection '
         'closed"))',
-        "        if self._partial.head_done and self._pending:\n"
-        "            self._finish(reusable=False)\n            self._deliver()\n"
+        "        if self._reader is not None:\n"
+        "            self._reader.end()\n            self._deliver()\n"
         '        self._fail(ConnectionLostError("closed"))',
         "http1/test_client.py::test_incomplete_responses",
     ),
+    mutant.one(
+        "keep-the-reader-of-the-response-before",
+        "http1/client.py",
+        "        self._reader = reading.Reader(on_interim, on_chunk)\n",
+        "        self._reader = self._reader or reading.Reader(on_interim, on_chunk)\n",
+        "http1/test_cut_responses.py::test_a_cut_response_with_a_length_is_never_complete",
+    ),
     mutant.one(
         "cut-off-requests-at-the-exit",
         "entry/draining.py",
