--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -22,9 +22,12 @@
     """Serve each connection with the coroutine function ``script(reader, writer)``."""
 
     async def serve(reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await script(reader, writer)
-        writer.close()
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                await script(reader, writer)
+        finally:
+            # Also at the end of the test: a writer collected after its loop breaks pytest itself.
+            writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     try:
--- a/tests/http1/test_cut_responses.py
+++ b/tests/http1/test_cut_responses.py
@@ -167,16 +167,18 @@
     """Answer each request with the bytes and end the connection."""
 
     async def serve(reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(message)
-            await writer.drain()
-            if ending == "rst":
-                linger = struct.pack("ii", 1, 0)
-                sock = writer.get_extra_info("socket")
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                writer.transport.abort()
-        writer.close()
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(message)
+                await writer.drain()
+                if ending == "rst":
+                    linger = struct.pack("ii", 1, 0)
+                    sock = writer.get_extra_info("socket")
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    writer.transport.abort()
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     try:
