Reject responses whose head leaves their status, version or body open

What callers saw (a real instance, replicas that answer so): 'HTTP/1.1 0 Unknown', 'HTTP/1.1 99 Unknown' and 'HTTP/1.1 777 Unknown' with the replica's stamp, which is no answer in the protocol; and a success whose body was the bytes of 'transfer-encoding: gzip, chunked', without that header.

Cause: httptools takes any three digits as a status, versions 0.9 and 2.0, chunks in HTTP/1.0, and any list of transfer encodings that ends in chunked; the reader took what the parser took. After 101 with an upgrade the parser raises an exception that is no HttpParserError: it left data_received, so that the exchange ended as if the connection had been reset, which counts as evidence of a crash.

Change: the reader checks status, version, transfer-encoding and a length above the limit as soon as the head is complete. Now all of these end as unreadable, with status 502 for the caller.

--- a/src/turmericlug/http1/reading.py
+++ b/src/turmericlug/http1/reading.py
@@ -10,6 +10,8 @@
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 """Bounds the memory per response; the largest measured bodies are some tens of kilobytes."""
 
+_SWITCHING_PROTOCOLS = 101
+
 
 class ReadError(Exception):
     """The bytes received are not a response that can be used."""
@@ -118,10 +120,31 @@
 
     def on_headers_complete(self) -> None:
         """Parser callback: end of the header section."""
+        if self.response is not None:
+            return
+        self._check_head()
         self._head_done = True
         if self._is_head and self._parser.get_status_code() >= 200:
             self._finish(reusable=self._parser.should_keep_alive())
 
+    def _check_head(self) -> None:
+        """Reject heads that the parser accepts although they leave the body or its length open."""
+        status = self._parser.get_status_code()
+        if not 100 <= status <= 599 or status == _SWITCHING_PROTOCOLS:
+            raise ReadError(f"unreadable response: status {status:03}")
+        version = self._parser.get_http_version()
+        if version not in ("1.0", "1.1"):
+            raise ReadError(f"unreadable response: HTTP version {version}, not 1.0 or 1.1")
+        encodings = [value for name, value in self._headers if name == b"transfer-encoding"]
+        if encodings and (encodings[0].strip().lower() != b"chunked" or len(encodings) > 1):
+            # The body's bytes are encoded, but callers would get them without that header.
+            raise ReadError(f"unreadable response: transfer-encoding {encodings}, not chunked")
+        if encodings and version == "1.0":
+            raise ReadError("unreadable response: transfer-encoding in HTTP 1.0")
+        length = next((value for name, value in self._headers if name == b"content-length"), b"0")
+        if int(length) > MAX_RESPONSE_BYTES and not self._is_head and status not in (204, 304):
+            raise ReadError(f"response too large: {int(length)} of {MAX_RESPONSE_BYTES} bytes")
+
     def on_body(self, body: bytes) -> None:
         """Parser callback: a piece of the body."""
         if self.response is not None:
--- a/tests/http1/test_cut_responses.py
+++ b/tests/http1/test_cut_responses.py
@@ -191,7 +191,61 @@
     asyncio.run(main())
 
 
-def test_a_body_after_the_response_to_head_prevents_reuse():
+WRONG_HEADS = {
+    "two lengths": b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 5\r\n\r\n",
+    "one length twice": b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 4\r\n\r\n",
+    "list of lengths": b"HTTP/1.1 200 OK\r\ncontent-length: 4, 4\r\n\r\n",
+    "length, then chunks": b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n"
+    b"transfer-encoding: chunked\r\n\r\n",
+    "chunks, then length": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
+    b"content-length: 4\r\n\r\n",
+    "length of 400 digits": b"HTTP/1.1 200 OK\r\ncontent-length: " + b"9" * 400 + b"\r\n\r\n",
+    "negative length": b"HTTP/1.1 200 OK\r\ncontent-length: -4\r\n\r\n",
+    "signed length": b"HTTP/1.1 200 OK\r\ncontent-length: +4\r\n\r\n",
+    "empty length": b"HTTP/1.1 200 OK\r\ncontent-length:\r\n\r\n",
+    "length on a second line": b"HTTP/1.1 200 OK\r\ncontent-length:\r\n 4\r\n\r\n",
+    "length above the limit": b"HTTP/1.1 200 OK\r\ncontent-length: 8388609\r\n\r\n",
+    "status of two digits": b"HTTP/1.1 20 OK\r\ncontent-length: 4\r\n\r\n",
+    "status of four digits": b"HTTP/1.1 2000 OK\r\ncontent-length: 4\r\n\r\n",
+    "status 000": b"HTTP/1.1 000 OK\r\ncontent-length: 4\r\n\r\n",
+    "status 099": b"HTTP/1.1 099 OK\r\ncontent-length: 4\r\n\r\n",
+    "status 600": b"HTTP/1.1 600 OK\r\ncontent-length: 4\r\n\r\n",
+    "header without a colon": b"HTTP/1.1 200 OK\r\ncontent-length 4\r\n\r\n",
+    "space before the colon": b"HTTP/1.1 200 OK\r\ncontent-length : 4\r\n\r\n",
+    "header without a name": b"HTTP/1.1 200 OK\r\n: 4\r\n\r\n",
+    "bare line feeds": b"HTTP/1.1 200 OK\ncontent-length: 4\n\n",
+    "bare line feed at the end": b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\n",
+    "bare carriage return": b"HTTP/1.1 200 OK\r\nx: a\rb\r\ncontent-length: 4\r\n\r\n",
+    "NUL in a header": b"HTTP/1.1 200 OK\r\nx: a\0b\r\ncontent-length: 4\r\n\r\n",
+    "compressed in transfer": b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n",
+    "chunked twice": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
+    b"transfer-encoding: chunked\r\n\r\n",
+    "chunked in the middle": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked, gzip\r\n\r\n",
+    "http/1.0 in chunks": b"HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    "http/2.0": b"HTTP/2.0 200 OK\r\ncontent-length: 4\r\n\r\n",
+    "another protocol": b"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+    "upgrade": b"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("split", [False, True], ids=["at once", "byte by byte"])
+@pytest.mark.parametrize("head", WRONG_HEADS)
+def test_a_wrong_head_ends_the_exchange_at_once(head, split):
+    """
+    A response's head is ambiguous or malformed. Whatever length is read into it, the body would be
+    short or not the replica's own; waiting for more would hold the request until its deadline.
+    """
+
+    async def main():
+        for body in (b"body", b"4\r\nbody\r\n0\r\n\r\n"):
+            pieces = pieces_of(WRONG_HEADS[head] + body, split)
+            assert await exchange(pieces, "silence") == UNUSABLE
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("surplus", [BODY, LENGTH, WRONG_HEADS["upgrade"]])
+def test_bytes_after_the_response_to_head_prevent_reuse(surplus):
     """A replica sends a body with its response to HEAD: the next request would get its bytes."""
 
     async def main():
@@ -199,9 +253,9 @@
         connection.connection_made(Transport())
         exchange_task = asyncio.ensure_future(connection.exchange(HEAD_REQUEST))
         await asyncio.sleep(0)
-        connection.data_received(LENGTH)
+        connection.data_received(HEAD + b"content-length: 16\r\n\r\n" + surplus)
         response = await exchange_task
-        assert (response.body, response.reusable) == (b"", False)
+        assert (response.status, response.body, response.reusable) == (200, b"", False)
 
     asyncio.run(main())
 
--- a/tests/integration/test_cut_answers.py
+++ b/tests/integration/test_cut_answers.py
@@ -9,6 +9,7 @@
 import struct
 
 import entry_process
+import pytest
 import standin_platform
 from integration import test_entry
 
@@ -131,3 +132,36 @@
         assert (answer.status, answer.body) == (200, RECORDS["one"])
 
     run_scenario(tmp_path, scenario)
+
+
+ODD_ANSWERS = {
+    "status 000": (b"HTTP/1.1 000 OK", b"content-length: 2\r\n\r\nab"),
+    "status 099": (b"HTTP/1.1 099 OK", b"content-length: 2\r\n\r\nab"),
+    "status 777": (b"HTTP/1.1 777 OK", b"content-length: 2\r\n\r\nab"),
+    "compressed in transfer": (
+        b"HTTP/1.1 200 OK",
+        b"transfer-encoding: gzip, chunked\r\n\r\n4\r\n\x1f\x8bab\r\n0\r\n\r\n",
+    ),
+}
+
+
+@pytest.mark.parametrize("odd", ODD_ANSWERS)
+def test_odd_answers_reach_no_caller(tmp_path, odd):
+    """
+    Callers got status lines that are none in the protocol, such as ``HTTP/1.1 0 Unknown``, or the
+    compressed bytes of a body as its content, both with the replica's stamp.
+    """
+    first_line, rest = ODD_ANSWERS[odd]
+
+    async def scenario(replicas, instance):
+        for replica in replicas:
+            replica.script = lambda replica, request_id: (
+                head_lines(replica, request_id).replace(b"HTTP/1.1 200 OK", first_line) + rest,
+                "keep",
+            )
+        for path in (b"/plain/1", b"/once/1", b"/all/1"):
+            answer = await ask(instance, path, path[1:4])
+            assert answer.status == 502
+            assert answer.header(b"x-server-stamp") is None
+
+    run_scenario(tmp_path, scenario)
