--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -174,7 +174,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Parser callback: one header."""
+        """Parser callback: one header, or one trailer, which has no meaning here."""
+        if self._head_done:
+            return
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
--- a/tests/http1/test_cut_responses.py
+++ b/tests/http1/test_cut_responses.py
@@ -260,6 +260,23 @@
     asyncio.run(main())
 
 
+def test_trailers_are_no_headers():
+    """A trailer with the name of the stamp or of the identifier does not sign the response."""
+    message = (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\nx-server-stamp: i.1.q1\r\n\r\n"
+    )
+
+    async def main():
+        connection = client.Connection()
+        connection.connection_made(Transport())
+        exchange_task = asyncio.ensure_future(connection.exchange(REQUEST))
+        await asyncio.sleep(0)
+        connection.data_received(message)
+        assert (await exchange_task).header(b"x-server-stamp") is None
+
+    asyncio.run(main())
+
+
 @contextlib.asynccontextmanager
 async def cutting_server(message, ending):
     """Answer each request with the bytes and end the connection."""
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -102,6 +102,25 @@
     asyncio.run(main())
 
 
+def test_trailers_are_no_headers():
+    """A trailer could bring a header past whoever checks or strips the headers of a request."""
+    requests = []
+
+    async def main():
+        async def record_request(request):
+            requests.append(request)
+            return messages.Response(200)
+
+        async with serving(record_request) as (_, address):
+            head = b"POST /a HTTP/1.1\r\nhost: h\r\nconnection: close\r\n"
+            chunks = b"transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nx-trailer: 1\r\n\r\n"
+            await send_and_receive(address, head + chunks)
+
+    asyncio.run(main())
+    assert requests[0].body == b"x"
+    assert requests[0].header(b"x-trailer") is None
+
+
 def test_a_disconnect_cancels_the_request():
     """
     A caller closes its connection while its request runs. Nobody reads the response, and a replica
