Test that cut answers of replicas reach no caller

Real instances and raw replicas: an answer with a length, in chunks or after an interim response lacks its last 1 to all bytes and ends by FIN or RST, on a plain, an at-most-once and a gathered route; and answers cut on kept connections after a whole answer or a 204, by FIN, RST and silence. No caller got a success with an empty or short body.

They stay as regression tests.

--- a/tests/integration/test_cut_answers.py
+++ b/tests/integration/test_cut_answers.py
@@ -165,3 +165,113 @@
             assert answer.header(b"x-server-stamp") is None
 
     run_scenario(tmp_path, scenario)
+
+
+ANSWERS = {
+    "length": lambda replica, request_id: sound(replica, request_id),
+    "chunked": lambda replica, request_id: head_lines(replica, request_id)
+    + b"transfer-encoding: chunked\r\n\r\n10;a=b\r\n"
+    + RECORDS[replica.service]
+    + b"\r\n0\r\nx-a: 1\r\n\r\n",
+    "after an interim response": lambda replica, request_id: b"HTTP/1.1 103 Early Hints\r\n\r\n"
+    + sound(replica, request_id),
+}
+
+
+@pytest.mark.parametrize("ending", ["fin", "rst"])
+@pytest.mark.parametrize("kind", ANSWERS)
+def test_cut_answers_reach_no_caller(tmp_path, kind, ending):
+    """
+    All replicas of a service stop at some byte of their answer and end the connection. A caller
+    must not get a success with an empty or short body, nor a query with such a part.
+    """
+
+    async def scenario(replicas, instance):
+        make = ANSWERS[kind]
+        state = {"missing": 0}
+        """Number of bytes that the answer lacks."""
+
+        def cut_answer(replica, request_id):
+            return make(replica, request_id)[: -state["missing"]], ending
+
+        one, *_ = (replica for replica in replicas if replica.service == "one")
+        for replica in replicas:
+            if replica.service in ("one", "s0"):
+                replica.script = cut_answer
+        expected_body = RECORDS["s2"] + RECORDS["s1"]
+        statuses = collections.Counter()
+        numbers = range(1, len(make(one, b"p000")) + 1)
+        for state["missing"] in numbers:
+            number = b"%03d" % state["missing"]
+            answers = await asyncio.gather(
+                ask(instance, b"/plain/1", b"p" + number),
+                ask(instance, b"/once/1", b"o" + number),
+                ask(instance, b"/all/1", b"a" + number),
+            )
+            for answer in answers[:2]:
+                statuses[answer.status] += 1
+                assert answer.status in (502, 503), number
+                assert answer.header(b"x-server-stamp") is None
+            query = answers[2]
+            assert (query.status, query.body) == (200, expected_body), number
+            assert query.header(b"x-missing-parts") == b"1"
+        sent = [
+            sum(replica.received[b"%s%03d" % (prefix, number)] for replica in replicas)
+            for prefix in (b"p", b"o")
+            for number in numbers
+        ]
+        assert statuses[502] > 0
+        assert statuses[502] == sum(count > 0 for count in sent)
+
+    run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("first", ["whole answer", "204"])
+@pytest.mark.parametrize("ending", ["fin", "rst", "silence"])
+def test_an_answer_cut_on_a_kept_connection_is_sent_for_again(tmp_path, ending, first):
+    """
+    A replica has answered on a connection, and cuts the next answer there. The caller must get the
+    other replica's whole answer or a failure, never the answer before or a part of this one.
+    """
+
+    def earlier(replica, request_id):
+        message = sound(replica, request_id)
+        if first == "204":
+            message = head_lines(replica, request_id).replace(b"200 OK", b"204 No Content")
+            message += b"\r\n"
+        return message, "keep"
+
+    async def scenario(replicas, instance):
+        ones = [replica for replica in replicas if replica.service == "one"]
+        state = {"kept": 0}
+
+        def script(replica, request_id):
+            if request_id.startswith(b"e"):
+                return earlier(replica, request_id)
+            whole = sound(replica, request_id)
+            if sum(each.received[request_id] for each in ones) > 1:
+                return whole, "keep"
+            return whole[: state["kept"]], ending
+
+        for replica in ones:
+            replica.script = script
+        statuses = collections.Counter()
+        step = 25 if ending == "silence" else 3
+        for state["kept"] in range(0, len(sound(ones[0], b"p000")), step):
+            number = b"%03d" % state["kept"]
+            for turn in range(3):
+                answer = await ask(instance, b"/plain/1", b"e%s%d" % (number, turn))
+                assert answer.status in (200, 204)
+            for path, prefix in ((b"/plain/1", b"p"), (b"/once/1", b"o")):
+                answer = await ask(instance, path, prefix + number, deadline_ms=300)
+                statuses[prefix, answer.status] += 1
+                if answer.status == 200:
+                    assert (prefix, answer.body) == (b"p", RECORDS["one"]), number
+                    assert answer.header(b"x-server-stamp").endswith(prefix + number)
+                else:
+                    assert answer.status in (502, 503, 504), number
+                    assert answer.header(b"x-server-stamp") is None
+        assert statuses[b"p", 200] > 0
+        assert statuses[b"o", 502] + statuses[b"o", 504] > 0
+
+    run_scenario(tmp_path, scenario)
