Bound the request bodies that an instance holds at the same time

Callers saw: requests lost with a process that was killed for its memory. Each body has a limit (MaxBodyBytes, 262,144 by default), their sum had none: 3,200 connections may hold 840 MB.

A server now has a budget for bodies. An announced body counts from its head, a chunked one as it arrives, until its request is answered or its caller has left. A request beyond the budget is refused at once, 503 and not run, counted (entry.refused.bodies, peers.refused.bodies) and logged. Callers have a quarter of the machine's memory, other instances an eighth.

Tests: tests/http1/test_body_budget.py, which can't pass before, as there was no budget.

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -49,6 +49,7 @@
 from turmericlug.entry import stop_signal
 from turmericlug.entry import suspects
 from turmericlug.entry import view as view_module
+from turmericlug.http1 import body_budget
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
 from turmericlug.http1 import server
@@ -64,6 +65,9 @@
 RESERVED_DESCRIPTORS = 900
 """File descriptors not available to callers' connections: 200 for files, the others for connections
 to replicas and the source, and for listeners."""
+CALLERS_BODIES_SHARE = 0.25
+"""Share of the memory for the bodies of callers' requests. A body is held once more while it is
+sent to a replica."""
 MAX_PEER_CONNECTIONS = 16
 """Maximum number of batches in flight to one instance; a query has one for each region."""
 HOUSEKEEPING_INTERVAL_S = 0.1
@@ -355,7 +359,13 @@
     view.on_configuration = handler.on_configured
     kernel.provide("request handler", handler)
     max_connections = settings.limits.descriptors - RESERVED_DESCRIPTORS
-    caller_server = server.Server(handler.handle, lambda: _limits(view), max(max_connections, 64))
+    caller_server = server.Server(
+        handler.handle,
+        lambda: _limits(view),
+        max(max_connections, 64),
+        bodies=body_budget.of_memory(settings.capacity.memory_mb, CALLERS_BODIES_SHARE),
+        on_refused=lambda reason: kernel.find("counters").add(f"entry.refused.{reason}"),
+    )
     async with (
         listeners.listen(
             caller_server, settings.entry.callers_address, kernel.find("early listener")
--- a/src/turmericlug/entry/listeners.py
+++ b/src/turmericlug/entry/listeners.py
@@ -18,6 +18,7 @@
 from turmericlug.entry import quota_service
 from turmericlug.entry import relay
 from turmericlug.entry import suspects
+from turmericlug.http1 import body_budget
 from turmericlug.http1 import messages
 from turmericlug.http1 import server
 from turmericlug.kernel import kernel as kernel_module
@@ -27,6 +28,10 @@
 """Interim response that tells a peer that its batch of parts is being processed."""
 PEER_IDLE_TIMEOUT_S = 60.0
 """Idle timeout of connections between instances; a new connection costs a batch one round trip."""
+PEERS_BODIES_SHARE = 0.125
+"""Share of the memory for the bodies of other instances' batches."""
+OWN_BODIES_LIMIT_BYTES = 1024 * 1024
+"""Requests for readiness, addresses, metrics and status have no bodies."""
 
 Kernel = kernel_module.Kernel
 
@@ -80,7 +85,12 @@
     ]
     async with contextlib.AsyncExitStack() as stack:
         for handler, address in handlers:
-            http_server = server.Server(handler, messages.Limits, settings.limits.descriptors // 8)
+            http_server = server.Server(
+                handler,
+                messages.Limits,
+                settings.limits.descriptors // 8,
+                bodies=body_budget.BodyBudget(OWN_BODIES_LIMIT_BYTES),
+            )
             await stack.enter_async_context(listen(http_server, address))
         peer_server = server.Server(
             _peers_handler(kernel),
@@ -88,6 +98,8 @@
             settings.limits.descriptors // 8,
             interim=INTERIM_RESPONSE,
             stalled_s=stall_monitor.overdue_s,
+            bodies=body_budget.of_memory(settings.capacity.memory_mb, PEERS_BODIES_SHARE),
+            on_refused=lambda reason: kernel.find("counters").add(f"peers.refused.{reason}"),
         )
         await stack.enter_async_context(listen(peer_server, settings.entry.peers_address))
         yield
--- /dev/null
+++ b/src/turmericlug/http1/body_budget.py
@@ -0,0 +1,40 @@
+"""
+Limit on the bytes of request bodies that all connections of a server hold at the same time.
+
+The limit on the size of one body doesn't bound their sum: with thousands of connections, bodies of
+the allowed size exceed the memory of the process, which is then killed with all its requests.
+"""
+
+from __future__ import annotations
+
+DEFAULT_MEMORY_MB = 256.0
+"""Memory that is assumed where the machine's is unknown."""
+_MB_BYTES = 1024 * 1024
+
+
+class BodyBudget:
+    """The bytes that may be held, and those that are."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+
+    def reserve(self, size_bytes: int) -> bool:
+        """Hold bytes of a body, announced or received; false if they exceed the limit."""
+        if self.held_bytes + size_bytes > self.limit_bytes:
+            return False
+        self.held_bytes += size_bytes
+        return True
+
+    def release(self, size_bytes: int) -> None:
+        """Hold bytes no longer."""
+        self.held_bytes -= size_bytes
+
+
+def of_memory(memory_mb: float, share: float) -> BodyBudget:
+    """
+    Return a budget of a share of the memory.
+
+    :param memory_mb: memory of the process; 0 if it is unknown
+    """
+    return BodyBudget(int((memory_mb or DEFAULT_MEMORY_MB) * _MB_BYTES * share))
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -17,6 +17,7 @@
 
 import httptools
 
+from turmericlug.http1 import body_budget
 from turmericlug.http1 import client as client_module
 from turmericlug.http1 import messages
 from turmericlug.telemetry import decisions
@@ -29,6 +30,8 @@
 _STATUSES_WITHOUT_BODY = (204, 304)
 _IDLE_SLACK_S = 1.0
 _IDLE_LIMIT_HISTORY_S = 30.0
+BODIES_LIMIT_BYTES = 64 * 1024 * 1024
+"""Bytes of request bodies that a server holds at the same time if its user states no limit."""
 
 
 class Server:
@@ -41,13 +44,19 @@
         max_connections: int,
         interim: bytes = b"",
         stalled_s: abc.Callable[[], float] = lambda: 0.0,
+        bodies: body_budget.BodyBudget | None = None,
+        on_refused: abc.Callable[[str], None] = lambda reason: None,
     ) -> None:
         """
         Create a server.
 
         :param interim: interim response, written as soon as a request is read
         :param stalled_s: returns how long the event loop was just blocked
+        :param bodies: limit on the bodies that all connections hold
+        :param on_refused: called with the reason when the server refuses a request by itself
         """
+        self.bodies = bodies if bodies is not None else body_budget.BodyBudget(BODIES_LIMIT_BYTES)
+        self.on_refused = on_refused
         self.stalled_s = stalled_s
         self.interim = interim
         self.handler = handler
@@ -100,6 +109,8 @@
         self._rejected = False
         self._must_close = False
         self._requests = 0
+        self._queued_bytes: collections.deque[int] = collections.deque()
+        """Bytes held for each request of the queue."""
         self._begin_message()
 
     @property
@@ -113,6 +124,7 @@
         self._body: list[bytes] = []
         self._received_size = 0
         self._body_size = 0
+        self._held_bytes = 0
         self._arrived_s: float | None = None
         self._head_done = False
 
@@ -132,6 +144,9 @@
         self._server.connections.discard(self)
         self._stop_timer()
         self._queue.clear()
+        self._release_body()
+        self._server.bodies.release(sum(self._queued_bytes))
+        self._queued_bytes.clear()
         if self._serve_task is not None:
             self._serve_task.cancel()
 
@@ -193,6 +208,8 @@
         if content_length.isdigit() and int(content_length) > self._server.limits().body_bytes:
             self._reject(413, "body too large")
             return
+        if content_length.isdigit() and not self._hold(int(content_length)):
+            return
         if any(name == b"expect" for name, _ in self._headers):
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -203,8 +220,30 @@
             if not self._rejected:
                 self._reject(413, "body too large")
             return
+        if self._rejected or not self._hold(self._body_size - self._held_bytes):
+            return
         self._body.append(body)
 
+    def _hold(self, size_bytes: int) -> bool:
+        """Hold further bytes of the body, or refuse the request if all bodies get too large."""
+        if size_bytes <= 0:
+            return True
+        if not self._server.bodies.reserve(size_bytes):
+            self._server.on_refused("bodies")
+            decisions.log(
+                "caller.refused", reason="bodies", held_bytes=self._server.bodies.held_bytes
+            )
+            self._reject(503, "too many request bodies in progress")
+            return False
+        self._held_bytes += size_bytes
+        return True
+
+    def _release_body(self) -> None:
+        """Drop the part of a body that was read for a request that will not be served."""
+        self._server.bodies.release(self._held_bytes)
+        self._held_bytes = 0
+        self._body.clear()
+
     def on_message_complete(self) -> None:
         """Parser callback: a request is complete."""
         if self._rejected:
@@ -214,6 +253,7 @@
             self._must_close = True
         if self._server.interim:
             self._transport.write(self._server.interim)
+        self._queued_bytes.append(self._held_bytes)
         self._begin_message()
         self._queue.append(request)
         if self._serve_task is None:
@@ -249,14 +289,17 @@
     async def _serve(self) -> None:
         try:
             while self._queue and not self._transport.is_closing():
-                request = self._queue.popleft()
-                response = await self._call_handler(request)
-                close = (
-                    response.close
-                    or self._server.draining
-                    or (self._must_close and not self._queue)
-                )
-                await self._write(request, response, close)
+                request, held_bytes = self._queue.popleft(), self._queued_bytes.popleft()
+                try:
+                    response = await self._call_handler(request)
+                    close = (
+                        response.close
+                        or self._server.draining
+                        or (self._must_close and not self._queue)
+                    )
+                    await self._write(request, response, close)
+                finally:
+                    self._server.bodies.release(held_bytes)
                 if close:
                     self._linger()
                     return
@@ -292,6 +335,7 @@
     def _reject(self, status: int, reason: str) -> None:
         """Send an error response, and close after the caller had time to read it."""
         self._rejected = True
+        self._release_body()
         self._stop_timer()
         if self._serve_task is not None:
             # Earlier requests on this connection get their responses first, in order.
--- /dev/null
+++ b/tests/http1/test_body_budget.py
@@ -0,0 +1,124 @@
+"""Bodies of requests that together exceed what a server may hold."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from turmericlug.http1 import body_budget
+from turmericlug.http1 import client
+from turmericlug.http1 import messages
+from turmericlug.http1 import server
+
+LIMIT_BYTES = 1000
+LENGTH, CHUNKED = "length", "chunked"
+
+
+@contextlib.asynccontextmanager
+async def held_server():
+    """Serve requests that wait for an event; yield the address, the event, server and refusals."""
+    release, refusals = asyncio.Event(), []
+
+    async def handle(request):
+        await release.wait()
+        return messages.Response(200, body=b"%d" % len(request.body))
+
+    bodies = body_budget.BodyBudget(LIMIT_BYTES)
+    http_server = server.Server(
+        handle, messages.Limits, 100, bodies=bodies, on_refused=refusals.append
+    )
+    listener = await server.listen(http_server, "127.0.0.1", 0)
+    try:
+        yield listener.sockets[0].getsockname()[1], release, http_server, refusals
+    finally:
+        listener.close()
+        http_server.close()
+
+
+def post(framing, size_bytes):
+    """Return a request with a body of a size."""
+    head = b"POST / HTTP/1.1\r\nhost: h\r\n"
+    if framing == LENGTH:
+        return head + b"content-length: %d\r\n\r\n" % size_bytes + b"x" * size_bytes
+    return head + b"transfer-encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (
+        size_bytes,
+        b"x" * size_bytes,
+    )
+
+
+async def start(port, request):
+    """Send a request on a new connection; return the connection and the pending response."""
+    connection = await client.connect("127.0.0.1", port)
+    return connection, asyncio.create_task(connection.exchange(request))
+
+
+async def until_held(http_server, size_bytes):
+    """Wait until the server holds bodies of this size."""
+    async with asyncio.timeout(10):
+        while http_server.bodies.held_bytes != size_bytes:
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKED])
+def test_bodies_beyond_the_limit_are_refused_as_not_run(framing):
+    """Bodies of allowed sizes exceeded the memory together, and the process was killed."""
+
+    async def scenario():
+        async with held_server() as (port, release, http_server, refusals):
+            _, first = await start(port, post(framing, 600))
+            await until_held(http_server, 600)
+            _, refused = await start(port, post(framing, 600))
+            response = await refused
+            assert (response.status, response.header(b"retry-after")) == (503, b"0.5")
+            assert not response.reusable
+            assert refusals == ["bodies"]
+            _, fitting = await start(port, post(framing, 400))
+            await until_held(http_server, 1000)
+            release.set()
+            assert [(await first).body, (await fitting).body] == [b"600", b"400"]
+            await until_held(http_server, 0)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKED])
+@pytest.mark.parametrize("sent_bytes", [500, None], ids=["half sent", "sent"])
+def test_callers_that_leave_give_their_bytes_back(framing, sent_bytes):
+    """Bytes of callers that had left would count for good, until every body is refused."""
+
+    async def scenario():
+        async with held_server() as (port, release, http_server, _):
+            for _ in range(3):
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(post(framing, 900)[:sent_bytes])
+                while not http_server.bodies.held_bytes:
+                    await asyncio.sleep(0.01)
+                writer.close()
+                await until_held(http_server, 0)
+
+    asyncio.run(scenario())
+
+
+def test_pipelined_requests_hold_and_give_back_their_own_bytes():
+    """The bytes of a request that waits behind another one on its connection count as well."""
+
+    async def scenario():
+        async with held_server() as (port, release, http_server, _):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(post(LENGTH, 300) + post(CHUNKED, 200))
+            await until_held(http_server, 500)
+            release.set()
+            assert (await reader.readuntil(b"300")).startswith(b"HTTP/1.1 200")
+            assert (await reader.readuntil(b"200")).endswith(b"200")
+            await until_held(http_server, 0)
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("memory_mb, expected_mb", [(300.0, 75), (0.0, 64)])
+def test_budget_is_a_share_of_the_memory(memory_mb, expected_mb):
+    """A machine whose memory is unknown has a bound, too."""
+    assert body_budget.of_memory(memory_mb, 0.25).limit_bytes == expected_mb * 1024 * 1024
