Count heads of requests in the memory that they may hold together

Callers saw: an instance that held 444 MB, where its machine has 300 MB, and stood still for 8.8 s. 3,000 connections that each sent 30 requests of 14 kB in advance: what is read in one piece is parsed whole, and the pause after the second request comes too late. Heads didn't count, only bodies did.

The budget now counts a request's head, with the memory of its header objects, and its body.

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -49,9 +49,9 @@
 from turmericlug.entry import stop_signal
 from turmericlug.entry import suspects
 from turmericlug.entry import view as view_module
-from turmericlug.http1 import body_budget
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
+from turmericlug.http1 import request_budget
 from turmericlug.http1 import server
 from turmericlug.kernel import failures
 from turmericlug.kernel import kernel as kernel_module
@@ -65,9 +65,9 @@
 RESERVED_DESCRIPTORS = 900
 """File descriptors not available to callers' connections: 200 for files, the others for connections
 to replicas and the source, and for listeners."""
-CALLERS_BODIES_SHARE = 0.25
-"""Share of the memory for the bodies of callers' requests. A body is held once more while it is
-sent to a replica."""
+CALLERS_REQUESTS_SHARE = 0.25
+"""Share of the memory for callers' requests. A request is held once more while it is sent to a
+replica."""
 MAX_PEER_CONNECTIONS = 16
 """Maximum number of batches in flight to one instance; a query has one for each region."""
 HOUSEKEEPING_INTERVAL_S = 0.1
@@ -363,7 +363,7 @@
         handler.handle,
         lambda: _limits(view),
         max(max_connections, 64),
-        bodies=body_budget.of_memory(settings.capacity.memory_mb, CALLERS_BODIES_SHARE),
+        budget=request_budget.of_memory(settings.capacity.memory_mb, CALLERS_REQUESTS_SHARE),
         on_refused=lambda reason: kernel.find("counters").add(f"entry.refused.{reason}"),
     )
     async with (
--- a/src/turmericlug/entry/listeners.py
+++ b/src/turmericlug/entry/listeners.py
@@ -18,8 +18,8 @@
 from turmericlug.entry import quota_service
 from turmericlug.entry import relay
 from turmericlug.entry import suspects
-from turmericlug.http1 import body_budget
 from turmericlug.http1 import messages
+from turmericlug.http1 import request_budget
 from turmericlug.http1 import server
 from turmericlug.kernel import kernel as kernel_module
 from turmericlug.telemetry import decisions
@@ -28,10 +28,10 @@
 """Interim response that tells a peer that its batch of parts is being processed."""
 PEER_IDLE_TIMEOUT_S = 60.0
 """Idle timeout of connections between instances; a new connection costs a batch one round trip."""
-PEERS_BODIES_SHARE = 0.125
-"""Share of the memory for the bodies of other instances' batches."""
-OWN_BODIES_LIMIT_BYTES = 1024 * 1024
-"""Requests for readiness, addresses, metrics and status have no bodies."""
+PEERS_REQUESTS_SHARE = 0.125
+"""Share of the memory for other instances' batches."""
+OWN_REQUESTS_LIMIT_BYTES = 4 * 1024 * 1024
+"""Requests for readiness, addresses, metrics and status are small."""
 
 Kernel = kernel_module.Kernel
 
@@ -89,7 +89,7 @@
                 handler,
                 messages.Limits,
                 settings.limits.descriptors // 8,
-                bodies=body_budget.BodyBudget(OWN_BODIES_LIMIT_BYTES),
+                budget=request_budget.RequestBudget(OWN_REQUESTS_LIMIT_BYTES),
             )
             await stack.enter_async_context(listen(http_server, address))
         peer_server = server.Server(
@@ -98,7 +98,7 @@
             settings.limits.descriptors // 8,
             interim=INTERIM_RESPONSE,
             stalled_s=stall_monitor.overdue_s,
-            bodies=body_budget.of_memory(settings.capacity.memory_mb, PEERS_BODIES_SHARE),
+            budget=request_budget.of_memory(settings.capacity.memory_mb, PEERS_REQUESTS_SHARE),
             on_refused=lambda reason: kernel.find("counters").add(f"peers.refused.{reason}"),
         )
         await stack.enter_async_context(listen(peer_server, settings.entry.peers_address))
--- a/src/turmericlug/http1/body_budget.py
+++ b/src/turmericlug/http1/request_budget.py
@@ -1,8 +1,8 @@
 """
-Limit on the bytes of request bodies that all connections of a server hold at the same time.
+Limit on the memory of the requests that all connections of a server hold at the same time.
 
-The limit on the size of one body doesn't bound their sum: with thousands of connections, bodies of
-the allowed size exceed the memory of the process, which is then killed with all its requests.
+The limits on the size of one request don't bound their sum: with thousands of connections, requests
+of the allowed size exceed the memory of the process, which is then killed with all of them.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 _MB_BYTES = 1024 * 1024
 
 
-class BodyBudget:
+class RequestBudget:
     """The bytes that may be held, and those that are."""
 
     def __init__(self, limit_bytes: int) -> None:
@@ -20,7 +20,7 @@
         self.held_bytes = 0
 
     def reserve(self, size_bytes: int) -> bool:
-        """Hold bytes of a body, announced or received; false if they exceed the limit."""
+        """Hold bytes of a request, announced or received; false if they exceed the limit."""
         if self.held_bytes + size_bytes > self.limit_bytes:
             return False
         self.held_bytes += size_bytes
@@ -31,10 +31,10 @@
         self.held_bytes -= size_bytes
 
 
-def of_memory(memory_mb: float, share: float) -> BodyBudget:
+def of_memory(memory_mb: float, share: float) -> RequestBudget:
     """
     Return a budget of a share of the memory.
 
     :param memory_mb: memory of the process; 0 if it is unknown
     """
-    return BodyBudget(int((memory_mb or DEFAULT_MEMORY_MB) * _MB_BYTES * share))
+    return RequestBudget(int((memory_mb or DEFAULT_MEMORY_MB) * _MB_BYTES * share))
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -17,9 +17,9 @@
 
 import httptools
 
-from turmericlug.http1 import body_budget
 from turmericlug.http1 import client as client_module
 from turmericlug.http1 import messages
+from turmericlug.http1 import request_budget
 from turmericlug.telemetry import decisions
 
 LINGER_S = 1.0
@@ -30,8 +30,10 @@
 _STATUSES_WITHOUT_BODY = (204, 304)
 _IDLE_SLACK_S = 1.0
 _IDLE_LIMIT_HISTORY_S = 30.0
-BODIES_LIMIT_BYTES = 64 * 1024 * 1024
-"""Bytes of request bodies that a server holds at the same time if its user states no limit."""
+REQUESTS_LIMIT_BYTES = 64 * 1024 * 1024
+"""Memory of the requests that a server holds at the same time if its user states no limit."""
+_HEADER_OVERHEAD_BYTES = 150
+"""Memory of a header beside its name and value: a tuple and two bytes objects."""
 
 
 class Server:
@@ -44,7 +46,7 @@
         max_connections: int,
         interim: bytes = b"",
         stalled_s: abc.Callable[[], float] = lambda: 0.0,
-        bodies: body_budget.BodyBudget | None = None,
+        budget: request_budget.RequestBudget | None = None,
         on_refused: abc.Callable[[str], None] = lambda reason: None,
     ) -> None:
         """
@@ -52,10 +54,12 @@
 
         :param interim: interim response, written as soon as a request is read
         :param stalled_s: returns how long the event loop was just blocked
-        :param bodies: limit on the bodies that all connections hold
+        :param budget: limit on the memory of the requests that all connections hold
         :param on_refused: called with the reason when the server refuses a request by itself
         """
-        self.bodies = bodies if bodies is not None else body_budget.BodyBudget(BODIES_LIMIT_BYTES)
+        self.budget = (
+            budget if budget is not None else request_budget.RequestBudget(REQUESTS_LIMIT_BYTES)
+        )
         self.on_refused = on_refused
         self.stalled_s = stalled_s
         self.interim = interim
@@ -125,6 +129,7 @@
         self._received_size = 0
         self._body_size = 0
         self._held_bytes = 0
+        self._held_head_bytes = 0
         self._arrived_s: float | None = None
         self._head_done = False
 
@@ -144,8 +149,8 @@
         self._server.connections.discard(self)
         self._stop_timer()
         self._queue.clear()
-        self._release_body()
-        self._server.bodies.release(sum(self._queued_bytes))
+        self._release_unread()
+        self._server.budget.release(sum(self._queued_bytes))
         self._queued_bytes.clear()
         if self._serve_task is not None:
             self._serve_task.cancel()
@@ -208,7 +213,11 @@
         if content_length.isdigit() and int(content_length) > self._server.limits().body_bytes:
             self._reject(413, "body too large")
             return
-        if content_length.isdigit() and not self._hold(int(content_length)):
+        self._held_head_bytes = (
+            self._parsed_head_bytes() + len(self._headers) * _HEADER_OVERHEAD_BYTES
+        )
+        announced_bytes = int(content_length) if content_length.isdigit() else 0
+        if not self._hold(self._held_head_bytes + announced_bytes):
             return
         if any(name == b"expect" for name, _ in self._headers):
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -220,29 +229,31 @@
             if not self._rejected:
                 self._reject(413, "body too large")
             return
-        if self._rejected or not self._hold(self._body_size - self._held_bytes):
+        missing_bytes = self._held_head_bytes + self._body_size - self._held_bytes
+        if self._rejected or not self._hold(missing_bytes):
             return
         self._body.append(body)
 
     def _hold(self, size_bytes: int) -> bool:
-        """Hold further bytes of the body, or refuse the request if all bodies get too large."""
+        """Hold further bytes of the request, or refuse it if all requests get too large."""
         if size_bytes <= 0:
             return True
-        if not self._server.bodies.reserve(size_bytes):
-            self._server.on_refused("bodies")
+        if not self._server.budget.reserve(size_bytes):
+            self._server.on_refused("memory")
             decisions.log(
-                "caller.refused", reason="bodies", held_bytes=self._server.bodies.held_bytes
+                "caller.refused", reason="memory", held_bytes=self._server.budget.held_bytes
             )
-            self._reject(503, "too many request bodies in progress")
+            self._reject(503, "requests in progress take too much memory")
             return False
         self._held_bytes += size_bytes
         return True
 
-    def _release_body(self) -> None:
-        """Drop the part of a body that was read for a request that will not be served."""
-        self._server.bodies.release(self._held_bytes)
+    def _release_unread(self) -> None:
+        """Drop what was read of a request that will not be served."""
+        self._server.budget.release(self._held_bytes)
         self._held_bytes = 0
         self._body.clear()
+        self._headers.clear()
 
     def on_message_complete(self) -> None:
         """Parser callback: a request is complete."""
@@ -299,7 +310,7 @@
                     )
                     await self._write(request, response, close)
                 finally:
-                    self._server.bodies.release(held_bytes)
+                    self._server.budget.release(held_bytes)
                 if close:
                     self._linger()
                     return
@@ -335,7 +346,7 @@
     def _reject(self, status: int, reason: str) -> None:
         """Send an error response, and close after the caller had time to read it."""
         self._rejected = True
-        self._release_body()
+        self._release_unread()
         self._stop_timer()
         if self._serve_task is not None:
             # Earlier requests on this connection get their responses first, in order.
