Bind ports that are held at first as soon as they are free

What callers saw: an instance one of whose five ports another process held, if only for its first second, ended with status 1 and served nobody; so did a process that was started while the one before it still drained. Cause: each address was bound once, in turn, and any error ended the process. Change: Binding tries again with backoff and jitter (0.05 to 0.5 s) for as long as the process runs and does not drain. Each failure is a line and counts in `listener.bind_failed.*`; `listener.bound` tells how long it took. An instance is ready once it listens for callers; it registers once it listens for callers and for other instances, as its entry names both addresses. Metrics are not needed to serve.

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -366,9 +366,14 @@
         budget=request_budget.of_memory(settings.capacity.memory_mb, CALLERS_REQUESTS_SHARE),
         on_refused=lambda reason: kernel.find("counters").add(f"entry.refused.{reason}"),
     )
+    kernel.provide("caller server", caller_server)
     async with (
         listeners.listen(
-            caller_server, settings.entry.callers_address, kernel.find("early listener")
+            kernel,
+            "callers",
+            caller_server,
+            settings.entry.callers_address,
+            kernel.find("early listener"),
         ),
         kernel.find("supervisor").background(
             Job(long_running.WARM_UP, lambda: _warm_connections(sender)),
@@ -414,7 +419,7 @@
             source,
             kernel.find("view"),
             own_entry.make(kernel.find("settings")),
-            lambda: listeners.ready(kernel),
+            lambda: listeners.may_register(kernel),
             kernel.find("relayed source").serves_peers,
             kernel.find("relayed source").source_asked_s,
             rng,
--- a/src/turmericlug/entry/listeners.py
+++ b/src/turmericlug/entry/listeners.py
@@ -11,6 +11,7 @@
 from collections import abc
 
 from turmericlug.entry import batches
+from turmericlug.entry import binding as binding_module
 from turmericlug.entry import directory as directory_module
 from turmericlug.entry import inspection
 from turmericlug.entry import metrics
@@ -22,7 +23,6 @@
 from turmericlug.http1 import request_budget
 from turmericlug.http1 import server
 from turmericlug.kernel import kernel as kernel_module
-from turmericlug.telemetry import decisions
 
 INTERIM_RESPONSE = b"HTTP/1.1 102 Processing\r\n\r\n"
 """Interim response that tells a peer that its batch of parts is being processed."""
@@ -36,29 +36,24 @@
 Kernel = kernel_module.Kernel
 
 
-@contextlib.asynccontextmanager
-async def listen(
-    http_server: server.Server, address: tuple[str, int], early: socket.socket | None = None
-) -> abc.AsyncIterator[asyncio.Server]:
+def listen(
+    kernel: Kernel,
+    name: str,
+    http_server: server.Server,
+    address: tuple[str, int],
+    early: socket.socket | None = None,
+) -> contextlib.AbstractAsyncContextManager[binding_module.Binding]:
     """
-    Listen for the duration of the context.
+    Listen for the duration of the context, from when the address can be bound.
+
+    A draining instance, which is about to free its ports, binds none any more.
 
+    :param name: name of the listener; the kernel finds the binding as ``NAME listener``
     :param early: socket that already listens; used if it is bound to the address
     """
-    if early is not None and early.getsockname() != address:
-        decisions.log("instance.listened_elsewhere", address=early.getsockname()[0])
-        early.close()
-        early = None
-    try:
-        listener = await server.listen(http_server, *address, early)
-    except OSError as error:
-        decisions.log("listener.not_bound", address=f"{address[0]}:{address[1]}", error=str(error))
-        raise
-    try:
-        yield listener
-    finally:
-        listener.close()
-        http_server.close()
+    binding = binding_module.Binding(name, address, http_server, kernel.find("counters"))
+    kernel.provide(f"{name} listener", binding)
+    return binding_module.listening(binding, lambda: not _is_draining(kernel), early)
 
 
 @contextlib.asynccontextmanager
@@ -68,8 +63,9 @@
     settings, view = kernel.find("settings"), kernel.find("view")
     adapter = kernel.find("adapter")
     handlers = [
-        (adapter.ready_handler(lambda: ready(kernel)), settings.entry.ready_address),
+        ("readiness", adapter.ready_handler(lambda: ready(kernel)), settings.entry.ready_address),
         (
+            "directory",
             adapter.resolve_handler(
                 directory_module.Directory(
                     view,
@@ -81,17 +77,17 @@
             ),
             settings.entry.directory_address,
         ),
-        (_operators_handler(kernel), settings.entry.metrics_address),
+        ("metrics", _operators_handler(kernel), settings.entry.metrics_address),
     ]
     async with contextlib.AsyncExitStack() as stack:
-        for handler, address in handlers:
+        for name, handler, address in handlers:
             http_server = server.Server(
                 handler,
                 messages.Limits,
                 settings.limits.descriptors // 8,
                 budget=request_budget.RequestBudget(OWN_REQUESTS_LIMIT_BYTES),
             )
-            await stack.enter_async_context(listen(http_server, address))
+            await stack.enter_async_context(listen(kernel, name, http_server, address))
         peer_server = server.Server(
             _peers_handler(kernel),
             lambda: messages.Limits(idle_timeout_s=PEER_IDLE_TIMEOUT_S),
@@ -101,7 +97,9 @@
             budget=request_budget.of_memory(settings.capacity.memory_mb, PEERS_REQUESTS_SHARE),
             on_refused=lambda reason: kernel.find("counters").add(f"peers.refused.{reason}"),
         )
-        await stack.enter_async_context(listen(peer_server, settings.entry.peers_address))
+        await stack.enter_async_context(
+            listen(kernel, "peers", peer_server, settings.entry.peers_address)
+        )
         yield
 
 
@@ -155,7 +153,13 @@
 
 def ready(kernel: Kernel) -> bool:
     """Whether this instance accepts requests."""
-    return kernel.find("view").ready and not _is_draining(kernel)
+    is_listening = kernel.find("callers listener").is_bound
+    return kernel.find("view").ready and is_listening and not _is_draining(kernel)
+
+
+def may_register(kernel: Kernel) -> bool:
+    """Whether callers and other instances can use the addresses in this instance's entry."""
+    return ready(kernel) and kernel.find("peers listener").is_bound
 
 
 def _is_hot(kernel: Kernel, data_centre: str) -> bool | None:
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -126,6 +126,7 @@
     "directory.omitted": "instances that an answer to a caller omits because of their capacity",
     "directory.spilled": "addresses of the next data centre in answers while the caller's is hot",
     "instance.missed": "registrations of other instances removed because they were silent",
+    "listener.bind_failed.*": "failed attempts to listen at an address, by listener",
     "source.call.*": "calls to the platform's store, by operation",
     "source.error.*": "calls to the platform's store that failed, by reason",
     "source.malformed.*": "answers of the platform's store with a malformed field, by operation",
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -481,6 +481,51 @@
         "            if self.closed is None:\n                raise",
         "direct/test_pool.py::test_a_closed_pool_provides_no_connections",
     ),
+    mutant.one(
+        "signals-not-remembered",
+        "entry/early_signals.py",
+        "        _signal.signal(number, on_signal)\n",
+        "        pass\n",
+        "integration/test_start.py::test_hangups_while_it_starts_do_not_end_an_instance[40]",
+    ),
+    mutant.one(
+        "forget-an-early-stop",
+        "entry/stop_signal.py",
+        "        begin_grace_period(early_stop_s)\n",
+        "        pass\n",
+        "integration/test_start.py::test_stop_while_it_starts_answers_the_callers_that_wait",
+    ),
+    mutant.one(
+        "bind-once",
+        "entry/binding.py",
+        "    retries = () if binding.is_bound else (binding.bind_later(is_wanted),)\n",
+        "    retries = ()\n",
+        "entry/test_binding.py::test_a_port_that_becomes_free_is_bound",
+    ),
+    mutant.one(
+        "register-without-the-port-for-peers",
+        "entry/listeners.py",
+        'return ready(kernel) and kernel.find("peers listener").is_bound',
+        "return ready(kernel)",
+        "integration/test_start_ports.py::"
+        "test_an_instance_registers_once_its_advertised_ports_listen[peers-200]",
+    ),
+    mutant.one(
+        "ready-without-the-port-for-callers",
+        "entry/listeners.py",
+        'is_listening = kernel.find("callers listener").is_bound',
+        'is_listening = bool(kernel.find("callers listener"))',
+        "integration/test_start_ports.py::"
+        "test_an_instance_registers_once_its_advertised_ports_listen[callers-503]",
+    ),
+    mutant.one(
+        "read-the-settings-once",
+        "platform/start.py",
+        "SETTINGS_WAIT_S = 3.0",
+        "SETTINGS_WAIT_S = 0.0",
+        "integration/test_start.py::"
+        "test_settings_file_that_is_being_written_does_not_end_an_instance[empty]",
+    ),
     mutant.one(
         "no-early-listener",
         "entry/early.py",
