--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -1101,4 +1101,11 @@
         "            pass\n",
         "entry/test_restarts.py::test_instance_that_stops_between_two_attempts_is_deregistered",
     ),
+    mutant.one(
+        "do-not-restart-failed-tasks",
+        "kernel/supervisor.py",
+        "                await self._sleep(delay_s)\n",
+        "                await asyncio.Event().wait()\n",
+        "integration/test_task_failures.py::test_task_that_fails_once_runs_again",
+    ),
 )
