Treat an address that is none as one that can't be connected

An entry whose host is no name (an empty or too long label, a lone surrogate, a null character) or whose port is out of range made connect raise UnicodeError, ValueError or OverflowError, which ended the task that opens connections ahead, and gave callers 500 instead of another replica.

--- a/src/turmericlug/http1/client.py
+++ b/src/turmericlug/http1/client.py
@@ -207,7 +207,8 @@
         raise ConnectError("no connection in time") from None
     except ConnectionRefusedError as error:
         raise ConnectRefusedError(type(error).__name__) from error
-    except OSError as error:
+    except (OSError, ValueError, OverflowError) as error:
+        # A host that is no name, or a port out of range, raises one of the latter.
         raise ConnectError(type(error).__name__) from error
     set_socket_options(transport)
     return connection
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -219,3 +219,25 @@
 )
 def test_hop_by_hop_headers_are_not_forwarded(headers, kept):
     assert client.end_to_end(headers) == kept
+
+
+@pytest.mark.parametrize(
+    ("host", "port"),
+    [
+        ("h..example", 80),
+        ("\ud800", 80),
+        ("h\0", 80),
+        ("x" * 70, 80),
+        ("127.0.0.1", 70_000),
+        ("127.0.0.1", -1),
+    ],
+    ids=ascii,
+)
+def test_address_that_is_none_cannot_be_connected(host, port):
+    """Guards against one odd address that ends the task which opens connections ahead."""
+
+    async def main():
+        with pytest.raises(client.ConnectError):
+            await client.connect(host, port)
+
+    asyncio.run(main())
