--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -176,6 +176,30 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("is_chunked", [True, False])
+def test_a_response_that_cannot_be_written_closes_the_connection(is_chunked):
+    """Guards against a caller that waits for an answer on a connection that nobody serves."""
+
+    async def chunks():
+        yield b"x"
+        raise KeyError("bug")
+
+    async def main():
+        async def handle(request):
+            if is_chunked:
+                return messages.Response(200, chunks=chunks())
+            return messages.Response(200, (("a text", "not bytes"),))
+
+        failed = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: failed.append(context))
+        async with serving(handle) as (http_server, address):
+            with contextlib.suppress(ConnectionError):
+                await send_and_receive(address, REQUEST)
+            assert not http_server.busy_count()
+
+    asyncio.run(main())
+
+
 def test_too_many_connections_give_status_503():
     async def main():
         async with serving(echo, max_connections=1) as (_, address):
