Keep a link to a peer after an unexpected error

A reply whose handler raised ended the link's task. The link stays in the mesh for as long as the peer's address, so that the peer was never reached again: its parts and records went to other owners.

The link goes on after its backoff; the error is logged and counted (failures.report). Open requests are dropped also if one of them raises.

--- a/src/turmericlug/kernel/failures.py
+++ b/src/turmericlug/kernel/failures.py
@@ -35,6 +35,13 @@
     return of_error(_task_name(task) or _callback_name(error), error)
 
 
+def report(error: BaseException) -> None:
+    """Log and count an unexpected error after which the current task goes on."""
+    asyncio.get_running_loop().call_exception_handler(
+        {"message": "task failed", "exception": error, "task": asyncio.current_task()}
+    )
+
+
 def of_error(name: str, error: BaseException) -> Failure:
     """Return the failure of a named task."""
     return Failure(name, _shorten(f"{type(error).__name__}: {error}"), _innermost_place(error))
--- a/src/turmericlug/wire/link.py
+++ b/src/turmericlug/wire/link.py
@@ -10,6 +10,7 @@
 import typing
 from collections import abc
 
+from turmericlug.kernel import failures
 from turmericlug.kernel import tasks
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import events
@@ -93,6 +94,9 @@
                 events.emit("peer.not_accepted", "warning", to=self.address, reason=error.reason)
             except (OSError, TimeoutError, codec.FrameError):
                 pass
+            except Exception as error:
+                # The link goes on: it is kept for this peer, and no other would be opened.
+                failures.report(error)
             if time.monotonic() - started_at_s > 5:
                 delay_s = _BACKOFF_S[0]
             await asyncio.sleep(delay_s * (0.5 + random.random()))
@@ -113,8 +117,10 @@
             self._connected.clear()
             self._outbox = None
             writer.transport.abort()
-            self._notify_open_requests(ConnectionLost())
-            self._open_requests.clear()
+            try:
+                self._notify_open_requests(ConnectionLost())
+            finally:
+                self._open_requests.clear()
 
     async def _read(self, reader: asyncio.StreamReader) -> None:
         frames = codec.FrameReader()
--- a/tests/wire/test_link.py
+++ b/tests/wire/test_link.py
@@ -109,3 +109,24 @@
             assert events == [link_module.ConnectionLost()]
 
     asyncio.run(main())
+
+
+def test_unexpected_error_does_not_end_a_link():
+    """Guards against a peer that is never reached again because one of its replies raised."""
+
+    async def main():
+        found = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: found.append(context))
+
+        def fail(message):
+            raise KeyError("bug")
+
+        async with pair({"ping": reply_pong}) as (link, _):
+            assert (await link.ask(ping, 2)).which() == "pong"
+            link.send(ping, fail)
+            async with asyncio.timeout(5):
+                while not found:
+                    await asyncio.sleep(0.005)
+            assert (await link.ask(ping, 5)).which() == "pong"
+
+    asyncio.run(main())
