Keep writing a bucket's records after an unexpected error

One odd record in the store ended the task that writes the bucket at this instance: every later claim of its keys was answered 'unavailable'.

--- a/src/turmericlug/records/ledger.py
+++ b/src/turmericlug/records/ledger.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from turmericlug.kernel import failures
 from turmericlug.storage import store as store_module
 from turmericlug.telemetry import counters as counters_module
 
@@ -178,6 +179,11 @@
                 except store_module.StoreError:
                     self._head = None
                     await self._back_off()
+                except Exception as error:
+                    # Operations that no batch can decide end by their own timeouts.
+                    failures.report(error)
+                    self._head = None
+                    await asyncio.sleep(_RECONCILE_RETRY_S)
             left_s = began_at_s + self._interval_s - time.monotonic()
             if left_s > 0:
                 await asyncio.sleep(left_s)
--- a/tests/records/test_ledger.py
+++ b/tests/records/test_ledger.py
@@ -455,3 +455,25 @@
 TestWriters.settings = hypothesis.settings(
     max_examples=40, stateful_step_count=15, deadline=None, derandomize=True
 )
+
+
+def test_unexpected_error_does_not_end_a_bucket(monkeypatch):
+    """Guards against a bucket whose claims get no verdict any more after one odd record."""
+    monkeypatch.setattr(ledger, "_RECONCILE_RETRY_S", 0.01)
+
+    async def main():
+        found = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: found.append(context))
+        store = fake_store.FakeStore()
+        writer, read_prefix, odd = make_bucket(store), store.read_prefix, [True]
+
+        async def read_oddly_once(prefix):
+            if odd:
+                raise odd.clear() or KeyError("odd record")
+            return await read_prefix(prefix)
+
+        store.read_prefix = read_oddly_once
+        assert (await ask(writer, make_operation("claim"), 5.0)).status == "granted"
+        assert len(found) == 1
+
+    asyncio.run(main())
