Restart the tasks of turmericlugd that end by an error; reopen queues

A task of turmericlugd that ended by an unexpected error was logged and never started again: the detector, so that the instance stepped aside for good; the store's reader; the owner's role; the announcement of readiness, so that no peer sent it anything. A service whose queue could not be opened once kept the failed task, and each of its parts at this owner failed by it for good; a failed refresh ended the refresh of that service's replicas.

The seven tasks are jobs of the supervisor, in the table long_running.py. A queue that failed to open is opened by the next part, and its client closed; a failed refresh is logged, counted and repeated.

--- a/src/turmericlug/daemon.py
+++ b/src/turmericlug/daemon.py
@@ -16,11 +16,12 @@
 import aiomisc
 import typer
 
+from turmericlug import long_running
 from turmericlug.config import settings as settings_module
 from turmericlug.config import version as version_module
 from turmericlug.kernel import failures
 from turmericlug.kernel import kernel as kernel_module
-from turmericlug.kernel import tasks
+from turmericlug.kernel import supervisor
 from turmericlug.membership import detector as detector_module
 from turmericlug.membership import freshness as freshness_module
 from turmericlug.membership import members as members_module
@@ -78,7 +79,8 @@
         settings.membership.silence_ms,
         settings.instance.host,
     )
-    async with mesh_module.running(mesh):
+    monitor = supervisor.Job(long_running.LINKS, mesh.monitor_links)
+    async with mesh_module.running(mesh, kernel.find("supervisor").background(monitor)):
         yield mesh
 
 
@@ -109,10 +111,16 @@
         kernel.find("eras"),
     )
     platform = settings.platform
-    list_poll = detector.poll_list(
-        kernel.find("session"), platform.instances_url, platform.instances_poll_ms / 1000
+    list_poll = functools.partial(
+        detector.poll_list,
+        kernel.find("session"),
+        platform.instances_url,
+        platform.instances_poll_ms / 1000,
     )
-    async with tasks.background(detector.run(), list_poll):
+    async with kernel.find("supervisor").background(
+        supervisor.Job(long_running.DETECTOR, detector.run),
+        supervisor.Job(long_running.INSTANCE_LIST, list_poll),
+    ):
         try:
             yield detector
         finally:
@@ -133,7 +141,10 @@
     detector.on_newer_revisions = distribution.pull_from
     detector.is_store_reader = distribution.is_reader
     distribution.refresh_instance_list = _instance_list_reader(kernel, detector)
-    async with tasks.background(distribution.run(), distribution.run_watch()):
+    async with kernel.find("supervisor").background(
+        supervisor.Job(long_running.RULES, distribution.run),
+        supervisor.Job(long_running.RULES_WATCH, distribution.run_watch),
+    ):
         try:
             yield distribution
         finally:
@@ -174,9 +185,11 @@
         kernel.find("session"),
         kernel.find("counters"),
     )
+    background = kernel.find("supervisor").background
+    announce = functools.partial(_announce_state, kernel, owner)
     async with (
-        owner_module.running(owner),
-        tasks.background(_announce_state(kernel, owner)),
+        owner_module.running(owner, background(supervisor.Job(long_running.OWNER, owner.run))),
+        background(supervisor.Job(long_running.ANNOUNCEMENT, announce)),
     ):
         yield owner
 
@@ -271,6 +284,7 @@
 
 
 _SERVICES: tuple[tuple[str, kernel_module.ServiceFactory], ...] = (
+    ("supervisor", long_running.supervisor),
     ("session", _session),
     ("store", _store),
     ("mesh", _mesh),
--- a/src/turmericlug/membership/mesh.py
+++ b/src/turmericlug/membership/mesh.py
@@ -94,9 +94,15 @@
 
 
 @contextlib.asynccontextmanager
-async def running(mesh: Mesh) -> abc.AsyncIterator[Mesh]:
-    """Monitor the links within the block, then close them."""
-    async with tasks.background(mesh.monitor_links()):
+async def running(
+    mesh: Mesh, monitor: contextlib.AbstractAsyncContextManager[tasks.Tasks]
+) -> abc.AsyncIterator[Mesh]:
+    """
+    Monitor the links within the block, then close them.
+
+    :param monitor: runs ``monitor_links`` in the background
+    """
+    async with monitor:
         try:
             yield mesh
         finally:
--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from turmericlug.config import settings as settings_module
+from turmericlug.kernel import failures
 from turmericlug.kernel import tasks
 from turmericlug.membership import members as members_module
 from turmericlug.membership import mesh as mesh_module
@@ -177,14 +178,34 @@
         """Return a service's queue; concurrent requests open it once."""
         if service not in self._open_tasks:
             self._open_tasks[service] = self._tasks.start(self._open_queue(service))
-        return await asyncio.shield(self._open_tasks[service])
+        opening = self._open_tasks[service]
+        try:
+            return await asyncio.shield(opening)
+        except Exception:
+            # The next part tries again.
+            if self._open_tasks.get(service) is opening:
+                del self._open_tasks[service]
+            raise
 
     async def _open_queue(self, service: str) -> service_queue.ServiceQueue:
         catalog_entry = self._config.catalog.services.get(service)
         connections = catalog_entry.connections if catalog_entry else 2
         # While instance lists differ, a service may have two owners: each uses half of these.
-        stack = contextlib.AsyncExitStack()
-        client = await stack.enter_async_context(target.connected(connections // 2, self._counters))
+        async with contextlib.AsyncExitStack() as opened:
+            client = await opened.enter_async_context(
+                target.connected(connections // 2, self._counters)
+            )
+            queue = self._new_queue(service, client)
+            await self._refresh_replicas(service, queue, client)
+            await opened.enter_async_context(
+                tasks.background(self._poll_replicas(service, queue, client))
+            )
+            opened.push_async_callback(queue.close)
+            self._queue_stacks[service] = opened.pop_all()
+        self.queues[service] = queue
+        return queue
+
+    def _new_queue(self, service: str, client: target.Client) -> service_queue.ServiceQueue:
         policy = self._settings.policy
         queue = service_queue.ServiceQueue(
             service,
@@ -199,13 +220,6 @@
             self.suspects,
         )
         queue.on_draining = lambda instance: self._notify_draining(service, instance)
-        await self._refresh_replicas(service, queue, client)
-        await stack.enter_async_context(
-            tasks.background(self._poll_replicas(service, queue, client))
-        )
-        stack.push_async_callback(queue.close)
-        self._queue_stacks[service] = stack
-        self.queues[service] = queue
         return queue
 
     async def _poll_replicas(
@@ -215,11 +229,14 @@
         period_s = self._settings.platform.instances_poll_ms / 1000
         while True:
             await asyncio.sleep(period_s * self._rng.uniform(0.9, 1.1))
-            await self._refresh_replicas(service, queue, client)
-            await asyncio.gather(
-                *(self._check_health(client, replica) for replica in queue.replicas.values())
-            )
-            queue.start_attempts()
+            try:
+                await self._refresh_replicas(service, queue, client)
+                await asyncio.gather(
+                    *(self._check_health(client, replica) for replica in queue.replicas.values())
+                )
+                queue.start_attempts()
+            except Exception as error:
+                failures.report(error)
 
     async def _refresh_replicas(
         self, service: str, queue: service_queue.ServiceQueue, client: target.Client
@@ -402,10 +419,16 @@
 
 
 @contextlib.asynccontextmanager
-async def running(owner: Owner) -> abc.AsyncIterator[None]:
-    """Run the role until the end of the block."""
+async def running(
+    owner: Owner, role: contextlib.AbstractAsyncContextManager[tasks.Tasks]
+) -> abc.AsyncIterator[None]:
+    """
+    Run the role until the end of the block.
+
+    :param role: runs ``Owner.run`` in the background
+    """
     try:
-        async with tasks.background(owner.run()):
+        async with role:
             yield
     finally:
         # Only now does no other task close queues or open new ones.
--- a/tests/owner/test_owner.py
+++ b/tests/owner/test_owner.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from turmericlug.kernel import tasks
 from turmericlug.membership import members
 from turmericlug.owner import owner as owner_module
 from turmericlug.owner import target
@@ -114,10 +115,64 @@
         await owner.open_owned()
         moved_at_s = time.monotonic() + moved_s
         owner.owns = lambda service, joining=(): time.monotonic() < moved_at_s
-        async with owner_module.running(owner):
+        async with owner_module.running(owner, tasks.background(owner.run())):
             await asyncio.sleep(ended_s)
         assert not owner.queues
         assert not open_clients
 
     asyncio.run(main())
     assert not failures
+
+
+@pytest.mark.parametrize("failing", ["read", "connected"])
+def test_a_queue_that_could_not_be_opened_is_opened_later(failing, open_clients, monkeypatch):
+    """Guards against a service whose parts are never run again after one failure to open it."""
+    owner_of = {"read": instances, "connected": target}
+    function, left = getattr(owner_of[failing], failing), [1]
+
+    def fail_once(*arguments):
+        if left:
+            raise KeyError(left.pop())
+        return function(*arguments)
+
+    monkeypatch.setattr(owner_of[failing], failing, fail_once)
+
+    async def main():
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        owner = make_owner()
+        with pytest.raises(KeyError):
+            await owner._get_queue(SERVICES[0])
+        assert not open_clients
+        assert await owner._get_queue(SERVICES[0]) is owner.queues[SERVICES[0]]
+        await owner.close()
+
+    asyncio.run(main())
+
+
+def test_failed_refresh_of_replicas_is_repeated(open_clients, monkeypatch):
+    """Guards against an owner that never again learns of a service's replicas."""
+    reads, failures = [], []
+    read = instances.read
+
+    async def fail_once(*arguments):
+        reads.append(arguments)
+        if len(reads) == 2:
+            raise KeyError("odd entry")
+        return await read(*arguments)
+
+    monkeypatch.setattr(instances, "read", fail_once)
+
+    async def main():
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: failures.append(context)
+        )
+        owner = make_owner()
+        owner._settings.platform.instances_poll_ms = 10
+        await owner._get_queue(SERVICES[0])
+        async with asyncio.timeout(10):
+            while len(reads) < 4:
+                await asyncio.sleep(0.005)
+        await owner.close()
+
+    asyncio.run(main())
+    assert len(failures) == 1
