Bypass a relay whose exchange raises

An unexpected error in the exchange with one relay ended the attempt of the follower, which met it again at each attempt, although the other relay and the store would have answered. It counts as a failure of the relay, and is logged and counted as one. The test got the error before.

--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -26,6 +26,7 @@
 from turmericlug.entry import source as source_module
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
+from turmericlug.kernel import failures
 from turmericlug.policy import liveness as liveness_module
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
@@ -250,6 +251,10 @@
             return self._record_failure(relay, str(error))
         except TimeoutError:
             return self._record_failure(relay, "silent")
+        except Exception as error:
+            # One relay's reply must not keep this instance from asking the others.
+            failures.report(error)
+            return self._record_failure(relay, type(error).__name__)
         self._failures.pop(relay.entry.instance, None)
         self.peer_liveness.record_contact(relay.entry.instance, asyncio.get_running_loop().time())
         return reply
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -257,6 +257,31 @@
     asyncio.run(main())
 
 
+def test_relay_whose_exchange_raises_is_bypassed():
+    """Guards against a follower that fails at each attempt because of one relay's odd address."""
+
+    async def main():
+        found = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: found.append(context))
+
+        async def connect():
+            raise UnicodeError("label empty or too long")
+
+        def make_pool(entry):
+            return pool_module.Pool(connect, lambda: 3, asyncio.get_running_loop().time)
+
+        peers = replicas_module.Replicas(make_pool, PLACE, budget.Allowance())
+        (name,) = names_in_order(1, 0)
+        peers.put(routes.ReplicaEntry(name, "dc", "h..example", 80, "dc", 1, False, 0))
+        store = Source()
+        source = make_source(store, peers)
+        assert await source.changes(at(10), 5.0) == source_module.Changes((), 10)
+        assert (store.asked, len(found)) == (1, 1)
+        assert source.counters.totals["relay.failed"] == 1
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("first", [silent, garbage, failing, stale])
 def test_second_relay_takes_over(first, short_waits):
     """
