Log a line without its fields if they can't be encoded

A number of over 4,300 digits, or a key that is no text, raised in json.dumps and ended the task that logged it, such as the follower with the line of a new configuration.

--- a/src/turmericlug/telemetry/decisions.py
+++ b/src/turmericlug/telemetry/decisions.py
@@ -59,7 +59,7 @@
         if self.suppressed[event]:
             fields["left_out_before"] = self.suppressed.pop(event)
         header = {"time_s": round(now_s, 4), "instance": self._instance, "event": event}
-        line = json.dumps(header | fields, default=_to_text, separators=(",", ":")).encode() + b"\n"
+        line = _encode(header, fields)
         if self._buffered_bytes + len(line) > MAX_BUFFER_BYTES:
             self.dropped += 1
             return
@@ -103,6 +103,15 @@
         self._schedule_flush()
 
 
+def _encode(header: dict[str, typing.Any], fields: dict[str, typing.Any]) -> bytes:
+    """Encode a line; a field that can't be encoded must not end whoever logs it."""
+    try:
+        text = json.dumps(header | fields, default=_to_text, separators=(",", ":"))
+    except (TypeError, ValueError, RecursionError) as error:
+        text = json.dumps(header | {"unwritable": type(error).__name__, "fields": list(fields)})
+    return text.encode() + b"\n"
+
+
 def _to_text(value: typing.Any) -> str:
     return value.decode("latin-1") if isinstance(value, bytes) else str(value)
 
