Move the retried bind to kernel/binding.py, for both daemons

No change of behaviour: Binding takes the function that opens a listener and the function that logs. tests/kernel, test_start*.py, test_early.py and test_mutants_apply.py: 233 passed.

--- a/src/turmericlug/entry/listeners.py
+++ b/src/turmericlug/entry/listeners.py
@@ -11,7 +11,6 @@
 from collections import abc
 
 from turmericlug.entry import batches
-from turmericlug.entry import binding as binding_module
 from turmericlug.entry import directory as directory_module
 from turmericlug.entry import inspection
 from turmericlug.entry import metrics
@@ -22,7 +21,9 @@
 from turmericlug.http1 import messages
 from turmericlug.http1 import request_budget
 from turmericlug.http1 import server
+from turmericlug.kernel import binding as binding_module
 from turmericlug.kernel import kernel as kernel_module
+from turmericlug.telemetry import decisions
 
 INTERIM_RESPONSE = b"HTTP/1.1 102 Processing\r\n\r\n"
 """Interim response that tells a peer that its batch of parts is being processed."""
@@ -36,13 +37,14 @@
 Kernel = kernel_module.Kernel
 
 
-def listen(
+@contextlib.asynccontextmanager
+async def listen(
     kernel: Kernel,
     name: str,
     http_server: server.Server,
     address: tuple[str, int],
     early: socket.socket | None = None,
-) -> contextlib.AbstractAsyncContextManager[binding_module.Binding]:
+) -> abc.AsyncIterator[binding_module.Binding]:
     """
     Listen for the duration of the context, from when the address can be bound.
 
@@ -51,9 +53,26 @@
     :param name: name of the listener; the kernel finds the binding as ``NAME listener``
     :param early: socket that already listens; used if it is bound to the address
     """
-    binding = binding_module.Binding(name, address, http_server, kernel.find("counters"))
+    if early is not None and early.getsockname() != address:
+        decisions.log("instance.listened_elsewhere", address=early.getsockname()[0])
+        early.close()
+        early = None
+    sockets = [early]
+
+    def open_listener() -> abc.Awaitable[asyncio.Server]:
+        return server.listen(http_server, *address, sockets.pop() if sockets else None)
+
+    binding = binding_module.Binding(
+        name, address, open_listener, kernel.find("counters"), decisions.log
+    )
     kernel.provide(f"{name} listener", binding)
-    return binding_module.listening(binding, lambda: not _is_draining(kernel), early)
+    async with binding_module.listening(binding, lambda: not _is_draining(kernel)):
+        try:
+            yield binding
+        finally:
+            if binding.is_bound:
+                binding.listener.close()
+            http_server.close()
 
 
 @contextlib.asynccontextmanager
--- a/src/turmericlug/entry/binding.py
+++ b/src/turmericlug/kernel/binding.py
@@ -10,15 +10,16 @@
 import asyncio
 import contextlib
 import random
-import socket
+import typing
 from collections import abc
 
 import attrs
 
-from turmericlug.http1 import server
 from turmericlug.kernel import tasks
 from turmericlug.telemetry import counters as counters_module
-from turmericlug.telemetry import decisions
+
+OpenListener = abc.Callable[[], abc.Awaitable[typing.Any]]
+"""Binds an address and returns its listener; raises ``OSError`` if that fails."""
 
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.5
@@ -32,9 +33,11 @@
 
     name: str
     address: tuple[str, int]
-    http_server: server.Server
+    open_listener: OpenListener
     counters: counters_module.Counters
-    listener: asyncio.Server | None = None
+    log: abc.Callable[..., None]
+    """Called with the name of an event and its fields."""
+    listener: typing.Any = None
     failures: int = 0
     _began_s: float = attrs.field(factory=lambda: asyncio.get_running_loop().time())
 
@@ -43,27 +46,21 @@
         """Whether connections to the address are accepted."""
         return self.listener is not None
 
-    async def bind(self, early: socket.socket | None = None) -> None:
-        """
-        Try to listen, and log a failure.
-
-        :param early: socket that already listens at the address
-        """
+    async def bind(self) -> None:
+        """Try to listen, and log a failure."""
         try:
-            self.listener = await server.listen(self.http_server, *self.address, early)
+            self.listener = await self.open_listener()
         except (OSError, UnicodeError) as error:
             # UnicodeError: the host is not a valid name.
-            if early is not None:
-                early.close()
             self.failures += 1
             self.counters.add(f"listener.bind_failed.{self.name}")
-            decisions.log(
+            self.log(
                 "listener.not_bound", **self._description(), error=str(error), attempt=self.failures
             )
             return
         if self.failures:
             after_ms = round((asyncio.get_running_loop().time() - self._began_s) * 1000)
-            decisions.log("listener.bound", **self._description(), after_ms=after_ms)
+            self.log("listener.bound", **self._description(), after_ms=after_ms)
 
     async def bind_later(self, is_wanted: abc.Callable[[], bool]) -> None:
         """
@@ -80,12 +77,6 @@
     def _description(self) -> dict[str, str]:
         return {"listener": self.name, "address": f"{self.address[0]}:{self.address[1]}"}
 
-    def close(self) -> None:
-        """Stop listening and close all connections."""
-        if self.listener is not None:
-            self.listener.close()
-        self.http_server.close()
-
 
 def retry_delay_s(failures: int, rng: random.Random | None = None) -> float:
     """Return how long to wait after a number of failures."""
@@ -95,22 +86,16 @@
 
 @contextlib.asynccontextmanager
 async def listening(
-    binding: Binding, is_wanted: abc.Callable[[], bool], early: socket.socket | None = None
+    binding: Binding, is_wanted: abc.Callable[[], bool]
 ) -> abc.AsyncIterator[Binding]:
     """
-    Listen for the duration of the context; if binding fails, try again in the background.
+    Bind now or, while that fails, in the background until the end of the block.
+
+    Closing the listener is up to the caller.
 
     :param is_wanted: whether a late bind still makes sense
-    :param early: socket that already listens; used if it is bound to the address
     """
-    if early is not None and early.getsockname() != binding.address:
-        decisions.log("instance.listened_elsewhere", address=early.getsockname()[0])
-        early.close()
-        early = None
-    await binding.bind(early)
+    await binding.bind()
     retries = () if binding.is_bound else (binding.bind_later(is_wanted),)
     async with tasks.background(*retries):
-        try:
-            yield binding
-        finally:
-            binding.close()
+        yield binding
