Give each field of the store's values a type, a range and a length

What callers saw: after one odd value under a key of the configuration, of a replica or of an instance, no instance applied any later configuration, none registered anew, and a fresh start met the same value.

Cause: fields of the configuration were taken as they came. A weight of 400 digits raised OverflowError, a version that is a text TypeError in the comparison with the one in force, 400 digits of connections in the pool, a lone surrogate UnicodeEncodeError wherever a name is hashed or sent. A version of 400 digits would have stayed in force for ever, as no later one is greater; so would an entry's start.

Change: each field is read by a function that raises FieldError with a reason and its path. A malformed field of a route, a service or the limits refuses the configuration as a whole: without the route, its requests would be answered 404. The last readable configuration stays in force; an instance without one refuses with no_configuration (503). Fields that were ignored when malformed still are, and HealthPath, which nothing uses, is now. Keys and entries of replicas and instances have lengths, and text is valid Unicode. Values that only the message to a helping instance can't carry (a priority over 255) stay readable here.

--- a/src/turmericlug/direct/routes.py
+++ b/src/turmericlug/direct/routes.py
@@ -89,7 +89,7 @@
     _by_host: dict[str, list[Route]] = attrs.field(init=False, factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.shards = frozenset(shard for route in self.routes for shard in route.shards)
+        self.shards = frozenset().union(*(route.shards for route in self.routes))
         for route in self.routes:
             self._by_host.setdefault(route.host.lower(), []).append(route)
         for routes in self._by_host.values():
--- a/src/turmericlug/platform/answers.py
+++ b/src/turmericlug/platform/answers.py
@@ -73,9 +73,7 @@
 def _read_number(body: typing.Any, name: str, minimum: int = 0) -> int:
     if not isinstance(body, dict):
         raise fields.FieldError("the answer is not an object")
-    return fields.read_field(
-        body, name, lambda value: fields.read_integer(value, minimum, MAX_REVISION)
-    )
+    return fields.read_integer_field(body, name, minimum, MAX_REVISION)
 
 
 def _read_objects(body: dict[str, typing.Any], name: str) -> list[dict[str, typing.Any]]:
--- a/src/turmericlug/platform/decode.py
+++ b/src/turmericlug/platform/decode.py
@@ -12,11 +12,13 @@
 import json
 import socket
 import typing
+from collections import abc
 
 from turmericlug.direct import routes
 from turmericlug.entry import source
 from turmericlug.http1 import messages
 from turmericlug.platform import fields
+from turmericlug.platform import json_values
 from turmericlug.platform import names
 from turmericlug.platform import organisations
 from turmericlug.policy import capacity
@@ -26,13 +28,27 @@
 _STATE_DRAINING = "draining"
 _DEFAULT_TIMEOUT_MS = 60_000.0
 _DEFAULT_MAX_ATTEMPTS = 1
-_MAX_REASON_LENGTH = 100
-"""Error messages are truncated to this length: they may quote the value, up to a megabyte."""
+_DEFAULT_MAX_CONNECTIONS = 16
+_DEFAULT_HEALTH_PATH = "/health"
+_MAX_PROBLEM_LENGTH = 200
+"""Error messages are truncated to this length: they may quote names from the value."""
 _MAX_IGNORED_FIELDS = 5
 """Ignored fields reported per value; a value may have thousands of them."""
+MAX_ENTRY_BYTES = 64 * 1024
+"""Size of the entry of a replica or an instance, which is some 200 bytes."""
+MAX_VERSION = (1 << 63) - 1
+"""A version is never replaced by a lower one; nanoseconds since 1970 are below this."""
+MAX_SHARDS = (1 << 16) - 1
+"""Instances refer to the shards of a query by 16-bit numbers."""
 _MAX_PORT = 65535
 _MAX_DURATION_MS = 1e9
 """Eleven days; JSON numbers may be too large for a float."""
+_MAX_WEIGHT = 1e9
+_MAX_COUNT = (1 << 32) - 1
+_MAX_BYTES = (1 << 63) - 1
+_MAX_SEQUENCE = (1 << 63) - 1
+_MAX_TIME_MS = 253_402_300_799_999
+"""The end of the year 9999."""
 
 JsonObject = dict[str, typing.Any]
 
@@ -48,192 +64,304 @@
     raw_value = b""
     ignored: list[str] = []
     try:
-        raw_value = (
-            binascii.a2b_base64(content, strict_mode=True) if _is_base64_text(content) else content
-        )
+        raw_value = _decode_base64(content) if _is_base64_text(content) else content
         value = decode_value(key, raw_value, ignored)
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
-        return _refuse(key, revision, raw_value, error)
+    except fields.FieldError as error:
+        return source.Unreadable(
+            key,
+            revision,
+            error.reason,
+            raw_value,
+            field=error.field[:_MAX_PROBLEM_LENGTH],
+            problem=str(error)[:_MAX_PROBLEM_LENGTH],
+        )
     if value is None:
         return None
-    reported = tuple(problem[:_MAX_REASON_LENGTH] for problem in ignored[:_MAX_IGNORED_FIELDS])
+    reported = tuple(problem[:_MAX_PROBLEM_LENGTH] for problem in ignored[:_MAX_IGNORED_FIELDS])
     return source.Written(key, value, revision, raw_value, ignored=reported)
 
 
-def _refuse(key: str, revision: int, content: bytes, error: Exception) -> source.Unreadable:
-    problem = f"{type(error).__name__}: {error}"[:_MAX_REASON_LENGTH]
-    reason, field = "type", ""
-    match error:
-        case fields.FieldError():
-            reason, field, problem = error.reason, error.field, str(error)[:_MAX_REASON_LENGTH]
-        case KeyError():
-            reason, field = "missing", str(error.args[0])[:_MAX_REASON_LENGTH]
-        case RecursionError():
-            reason = "depth"
-        case ValueError():
-            reason = "syntax"
-    return source.Unreadable(key, revision, reason, content, field=field, problem=problem)
-
-
 def _is_base64_text(content: bytes | str) -> typing.TypeGuard[str]:
     return isinstance(content, str)
 
 
+def _decode_base64(text: str) -> bytes:
+    try:
+        return binascii.a2b_base64(text, strict_mode=True)
+    except ValueError as error:
+        raise fields.FieldError(str(error), "base64") from None
+
+
 def decode_value(key: str, content: bytes, ignored: list[str]) -> source.Value | None:
     """
     Decode a key's value; return ``None`` for a key that this project does not use.
 
     :param ignored: receives the malformed optional fields, each with its error
-    :raises ValueError, KeyError, TypeError, AttributeError, RecursionError: the value does not have
-        the published format
+    :raises FieldError: the key or the value does not have the published format
     """
     if key == names.CONFIGURATION_KEY:
-        return decode_configuration(json.loads(content), ignored)
+        return decode_configuration(json_values.parse(content), ignored)
     if key.startswith(names.EVACUATIONS_PREFIX):
         # The key's existence alone marks the evacuation; its value is not read.
-        return source.Evacuation(key.removeprefix(names.EVACUATIONS_PREFIX))
+        return source.Evacuation(_read_name(key, names.EVACUATIONS_PREFIX, fields.read_text))
     if key.startswith(names.REPLICAS_PREFIX):
-        return _decode_replica(key.removeprefix(names.REPLICAS_PREFIX), json.loads(content))
+        replica = _read_name(key, names.REPLICAS_PREFIX, _read_header_value)
+        return _decode_replica(replica, json_values.parse(content, MAX_ENTRY_BYTES))
     if key.startswith(names.INSTANCES_PREFIX):
-        return _decode_instance(
-            key.removeprefix(names.INSTANCES_PREFIX), json.loads(content), ignored
-        )
+        instance = _read_name(key, names.INSTANCES_PREFIX, _read_printable)
+        return _decode_instance(instance, json_values.parse(content, MAX_ENTRY_BYTES), ignored)
     return None
 
 
-def decode_configuration(data: JsonObject, ignored: list[str]) -> routes.Configuration:
+def _read_name(key: str, prefix: str, read: abc.Callable[[typing.Any], str]) -> str:
+    try:
+        return read(key.removeprefix(prefix))
+    except fields.FieldError as error:
+        raise error.within("Key") from None
+
+
+def _read_printable(value: typing.Any) -> str:
+    if not fields.read_text(value).isprintable():
+        raise fields.FieldError("not printable", "text")
+    return value
+
+
+def _read_header_value(value: typing.Any) -> str:
+    """Read a name that is sent as a header; a line break in it would start another header."""
+    if not _read_printable(value).isascii() or " " in value:
+        raise fields.FieldError("not printable ASCII without spaces", "text")
+    return value
+
+
+def decode_configuration(data: typing.Any, ignored: list[str]) -> routes.Configuration:
     """
     Decode the operators' configuration.
 
+    A malformed field of a route, a service or the limits refuses the configuration as a whole. A
+    route that is left out would have its requests answered with 404, and a limit or a time-out with
+    another value than the one written is a configuration that nobody has written.
+
     :param ignored: receives the malformed optional fields, each with its error
+    :raises FieldError: a field does not have the published format
     """
-    services = {
-        item["Name"]: routes.Service(
-            name=item["Name"],
-            health_path=item.get("HealthPath", "/health"),
-            # Connections to one replica, over all callers.
-            max_connections=item.get("MaxConns") or 16,
-            cold_rate_per_s=fields.read_optional(
-                item, "WarmupPerS", fields.read_rate_per_s, 0.0, ignored
-            ),
-        )
-        for item in data["Services"]
-    }
+    _require_object(data)
+    version = fields.read_field(data, "Version", _read_version)
+    services = _decode_each(data, "Services", _decode_service, ignored)
     return routes.Configuration(
-        version=data["Version"],
-        routes=tuple(_decode_route(item, ignored) for item in data["Routes"]),
-        services=services,
+        version=version,
+        routes=tuple(_decode_each(data, "Routes", _decode_route, ignored)),
+        services={service.name: service for service in services},
         limits=_decode_limits(data.get("Limits") or {}),
         organisations=organisations.decode(data.get("Tenants"), ignored),
     )
 
 
+def _read_version(value: typing.Any) -> int:
+    return fields.read_whole_number(value, 0, MAX_VERSION)
+
+
+def _decode_each(
+    data: JsonObject,
+    name: str,
+    decode: abc.Callable[[JsonObject, list[str]], fields.T],
+    ignored: list[str],
+) -> list[fields.T]:
+    """Decode each object of a list; an error names the index."""
+    values = _read_list(data, name)
+    decoded: list[fields.T] = []
+    try:
+        for value in values:
+            if type(value) is not dict:
+                raise fields.FieldError("not an object")
+            decoded.append(decode(value, ignored))
+    except fields.FieldError as error:
+        raise error.within(f"{name}[{len(decoded)}]") from None
+    return decoded
+
+
+def _read_list(item: JsonObject, name: str) -> list[typing.Any]:
+    value = item.get(name)
+    return value if type(value) is list else fields.read_field(item, name, fields.read_list)
+
+
+def _require_object(value: typing.Any) -> None:
+    if not isinstance(value, dict):
+        raise fields.FieldError("not an object")
+
+
+def _decode_service(item: JsonObject, ignored: list[str]) -> routes.Service:
+    return routes.Service(
+        name=fields.read_text_field(item, "Name"),
+        health_path=(
+            fields.read_optional(
+                item, "HealthPath", fields.read_any_text, _DEFAULT_HEALTH_PATH, ignored
+            )
+            if "HealthPath" in item
+            else _DEFAULT_HEALTH_PATH
+        ),
+        # Connections to one replica, over all callers.
+        max_connections=_read_count(item, "MaxConns") or _DEFAULT_MAX_CONNECTIONS,
+        cold_rate_per_s=(
+            fields.read_optional(item, "WarmupPerS", fields.read_rate_per_s, 0.0, ignored)
+            if "WarmupPerS" in item
+            else 0.0
+        ),
+    )
+
+
+def _read_count(item: JsonObject, name: str, maximum: int = _MAX_COUNT) -> int:
+    """Read a whole number; an absent one counts as 0."""
+    value = item.get(name)
+    if not value:
+        return 0
+    if type(value) is int and 0 < value <= maximum:
+        return value
+    try:
+        return fields.read_whole_number(value, 0, maximum)
+    except fields.FieldError as error:
+        raise error.within(name) from None
+
+
+def _read_amount(item: JsonObject, name: str, maximum: float) -> float:
+    """Read a number; an absent one counts as 0."""
+    value = item.get(name)
+    if not value:
+        return 0
+    if type(value) is int and 0 < value <= maximum:
+        return value
+    try:
+        return fields.read_number(value, 0, maximum)
+    except fields.FieldError as error:
+        raise error.within(name) from None
+
+
 def _decode_route(item: JsonObject, ignored: list[str]) -> routes.Route:
-    timeout_ms = item.get("TimeoutMs") or _DEFAULT_TIMEOUT_MS
+    timeout_ms = _read_amount(item, "TimeoutMs", _MAX_DURATION_MS) or _DEFAULT_TIMEOUT_MS
     return routes.Route(
-        name=item["Name"],
-        host=item["Host"],
-        prefix=item["Prefix"],
+        name=fields.read_text_field(item, "Name"),
+        host=fields.read_text_field(item, "Host"),
+        prefix=fields.read_text_field(item, "Prefix"),
         # A route with any other route type, or none, is treated as not idempotent.
         idempotent=item.get("RouteType") == _ROUTE_TYPE_IDEMPOTENT,
         timeout_ms=timeout_ms,
-        goal_ms=item.get("GoalMs") or timeout_ms,
-        priority=item.get("Priority") or 0,
+        goal_ms=_read_amount(item, "GoalMs", _MAX_DURATION_MS) or timeout_ms,
+        priority=_read_count(item, "Priority") if "Priority" in item else 0,
         # Replicas that a request (or a query's shard) may be sent to, including the first one.
-        max_attempts=item.get("MaxAttempts") or _DEFAULT_MAX_ATTEMPTS,
-        services=_decode_services(item),
-        shards=tuple(item.get("Gather") or ()),
-        top_records=item.get("TopK") or 0,
-        min_coverage=item.get("MinCoverage") or 0.0,
-        regions=fields.read_allowed_regions(item, ignored),
+        max_attempts=_read_count(item, "MaxAttempts") or _DEFAULT_MAX_ATTEMPTS,
+        services=_decode_services(item, ignored),
+        shards=_decode_shards(item) if "Gather" in item else (),
+        top_records=_read_count(item, "TopK") if "TopK" in item else 0,
+        min_coverage=_read_amount(item, "MinCoverage", 1.0) if "MinCoverage" in item else 0.0,
+        regions=fields.read_allowed_regions(item, ignored) if "AllowedRegions" in item else None,
         is_public=item.get("Public") is True,
     )
 
 
-def _decode_services(item: JsonObject) -> tuple[routes.WeightedService, ...]:
+def _decode_services(item: JsonObject, ignored: list[str]) -> tuple[routes.WeightedService, ...]:
     if item.get("TrafficSplit"):
-        return tuple(
-            routes.WeightedService(share["Service"], float(share["Weight"]))
-            for share in item["TrafficSplit"]
-        )
-    return (routes.WeightedService(item["Service"], 1.0),) if item.get("Service") else ()
+        shares = tuple(_decode_each(item, "TrafficSplit", _decode_share, ignored))
+        if not any([share.weight for share in shares]):
+            raise fields.FieldError("all weights are 0", "range", "TrafficSplit")
+        return shares
+    if not item.get("Service"):
+        return ()
+    return (routes.WeightedService(fields.read_text_field(item, "Service"), 1.0),)
+
+
+def _decode_share(item: JsonObject, ignored: list[str]) -> routes.WeightedService:
+    weight = item.get("Weight")
+    if type(weight) is not int or not 0 <= weight <= _MAX_WEIGHT:
+        weight = fields.read_field(item, "Weight", _read_weight)
+    return routes.WeightedService(fields.read_text_field(item, "Service"), float(weight))
 
 
-def _decode_limits(item: JsonObject) -> messages.Limits:
+def _read_weight(value: typing.Any) -> float:
+    return fields.read_number(value, 0, _MAX_WEIGHT)
+
+
+def _decode_shards(item: JsonObject) -> tuple[str, ...]:
+    if not item.get("Gather"):
+        return ()
+    shards = _read_list(item, "Gather")
+    if len(shards) > MAX_SHARDS:
+        raise fields.FieldError(f"more than {MAX_SHARDS} services", "length", "Gather")
+    try:
+        fields.check_texts(shards)
+    except fields.FieldError as error:
+        raise error.within("Gather") from None
+    return tuple(shards)
+
+
+def _decode_limits(item: typing.Any) -> messages.Limits:
     default = messages.Limits()
-    header_ms, idle_ms = item.get("HeaderTimeoutMs"), item.get("IdleTimeoutMs")
-    return messages.Limits(
-        header_bytes=item.get("MaxHeaderBytes") or default.header_bytes,
-        body_bytes=item.get("MaxBodyBytes") or default.body_bytes,
-        header_timeout_s=header_ms / 1000 if header_ms else default.header_timeout_s,
-        idle_timeout_s=idle_ms / 1000 if idle_ms else default.idle_timeout_s,
-    )
+    try:
+        _require_object(item)
+        header_ms = _read_amount(item, "HeaderTimeoutMs", _MAX_DURATION_MS)
+        idle_ms = _read_amount(item, "IdleTimeoutMs", _MAX_DURATION_MS)
+        return messages.Limits(
+            header_bytes=_read_count(item, "MaxHeaderBytes", _MAX_BYTES) or default.header_bytes,
+            body_bytes=_read_count(item, "MaxBodyBytes", _MAX_BYTES) or default.body_bytes,
+            header_timeout_s=header_ms / 1000 if header_ms else default.header_timeout_s,
+            idle_timeout_s=idle_ms / 1000 if idle_ms else default.idle_timeout_s,
+        )
+    except fields.FieldError as error:
+        raise error.within("Limits") from None
 
 
-def _decode_replica(instance: str, item: JsonObject) -> routes.ReplicaEntry:
+def _decode_replica(instance: str, item: typing.Any) -> routes.ReplicaEntry:
     """Decode a replica's entry; every field but ``born`` is required and type-checked."""
-    if not (instance.isascii() and instance.isprintable()) or " " in instance or not instance:
-        # The name is sent as a header value; a line break in it would start another header.
-        raise ValueError("instance name is empty or not printable ASCII without spaces")
-    host, port = _parse_address(item["Address"])
-    state = item["State"]
-    if state not in (_STATE_READY, _STATE_DRAINING):
-        raise ValueError("state is neither ready nor draining")
-    _require_text(item["Version"])
+    _require_object(item)
+    host, port = fields.read_field(item, "Address", _read_address)
+    state = fields.read_field(item, "State", _read_state)
+    fields.read_name_field(item, "Version")
     return routes.ReplicaEntry(
         instance=instance,
-        service=_require_text(item["Service"]),
+        service=fields.read_name_field(item, "Service"),
         host=host,
         port=port,
-        data_centre=_require_text(item["Zone"]),
-        slots=_require_integer(item["Slots"], minimum=1),
+        data_centre=fields.read_name_field(item, "Zone"),
+        slots=fields.read_integer_field(item, "Slots", 1, fields.MAX_LOAD),
         draining=state == _STATE_DRAINING,
-        warmup_left_ms=_require_duration_ms(item["WarmupLeftMs"]),
-        born_ms=_require_integer(item["born"]) if "born" in item else None,
-        sequence=_require_integer(item["Sequence"]),
+        warmup_left_ms=fields.read_field(item, "WarmupLeftMs", _read_duration_ms),
+        born_ms=(
+            fields.read_integer_field(item, "born", 0, _MAX_TIME_MS) if "born" in item else None
+        ),
+        sequence=fields.read_integer_field(item, "Sequence", 0, _MAX_SEQUENCE),
     )
 
 
-def _require_text(value: typing.Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError("not a non-empty string")
-    return value
-
-
-def _require_integer(value: typing.Any, minimum: int = 0) -> int:
-    if not isinstance(value, int) or isinstance(value, bool) or value < minimum:
-        raise ValueError("not an integer, or below the minimum")
+def _read_state(value: typing.Any) -> str:
+    if fields.read_string(value) not in (_STATE_READY, _STATE_DRAINING):
+        raise fields.FieldError("neither ready nor draining", "range")
     return value
 
 
-def _require_duration_ms(value: typing.Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise ValueError("duration is not a number")
-    if not 0 <= value <= _MAX_DURATION_MS:
-        raise ValueError("duration is negative or too long")
-    return float(value)
+def _read_duration_ms(value: typing.Any) -> float:
+    return float(fields.read_number(value, 0, _MAX_DURATION_MS))
 
 
-def _parse_address(value: typing.Any) -> tuple[str, int]:
-    host, _, port = _require_text(value).rpartition(":")
+def _read_address(value: typing.Any) -> tuple[str, int]:
+    host, _, port = fields.read_text(value).rpartition(":")
     try:
         socket.inet_pton(socket.AF_INET, host)
-    except OSError:
-        raise ValueError("host is not an IPv4 address") from None
-    if not (port.isascii() and port.isdigit()) or not 0 < int(port) <= _MAX_PORT:
-        raise ValueError("port is not an integer from 1 to 65535")
+    except (OSError, ValueError):
+        raise fields.FieldError("host is not an IPv4 address", "address") from None
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(_MAX_PORT))
+    if not is_number or not 0 < int(port) <= _MAX_PORT:
+        raise fields.FieldError(f"port is not an integer from 1 to {_MAX_PORT}", "address")
     return host, int(port)
 
 
-def _decode_instance(name: str, item: JsonObject, ignored: list[str]) -> source.EntryInstance:
-    _parse_address(item["address"])
-    if item["peers_address"] != "":
-        _parse_address(item["peers_address"])
+def _decode_instance(name: str, item: typing.Any, ignored: list[str]) -> source.EntryInstance:
+    _require_object(item)
+    fields.read_field(item, "address", _read_address)
+    if fields.read_field(item, "peers_address", fields.read_string) != "":
+        fields.read_field(item, "peers_address", _read_address)
     return source.EntryInstance(
         name,
         item["address"],
-        _require_text(item["data_centre"]),
-        _require_text(item["region"]),
+        fields.read_field(item, "data_centre", fields.read_text),
+        fields.read_field(item, "region", fields.read_text),
         item["peers_address"],
         fields.read_optional(item, "capacity", fields.read_capacity, capacity.DEFAULT, ignored),
     )
--- a/src/turmericlug/platform/fields.py
+++ b/src/turmericlug/platform/fields.py
@@ -11,6 +11,8 @@
 """Regions that one route or organisation may be restricted to."""
 MAX_RATE_PER_S = 1e6
 """Requests per second; no replica plausibly has a higher limit."""
+MAX_TEXT_LENGTH = 4096
+"""Characters of a name, a host or a path prefix."""
 MAX_LOAD = 1_000_000
 """Requests or slots of one replica; a load report with a higher value is ignored."""
 MAX_SLOWDOWN_PERCENT = 100_000
@@ -38,12 +40,13 @@
         return self
 
 
-_T = typing.TypeVar("_T")
+T = typing.TypeVar("T")
+_NUMBER_TYPES = (int, float)
 
 
 def read_field(
-    item: abc.Mapping[str, typing.Any], name: str, read: abc.Callable[[typing.Any], _T]
-) -> _T:
+    item: abc.Mapping[str, typing.Any], name: str, read: abc.Callable[[typing.Any], T]
+) -> T:
     """
     Read a required field.
 
@@ -70,6 +73,116 @@
     return value
 
 
+def read_whole_number(value: typing.Any, minimum: int, maximum: int) -> int:
+    """
+    Read an integer, which may be written with a decimal point.
+
+    :raises FieldError: not a whole number, or not from ``minimum`` to ``maximum``
+    """
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    return read_integer(value, minimum, maximum)
+
+
+def read_number(value: typing.Any, minimum: float, maximum: float) -> float:
+    """
+    Read a number.
+
+    :raises FieldError: not a number, or not from ``minimum`` to ``maximum``
+    """
+    if isinstance(value, bool) or not isinstance(value, _NUMBER_TYPES):
+        raise FieldError("not a number")
+    if not minimum <= value <= maximum:
+        raise FieldError(f"not from {minimum:.15g} to {maximum:.15g}", "range")
+    return value
+
+
+def read_text(value: typing.Any) -> str:
+    """
+    Read a text.
+
+    :raises FieldError: not a string, empty, too long, or not valid Unicode
+    """
+    if not read_any_text(value):
+        raise FieldError("empty", "length")
+    return value
+
+
+def read_any_text(value: typing.Any) -> str:
+    """
+    Read a text that may be empty.
+
+    :raises FieldError: not a string, too long, or not valid Unicode
+    """
+    if not isinstance(value, str):
+        raise FieldError("not a string")
+    if len(value) > MAX_TEXT_LENGTH:
+        raise FieldError(f"longer than {MAX_TEXT_LENGTH} characters", "length")
+    if not (value.isascii() or is_unicode(value)):
+        raise FieldError("not valid Unicode", "text")
+    return value
+
+
+def read_text_field(item: abc.Mapping[str, typing.Any], name: str) -> str:
+    """
+    Read a required field with ``read_any_text``; faster where the text is plain ASCII.
+
+    :raises FieldError: absent or malformed
+    """
+    value = item.get(name)
+    if type(value) is str and value.isascii() and len(value) <= MAX_TEXT_LENGTH:
+        return value
+    return read_field(item, name, read_any_text)
+
+
+def read_name_field(item: abc.Mapping[str, typing.Any], name: str) -> str:
+    """
+    Read a required field with ``read_text``; faster where the text is plain ASCII.
+
+    :raises FieldError: absent or malformed
+    """
+    return read_text_field(item, name) or read_field(item, name, read_text)
+
+
+def read_integer_field(
+    item: abc.Mapping[str, typing.Any], name: str, minimum: int, maximum: int
+) -> int:
+    """
+    Read a required integer.
+
+    :raises FieldError: absent or malformed
+    """
+    value = item.get(name)
+    if type(value) is int and minimum <= value <= maximum:
+        return value
+    return read_field(item, name, lambda value: read_integer(value, minimum, maximum))
+
+
+def check_texts(values: list[typing.Any]) -> None:
+    """
+    Check each element with ``read_any_text``; faster where all of them are plain ASCII.
+
+    :raises FieldError: an element is malformed
+    """
+    try:
+        joined = "".join(values)
+        if joined.isascii() and len(joined) <= MAX_TEXT_LENGTH:
+            return
+    except TypeError:
+        pass
+    for value in values:
+        read_any_text(value)
+
+
+def is_unicode(value: str) -> bool:
+    """Whether a string can be encoded; JSON may hold half of a surrogate pair."""
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def read_flag(value: typing.Any) -> bool:
     """
     Read a truth value; ``None`` counts as false.
@@ -106,10 +219,10 @@
 def read_optional(
     item: abc.Mapping[str, typing.Any],
     name: str,
-    read: abc.Callable[[typing.Any], _T],
-    default: _T,
+    read: abc.Callable[[typing.Any], T],
+    default: T,
     ignored: list[str],
-) -> _T:
+) -> T:
     """
     Read a field, or return its default when it is absent or malformed.
 
@@ -135,7 +248,9 @@
     """
     if not isinstance(value, list) or len(value) > MAX_REGIONS:
         raise FieldError(f"not a list of {MAX_REGIONS} regions at most")
-    return frozenset(name for name in value if isinstance(name, str) and name) if value else None
+    if not value:
+        return None
+    return frozenset(name for name in value if isinstance(name, str) and name and is_unicode(name))
 
 
 def read_allowed_regions(
@@ -153,7 +268,7 @@
 
     :raises FieldError: not a number from 0 to ``MAX_RATE_PER_S``
     """
-    if isinstance(value, bool) or not isinstance(value, int | float):
+    if isinstance(value, bool) or not isinstance(value, _NUMBER_TYPES):
         raise FieldError("not a number")
     if not 0 <= value <= MAX_RATE_PER_S:
         raise FieldError(f"not from 0 to {MAX_RATE_PER_S:.0f}")
@@ -166,7 +281,7 @@
 
     :raises FieldError: not a number within the bounds of a capacity
     """
-    if isinstance(value, bool) or not isinstance(value, int | float):
+    if isinstance(value, bool) or not isinstance(value, _NUMBER_TYPES):
         raise FieldError("not a number")
     if not capacity.MINIMUM <= value <= capacity.MAXIMUM:
         raise FieldError(f"not from {capacity.MINIMUM} to {capacity.MAXIMUM}")
--- a/src/turmericlug/platform/json_values.py
+++ b/src/turmericlug/platform/json_values.py
@@ -13,6 +13,8 @@
 MAX_DEPTH = 32
 """The configuration has 5 levels, the store's answers 3. The parser's own limit is what the stack
 of its caller leaves, so that two instances could read the same value differently."""
+_SHORT_BYTES = 1024
+"""Up to this length, counting brackets is faster than finding out which are in strings."""
 _DEEPER = [0] * 256
 """By how many levels a byte outside of strings changes the nesting."""
 for _byte in b"[{":
@@ -41,7 +43,8 @@
 
 
 def _is_too_deep(content: bytes) -> bool:
-    if len(content) <= MAX_DEPTH:
+    is_short = len(content) <= _SHORT_BYTES
+    if is_short and content.count(b"[") + content.count(b"{") <= MAX_DEPTH:
         return False
     if b"\\" in content:
         content = content.replace(rb"\\", b"").replace(rb"\"", b"")
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -244,6 +244,7 @@
 REFUSED_VALUES = [
     ("servers/i-1", b"{", "syntax", ""),
     ("servers/i-1", json.dumps({"Service": "s"}).encode(), "missing", "Address"),
+    ("servers/i-1", json.dumps(VALID_ENTRY | {"Slots": 0}).encode(), "range", "Slots"),
     ("op/config", b'{"Version":1}', "missing", "Services"),
 ]
 
