--- a/tests/failing_entry.py
+++ b/tests/failing_entry.py
@@ -34,7 +34,7 @@
     ),
     "housekeeping": (long_running.HOUSEKEEPING, view.View, "expire_held", "_run_housekeeping"),
     "totals": (long_running.TOTALS, replicas.Replicas, "connections", "_log_totals"),
-    "settings poll": (long_running.SETTINGS_POLL, live_settings, "_version", "watch"),
+    "settings poll": (long_running.SETTINGS_POLL, live_settings, "file_version", "watch"),
     "warm-up": (long_running.WARM_UP, peers.Peers, "warm", "_warm_connections"),
     "suspects broadcast": (
         long_running.SUSPECTS_BROADCAST,
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -296,7 +296,7 @@
     mutant.one(
         "reset-the-journal-after-lost-history",
         "entry/follower.py",
-        "    if journal.position is None:",
+        "    if journal.position is None or snapshot.position < journal.position:",
         "    if True:",
         "entry/test_follower.py" "::test_journal_continues_after_lost_history",
     ),
