Soak: an end that nobody caused and a failed task are violations; faults around starts

Callers saw instances that didn't start or ended by themselves, and the soak was blind to it: it started processes on free ports with a complete file, sent no signal before readiness, and started an instance again without asking why its process had ended.

Each process is watched now. An end that the harness has not caused is a violation FAULT with the status, the age and the last lines; the process is started again as a supervisor would. A line task.failed is a violation TASK. A check that gets no answer is a violation UNREACHABLE, with those of the processes, instead of an exception that hid them.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,13 +18,26 @@
     """Injects the faults of one seed, one after the other and overlapping."""
 
     testbed: testbed_module.Testbed
+    max_pause_s: float = 1.2
+    """Longest pause between the beginnings of two faults, with three instances."""
 
     async def run(self, duration_s):
         """Inject faults for the given time, then wait until the last one is over."""
         loop = asyncio.get_running_loop()
         rng = self.testbed.rng
         end_s = loop.time() + duration_s
-        faults = (
+        faults = self.faults()
+        # Each instance has about as many faults at a time as with three instances.
+        pause_s = self.max_pause_s * 3 / self.testbed.instance_count
+        running = set()
+        while loop.time() < end_s:
+            running.add(asyncio.create_task(rng.choice(faults)()))
+            await asyncio.sleep(rng.uniform(0.1, 1.0) * pause_s)
+        await asyncio.gather(*running)
+
+    def faults(self):
+        """Return the faults to choose from; each is a coroutine function."""
+        return (
             self._kill_instance, self._freeze_instance, self._restart_instance, self._store_outage,
             self._expire_leases, self._forget_history, self._replica_fault, self._drain_replica,
             self._new_configuration, self._delay_connections, self._refuse_connections,
@@ -32,13 +45,6 @@
             self._malformed_entries, self._lethal_request, self._restore_store,
             self._restore_store,
         )  # fmt: skip
-        # About one fault at a time per three instances, so that some instances keep serving.
-        pause_s = 1.2 * 3 / self.testbed.instance_count
-        running = set()
-        while loop.time() < end_s:
-            running.add(asyncio.create_task(rng.choice(faults)()))
-            await asyncio.sleep(rng.uniform(0.1, 1.0) * pause_s)
-        await asyncio.gather(*running)
 
     def _pick_instance(self):
         """Pick an undisturbed instance, or ``None`` if it would be the last one."""
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,162 @@
+"""Entry instances whose processes are watched: each end has a recorded reason."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import time
+from collections import abc
+
+import attrs
+import entry_process
+
+RESTART_DELAY_S = 0.3
+"""After this time a supervisor starts a process again that has ended by itself."""
+MAX_REASON_CHARACTERS = 400
+LISTENING_TIMEOUT_S = 3.0
+
+
+@attrs.define
+class Run:
+    """One process of an instance, from its start to its end."""
+
+    process: asyncio.subprocess.Process
+    started_s: float
+    log_offset: int
+    signals: set[int] = attrs.field(factory=set)
+    """The signals that were sent to it."""
+    listened_before_stop: bool = False
+    """Whether it had listened for callers when SIGTERM was sent, so that it has to drain."""
+    ended_s: float | None = None
+
+    def is_caused(self):
+        """Whether the harness has caused the end."""
+        status = self.process.returncode
+        if status == -signal.SIGKILL:
+            return signal.SIGKILL in self.signals
+        if status == -signal.SIGTERM:
+            return signal.SIGTERM in self.signals and not self.listened_before_stop
+        return status == 0 and signal.SIGTERM in self.signals
+
+
+@attrs.define
+class Instance(entry_process.Instance):
+    """An instance whose processes are watched, and started again if they end by themselves."""
+
+    good_settings: str = ""
+    """The complete text of the settings file."""
+    runs: list[Run] = attrs.field(factory=list)
+    violations: list[str] = attrs.field(factory=list)
+    is_closed: bool = False
+    """Whether the test is over, so that no process is started any more."""
+    _starting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    _watchers: set[asyncio.Task] = attrs.field(factory=set)
+
+    async def start(self, streams=True, beside=False):
+        """
+        Start a process unless one is running.
+
+        :param beside: start it also beside the one that is running
+        """
+        async with self._starting:
+            is_running = self.process is not None and self.process.returncode is None
+            if self.is_closed or (is_running and not beside):
+                return
+            offset = self.log.stat().st_size if self.log.exists() else 0
+            await super().start(streams)
+            self.runs.append(Run(self.process, time.monotonic(), offset))
+            watcher = asyncio.create_task(self._watch(self.runs[-1]))
+            self._watchers.add(watcher)
+            watcher.add_done_callback(self._watchers.discard)
+
+    def signal(self, number):
+        """Send a signal to the newest process, and record it."""
+        if self.runs:
+            self.signal_run(self.runs[-1], number)
+
+    def signal_run(self, run, number):
+        """Send a signal to one process if it is running, and record it."""
+        if run.process.returncode is None:
+            run.signals.add(number)
+            run.process.send_signal(number)
+
+    async def stop_listening_run(self, delay_s=0.0):
+        """Send SIGTERM a while after the newest process has begun to listen; return its run."""
+        run = self.runs[-1]
+        run.listened_before_stop = await self.wait_until_listening(run)
+        await asyncio.sleep(delay_s)
+        self.signal_run(run, signal.SIGTERM)
+        return run
+
+    async def wait_until_listening(self, run):
+        """Wait until a process listens for callers; false if it ends or takes too long."""
+        end_s = time.monotonic() + LISTENING_TIMEOUT_S
+        while time.monotonic() < end_s and run.process.returncode is None:
+            if await _listens(self.ports[0]):
+                return run.process.returncode is None
+            await asyncio.sleep(0.005)
+        return False
+
+    async def kill_all(self):
+        """End the instance for good."""
+        self.is_closed = True
+        for run in self.runs:
+            self.signal_run(run, signal.SIGCONT)
+            self.signal_run(run, signal.SIGKILL)
+        await asyncio.gather(*(run.process.wait() for run in self.runs), *self._watchers)
+
+    async def _watch(self, run):
+        await run.process.wait()
+        run.ended_s = time.monotonic()
+        if run.is_caused():
+            return
+        self.violations.append(
+            f"FAULT {self.name}: status {run.process.returncode} at an age of "
+            f"{run.ended_s - run.started_s:.2f} s, last lines: {self._last_lines(run)}"
+        )
+        await asyncio.sleep(RESTART_DELAY_S)
+        if self.process is run.process:
+            await self.start()
+
+    def _last_lines(self, run):
+        with self.log.open("rb") as log:
+            log.seek(run.log_offset)
+            lines = log.read().decode(errors="replace").splitlines()
+        lines = [line.strip() for line in lines if line.strip("^ ")]
+        return " | ".join(lines[-3:])[-MAX_REASON_CHARACTERS:]
+
+    def failed_tasks(self):
+        """Yield a violation for each task that has failed in one of the processes."""
+        for line in self.log.read_text(errors="replace").splitlines():
+            if '"task.failed"' in line:
+                yield f"TASK {self.name}: {_reason(line)[:MAX_REASON_CHARACTERS]}"
+
+
+def make(*arguments, **options):
+    """Make a watched instance; the arguments are those of ``entry_process.make``."""
+    instance = entry_process.make(*arguments, **options)
+    return Instance(**attrs.asdict(instance, recurse=False))
+
+
+def find_violations(instances: abc.Iterable[Instance]):
+    """Yield the ends that nobody caused, and the tasks that failed, each distinct text once."""
+    for instance in instances:
+        yield from instance.violations
+        yield from dict.fromkeys(instance.failed_tasks())
+
+
+def _reason(line):
+    try:
+        return str(json.loads(line).get("reason"))
+    except ValueError:
+        return line
+
+
+async def _listens(port):
+    try:
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+    except OSError:
+        return False
+    writer.close()
+    return True
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,12 +25,19 @@
 import entry_process  # noqa: E402
 import faults as faults_module  # noqa: E402
 import organisations as organisations_module  # noqa: E402
+import process_faults as process_faults_module  # noqa: E402
+import processes as processes_module  # noqa: E402
 import standin_organisations  # noqa: E402
 import testbed as testbed_module  # noqa: E402
 
 from turmericlug.http1 import client  # noqa: E402
 
 INSTANCE_COUNT = 3
+INJECTORS = {
+    "network": faults_module.FaultInjector,
+    "processes": process_faults_module.ProcessFaultInjector,
+}
+"""Profiles of faults; the faults that a seed injects depend on the profile."""
 CALLER_COUNT = 6
 SETTLE_S = 3.0
 """Time for held entries to be written again (2.2 s) and ejected replicas to be tried again."""
@@ -44,33 +51,41 @@
 """The tighter of the two bounds for a new configuration and for a draining replica."""
 
 
-async def _run(seed, duration_s, folder, instance_count):
+async def _run(seed, duration_s, folder, instance_count, profile):
     # A generator of their own: changes of organisations don't change which faults a seed injects.
     organisations = organisations_module.Organisations(random.Random(f"organisations-{seed}"))
     testbed = testbed_module.Testbed(random.Random(seed), folder, instance_count, organisations)
+    testbed.listens_early = profile == "processes"
     callers = callers_module.Callers(testbed)
-    async with testbed.running():
-        caller_tasks = [asyncio.create_task(callers.run()) for _ in range(CALLER_COUNT)]
-        try:
-            publish = functools.partial(testbed.publish_configuration, testbed.organisations.rng)
-            await asyncio.gather(
-                faults_module.FaultInjector(testbed).run(duration_s),
-                testbed.organisations.keep_changing(duration_s, publish),
-            )
-            await _check_recovery(testbed, callers)
-            await _check_drain(testbed, callers)
-            await _check_configuration(testbed, callers)
-            await _check_restore(testbed, callers)
-            await _check_quarantine(testbed, callers)
-            await _check_evacuation(testbed, callers)
-            await _check_keys(testbed, callers)
-        finally:
-            for task in caller_tasks:
-                task.cancel()
-            await asyncio.gather(*caller_tasks, return_exceptions=True)
+    try:
+        async with testbed.running():
+            await _inject_and_check(testbed, callers, duration_s, INJECTORS[profile](testbed))
+    except (TimeoutError, client.ConnectError, client.ExchangeError) as error:
+        callers.violations.append(f"UNREACHABLE: a check got no answer: {error!r}")
     callers.check_runs()
     callers.violations.extend(testbed.organisations.find_violations(testbed))
-    return callers.violations
+    return [*processes_module.find_violations(testbed.instances), *callers.violations]
+
+
+async def _inject_and_check(testbed, callers, duration_s, injector):
+    caller_tasks = [asyncio.create_task(callers.run()) for _ in range(CALLER_COUNT)]
+    try:
+        publish = functools.partial(testbed.publish_configuration, testbed.organisations.rng)
+        await asyncio.gather(
+            injector.run(duration_s),
+            testbed.organisations.keep_changing(duration_s, publish),
+        )
+        await _check_recovery(testbed, callers)
+        await _check_drain(testbed, callers)
+        await _check_configuration(testbed, callers)
+        await _check_restore(testbed, callers)
+        await _check_quarantine(testbed, callers)
+        await _check_evacuation(testbed, callers)
+        await _check_keys(testbed, callers)
+    finally:
+        for task in caller_tasks:
+            task.cancel()
+        await asyncio.gather(*caller_tasks, return_exceptions=True)
 
 
 async def _check_recovery(testbed, callers):
@@ -216,10 +231,10 @@
             await testbed.ask(instance, b"/all/lethal")
 
 
-def run_seed(seed, duration_s, instance_count=INSTANCE_COUNT):
+def run_seed(seed, duration_s, instance_count=INSTANCE_COUNT, profile="network"):
     """Run one seed and return the violations; logs are kept only if there are any."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    violations = asyncio.run(_run(seed, duration_s, folder, instance_count))
+    violations = asyncio.run(_run(seed, duration_s, folder, instance_count, profile))
     if violations:
         return [*violations, f"logs: {folder}"]
     with contextlib.suppress(OSError):
@@ -236,10 +251,11 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--length-s", type=float, default=8.0)
     parser.add_argument("--instances", type=int, default=INSTANCE_COUNT)
+    parser.add_argument("--profile", choices=INJECTORS, default="network")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
-        violations = run_seed(seed, options.length_s, options.instances)
+        violations = run_seed(seed, options.length_s, options.instances, options.profile)
         failed += bool(violations)
         print(f"seed {seed}: {'; '.join(violations[:6]) or 'no violations'}", flush=True)
     print(f"{options.seeds - failed} passed, {failed} failed")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,6 +12,7 @@
     3207: "a watch kept waiting in an era that was known to be superseded",
 }
 """Seeds that once violated a guarantee, with the cause; they stay in the test for good."""
+PROCESS_SEEDS = (5002, 5003, 5004)
 
 
 @pytest.mark.parametrize("seed", [*SEEDS, *REGRESSIONS])
@@ -22,3 +23,12 @@
     their connections.
     """
     assert soak.run_seed(seed, DURATION_S) == []
+
+
+@pytest.mark.parametrize("seed", PROCESS_SEEDS)
+def test_nothing_from_outside_ends_a_process(seed):
+    """
+    Signals, held ports and half written settings ended processes while they started; odd values and
+    answers of the store ended the tasks that read them.
+    """
+    assert soak.run_seed(seed, DURATION_S, profile="processes") == []
--- a/tests/soak/testbed.py
+++ b/tests/soak/testbed.py
@@ -8,11 +8,12 @@
 import itertools
 import pathlib
 import random
-import signal
 
 import attrs
 import entry_process
+import odd_store as odd_store_module
 import organisations as organisations_module
+import processes as processes_module
 import standin_organisations
 import standin_platform
 
@@ -38,11 +39,13 @@
     folder: pathlib.Path
     instance_count: int
     organisations: organisations_module.Organisations
-    store: standin_platform.Store = attrs.field(factory=standin_platform.Store)
+    store: odd_store_module.OddStore = attrs.field(factory=odd_store_module.OddStore)
     replicas: list[standin_platform.Replica] = attrs.field(factory=list)
-    instances: list[entry_process.Instance] = attrs.field(factory=list)
+    instances: list[processes_module.Instance] = attrs.field(factory=list)
     proxy: standin_proxy.Proxy | None = None
     """Its routes are ``store/INSTANCE``, ``replica/REPLICA`` and ``peer/INSTANCE``."""
+    listens_early: bool = False
+    """Whether instances listen for callers before they are loaded, as in a deployment."""
     version: int = 0
     configuration: dict = attrs.field(factory=dict)
     """The configuration of that version in the operator's format."""
@@ -59,7 +62,9 @@
             address = await stack.enter_async_context(standin_platform.listening(self.store.handle))
             proxy_routes = await self._start_replicas(stack)
             for number in range(self.instance_count):
-                proxy_routes += self._add_instance(f"e-{number}", f"dc-{number % 2}", address[1])
+                proxy_routes += self._add_instance(
+                    f"e-{number}", f"dc-{number % len(REGIONS)}", address[1]
+                )
             self.proxy = standin_proxy.Proxy("127.0.0.1", proxy_routes)
             self.store.rewrite_value = functools.partial(
                 standin_platform.advertise_proxy, self.proxy
@@ -69,17 +74,20 @@
             self.publish_replicas()
             self.publish_configuration()
             for instance in self.instances:
+                stack.push_async_callback(instance.kill_all)
                 await instance.start()
-                stack.push_async_callback(_kill, instance)
             await self.wait_until_ready()
             yield
 
     def _add_instance(self, name, data_centre, store_port):
         """Create an instance, not started; return the proxy routes to the store and to it."""
         store_proxy_port, peer_proxy_port = fleet_spec.reserve_ports(2)
-        instance = entry_process.make(self.folder, name, store_proxy_port, REGIONS, data_centre)
+        instance = processes_module.make(self.folder, name, store_proxy_port, REGIONS, data_centre)
+        if self.listens_early:
+            instance.arguments = ("--listen-early", f"127.0.0.1:{instance.ports[0]}")
         with instance.settings.open("a") as settings:
             settings.write(organisations_module.SETTINGS)
+        instance.good_settings = instance.settings.read_text()
         self.instances.append(instance)
         return [
             standin_proxy.Route(f"store/{name}", store_proxy_port, store_port),
@@ -102,7 +110,7 @@
                 proxy_routes.append(standin_proxy.Route(f"replica/{name}", proxy_port, port))
                 replica.address = (host, proxy_port)
                 replica.on_crash = self._handle_crash
-                replica.zone = f"dc-{(number + len(self.replicas)) % 2}"
+                replica.zone = f"dc-{(number + len(self.replicas)) % len(REGIONS)}"
                 self.replicas.append(replica)
         return proxy_routes
 
@@ -185,12 +193,6 @@
                     await asyncio.sleep(0.05)
 
 
-async def _kill(instance):
-    instance.signal(signal.SIGCONT)
-    instance.signal(signal.SIGKILL)
-    await instance.process.wait()
-
-
 async def _is_ready(instance):
     with contextlib.suppress(client.ConnectError, client.ExchangeError, TimeoutError):
         async with asyncio.timeout(1.0):
