--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import os
 import signal
 import time
 from collections import abc
@@ -79,7 +81,9 @@
         """Send a signal to one process if it is running, and record it."""
         if run.process.returncode is None:
             run.signals.add(number)
-            run.process.send_signal(number)
+            # Popen.send_signal would take the status of a process that has just ended.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(run.process.pid, number)
 
     async def stop_listening_run(self, delay_s=0.0):
         """Send SIGTERM a while after the newest process has begun to listen; return its run."""
