Check what relays hand on and receive like the answers of the store

What callers saw: one key with a lone surrogate made every reply of the relay that knew it fail, so that all instances of the data centre asked the store. A position of thousands of digits in a request raised in the handler (500 and an error line). A relay, or one of an older version, at a position that the store never reaches took all instances behind it along, and a change with such a revision pinned its key.

Change: a change whose key no message can hold is left out of replies; each instance that reads the store has reported it, and no value under it is used. Positions in requests are 64-bit numbers. A reply with more than 40,000 changes is damaged; a change far ahead of its reply is refused as in an answer of the store; a relay whose position the source can't be at is passed over like one that fails. A value that this instance has refused is still relayed as the store holds it: each receiver refuses it by itself, and reports the same field.

--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -65,7 +65,7 @@
         position, _, rest = request.target.removeprefix(PATH).partition(b"/")
         wait_ms, _, name = rest.partition(b"/")
         after = _position(position)
-        if not (after and wait_ms.isdigit() and name):
+        if not (after and _is_number(wait_ms) and name):
             return messages.Response(404)
         peer_liveness.record_contact(name.decode("latin-1"), asyncio.get_running_loop().time())
         try:
@@ -84,11 +84,20 @@
 
 def _position(text: bytes) -> source_module.Position | None:
     era, _, revision = text.partition(b".")
-    if not (era.isdigit() and revision.isdigit()):
+    if not (_is_number(era) and _is_number(revision)):
         return None
     return source_module.Position(int(era), int(revision))
 
 
+def _is_number(text: bytes) -> bool:
+    """Whether a text is a number that fits into the field of a message."""
+    return (
+        text.isdigit()
+        and len(text) <= len(str(source_module.MAX_NUMBER))
+        and int(text) <= source_module.MAX_NUMBER
+    )
+
+
 @attrs.define
 class _Failures:
     """Recent failures of a relay."""
@@ -247,6 +256,8 @@
             if response.status != 200:
                 return self._record_failure(relay, f"status_{response.status}")
             reply = relay_codec.decode(response.body, self.decode_change)
+            if not reply.history_lost and not _can_continue(reply.changes, after):
+                return self._record_failure(relay, f"revision {reply.changes.revision}")
         except (client.ConnectError, client.ExchangeError, relay_codec.MessageError) as error:
             return self._record_failure(relay, str(error))
         except TimeoutError:
@@ -269,6 +280,11 @@
         decisions.log("relay.failed", relay=name, reason=reason[:100], in_a_row=failures.in_a_row)
 
 
+def _can_continue(changes: source_module.Changes, after: source_module.Position) -> bool:
+    """Whether the source can be at the position that a relay states; a relay may be behind."""
+    return changes.position <= after or changes.position.can_follow(after)
+
+
 def _log_standby_reply(relay: replica_module.Replica, changes: source_module.Changes) -> None:
     decisions.log(
         "relay.standby_answered",
--- a/src/turmericlug/entry/relay_codec.py
+++ b/src/turmericlug/entry/relay_codec.py
@@ -17,6 +17,8 @@
 """Compressing less than a packet gains nothing; entries of replicas are some 200 bytes."""
 MAX_CONTENT_BYTES = 8 * 1024 * 1024
 """Eight times the largest value that the source holds under one key."""
+MAX_CHANGES = 40_000
+"""Ten times as many as an instance keeps to relay."""
 _MAX_AGE_S = 3600.0
 """Reported as the age if the source has never answered: far beyond what any instance accepts."""
 
@@ -50,11 +52,23 @@
     else:
         message.revision = changes.revision
         message.era = changes.era
-        message.changes = [_encode_change(change) for change in changes.changes]
-    message.sourceAgeMs = int(min(age_s, _MAX_AGE_S) * 1000)
+        # A key that is not valid Unicode is read from the source by each instance alone: no message
+        # can hold it, and no value under it is used.
+        message.changes = [
+            _encode_change(change) for change in changes.changes if _is_unicode(change.key)
+        ]
+    message.sourceAgeMs = int(min(max(age_s, 0.0), _MAX_AGE_S) * 1000)
     return message.to_bytes_packed()
 
 
+def _is_unicode(key: str) -> bool:
+    try:
+        key.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _encode_change(change: source.Change) -> dict[str, object]:
     if isinstance(change, source.Removed):
         return {
@@ -95,20 +109,40 @@
     """
     try:
         message = _SCHEMA.News.from_bytes_packed(content)
-        decoded = [_decode_relayed_change(change, decode_change) for change in message.changes]
+        if len(message.changes) > MAX_CHANGES:
+            raise MessageError(f"{len(message.changes)} changes, more than {MAX_CHANGES}")
+        decoded = [
+            _decode_relayed_change(change, decode_change, message) for change in message.changes
+        ]
         changes = tuple(change for change in decoded if change is not None)
         age_s = message.sourceAgeMs / 1000
         reported = source.Changes(changes, message.revision, age_s, message.era)
         return Reply(reported, message.lost)
+    except MessageError:
+        raise
     except Exception as error:  # the library raises a different type for each kind of damage
         raise MessageError(str(error)[:100]) from error
 
 
 def _decode_relayed_change(
-    change: capnp.lib.capnp._DynamicStructReader, decode_change: DecodeChange
+    change: capnp.lib.capnp._DynamicStructReader,
+    decode_change: DecodeChange,
+    message: capnp.lib.capnp._DynamicStructReader,
 ) -> source.Change | None:
+    revisions_ahead = change.revision - message.revision if change.era == message.era else 0
+    is_plausible = revisions_ahead <= source.MAX_REVISIONS_AHEAD
     if change.removed:
-        return source.Removed(change.key, change.revision, change.era)
+        revision = change.revision if is_plausible else message.revision
+        return source.Removed(change.key, revision, change.era)
+    if not is_plausible:
+        return source.Unreadable(
+            change.key,
+            0,
+            "range",
+            era=change.era,
+            field="Revision",
+            problem=f"{change.revision} in changes up to {message.revision}",
+        )
     content = decompress_value(change.content) if change.compressed else bytes(change.content)
     decoded = decode_change(change.key, content, change.revision)
     if isinstance(decoded, source.Written):
--- a/src/turmericlug/entry/source.py
+++ b/src/turmericlug/entry/source.py
@@ -14,6 +14,12 @@
 """No source makes as many changes between two positions that an instance hears of: that is more
 than a day of 10,000 changes a second."""
 
+MAX_NUMBER = (1 << 64) - 1
+"""Eras, revisions and leases are 64-bit numbers in the messages between instances."""
+MAX_REVISIONS_AHEAD = 1_000_000
+"""How much newer than its answer a change may be: an answer that may be stale is some seconds old,
+in which a large deployment makes fewer changes."""
+
 
 @attrs.frozen
 class EntryInstance:
@@ -116,6 +122,7 @@
 
     key: str
     revision: int
+    """0 if it is malformed: it precedes any other, so that what is known of the key stays."""
     reason: str
     """A short keyword, which is also the name of a counter."""
     content: bytes = attrs.field(default=b"", repr=False)
--- a/src/turmericlug/platform/answers.py
+++ b/src/turmericlug/platform/answers.py
@@ -15,11 +15,6 @@
 from turmericlug.platform import decode
 from turmericlug.platform import fields
 
-MAX_REVISION = (1 << 64) - 1
-"""Revisions and leases are 64-bit numbers in the messages between instances."""
-MAX_REVISIONS_AHEAD = 1_000_000
-"""A page may be older than its newest item; this is minutes of changes of a large deployment."""
-
 
 @attrs.frozen
 class Page:
@@ -73,7 +68,7 @@
 def _read_number(body: typing.Any, name: str, minimum: int = 0) -> int:
     if not isinstance(body, dict):
         raise fields.FieldError("the answer is not an object")
-    return fields.read_integer_field(body, name, minimum, MAX_REVISION)
+    return fields.read_integer_field(body, name, minimum, source.MAX_NUMBER)
 
 
 def _read_objects(body: dict[str, typing.Any], name: str) -> list[dict[str, typing.Any]]:
@@ -105,7 +100,6 @@
         revision = _read_revision(item, answer_revision)
         content = fields.read_field(item, "Value", fields.read_string)
     except fields.FieldError as error:
-        # Revision 0 precedes any other: what is known of the key stays.
         return source.Unreadable(
             key, 0, error.reason, era=era, field=error.field, problem=str(error)
         )
@@ -116,13 +110,13 @@
 
 
 def _read_revision(item: dict[str, typing.Any], answer_revision: int) -> int:
-    maximum = min(answer_revision + MAX_REVISIONS_AHEAD, MAX_REVISION)
+    maximum = min(answer_revision + source.MAX_REVISIONS_AHEAD, source.MAX_NUMBER)
     return fields.read_field(item, "Revision", lambda value: fields.read_integer(value, 0, maximum))
 
 
 def _read_attached_lease(item: dict[str, typing.Any]) -> int:
     """Return the lease of an item; a malformed one counts as unknown."""
     try:
-        return fields.read_integer(item.get("Lease") or 0, 0, MAX_REVISION)
+        return fields.read_integer(item.get("Lease") or 0, 0, source.MAX_NUMBER)
     except fields.FieldError:
         return 0
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -483,3 +483,42 @@
     for index, at_s in contacts_s.items():
         source.peer_liveness.record_contact(names[int(index)], at_s)
     assert source.silent_instances(10.0) == [names[int(index)] for index in sorted(silent_names)]
+
+
+@pytest.mark.parametrize(
+    "target",
+    [
+        b"1.%s/0/e-2" % (b"9" * 5000),
+        b"%s.1/0/e-2" % (b"9" * 5000),
+        b"1.%d/0/e-2" % 2**64,
+        b"1.1/%s/e-2" % (b"9" * 5000),
+        b"1/0/e-2",
+        b"-1.1/0/e-2",
+        b"\xb2.1/0/e-2",
+    ],
+    ids=lambda target: str(target[:12]),
+)
+def test_request_with_a_malformed_position_is_rejected(target):
+    """Guards against positions of thousands of digits, which Python refuses to convert."""
+
+    async def main():
+        request = messages.Request(b"GET", relay.PATH + target, (), b"", 0.0)
+        response = await relay_handler(journal_with(replica("a", 11)))(request)
+        assert response.status == 404
+
+    asyncio.run(main())
+
+
+def test_relay_at_a_position_that_the_source_cannot_reach_is_bypassed(short_waits):
+    """Guards against instances that wait for ever for changes after the position of their relay."""
+
+    async def main():
+        journal = journal_module.Journal()
+        journal.restart(at(10))
+        journal.add(source_module.Changes((), 2**64 - 1))
+        async with relayed(relay_handler(journal)) as (source, store):
+            assert (await source.changes(at(10), 5.0)).revision == 10
+            assert store.asked == 1
+            assert source.counters.totals["relay.failed"] == 1
+
+    asyncio.run(main())
--- a/tests/entry/test_relay_codec.py
+++ b/tests/entry/test_relay_codec.py
@@ -41,3 +41,40 @@
 def test_damaged_value_raises(content):
     with pytest.raises((ValueError, zlib.error)):
         relay_codec.decompress_value(content)
+
+
+def test_key_that_no_message_can_hold_is_left_out():
+    """
+    Guards against one key with a lone surrogate that makes a relay fail: all instances of its data
+    centre turn to the store.
+    """
+    unreadable = source.Unreadable("r/\ud800", 10, "text", b"{}", 3)
+    removed = source.Removed("r/\udfff", 11, 3)
+    written = source.Written("r/\u20ac", scripted.entry("a"), 12, b"a", era=3)
+    changes = source.Changes((unreadable, removed, written), 12, era=3)
+    reply = relay_codec.decode(relay_codec.encode(changes, -1.0), decode_change)
+    assert reply.changes == source.Changes((written,), 12, era=3)
+
+
+def test_implausible_revisions_are_not_taken_over():
+    """
+    Guards against a relay of an older version that hands on a revision so large that no later value
+    of its key ever counts as newer.
+    """
+    large = 2**64 - 1
+    written = source.Written("r/a", scripted.entry("a"), large, b"a", era=3)
+    older = source.Written("r/b", scripted.entry("a"), large, b"a", era=2)
+    changes = source.Changes((written, source.Removed("r/c", large, 3), older), 12, era=3)
+    found = relay_codec.decode(relay_codec.encode(changes, 0.0), decode_change).changes.changes
+    assert [(type(change), change.revision) for change in found] == [
+        (source.Unreadable, 0),
+        (source.Removed, 12),
+        (source.Written, large),
+    ]
+
+
+def test_message_with_too_many_changes_raises(monkeypatch):
+    monkeypatch.setattr(relay_codec, "MAX_CHANGES", 2)
+    changes = source.Changes(tuple(source.Removed(f"r/{n}", 1) for n in range(3)), 12)
+    with pytest.raises(relay_codec.MessageError):
+        relay_codec.decode(relay_codec.encode(changes, 0.0), decode_change)
