Bound the exponent of a quarantine's duration

What callers saw: none reported. A report of another instance that states more than 1,024 quarantines of a request made every later request with that content, and each exchange about it, fail with an OverflowError (500), as the duration doubles with each quarantine. The message has 16 bits for the number.

Found by going through the numbers of all messages. test_any_number_of_quarantines_has_a_duration failed before with 1025 and 65535.

--- a/src/turmericlug/policy/poison.py
+++ b/src/turmericlug/policy/poison.py
@@ -50,6 +50,8 @@
 TIME_TOLERANCE_S = 0.5
 """Longer than any transmission delay of a report between instances."""
 
+_MAX_DOUBLINGS = 32
+
 Fingerprint = bytes
 
 
@@ -151,7 +153,9 @@
     """Return the duration of the latest quarantine, given the number of quarantines."""
     if not quarantines:
         return 0.0
-    return min(QUARANTINE_S * 2.0 ** (quarantines - 1), MAX_QUARANTINE_S)
+    # Other instances state the number; a float holds no power of 2 beyond 1023.
+    doublings = min(quarantines - 1, _MAX_DOUBLINGS)
+    return min(QUARANTINE_S * 2.0**doublings, MAX_QUARANTINE_S)
 
 
 class SuspectTable:
--- a/tests/policy/test_poison.py
+++ b/tests/policy/test_poison.py
@@ -277,3 +277,12 @@
 TestFleet.settings = hypothesis_settings(
     max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
 )
+
+
+@pytest.mark.parametrize("quarantines", [1024, 1025, 0xFFFF])
+def test_any_number_of_quarantines_has_a_duration(quarantines):
+    """
+    Guards against another instance's report of so many quarantines that their duration overflows:
+    every request with this content, and each exchange about it, then failed with an error.
+    """
+    assert poison.quarantine_duration_s(quarantines) == poison.MAX_QUARANTINE_S
