Fit numbers into the messages between instances, and check those received

What callers saw: queries over shards of a route with a priority or a number of attempts over 255 failed wherever an instance near the replicas was to help, as the message has 8 bits for each. A batch whose times are not finite raised in the handler after its parts had begun.

Change: the batch states the nearest number that fits; for the peer it makes no difference. Times have to be finite, not negative and at most ten times the longest time-out, else the message is refused as unreadable (400; the sender goes on as for a lost batch). Reports on suspected requests bound what they state, and refuse fingerprints of more than 64 bytes; a limit over 1e9 in a report about quotas counts as not stated. Instances of an older version read what this one sends.

--- a/src/turmericlug/direct/handover_codec.py
+++ b/src/turmericlug/direct/handover_codec.py
@@ -13,7 +13,11 @@
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("handover.capnp")))
 _TRAVERSAL_LIMIT_WORDS = 4 << 20
 _PERMILLE = 1000
+_MAX_UINT8 = 255
 _MAX_UINT16 = 65535
+_MAX_UINT32 = (1 << 32) - 1
+_MAX_TIME_MS = 1e10
+"""Ten times the longest time-out of a route."""
 
 
 class MessageError(Exception):
@@ -95,9 +99,10 @@
         body=batch.body,
         route=batch.route,
         goalMs=batch.goal_ms,
-        priority=batch.priority,
-        maxAttempts=batch.max_attempts,
-        topRecords=batch.top_records,
+        # Beyond these numbers, the exact one makes no difference to the peer.
+        priority=min(batch.priority, _MAX_UINT8),
+        maxAttempts=min(batch.max_attempts, _MAX_UINT8),
+        topRecords=min(batch.top_records, _MAX_UINT32),
         shards=list(batch.shards),
         answerInMs=batch.answer_in_ms,
         timeLeftMs=batch.time_left_ms,
@@ -130,13 +135,13 @@
             headers=[(header.name, header.value) for header in message.headers],
             body=message.body,
             route=message.route,
-            goal_ms=message.goalMs,
+            goal_ms=_read_time_ms(message.goalMs),
             priority=message.priority,
             max_attempts=message.maxAttempts,
             top_records=message.topRecords,
             shards=tuple(message.shards),
-            answer_in_ms=message.answerInMs,
-            time_left_ms=message.timeLeftMs,
+            answer_in_ms=_read_time_ms(message.answerInMs),
+            time_left_ms=_read_time_ms(message.timeLeftMs),
             data_centre=message.dataCentre,
             maybe_sent_before=message.again,
             regions=frozenset(message.regions) if message.bound else None,
@@ -146,6 +151,12 @@
         raise MessageError(str(error).splitlines()[0][:200]) from error
 
 
+def _read_time_ms(value: float) -> float:
+    if not 0 <= value <= _MAX_TIME_MS:
+        raise ValueError(f"a time of {value} ms is not from 0 to {_MAX_TIME_MS:.0f}")
+    return value
+
+
 def _decode_organisation(message: typing.Any) -> organisations_module.Organisation | None:
     if not message.organisation:
         return None
@@ -211,7 +222,7 @@
                 shards[failed.shard]: Failure(failed.reason, failed.mayHaveRun)
                 for failed in message.failed
             },
-            spent_ms=message.spentMs,
+            spent_ms=_read_time_ms(message.spentMs),
             first=message.first,
             load=_decode_load(message.load),
         )
--- a/src/turmericlug/wire/quota_codec.py
+++ b/src/turmericlug/wire/quota_codec.py
@@ -20,6 +20,8 @@
 _MAX_MILLI = 1 << 53
 """Largest level in thousandths that a float represents exactly; stands for an infinite one."""
 _MAX_VERSION = (1 << 64) - 1
+_MAX_LIMIT = 1e9
+"""No configuration states a higher rate or burst."""
 
 
 class MessageError(Exception):
@@ -141,7 +143,7 @@
 
 
 def _is_positive(value: float) -> bool:
-    return math.isfinite(value) and value > 0
+    return 0 < value <= _MAX_LIMIT
 
 
 def _notice(notice: capnp.lib.capnp._DynamicStructReader) -> quota.Notice:
--- a/src/turmericlug/wire/suspects_codec.py
+++ b/src/turmericlug/wire/suspects_codec.py
@@ -17,6 +17,11 @@
 """More than any instance keeps: a longer list is corrupt."""
 
 
+_MAX_QUARANTINES = 0xFFFF
+_MAX_FINGERPRINT_BYTES = 64
+"""More than any version of this software uses."""
+
+
 class MessageError(Exception):
     """The message is corrupt."""
 
@@ -47,7 +52,7 @@
                 ],
                 "answeredAgeMs": _age_ms(record.answered_s, now_s),
                 "quarantinedAgeMs": _age_ms(record.quarantined_s, now_s),
-                "quarantines": record.quarantines,
+                "quarantines": min(record.quarantines, _MAX_QUARANTINES),
                 "trialLeftMs": _left_ms(record.trial_until_s, now_s),
             }
             for fingerprint, record in suspects.records.items()
@@ -63,7 +68,7 @@
 
 
 def _left_ms(until_s: float, now_s: float) -> int:
-    return 0 if math.isinf(until_s) else max(round((until_s - now_s) * 1000), 0)
+    return 0 if math.isinf(until_s) else min(max(round((until_s - now_s) * 1000), 0), _NEVER - 1)
 
 
 def decode(content: bytes, now_s: float) -> Suspects:
@@ -77,6 +82,8 @@
         message = _SCHEMA.Suspects.from_bytes_packed(content)
         if len(message.requests) > _MAX_REQUESTS:
             raise MessageError("message lists more requests than an instance keeps")
+        if any(len(suspect.content) > _MAX_FINGERPRINT_BYTES for suspect in message.requests):
+            raise MessageError(f"a fingerprint is longer than {_MAX_FINGERPRINT_BYTES} bytes")
         records = {suspect.content: _record(suspect, now_s) for suspect in message.requests}
         return Suspects(records, message.wantsAll)
     except MessageError:
--- a/tests/direct/test_handover_codec.py
+++ b/tests/direct/test_handover_codec.py
@@ -45,3 +45,33 @@
     content = handover_codec.encode_answer(ANSWER, handover_helpers.BATCH.shards)
     with pytest.raises(handover_codec.MessageError):
         handover_codec.decode_answer(content, ("x",))
+
+
+def test_numbers_beyond_the_message_are_bounded():
+    """
+    Guards against a route whose priority or limits don't fit into the message: each of its queries
+    failed as soon as an instance near the replicas was to help.
+    """
+    batch = attrs.evolve(
+        handover_helpers.BATCH, priority=300, max_attempts=10**6, top_records=2**40
+    )
+    decoded = handover_codec.decode_batch(handover_codec.encode_batch(batch))
+    assert (decoded.priority, decoded.max_attempts) == (255, 255)
+    assert decoded.top_records == 2**32 - 1
+
+
+@pytest.mark.parametrize("field", ["goal_ms", "answer_in_ms", "time_left_ms"])
+@pytest.mark.parametrize("value", [float("nan"), float("inf"), -1.0, 1e300])
+def test_batch_without_a_usable_time_is_rejected(field, value):
+    """Guards against a time that ends the handler of a batch once its parts have been sent."""
+    batch = attrs.evolve(handover_helpers.BATCH, **{field: value})
+    with pytest.raises(handover_codec.MessageError):
+        handover_codec.decode_batch(handover_codec.encode_batch(batch))
+
+
+@pytest.mark.parametrize("value", [float("nan"), float("inf"), -1.0])
+def test_answer_without_a_usable_time_is_rejected(value):
+    shards = handover_helpers.BATCH.shards
+    content = handover_codec.encode_answer(attrs.evolve(ANSWER, spent_ms=value), shards)
+    with pytest.raises(handover_codec.MessageError):
+        handover_codec.decode_answer(content, shards)
--- a/tests/wire/test_quota_codec.py
+++ b/tests/wire/test_quota_codec.py
@@ -110,3 +110,12 @@
     names = tuple(str(number) for number in range(quota_codec.MAX_ORGANISATIONS + 1))
     with pytest.raises(quota_codec.MessageError):
         quota_codec.decode(quota_codec.encode(quota_codec.Message("e1", 1, 1, held=names)))
+
+
+@pytest.mark.parametrize("rate_per_s", [math.nan, math.inf, -1.0, 1e300])
+def test_absurd_limit_counts_as_not_stated(rate_per_s):
+    """Guards against a holder that computes with a limit which no configuration can state."""
+    report = quota.Report("o", 1, 1, rate_per_s=rate_per_s, burst=3.0)
+    message = quota_codec.Message("e-1", 1, 1, (report,))
+    (found,) = quota_codec.decode(quota_codec.encode(message)).reports
+    assert (found.rate_per_s, found.burst) == (0.0, 0.0)
