Close the connection of a response that fails while it is written

What others saw: an instance that was handed a batch and failed while it answered left the connection open, in the middle of a chunked body. The other instance waited for the rest until its deadline, and its query lacked these shards. The next response on that connection would have continued the broken body. Nothing was counted; the log had only asyncio's line.

Cause: an exception of the chunks' generator, or of a header without a value, ended the task that serves the connection, and nothing else.

Change: such a response aborts its connection, with a counter (caller.response_failed) and a log line. The receiver sees an incomplete body and can send the parts again in time.

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -365,6 +365,7 @@
         max(max_connections, 64),
         budget=request_budget.of_memory(settings.capacity.memory_mb, CALLERS_REQUESTS_SHARE),
         on_refused=lambda reason: kernel.find("counters").add(f"entry.refused.{reason}"),
+        counters=kernel.find("counters"),
     )
     kernel.provide("caller server", caller_server)
     async with (
--- a/src/turmericlug/entry/listeners.py
+++ b/src/turmericlug/entry/listeners.py
@@ -115,6 +115,7 @@
             stalled_s=stall_monitor.overdue_s,
             budget=request_budget.of_memory(settings.capacity.memory_mb, PEERS_REQUESTS_SHARE),
             on_refused=lambda reason: kernel.find("counters").add(f"peers.refused.{reason}"),
+            counters=kernel.find("counters"),
         )
         await stack.enter_async_context(
             listen(kernel, "peers", peer_server, settings.entry.peers_address)
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -20,6 +20,7 @@
 from turmericlug.http1 import client as client_module
 from turmericlug.http1 import messages
 from turmericlug.http1 import request_budget
+from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
 
 LINGER_S = 1.0
@@ -48,6 +49,7 @@
         stalled_s: abc.Callable[[], float] = lambda: 0.0,
         budget: request_budget.RequestBudget | None = None,
         on_refused: abc.Callable[[str], None] = lambda reason: None,
+        counters: counters_module.Counters | None = None,
     ) -> None:
         """
         Create a server.
@@ -62,6 +64,7 @@
         )
         self.on_refused = on_refused
         self.stalled_s = stalled_s
+        self.counters = counters or counters_module.Counters()
         self.interim = interim
         self.handler = handler
         self.limits = limits
@@ -302,13 +305,14 @@
             while self._queue and not self._transport.is_closing():
                 request, held_bytes = self._queue.popleft(), self._queued_bytes.popleft()
                 try:
-                    response = await self._call_handler(request)
-                    close = (
-                        response.close
-                        or self._server.draining
-                        or (self._must_close and not self._queue)
-                    )
-                    await self._write(request, response, close)
+                    close = await self._answer(request)
+                except Exception as error:
+                    # Only a broken connection tells the receiver that the response is not whole.
+                    self._server.counters.add("caller.response_failed")
+                    reason = f"{type(error).__name__}: {error}"[:300]
+                    decisions.log("caller.response_failed", reason=reason)
+                    self._transport.abort()
+                    return
                 finally:
                     self._server.budget.release(held_bytes)
                 if close:
@@ -327,6 +331,13 @@
             else:
                 self._start_head_timer()
 
+    async def _answer(self, request: messages.Request) -> bool:
+        """Answer a request; return whether its connection closes after the response."""
+        response = await self._call_handler(request)
+        close = response.close or self._server.draining or (self._must_close and not self._queue)
+        await self._write(request, response, close)
+        return close
+
     async def _call_handler(self, request: messages.Request) -> messages.Response:
         try:
             return await self._server.handler(request)
