Write no empty chunk, which ends a body on the wire

An empty piece of a body in chunks was written as the last chunk: the receiver would have taken the part before it for the whole body, and the rest for another response. No handler yields one today. Evidence: test_an_empty_chunk_does_not_end_a_response failed before.

--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -355,6 +355,8 @@
         if response.chunks is None:
             return
         async for chunk in response.chunks:
+            if not chunk:
+                continue  # On the wire, an empty chunk is the end of the body.
             self._transport.write(b"%x\r\n%s\r\n" % (len(chunk), chunk))
         self._transport.write(b"0\r\n\r\n")
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -210,6 +210,11 @@
     return generate()
 
 
+async def empty_chunk():
+    for chunk in (b"begin", b"", b"end"):
+        yield chunk
+
+
 @pytest.mark.parametrize(
     "make_response",
     [
@@ -239,6 +244,20 @@
     assert http_counters.totals["caller.response_failed"] == 1
 
 
+def test_an_empty_chunk_does_not_end_a_response():
+    """On the wire an empty chunk is the end of the body: the receiver would take a part for all."""
+
+    async def main():
+        async def respond(request):
+            return messages.Response(200, chunks=empty_chunk(), close=True)
+
+        async with serving(respond) as (_, address):
+            received = await send_and_receive(address, REQUEST)
+            assert received.endswith(b"\r\n\r\n5\r\nbegin\r\n3\r\nend\r\n0\r\n\r\n")
+
+    asyncio.run(main())
+
+
 def test_too_many_connections_give_status_503():
     async def main():
         async with serving(echo, max_connections=1) as (_, address):
