Write no rejection after the end of the last response

A caller that sends garbage behind a request got the whole answer to the request, and then a rejection was written to the connection whose sending side was closed: RuntimeError in a callback, once per such caller.

--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -115,6 +115,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._rejected = False
         self._must_close = False
+        self._end_sent = False
         self._requests = 0
         self._queued_bytes: collections.deque[int] = collections.deque()
         """Bytes held for each request of the queue."""
@@ -373,7 +374,7 @@
         self._write_rejection(status, reason)
 
     def _write_rejection(self, status: int, reason: str) -> None:
-        if self._transport.is_closing():
+        if self._transport.is_closing() or self._end_sent:
             return
         headers = ((b"retry-after", b"0.5"),) if status == 503 else ()
         response = messages.Response(status, headers, reason.encode())
@@ -383,6 +384,7 @@
     def _linger(self) -> None:
         """Close the sending side and discard input, so that no reset discards the response."""
         self._must_close = True
+        self._end_sent = True
         self._stop_timer()
         if self._transport.can_write_eof():
             self._transport.write_eof()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -258,6 +258,29 @@
     asyncio.run(main())
 
 
+def test_an_unreadable_request_after_a_good_one_does_not_disturb_its_answer():
+    """
+    A caller sends garbage while its first request runs. The answer to the first is sent whole and
+    closes the connection; writing a rejection after that raised in a callback.
+    """
+    errors = []
+
+    async def main():
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+
+        async def slow(request):
+            await asyncio.sleep(0.05)
+            return messages.Response(200, body=b"whole")
+
+        async with serving(slow) as (_, address):
+            received = await send_and_receive(address, REQUEST + b"garbage\r\n\r\n")
+            assert received.startswith(b"HTTP/1.1 200 OK\r\n")
+            assert received.endswith(b"\r\n\r\nwhole")
+
+    asyncio.run(main())
+    assert not errors
+
+
 def test_too_many_connections_give_status_503():
     async def main():
         async with serving(echo, max_connections=1) as (_, address):
