Tell everyone of a restore of the store although one callback fails

A restore is reported once; a callback that raised kept the following ones from it, and raised in whoever had the store's answer. Each is called, the error logged and counted. The test got the error before.

--- a/src/turmericlug/storage/eras.py
+++ b/src/turmericlug/storage/eras.py
@@ -10,6 +10,7 @@
 import time
 from collections import abc
 
+from turmericlug.kernel import failures
 from turmericlug.telemetry import events
 
 
@@ -34,4 +35,8 @@
         self.restored_at_s = self._now_s()
         events.emit("store.returned_from_copy", "warning", era=era, before=previous)
         for callback in self.on_restore:
-            callback()
+            try:
+                callback()
+            except Exception as error:
+                # This restore is not reported again.
+                failures.report(error)
