Test all odd values at once with instances in two data centres and relays

The report: one odd entry among those of the replicas, and the machines that read the list ended or followed it no more. All values of test_outside_values.py are written at once, each under a key of its own, the replicas' with the address of a replica that answers; while running, and before the start with no readable configuration (callers get 503 no_configuration until one comes). Then a new configuration is in force at all, no task has failed, and the entries of others are in use.

--- a/tests/integration/test_entry.py
+++ b/tests/integration/test_entry.py
@@ -64,8 +64,13 @@
     try:
         yield instance
     finally:
-        instance.signal(signal.SIGKILL)
-        await instance.process.wait()
+        await kill(instance)
+
+
+async def kill(instance):
+    """Kill an instance."""
+    instance.signal(signal.SIGKILL)
+    await instance.process.wait()
 
 
 def run_scenario(tmp_path, scenario, **instance_options):
--- a/tests/integration/test_outside_values.py
+++ b/tests/integration/test_outside_values.py
@@ -4,13 +4,18 @@
 
 import asyncio
 import contextlib
+import functools
 import json
+import os
 
 import entry_process
 import pytest
 from integration import test_entry
 
 NEW_VERSION = 9
+INSTANCES = int(os.environ.get("ODD_VALUE_INSTANCES", "3"))
+"""How many instances meet all odd values at once; most of them through a relay."""
+REGIONS = {"dc-1": "r-1", "dc-2": "r-2"}
 MANY_DIGITS = 10**400
 DEEP_JSON = b"[" * 200_000
 ROUTE = {"Name": "odd", "Host": "h.example", "Prefix": "/odd/", "Service": "one"}
@@ -177,3 +182,97 @@
         return await version_in_force(entry_instance) is not False
     except (ConnectionError, entry_process.client.ConnectError):
         return False
+
+
+def _all_values(address):
+    """Return every odd value under a key of its own; odd replicas answer where they can."""
+    host, port = address
+    host_and_port = f"{host}:{port}"
+    for number, (key, content) in enumerate(VALUES.values()):
+        if key.startswith("op/config"):
+            continue
+        if key.endswith("/odd"):
+            key = f"{key}-{number}"
+        yield key, content.replace(b'127.0.0.1:9"', host_and_port.encode() + b'"')
+
+
+def _odd_configurations():
+    return [content for key, content in VALUES.values() if key == "op/config"]
+
+
+@contextlib.asynccontextmanager
+async def _running_instances(tmp_path, store_port):
+    """Run instances in two data centres, all but one of them in the first."""
+    instances = []
+    async with contextlib.AsyncExitStack() as stack:
+        for number in range(INSTANCES):
+            data_centre = "dc-2" if number == 1 else "dc-1"
+            name = f"e-{number + 1}"
+            instance = entry_process.make(tmp_path, name, store_port, REGIONS, data_centre)
+            await instance.start()
+            stack.push_async_callback(test_entry.kill, instance)
+            instances.append(instance)
+        yield instances
+
+
+async def _answer_of(entry_instance):
+    try:
+        return await entry_process.ask(entry_instance.ports[0], b"/one/1", b"q")
+    except (ConnectionError, entry_process.client.ConnectError):
+        return None
+
+
+async def _serves(entry_instance):
+    answer = await _answer_of(entry_instance)
+    return answer is not None and answer.status == 200
+
+
+async def _refuses_without_configuration(entry_instance):
+    answer = await _answer_of(entry_instance)
+    return answer is not None and (answer.status, answer.body) == (503, b"no_configuration")
+
+
+async def _replicas_in_use(entry_instance):
+    page = await entry_process.ask(entry_instance.ports[3], b"/status", b"s")
+    return sum(json.loads(page.body)["replicas"].values())
+
+
+@pytest.mark.parametrize("while_running", [True, False], ids=["running", "starting"])
+def test_all_odd_values_at_once_end_no_task_of_any_instance(tmp_path, while_running):
+    """
+    All instances that read one odd entry stopped following the store at the same moment, also those
+    behind a relay, and again at each start; a replica that answered there had its name sent on.
+    """
+
+    async def scenario():
+        async with test_entry.platform() as (store, replicas, store_port):
+            address = replicas["i-one-0"].address
+            if not while_running:
+                store.remove("op/config")
+                _put_odd_values(store, address)
+            async with _running_instances(tmp_path, store_port) as instances:
+                for entry_instance in instances:
+                    expected = _serves if while_running else _refuses_without_configuration
+                    await entry_process.until(functools.partial(expected, entry_instance))
+                if while_running:
+                    _put_odd_values(store, address)
+                    await asyncio.sleep(1.0)
+                for content in _odd_configurations():
+                    store.put("op/config", content)
+                    await asyncio.sleep(0.05)
+                for entry_instance in instances:
+                    await assert_follows(store, entry_instance)
+                    await entry_process.until(functools.partial(_serves, entry_instance))
+                    assert await _replicas_in_use(entry_instance) == len(replicas)
+                    refused = entry_instance.lines("source.unreadable")
+                    assert all(line["reason"] and line["problem"] for line in refused)
+                    assert {"servers/\ud800", "op/config"} & {line["key"] for line in refused}
+
+    asyncio.run(scenario())
+
+
+def _put_odd_values(store, address):
+    for key, content in _all_values(address):
+        store.put(key, content)
+    for content in _odd_configurations():
+        store.put("op/config", content)
