--- a/src/turmericlug/catalog/catalog.py
+++ b/src/turmericlug/catalog/catalog.py
@@ -66,7 +66,7 @@
     """
     try:
         document = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise CatalogError([f"not JSON: {error}"]) from error
     if not isinstance(document, dict):
         raise CatalogError(["the catalogue must be a JSON object"])
@@ -117,7 +117,7 @@
     for name, members in items.items():
         if name in services:
             problems.append(f"groups.{name}: is also the name of a service")
-        elif not isinstance(members, list) or not members:
+        elif not _are_strings(members) or not members:
             problems.append(f"groups.{name}: must be a non-empty list of services")
         elif unknown := [member for member in members if member not in services]:
             problems.append(f"groups.{name}: unknown service {unknown[0]}")
@@ -146,7 +146,7 @@
         for service, names in shards.items():
             if service not in services:
                 problems.append(f"snapshots.{name}: unknown service {service}")
-            elif not isinstance(names, list) or not names or len(set(names)) != len(names):
+            elif not _are_strings(names) or not names or len(set(names)) != len(names):
                 problems.append(
                     f"snapshots.{name}.{service}: must be a non-empty list of distinct shards"
                 )
@@ -155,3 +155,7 @@
                 name, {service: tuple(names) for service, names in shards.items()}
             )
     return tuple(parsed.values())
+
+
+def _are_strings(items: typing.Any) -> typing.TypeGuard[list[str]]:
+    return isinstance(items, list) and all(isinstance(item, str) for item in items)
--- a/src/turmericlug/storage/instances.py
+++ b/src/turmericlug/storage/instances.py
@@ -12,6 +12,10 @@
 """The service under which the platform lists this project's daemons."""
 
 
+_MALFORMED = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
+"""Raised for a list whose fields are absent, of another type or too deeply nested."""
+
+
 class InstancesError(Exception):
     """No usable response from the instance list."""
 
@@ -44,7 +48,7 @@
                 if response.status != 200:
                     raise InstancesError(f"status {response.status}")
                 return [_decode_instance(item) for item in await response.json()]
-    except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError) as error:
+    except (aiohttp.ClientError, OSError, TimeoutError, *_MALFORMED) as error:
         raise InstancesError(type(error).__name__) from error
 
 
--- a/src/turmericlug/storage/store.py
+++ b/src/turmericlug/storage/store.py
@@ -20,6 +20,10 @@
 """An era of this length fits the 64-bit field of the protocol between instances."""
 
 
+_MALFORMED = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
+"""Raised for an answer whose fields are absent, of another type or too deeply nested."""
+
+
 class StoreError(Exception):
     """No usable response; ``reason`` is ``timeout``, ``unreachable`` or ``refused``."""
 
@@ -60,8 +64,7 @@
 
         :raises StoreError: no usable response
         """
-        reply = await self._call("range", {"key": _encode(key)})
-        values = _decode_values(reply)
+        values = await self._read_range({"key": _encode(key)})
         return values[0] if values else Value(key, "", 0)
 
     async def read_prefix(self, prefix: str) -> list[Value]:
@@ -71,8 +74,14 @@
         :raises StoreError: no usable response
         """
         end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
-        reply = await self._call("range", {"key": _encode(prefix), "range_end": _encode(end)})
-        return _decode_values(reply)
+        return await self._read_range({"key": _encode(prefix), "range_end": _encode(end)})
+
+    async def _read_range(self, body: dict[str, typing.Any]) -> list[Value]:
+        reply = await self._call("range", body)
+        try:
+            return [_decode_value(item) for item in reply.get("kvs", [])]
+        except _MALFORMED as error:
+            raise self._record_error(ValueError()) from error
 
     async def swap(
         self,
@@ -101,11 +110,11 @@
             key_range = {"key": _encode(key), "range_end": _encode(end)}
             success.append({"request_delete_range": key_range})
         reply = await self._call("txn", {"compare": compare, "success": success})
-        if not reply.get("succeeded", False):
-            return 0
         try:
+            if not reply.get("succeeded", False):
+                return 0
             return int(reply["header"]["revision"])
-        except (KeyError, TypeError, ValueError) as error:
+        except _MALFORMED as error:
             raise self._record_error(ValueError()) from error
 
     async def watch(self, prefix: str) -> abc.AsyncIterator[Value]:
@@ -126,7 +135,7 @@
                 async for line in response.content:
                     for event in json.loads(line).get("result", {}).get("events", []):
                         yield _decode_value(event["kv"])
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError) as error:
+        except (aiohttp.ClientError, OSError, TimeoutError, *_MALFORMED) as error:
             raise self._record_error(error) from error
         raise self._record_error(ConnectionResetError())
 
@@ -141,7 +150,7 @@
                     if response.status != 200:
                         raise aiohttp.ClientError(f"status {response.status}")
                     return await response.json(content_type=None)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError) as error:
             raise self._record_error(error) from error
 
     def _observe_era(self, response: aiohttp.ClientResponse) -> None:
@@ -185,10 +194,6 @@
     return base64.b64encode(text.encode()).decode()
 
 
-def _decode_values(reply: dict[str, typing.Any]) -> list[Value]:
-    return [_decode_value(item) for item in reply.get("kvs", [])]
-
-
 def _decode_value(item: dict[str, typing.Any]) -> Value:
     text = base64.b64decode(item.get("value", "")).decode()
     return Value(base64.b64decode(item["key"]).decode(), text, int(item["mod_revision"]))
--- a/tests/catalog/test_catalog.py
+++ b/tests/catalog/test_catalog.py
@@ -39,6 +39,11 @@
             {"snapshots": [{"name": "s", "shards": {"a": ["1", "1"]}}]},
             "must be a non-empty list of distinct shards",
         ),
+        ({"groups": {"g": [["a"]]}}, "groups.g: must be a non-empty list of services"),
+        (
+            {"snapshots": [{"name": "s", "shards": {"a": [["1"]]}}]},
+            "must be a non-empty list of distinct shards",
+        ),
         ({"snapshots": [{}]}, "snapshots: each must be an object with a string as name"),
     ],
 )
@@ -48,7 +53,7 @@
     assert any(problem in reported for reported in caught.value.problems)
 
 
-@pytest.mark.parametrize("text", ["", "[]", "{", "3"])
+@pytest.mark.parametrize("text", ["", "[]", "{", "3", "[" * 200_000], ids=lambda text: text[:3])
 def test_text_that_is_no_catalogue_is_rejected(text):
     with pytest.raises(catalog.CatalogError):
         catalog.parse(text)
--- a/tests/storage/test_storage.py
+++ b/tests/storage/test_storage.py
@@ -7,7 +7,10 @@
 
 import aiohttp
 import pytest
+import standin_platform as http_standin
 
+from turmericlug.http1 import messages
+from turmericlug.storage import instances
 from turmericlug.storage import store as store_module
 from turmericlug.telemetry import counters
 from turmericlug_lab import fleet_spec
@@ -98,3 +101,72 @@
             assert left == (["k/c", "k/d"] if swapped else before)
 
     asyncio.run(main())
+
+
+ODD_BODIES = [
+    b"",
+    b"no json",
+    b"[]",
+    b"3",
+    b'"x"',
+    b"null",
+    b"[" * 200_000,
+    b"\xff",
+    b'{"kvs":3,"succeeded":true,"header":3}',
+    b'{"kvs":[3],"succeeded":true}',
+    b'{"kvs":[{"key":3}],"succeeded":true,"header":{"revision":"x"}}',
+    b'{"kvs":[{"key":"a","value":"?"}],"succeeded":true,"header":{"revision":[1]}}',
+    b'{"kvs":[{"key":"aw==","mod_revision":' + b"9" * 5000 + b"}]}",
+]
+CALLS = {
+    "read": lambda store: store.read("k"),
+    "read_prefix": lambda store: store.read_prefix("k/"),
+    "swap": lambda store: store.swap([], {"k": "a"}),
+    "watch": lambda store: anext(store.watch("k/")),
+}
+
+
+@contextlib.asynccontextmanager
+async def answering(body):
+    """Serve one body in answer to every request; yield the server's URL."""
+
+    async def handle(request):
+        return messages.Response(200, ((b"content-type", b"application/json"),), body)
+
+    async with http_standin.listening(handle) as (host, port):
+        yield f"http://{host}:{port}"
+
+
+@pytest.mark.parametrize("call", CALLS.values(), ids=CALLS)
+@pytest.mark.parametrize("body", ODD_BODIES, ids=lambda body: str(body[:30]))
+def test_malformed_answer_is_a_store_error(call, body):
+    """Guards against an answer with a malformed field that ends the task which has asked."""
+
+    async def main():
+        async with (
+            answering(body) as url,
+            store_module.connected(url, 1000, counters.Counters()) as store,
+        ):
+            with pytest.raises(store_module.StoreError):
+                await call(store)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"3", b"{}", b"[3]", b'[{"Service":3}]', b'[{"Service":{"ID":"a"}}]', b"[" * 200_000, b"\xff"],
+    ids=lambda body: str(body[:30]),
+)
+def test_malformed_instance_list_is_an_instances_error(body):
+    """Guards against a list of instances that ends the task which refreshes it."""
+
+    async def main():
+        async with answering(body) as url, aiohttp.ClientSession() as session:
+            if body == b"{}":
+                assert await instances.read(session, url, "s", 1.0) == []
+                return
+            with pytest.raises(instances.InstancesError):
+                await instances.read(session, url, "s", 1.0)
+
+    asyncio.run(main())
