Treat a deeply nested reply of a target as a bad reply

A target's reply of 200,000 levels raised RecursionError in the attempt (500 to the caller, no other replica asked), and in the health check, past the errors that both catch. test_malformed_reply_is_an_outcome: one of its five cases failed before.

--- a/src/turmericlug/owner/target.py
+++ b/src/turmericlug/owner/target.py
@@ -148,7 +148,7 @@
                 async with self._session.get(f"{address}/v1/health") as response:
                     payload = await response.json()
                     return str(payload.get("state", "")) if isinstance(payload, dict) else ""
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError):
             return ""
 
     async def refuses_connections(self, address: str, timeout_s: float) -> bool:
@@ -170,7 +170,7 @@
 def _is_json(body: bytes) -> bool:
     try:
         json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return False
     return True
 
