Bind listening sockets without a look-up, so that no threads are started

Callers saw: instances that ended by themselves, by signal 6 or 11 and without a line of the log.

Cause: asyncio's create_server looks up its host, also a numeric one, on the event loop's pool of threads. Four threads reserve 288 MB of address space (64 MB arena and 8 MB stack each). Where the address space of a process is limited to its machine's 300 MB, 29 MB are left: large bodies or configurations raise MemoryError in callbacks and tasks, and a failed allocation in a C extension ends the process. Where a thread can't be created, the loop aborts at the first listener.

--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -458,9 +458,29 @@
 
     :param listening_socket: a socket that already listens at the address
     """
-    loop = asyncio.get_running_loop()
-    if listening_socket is not None:
-        return await loop.create_server(
-            lambda: _Connection(server), sock=listening_socket, backlog=BACKLOG
-        )
-    return await loop.create_server(lambda: _Connection(server), host, port, backlog=BACKLOG)
+    if listening_socket is None:
+        listening_socket = bind(host, port)
+    return await asyncio.get_running_loop().create_server(
+        lambda: _Connection(server), sock=listening_socket, backlog=BACKLOG
+    )
+
+
+def bind(host: str, port: int) -> socket.socket:
+    """
+    Bind a socket to an address without a look-up.
+
+    The event loop looks each address up on a pool of threads. Their stacks and memory arenas take
+    288 MB of address space, and where they can't be created the process aborts.
+
+    :param host: an IPv4 address
+    :raises OSError: the address is in use, or is none of this machine's
+    """
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((host, port))
+        bound.setblocking(False)
+    except OSError:
+        bound.close()
+        raise
+    return bound
--- a/tests/integration/test_machine_limits.py
+++ b/tests/integration/test_machine_limits.py
@@ -5,16 +5,27 @@
 import asyncio
 import contextlib
 import os
+import resource
 import signal
 import sys
 
 import entry_process
 from integration import test_entry
 
+from turmericlug.http1 import client
+
+ADDRESS_SPACE_BYTES = 300 * 1024 * 1024
+CALLERS = 400
+BODY = b"x" * 200_000
+
 
 @contextlib.asynccontextmanager
-async def logging_to(output, tmp_path):
-    """Run an instance with an open descriptor as its standard output until the block ends."""
+async def logging_to(output, tmp_path, limit=lambda: None):
+    """
+    Run an instance with an open descriptor as its standard output until the block ends.
+
+    :param limit: sets limits in the new process
+    """
     async with test_entry.platform() as (_, _, store_port):
         instance = entry_process.make(tmp_path, "e-1", store_port)
         with instance.log.open("ab") as errors:
@@ -24,6 +35,7 @@
                 env=os.environ | {"TURMERICLUG_NODE_FILE": str(instance.settings)},
                 stdout=output,
                 stderr=errors,
+                preexec_fn=limit,
             )
         try:
             await entry_process.until(lambda: entry_process.ready(instance))
@@ -68,3 +80,37 @@
                 ]
 
     asyncio.run(scenario())
+
+
+def test_many_bodies_in_a_small_address_space_do_not_end_an_instance(tmp_path):
+    """
+    With 300 MB of address space, of which threads and their arenas had reserved nine tenths, large
+    bodies ended the process by signals 6 and 11.
+    """
+
+    def limit():
+        resource.setrlimit(resource.RLIMIT_AS, (ADDRESS_SPACE_BYTES, ADDRESS_SPACE_BYTES))
+
+    async def post(port, number):
+        headers = [(b"host", b"h.example"), (b"x-request-id", b"q%d" % number)]
+        request = client.request_bytes(b"POST", b"/one/1", headers, BODY)
+        try:
+            connection = await client.connect("127.0.0.1", port, timeout_s=10.0)
+        except client.ConnectError:
+            return 503
+        try:
+            return (await connection.exchange(request)).status
+        finally:
+            connection.close()
+
+    async def scenario():
+        with (tmp_path / "lines").open("wb") as output:
+            async with logging_to(output, tmp_path, limit) as instance:
+                posts = [post(instance.ports[0], number) for number in range(CALLERS)]
+                statuses = await asyncio.gather(*posts)
+                assert set(statuses) <= {200, 503, 504}
+                assert 200 in statuses
+                assert instance.process.returncode is None
+                assert "MemoryError" not in (tmp_path / "lines").read_text()
+
+    asyncio.run(scenario())
