--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -319,10 +319,6 @@
                 if close:
                     self._linger()
                     return
-        except Exception:
-            # Nobody would read from the connection again.
-            self._transport.abort()
-            raise
         finally:
             self._serve_task = None
         if not self._transport.is_closing():
