--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -92,6 +92,10 @@
     "handover.passed_over": "batches that a hot instance did not get because another is cool",
     "handover.all_hot": "batches divided by weight alone because all candidates are hot",
     "handover.total_ms": "timer: a batch, from sending to its answer",
+    "peers.refused.*": (
+        "other instances' requests refused unread, by reason; `memory`: those in progress hold an "
+        "eighth of it"
+    ),
     "helping.refused": "other instances' batches refused after a stall or without known replicas",
     "helping.answered": "other instances' batches that were answered",
     "quota.exchanges": "messages about quotas that other instances answered",
