Bind the ports of turmericlugd as soon as they are free; ignore SIGHUP

What callers saw: an instance of turmericlugd one of whose three ports was held at its start ended with status 3, and each SIGHUP ended it. Cause: as in entry instances: each port was bound once, and SIGHUP had its default action. Change: the retried bind of entry instances. The daemon announces that it is ready, so that callers get its address, once the ports for peers and callers listen; operators' is not needed. Signals during the load of the program and a settings file that is being replaced are handled as before. Planned stop, rules, membership, leaving target, own answer, bad input, samples, wire, query and operators: 152 passed, 1 failed, beside a load average of 20: test_own_answer.py::test_owner_dies_and_comes_back, whose logs were not kept. Alone it passed 12 of 12 times, on 8 of 8; not traced.

--- a/src/turmericlug/daemon.py
+++ b/src/turmericlug/daemon.py
@@ -19,6 +19,7 @@
 from turmericlug import long_running
 from turmericlug.config import settings as settings_module
 from turmericlug.config import version as version_module
+from turmericlug.kernel import binding as binding_module
 from turmericlug.kernel import failures
 from turmericlug.kernel import kernel as kernel_module
 from turmericlug.kernel import supervisor
@@ -47,6 +48,7 @@
 _STATE_INTERVAL_S = 0.1
 _JOIN_TIMEOUT_S = 2.0
 _DRAIN_TIMEOUT_S = 60.0
+_ADVERTISED_LISTENERS = ("peers", "callers")
 
 Kernel = kernel_module.Kernel
 
@@ -195,13 +197,17 @@
 
 
 async def _announce_state(kernel: Kernel, owner: owner_module.Owner) -> None:
-    """Announce load and readiness to peers; ready means that the rules are known to be current."""
+    """
+    Announce load and readiness to peers.
+
+    Ready means that the rules are known to be current and that the advertised ports listen.
+    """
     members = kernel.find("mesh").members
     freshness = kernel.find("configuration").freshness
     while True:
         await asyncio.sleep(_STATE_INTERVAL_S)
         members.set_own_load(owner.load_permille())
-        current = freshness.is_current()
+        current = freshness.is_current() and _listens(kernel)
         if current and not members.own.ready:
             await owner.open_owned(joining=True)
             members.announce(ready=True)
@@ -212,6 +218,11 @@
             events.emit("instance.stepped_aside", "warning")
 
 
+def _listens(kernel: Kernel) -> bool:
+    bindings = kernel.find("bindings")
+    return all(name in bindings and bindings[name].is_bound for name in _ADVERTISED_LISTENERS)
+
+
 @contextlib.asynccontextmanager
 async def _coordinator(kernel: Kernel) -> abc.AsyncIterator[coordinator_module.Coordinator]:
     coordinator = coordinator_module.Coordinator(
@@ -240,12 +251,40 @@
         kernel.find("stop").set,
     )
     instance = settings.instance
-    async with callers_http.serving(
-        operators.application(), instance.host, instance.operators_port
-    ):
+
+    def serve_operators() -> contextlib.AbstractAsyncContextManager[typing.Any]:
+        return callers_http.serving(operators.application(), instance.host, instance.operators_port)
+
+    async with _listening(kernel, "operators", instance.operators_port, serve_operators):
         yield operators
 
 
+@contextlib.asynccontextmanager
+async def _listening(
+    kernel: Kernel,
+    name: str,
+    port: int,
+    serve_port: abc.Callable[[], contextlib.AbstractAsyncContextManager[typing.Any]],
+) -> abc.AsyncIterator[None]:
+    """
+    Serve a port until the end of the block, from when it can be bound.
+
+    :param serve_port: returns a context that listens at the port
+    """
+    stop, host = kernel.find("stop"), kernel.find("settings").instance.host
+    async with contextlib.AsyncExitStack() as stack:
+        binding = binding_module.Binding(
+            name,
+            (host, port),
+            lambda: stack.enter_async_context(serve_port()),
+            kernel.find("counters"),
+            events.emit,
+        )
+        kernel.find("bindings")[name] = binding
+        async with binding_module.listening(binding, lambda: not stop.is_set()):
+            yield
+
+
 @contextlib.asynccontextmanager
 async def _peers(kernel: Kernel) -> abc.AsyncIterator[server_module.Server]:
     instance = kernel.find("settings").instance
@@ -264,7 +303,11 @@
         "claim": kernel.find("records").on_claim,
         "status": kernel.find("operators").on_status,
     }
-    async with server_module.listening(server, instance.host, instance.peers_port):
+
+    def serve_peers() -> contextlib.AbstractAsyncContextManager[typing.Any]:
+        return server_module.listening(server, instance.host, instance.peers_port)
+
+    async with _listening(kernel, "peers", instance.peers_port, serve_peers):
         yield server
 
 
@@ -279,7 +322,11 @@
         kernel.find("counters"),
     )
     instance = settings.instance
-    async with callers_http.serving(callers.application(), instance.host, instance.callers_port):
+
+    def serve_callers() -> contextlib.AbstractAsyncContextManager[typing.Any]:
+        return callers_http.serving(callers.application(), instance.host, instance.callers_port)
+
+    async with _listening(kernel, "callers", instance.callers_port, serve_callers):
         yield callers
 
 
@@ -311,11 +358,14 @@
     kernel.provide("counters", counters)
     kernel.provide("stop", stop)
     kernel.provide("eras", eras_module.Eras())
+    kernel.provide("bindings", {})
     kernel.provide("configuration", configuration.Configuration(freshness, counters))
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(functools.partial(_report_failure, counters))
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
+    # There is nothing to reload, and the default action ends the process.
+    loop.add_signal_handler(signal.SIGHUP, events.emit, "instance.hangup_ignored")
     try:
         for name, factory in _SERVICES:
             await kernel.open(name, factory)
--- a/tests/integration/test_start.py
+++ b/tests/integration/test_start.py
@@ -20,11 +20,11 @@
 
 
 @contextlib.contextmanager
-def holding_port(port):
+def holding_port(port, host="127.0.0.1"):
     """Keep another socket listening on a port."""
     holder = socket.socket()
     holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    holder.bind(("127.0.0.1", port))
+    holder.bind((host, port))
     holder.listen()
     try:
         yield
