Bound what is read of a response: head, interim responses, framing, body

What callers saw: one replica whose answer has no end in some part stalled the instance for every caller, and took its memory. Cause: only the body had a limit; everything else was read until the request's time-out, and the copies of one endless line grow with its square.

Change: http1/reading.py bounds the head (64 KiB with interim responses, 256 headers, 32 interim responses), the chunk sizes, extensions and trailers (64 KiB without a byte of the body, 64 KiB more than the body in all) and the body (8 MiB), by bytes fed where the parser has no callback.

--- a/src/turmericlug/http1/reading.py
+++ b/src/turmericlug/http1/reading.py
@@ -9,8 +9,19 @@
 
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 """Bounds the memory per response; the largest measured bodies are some tens of kilobytes."""
+MAX_HEAD_BYTES = 64 * 1024
+"""Bounds the bytes before the body: status line and headers, with those of interim responses. The
+largest are some tens of kilobytes, the signatures of 500 parts. Bounded bytes also bound the time:
+the parser copies what it has of a header with each further piece."""
+MAX_HEADERS = 256
+MAX_INTERIM_RESPONSES = 32
+MAX_FRAMING_BYTES = 64 * 1024
+"""Bounds the lines of chunk sizes, with their extensions, and the trailers: between two pieces of
+the body, and in all as many more as the body has bytes."""
 
 _SWITCHING_PROTOCOLS = 101
+_SHOWN_BYTES = 40
+"""Bytes of a wrong value that an error message shows."""
 
 
 class ReadError(Exception):
@@ -60,6 +71,15 @@
         self._on_interim = on_interim
         self._on_chunk = on_chunk
         self._parser = httptools.HttpResponseParser(self)
+        self._head_bytes = 0
+        """Bytes of complete headers and reason phrases."""
+        self._unfinished_bytes = 0
+        """Bytes received before the head of the final response was complete."""
+        self._body_bytes = 0
+        self._framing_bytes = 0
+        """Bytes after the head that are not of the body."""
+        self._framing_bytes_in_a_row = 0
+        self._interim_responses = 0
         self._begin_message()
 
     def _begin_message(self) -> None:
@@ -67,14 +87,15 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_done = False
         self._body = bytearray()
-        self._body_size = 0
 
     def feed(self, data: bytes) -> None:
         """
         Read bytes; those after a complete response only set ``has_surplus``.
 
-        :raises ReadError: the response can't be used
+        :raises ReadError: the response can't be used, or exceeds a limit
         """
+        head_was_done = self._head_done
+        body_bytes_before = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -84,6 +105,23 @@
             if isinstance(error.__context__, ReadError):
                 raise error.__context__ from None
             raise ReadError(f"unreadable response: {error}") from error
+        if self.response is None:
+            self._count(len(data), self._body_bytes - body_bytes_before, head_was_done)
+
+    def _count(self, size: int, body_size: int, head_was_done: bool) -> None:
+        """Check the limits on bytes for which the parser has no callback, or only at their end."""
+        if not self._head_done:
+            self._unfinished_bytes += size
+            if self._unfinished_bytes > MAX_HEAD_BYTES:
+                raise _too_large("response head", MAX_HEAD_BYTES)
+        elif head_was_done:
+            self._framing_bytes += size - body_size
+            self._framing_bytes_in_a_row = 0 if body_size else self._framing_bytes_in_a_row + size
+            if (
+                self._framing_bytes_in_a_row > MAX_FRAMING_BYTES
+                or self._framing_bytes > MAX_FRAMING_BYTES + self._body_bytes
+            ):
+                raise _too_large("response framing", MAX_FRAMING_BYTES)
 
     def end(self) -> None:
         """Complete a response that has no length: it ends when the server closes."""
@@ -112,14 +150,23 @@
 
     def on_status(self, reason: bytes) -> None:
         """Parser callback: a piece of the reason phrase."""
+        self._count_head(len(reason))
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback: one header, or one trailer, which has no meaning here."""
         if self._head_done:
             return
+        self._count_head(len(name) + len(value))
+        if len(self._headers) == MAX_HEADERS:
+            raise ReadError(f"response has too many headers: more than {MAX_HEADERS}")
         self._headers.append((name.lower(), value))
 
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise _too_large("response head", MAX_HEAD_BYTES)
+
     def on_headers_complete(self) -> None:
         """Parser callback: end of the header section."""
         if self.response is not None:
@@ -140,21 +187,22 @@
         encodings = [value for name, value in self._headers if name == b"transfer-encoding"]
         if encodings and (encodings[0].strip().lower() != b"chunked" or len(encodings) > 1):
             # The body's bytes are encoded, but callers would get them without that header.
-            raise ReadError(f"unreadable response: transfer-encoding {encodings}, not chunked")
+            names = b", ".join(encodings)[:_SHOWN_BYTES]
+            raise ReadError(f"unreadable response: transfer-encoding {names!r}, not chunked")
         if encodings and version == "1.0":
             raise ReadError("unreadable response: transfer-encoding in HTTP 1.0")
         length = next((value for name, value in self._headers if name == b"content-length"), b"0")
         if int(length) > MAX_RESPONSE_BYTES and not self._is_head and status not in (204, 304):
-            raise ReadError(f"response too large: {int(length)} of {MAX_RESPONSE_BYTES} bytes")
+            raise _too_large("response body", MAX_RESPONSE_BYTES)
 
     def on_body(self, body: bytes) -> None:
         """Parser callback: a piece of the body."""
         if self.response is not None:
             self.has_surplus = True
             return
-        self._body_size += len(body)
-        if self._body_size > MAX_RESPONSE_BYTES:
-            raise ReadError("response too large")
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_RESPONSE_BYTES:
+            raise _too_large("response body", MAX_RESPONSE_BYTES)
         self._body += body
 
     def on_chunk_complete(self) -> None:
@@ -168,8 +216,15 @@
         if self.response is not None:
             return
         if 100 <= self._parser.get_status_code() < 200:
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                raise ReadError(f"too many interim responses: more than {MAX_INTERIM_RESPONSES}")
             self._begin_message()
             if self._on_interim is not None:
                 self._on_interim()
             return
         self._finish(reusable=self._parser.should_keep_alive())
+
+
+def _too_large(what: str, limit_bytes: int) -> ReadError:
+    return ReadError(f"{what} too large: more than {limit_bytes} bytes")
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -36,6 +36,20 @@
         "        self._reader = self._reader or reading.Reader(",
         "http1/test_cut_responses.py::test_a_cut_response_with_a_length_is_never_complete",
     ),
+    mutant.one(
+        "read-heads-without-end",
+        "http1/reading.py",
+        "            if self._unfinished_bytes > MAX_HEAD_BYTES:\n",
+        "            if self._unfinished_bytes > 1 << 22:\n",
+        "http1/test_endless_responses.py::test_an_endless_response_ends_at_its_limit",
+    ),
+    mutant.one(
+        "read-trailers-without-end",
+        "http1/reading.py",
+        "self._framing_bytes_in_a_row > MAX_FRAMING_BYTES",
+        "self._framing_bytes_in_a_row > 1 << 22",
+        "http1/test_endless_responses.py::test_an_endless_response_ends_at_its_limit",
+    ),
     mutant.one(
         "cut-off-requests-at-the-exit",
         "entry/draining.py",
