Count with the descriptors that the process may open

Callers saw: no request served, and an instance that was not ready, for as long as 1,500 callers stayed connected without sending anything. Cause: the number of callers' connections is limited by the settings (4,100 descriptors), while the process had the usual soft limit of 1,024; callers took the descriptors that replicas, the store and readiness need.

The process raises its soft limit up to its settings, or lowers what it counts with, with a line.

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -30,6 +30,7 @@
 from turmericlug.entry import admission
 from turmericlug.entry import callers as callers_module
 from turmericlug.entry import deregistration
+from turmericlug.entry import descriptors
 from turmericlug.entry import directory as directory_module
 from turmericlug.entry import draining
 from turmericlug.entry import early_signals
@@ -145,7 +146,7 @@
     if early_signals.HANGUP in signals.arrived_s:
         live.reload()
     kernel = kernel_module.Kernel()
-    kernel.provide("settings", live.initial)
+    kernel.provide("settings", descriptors.within_limit(live.initial))
     kernel.provide("live settings", live)
     kernel.provide("adapter", adapter)
     kernel.provide("early listener", early_listener)
--- a/tests/integration/test_machine_limits.py
+++ b/tests/integration/test_machine_limits.py
@@ -10,6 +10,7 @@
 import sys
 
 import entry_process
+import pytest
 from integration import test_entry
 
 from turmericlug.http1 import client
@@ -114,3 +115,42 @@
                 assert "MemoryError" not in (tmp_path / "lines").read_text()
 
     asyncio.run(scenario())
+
+
+@contextlib.asynccontextmanager
+async def connected(port, count):
+    """Hold a number of connections open; yield the first one."""
+    streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(count)]
+    try:
+        yield streams[0]
+    finally:
+        for _, writer in streams:
+            writer.close()
+
+
+@pytest.mark.parametrize("hard, expected", [(4096, 4096), (1024, 1024)], ids=["hard", "soft"])
+def test_callers_that_stay_connected_leave_descriptors_for_requests(tmp_path, hard, expected):
+    """
+    Where the process had fewer descriptors than its settings state, callers that only stayed
+    connected took those for replicas and the store, and no request was served.
+    """
+
+    def limit():
+        resource.setrlimit(resource.RLIMIT_NOFILE, (1024, hard))
+
+    async def scenario():
+        with (tmp_path / "lines").open("wb") as output:
+            async with logging_to(output, tmp_path, limit) as instance:
+                async with connected(instance.ports[0], 1100) as (reader, writer):
+                    limits = resource.prlimit(instance.process.pid, resource.RLIMIT_NOFILE)
+                    assert limits[0] == expected
+                    writer.write(
+                        b"GET /all/1 HTTP/1.1\r\nhost: h.example\r\nx-request-id: q\r\n\r\n"
+                    )
+                    async with asyncio.timeout(20):
+                        assert b" 200 " in await reader.readline()
+                    # Refused connections hold their descriptors until their callers have read why;
+                    # the others are closed when they have been idle for 16 s.
+                    await entry_process.until(lambda: entry_process.ready(instance), timeout_s=10)
+
+    asyncio.run(scenario())
