Tests: release the ports of a test at its end; poll instead of select

test_running_query_delays_acceptance failed in a run of the whole suite (one of one): ValueError, file descriptor out of range in select. Each test kept its reserved ports bound until its worker ended, and the new tests start many processes, so that a worker had more than 1,024 descriptors. Ports are released at the end of each test; the test asks poll, which has no such limit, for the same thing.

--- a/src/turmericlug_lab/fleet_spec.py
+++ b/src/turmericlug_lab/fleet_spec.py
@@ -98,3 +98,9 @@
         _reserved_sockets.append(reserved_socket)
         ports.append(port)
     return ports
+
+
+def release_ports() -> None:
+    """Release all ports that this process has reserved, once their fleets have ended."""
+    while _reserved_sockets:
+        _reserved_sockets.pop().close()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,8 @@
 import pytest
 from xdist.scheduler import loadscope
 
+from turmericlug_lab import fleet_spec
+
 KNOWN_FAILURES_FILE = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
 _TEST_PREFIX = "test: "
 ALONE = ("tests/soak/",)
@@ -14,6 +16,13 @@
 measures the share of requests that are served in time."""
 
 
+@pytest.fixture(autouse=True)
+def release_ports():
+    """Release the ports of a test at its end; a worker would run out of descriptors otherwise."""
+    yield
+    fleet_spec.release_ports()
+
+
 def known_failures():
     """Return the node ids of the listed tests."""
     if not KNOWN_FAILURES_FILE.exists():
--- a/tests/integration/test_rules.py
+++ b/tests/integration/test_rules.py
@@ -293,7 +293,9 @@
             _, answer = await send_edit(fleet, "e1", "add", text=rule("other"))
             # An instance sends the answer of a query before it tells its peers that the query has
             # ended. The order in which the event loop gets two answers proves nothing.
-            answered, _, _ = select.select([connection.sock], [], [], 0)
+            poll = select.poll()
+            poll.register(connection.sock, select.POLLIN)
+            answered = poll.poll(0)
             query_answer = json.load(connection.getresponse())
         assert answer["outcome"] == "accepted"
         assert answered
