Answer a query although one of its parts raises

An unexpected error in one part raised in the callback that counts parts: the query waited until its deadline and was answered 500, although the other shards had answered. In another instance's batch it ended the whole answer.

The part counts as one that may have run and has no answer; the error is logged and counted.

--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -164,9 +164,11 @@
         batches = sender.handover.start(sender, call, first_replicas, answer_at_s)
     return {
         shard: loop.create_task(
-            handover.shard_outcome(sender, call, batches[shard], shard)
-            if shard in batches
-            else attempts.get_answer(sender, call, shard, first_replicas.get(shard))
+            sending.part_outcome(
+                handover.shard_outcome(sender, call, batches[shard], shard)
+                if shard in batches
+                else attempts.get_answer(sender, call, shard, first_replicas.get(shard))
+            )
         )
         for shard in call.route.shards
     }
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -16,6 +16,7 @@
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.http1 import client
+from turmericlug.kernel import failures
 
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 _MISDIRECTED_STATUS = 421
@@ -195,6 +196,8 @@
     """Whether the connection was lost after the request was written."""
 
 
+INTERNAL_ERROR = Unknown("internal_error")
+"""An unexpected error in this instance; the request may have run."""
 ABANDONED = Unknown("abandoned")
 """This instance closed the connection: no evidence about the replica."""
 UNWANTED = NotRun("unwanted", sent=False)
@@ -203,6 +206,15 @@
 Outcome = Answered | AnsweredInBatch | Failed | NotRun | Unknown
 
 
+async def part_outcome(part: abc.Awaitable[Outcome]) -> Outcome:
+    """Return the outcome of one part of a query; an error in it must not fail the other parts."""
+    try:
+        return await part
+    except Exception as error:
+        failures.report(error)
+        return INTERNAL_ERROR
+
+
 def build_request(
     call: Call,
     replica: replica_module.Replica,
--- a/src/turmericlug/entry/batches.py
+++ b/src/turmericlug/entry/batches.py
@@ -83,12 +83,14 @@
     sender.overload.on_batch(call)
     shard_by_task = {
         loop.create_task(
-            attempts.get_answer(
-                sender,
-                call,
-                shard,
-                handover_data_centre=batch.data_centre,
-                is_retry=batch.maybe_sent_before,
+            sending.part_outcome(
+                attempts.get_answer(
+                    sender,
+                    call,
+                    shard,
+                    handover_data_centre=batch.data_centre,
+                    is_retry=batch.maybe_sent_before,
+                )
             )
         ): shard
         for shard in batch.shards
--- a/tests/direct/test_answering.py
+++ b/tests/direct/test_answering.py
@@ -56,8 +56,9 @@
         ([RESET], 200, "partial"),
         ([scripted.response(500)], 200, "partial"),
         ([scripted.SHED], 200, "partial"),
+        ([KeyError("bug")], 200, "partial"),
     ],
-    ids=["silent", "reset", "failed", "shed"],
+    ids=["silent", "reset", "failed", "shed", "internal error"],
 )
 def test_missing_shards_are_reported(lost, status, outcome):
     """
