Soak: a process listens only if it has the socket itself

Whether a starting process listens was seen from a connect to its port, which a socket that holds the port, or a process that drains, accepts too. The program handles signals before it listens, so that a process with the socket is never ended by the signal's default action; the check is as strict for it as before.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import pathlib
 import signal
 import time
 from collections import abc
@@ -97,7 +98,7 @@
         """Wait until a process listens for callers; false if it ends or takes too long."""
         end_s = time.monotonic() + LISTENING_TIMEOUT_S
         while time.monotonic() < end_s and run.process.returncode is None:
-            if await _listens(self.ports[0]):
+            if _listens(run.process.pid, self.ports[0]):
                 return run.process.returncode is None
             await asyncio.sleep(0.005)
         return False
@@ -157,10 +158,14 @@
         return line
 
 
-async def _listens(port):
+def _listens(pid, port):
+    """Whether the process itself, not another one at the same port, has a listening socket."""
     try:
-        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        rows = [row.split() for row in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]]
+        links = [os.readlink(f"/proc/{pid}/fd/{fd}") for fd in os.listdir(f"/proc/{pid}/fd")]
     except OSError:
         return False
-    writer.close()
-    return True
+    inodes = [
+        row[9] for row in rows if row[3] == "0A" and int(row[1].partition(":")[2], 16) == port
+    ]
+    return any(f"socket:[{inode}]" in links for inode in inodes)
