Keep short messages of several segments from ending the process

What callers saw: an instance that ended by itself (SIGABRT, 'terminate called after throwing an instance of kj::ExceptionImpl', no line in the log). Four bytes, 01 01 02 01, at its address for other instances were enough: as a report on suspected requests, a batch, quotas, or in a relay's reply.

Cause: the library reads a packed message of several segments lazily; its reader skips the rest in its destructor, and raises there when the message is shorter than it states, which ends the process. No handler of exceptions in Python can help. A message of one segment is read as a whole by the constructor, whose error arrives as an exception.

--- a/src/turmericlug/direct/handover_codec.py
+++ b/src/turmericlug/direct/handover_codec.py
@@ -9,9 +9,9 @@
 import capnp
 
 from turmericlug.direct import organisations as organisations_module
+from turmericlug.wire import packed
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("handover.capnp")))
-_TRAVERSAL_LIMIT_WORDS = 4 << 20
 _PERMILLE = 1000
 _MAX_UINT8 = 255
 _MAX_UINT16 = 65535
@@ -125,9 +125,7 @@
     :raises MessageError: the content is not a valid batch
     """
     try:
-        message = _SCHEMA.Batch.from_bytes_packed(
-            content, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
-        )
+        message = packed.read(_SCHEMA.Batch, content)
         return Batch(
             request_id=message.requestId,
             method=message.method,
@@ -212,9 +210,7 @@
     :raises MessageError: the content is not a valid answer to the batch
     """
     try:
-        message = _SCHEMA.Answer.from_bytes_packed(
-            content, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
-        )
+        message = packed.read(_SCHEMA.Answer, content)
         return Answer(
             records=message.records,
             signatures={shards[signed.shard]: signed.signature for signed in message.answered},
--- a/src/turmericlug/entry/relay_codec.py
+++ b/src/turmericlug/entry/relay_codec.py
@@ -11,6 +11,7 @@
 import capnp
 
 from turmericlug.entry import source
+from turmericlug.wire import packed
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("relay.capnp")))
 COMPRESSION_THRESHOLD_BYTES = 1000
@@ -108,7 +109,7 @@
     :raises MessageError: the message is damaged
     """
     try:
-        message = _SCHEMA.News.from_bytes_packed(content)
+        message = packed.read(_SCHEMA.News, content)
         if len(message.changes) > MAX_CHANGES:
             raise MessageError(f"{len(message.changes)} changes, more than {MAX_CHANGES}")
         decoded = [
--- a/src/turmericlug/wire/quota_codec.py
+++ b/src/turmericlug/wire/quota_codec.py
@@ -9,6 +9,7 @@
 import capnp
 
 from turmericlug.policy import quota
+from turmericlug.wire import packed
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("quotas.capnp")))
 _UNKNOWN = 0xFFFFFFFF
@@ -103,7 +104,7 @@
     :raises MessageError: the message is corrupt
     """
     try:
-        message = _SCHEMA.Quotas.from_bytes_packed(content)
+        message = packed.read(_SCHEMA.Quotas, content)
         lists = (message.reports, message.notices, message.held)
         if max(map(len, lists)) > MAX_ORGANISATIONS:
             raise MessageError("message lists too many organisations")
--- a/src/turmericlug/wire/suspects_codec.py
+++ b/src/turmericlug/wire/suspects_codec.py
@@ -9,6 +9,7 @@
 import capnp
 
 from turmericlug.policy import poison
+from turmericlug.wire import packed
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("suspects.capnp")))
 _NEVER = 0xFFFFFFFF
@@ -79,7 +80,7 @@
     :raises MessageError: the message is corrupt
     """
     try:
-        message = _SCHEMA.Suspects.from_bytes_packed(content)
+        message = packed.read(_SCHEMA.Suspects, content)
         if len(message.requests) > _MAX_REQUESTS:
             raise MessageError("message lists more requests than an instance keeps")
         if any(len(suspect.content) > _MAX_FINGERPRINT_BYTES for suspect in message.requests):
--- a/tests/integration/test_outside_headers.py
+++ b/tests/integration/test_outside_headers.py
@@ -6,6 +6,7 @@
 import itertools
 
 import entry_process
+import pytest
 from integration import test_entry
 
 from turmericlug.http1 import messages
@@ -111,3 +112,18 @@
         await _assert_nothing_failed(instance)
 
     test_entry.run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("path", [b"/suspects", b"/parts"])
+def test_message_cut_short_does_not_end_an_instance(tmp_path, path):
+    """Guards against four bytes at the address for other instances that end the process."""
+
+    async def scenario(store, replicas, instance):
+        for body in (b"\1\1\2\1", b"\1\1\1\xd9\1", b"\xff", b"\0"):
+            answer = await entry_process.ask(
+                instance.ports[4], path, b"q", method=b"POST", body=body
+            )
+            assert answer.status == 400
+        await _assert_nothing_failed(instance)
+
+    test_entry.run_scenario(tmp_path, scenario)
