Bound the framing of callers' requests; count heads once, not with each byte

A head of 16 KiB that came byte by byte took 2.2 s of the event loop's time. A body with 'transfer-encoding: gzip, chunked' was passed on without that header.

Cause: only the bytes before the end of the head were limited, at the size of head and body together; trailers were kept as headers; the size of the headers so far was summed again at each read; chunks of one byte were kept as one object each.

Change: http1/sizes.py, which the reader of responses now uses too, counts the bytes of a read for which the parser has no callback. Head and framing of a request are bounded by the configured header_bytes (431, 413), the head's size is counted as it comes, the body is one buffer, a rejected request stops the parser. Transfer encodings other than chunked, chunks in HTTP/1.0 and versions other than 1.0 and 1.1 get 400. response_bytes moves to http1/messages.py unchanged.

--- a/src/turmericlug/http1/messages.py
+++ b/src/turmericlug/http1/messages.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import http
 from collections import abc
 
 import attrs
 
+_STATUSES_WITHOUT_BODY = (204, 304)
+
 
 @attrs.frozen
 class Limits:
@@ -59,3 +62,35 @@
 
 
 Handler = abc.Callable[[Request], abc.Awaitable[Response]]
+
+
+def response_bytes(method: bytes, response: Response, close: bool, idle_s: int) -> bytes:
+    """
+    Encode the head of a response, and its body unless that comes in chunks.
+
+    :param method: method of the request
+    :param close: whether the connection is closed after it
+    :param idle_s: keep-alive timeout; 0 states none
+    """
+    try:
+        phrase = http.HTTPStatus(response.status).phrase.encode()
+    except ValueError:
+        phrase = b"Unknown"
+    lines = [b"HTTP/1.1 %d %s\r\n" % (response.status, phrase)]
+    lines += [name + b": " + value + b"\r\n" for name, value in response.headers]
+    if response.chunks is not None:
+        lines.append(b"transfer-encoding: chunked\r\n")
+    elif response.status not in _STATUSES_WITHOUT_BODY and (response.body or method != b"HEAD"):
+        lines.append(b"content-length: %d\r\n" % len(response.body))
+    if close:
+        lines.append(b"connection: close\r\n")
+    elif idle_s:
+        lines.append(b"keep-alive: timeout=%d\r\n" % idle_s)
+    lines.append(b"\r\n")
+    if (
+        method != b"HEAD"
+        and response.status not in _STATUSES_WITHOUT_BODY
+        and response.chunks is None
+    ):
+        lines.append(response.body)
+    return b"".join(lines)
--- a/src/turmericlug/http1/reading.py
+++ b/src/turmericlug/http1/reading.py
@@ -7,6 +7,8 @@
 import attrs
 import httptools
 
+from turmericlug.http1 import sizes
+
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 """Bounds the memory per response; the largest measured bodies are some tens of kilobytes."""
 MAX_HEAD_BYTES = 64 * 1024
@@ -16,8 +18,7 @@
 MAX_HEADERS = 256
 MAX_INTERIM_RESPONSES = 32
 MAX_FRAMING_BYTES = 64 * 1024
-"""Bounds the lines of chunk sizes, with their extensions, and the trailers: between two pieces of
-the body, and in all as many more as the body has bytes."""
+"""Bounds the framing of a chunked body; see ``sizes``."""
 
 _SWITCHING_PROTOCOLS = 101
 _SHOWN_BYTES = 40
@@ -73,12 +74,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._head_bytes = 0
         """Bytes of complete headers and reason phrases."""
-        self._unfinished_bytes = 0
-        """Bytes received before the head of the final response was complete."""
         self._body_bytes = 0
-        self._framing_bytes = 0
-        """Bytes after the head that are not of the body."""
-        self._framing_bytes_in_a_row = 0
+        self._sizes = sizes.Sizes(MAX_HEAD_BYTES, MAX_FRAMING_BYTES)
         self._interim_responses = 0
         self._begin_message()
 
@@ -106,22 +103,11 @@
                 raise error.__context__ from None
             raise ReadError(f"unreadable response: {error}") from error
         if self.response is None:
-            self._count(len(data), self._body_bytes - body_bytes_before, head_was_done)
-
-    def _count(self, size: int, body_size: int, head_was_done: bool) -> None:
-        """Check the limits on bytes for which the parser has no callback, or only at their end."""
-        if not self._head_done:
-            self._unfinished_bytes += size
-            if self._unfinished_bytes > MAX_HEAD_BYTES:
-                raise _too_large("response head", MAX_HEAD_BYTES)
-        elif head_was_done:
-            self._framing_bytes += size - body_size
-            self._framing_bytes_in_a_row = 0 if body_size else self._framing_bytes_in_a_row + size
-            if (
-                self._framing_bytes_in_a_row > MAX_FRAMING_BYTES
-                or self._framing_bytes > MAX_FRAMING_BYTES + self._body_bytes
-            ):
-                raise _too_large("response framing", MAX_FRAMING_BYTES)
+            body_size = self._body_bytes - body_bytes_before
+            too_large = self._sizes.count(len(data), body_size, head_was_done, self._head_done)
+            if too_large:
+                limit = MAX_HEAD_BYTES if too_large == sizes.HEAD else MAX_FRAMING_BYTES
+                raise _too_large(f"response {too_large}", limit)
 
     def end(self) -> None:
         """Complete a response that has no length: it ends when the server closes."""
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import collections
-import http
 import socket
 import typing
 from collections import abc
@@ -20,6 +19,7 @@
 from turmericlug.http1 import client as client_module
 from turmericlug.http1 import messages
 from turmericlug.http1 import request_budget
+from turmericlug.http1 import sizes
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
 
@@ -28,7 +28,8 @@
 with unread bytes resets the connection and discards the response."""
 BACKLOG = 1024
 """Size of the accept queue; when it is full, connecting takes a caller a second longer."""
-_STATUSES_WITHOUT_BODY = (204, 304)
+_START_LINE_BYTES = 1024
+"""Bytes of a head beyond its target and headers: method, version, white space, empty lines."""
 _IDLE_SLACK_S = 1.0
 _IDLE_LIMIT_HISTORY_S = 30.0
 REQUESTS_LIMIT_BYTES = 64 * 1024 * 1024
@@ -37,6 +38,10 @@
 """Memory of a header beside its name and value: a tuple and two bytes objects."""
 
 
+class _RejectedError(Exception):
+    """Stops the parser, as the request has been rejected."""
+
+
 class Server:
     """Connections of one listening address and their shared state."""
 
@@ -129,11 +134,12 @@
     def _begin_message(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
         self._target = b""
-        self._body: list[bytes] = []
-        self._received_size = 0
-        self._body_size = 0
         self._held_bytes = 0
         self._held_head_bytes = 0
+        self._head_bytes = 0
+        self._body = bytearray()
+        limit = self._server.limits().header_bytes
+        self._sizes = sizes.Sizes(limit + _START_LINE_BYTES, limit)
         self._arrived_s: float | None = None
         self._head_done = False
 
@@ -171,86 +177,89 @@
             self._arrived_s = self._loop.time()
             if self._serve_task is None:
                 self._start_head_timer()
-        if not self._head_done:
-            self._received_size += len(data)
-            if self._received_size > self._server.limits().header_bytes + (
-                self._server.limits().body_bytes
-            ):
-                self._reject(431, "head too large")
-                return
+        head_was_done = self._head_done
+        body_size_before, requests_before = len(self._body), self._requests
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._must_close = True
         except httptools.HttpParserError as error:
             if not self._rejected:
-                decisions.log("caller.refused", reason="unreadable", detail=str(error)[:100])
-                self._reject(400, "unreadable request")
+                self._reject_unreadable(str(error))
             return
-        if not self._head_done and self._parsed_head_bytes() > self._server.limits().header_bytes:
-            self._reject(431, "head too large")
+        if not self._rejected and self._requests == requests_before:
+            body_size = len(self._body) - body_size_before
+            too_large = self._sizes.count(len(data), body_size, head_was_done, self._head_done)
+            if too_large:
+                self._reject(431 if too_large == sizes.HEAD else 413, f"{too_large} too large")
 
-    def _parsed_head_bytes(self) -> int:
-        return len(self._target) + sum(len(name) + len(value) + 4 for name, value in self._headers)
+    def _reject_unreadable(self, detail: str) -> None:
+        decisions.log("caller.refused", reason="unreadable", detail=detail[:100])
+        self._reject(400, "unreadable request")
 
     def on_url(self, url: bytes) -> None:
         """Parser callback: a piece of the request's target."""
+        self._count_head(len(url))
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback: one header, or one trailer, which has no meaning here."""
         if self._head_done:
             return
+        self._count_head(len(name) + len(value) + len(b": \r\n"))
         self._headers.append((name.lower(), value))
 
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self._server.limits().header_bytes:
+            self._reject(431, "head too large")
+            raise _RejectedError
+
     def on_headers_complete(self) -> None:
-        """Parser callback: check the limits on the head before reading the body."""
+        """Parser callback: check the framing of the body before reading it."""
         self._head_done = True
-        if self._rejected:
-            return
-        if self._parsed_head_bytes() > self._server.limits().header_bytes:
-            self._reject(431, "head too large")
-            return
+        if not self._is_framing_clear():
+            self._reject_unreadable("transfer-encoding or version")
+            raise _RejectedError
         content_length = next(
             (value for name, value in self._headers if name == b"content-length"), b"0"
         )
         if content_length.isdigit() and int(content_length) > self._server.limits().body_bytes:
             self._reject(413, "body too large")
-            return
-        self._held_head_bytes = (
-            self._parsed_head_bytes() + len(self._headers) * _HEADER_OVERHEAD_BYTES
-        )
-        announced_bytes = int(content_length) if content_length.isdigit() else 0
-        if not self._hold(self._held_head_bytes + announced_bytes):
-            return
+            raise _RejectedError
+        self._held_head_bytes = self._head_bytes + len(self._headers) * _HEADER_OVERHEAD_BYTES
+        self._hold(self._held_head_bytes + (int(content_length) if content_length.isdigit() else 0))
         if any(name == b"expect" for name, _ in self._headers):
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _is_framing_clear(self) -> bool:
+        """Whether the replica would get the body as the caller means it."""
+        version = self._parser.get_http_version()
+        encodings = [value for name, value in self._headers if name == b"transfer-encoding"]
+        if not encodings:
+            return version in ("1.0", "1.1")
+        return version == "1.1" and [value.strip().lower() for value in encodings] == [b"chunked"]
+
     def on_body(self, body: bytes) -> None:
         """Parser callback: a piece of the body."""
-        self._body_size += len(body)
-        if self._body_size > self._server.limits().body_bytes:
-            if not self._rejected:
-                self._reject(413, "body too large")
-            return
-        missing_bytes = self._held_head_bytes + self._body_size - self._held_bytes
-        if self._rejected or not self._hold(missing_bytes):
-            return
-        self._body.append(body)
+        if len(self._body) + len(body) > self._server.limits().body_bytes:
+            self._reject(413, "body too large")
+            raise _RejectedError
+        self._hold(self._held_head_bytes + len(self._body) + len(body) - self._held_bytes)
+        self._body += body
 
-    def _hold(self, size_bytes: int) -> bool:
+    def _hold(self, size_bytes: int) -> None:
         """Hold further bytes of the request, or refuse it if all requests get too large."""
         if size_bytes <= 0:
-            return True
+            return
         if not self._server.budget.reserve(size_bytes):
             self._server.on_refused("memory")
             decisions.log(
                 "caller.refused", reason="memory", held_bytes=self._server.budget.held_bytes
             )
             self._reject(503, "requests in progress take too much memory")
-            return False
+            raise _RejectedError
         self._held_bytes += size_bytes
-        return True
 
     def _release_unread(self) -> None:
         """Drop what was read of a request that will not be served."""
@@ -293,7 +302,7 @@
             self._parser.get_method(),
             self._target,
             tuple(self._headers),
-            b"".join(self._body),
+            bytes(self._body),
             arrived_s,
             arrived_s - round_trips * round_trip_s,
             round_trip_s / 2,
@@ -348,7 +357,7 @@
         self, request: messages.Request, response: messages.Response, close: bool
     ) -> None:
         idle_s = int(self._server.limits().idle_timeout_s)
-        self._transport.write(_response_bytes(request.method, response, close, idle_s))
+        self._transport.write(messages.response_bytes(request.method, response, close, idle_s))
         if response.chunks is None:
             return
         async for chunk in response.chunks:
@@ -374,7 +383,7 @@
             return
         headers = ((b"retry-after", b"0.5"),) if status == 503 else ()
         response = messages.Response(status, headers, reason.encode())
-        self._transport.write(_response_bytes(b"GET", response, True, 0))
+        self._transport.write(messages.response_bytes(b"GET", response, True, 0))
         self._linger()
 
     def _linger(self) -> None:
@@ -421,31 +430,6 @@
         self._transport.close()
 
 
-def _response_bytes(method: bytes, response: messages.Response, close: bool, idle_s: int) -> bytes:
-    try:
-        phrase = http.HTTPStatus(response.status).phrase.encode()
-    except ValueError:
-        phrase = b"Unknown"
-    lines = [b"HTTP/1.1 %d %s\r\n" % (response.status, phrase)]
-    lines += [name + b": " + value + b"\r\n" for name, value in response.headers]
-    if response.chunks is not None:
-        lines.append(b"transfer-encoding: chunked\r\n")
-    elif response.status not in _STATUSES_WITHOUT_BODY and (response.body or method != b"HEAD"):
-        lines.append(b"content-length: %d\r\n" % len(response.body))
-    if close:
-        lines.append(b"connection: close\r\n")
-    elif idle_s:
-        lines.append(b"keep-alive: timeout=%d\r\n" % idle_s)
-    lines.append(b"\r\n")
-    if (
-        method != b"HEAD"
-        and response.status not in _STATUSES_WITHOUT_BODY
-        and response.chunks is None
-    ):
-        lines.append(response.body)
-    return b"".join(lines)
-
-
 async def listen(
     server: Server, host: str, port: int, listening_socket: socket.socket | None = None
 ) -> asyncio.Server:
--- a/tests/http1/test_endless_responses.py
+++ b/tests/http1/test_endless_responses.py
@@ -184,11 +184,11 @@
     may be taken for it with another body, or make the reader take or keep more than its limits.
     """
     kind, content = message
-    reader = reading.Reader()
     fed = 0
     with pytest.MonkeyPatch.context() as patch:
         for name, value in SMALL_LIMITS.items():
             patch.setattr(reading, name, value)
+        reader = reading.Reader()
         sizes_in_turn = itertools.cycle(sizes)
         with contextlib.suppress(reading.ReadError):
             while fed < len(content) and reader.response is None:
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -38,15 +38,15 @@
     ),
     mutant.one(
         "read-heads-without-end",
-        "http1/reading.py",
-        "            if self._unfinished_bytes > MAX_HEAD_BYTES:\n",
-        "            if self._unfinished_bytes > 1 << 22:\n",
+        "http1/sizes.py",
+        "self._head_bytes > self.max_head_bytes",
+        "self._head_bytes > 1 << 22",
         "http1/test_endless_responses.py::test_an_endless_response_ends_at_its_limit",
     ),
     mutant.one(
         "read-trailers-without-end",
-        "http1/reading.py",
-        "self._framing_bytes_in_a_row > MAX_FRAMING_BYTES",
+        "http1/sizes.py",
+        "self._framing_bytes_in_a_row > self.max_framing_bytes",
         "self._framing_bytes_in_a_row > 1 << 22",
         "http1/test_endless_responses.py::test_an_endless_response_ends_at_its_limit",
     ),
@@ -205,8 +205,8 @@
     mutant.one(
         "count-no-heads",
         "http1/server.py",
-        "self._hold(self._held_head_bytes + announced_bytes)",
-        "self._hold(announced_bytes)",
+        "self._hold(self._held_head_bytes + (int(content_length)",
+        "self._hold((int(content_length)",
         "http1/test_request_budget.py::test_pipelined_heads_beyond_the_limit_are_refused",
     ),
     mutant.one(
