Test an instance whose replicas answer without end

Real processes: one of two replicas of each shard and of a plain service sends header lines, one header line or trailers without end, 120 requests by six callers at a time.

--- a/tests/integration/test_cut_answers.py
+++ b/tests/integration/test_cut_answers.py
@@ -5,6 +5,8 @@
 import asyncio
 import collections
 import contextlib
+import itertools
+import pathlib
 import socket
 import struct
 
@@ -25,6 +27,9 @@
         self.service = service
         self.script = None
         """Returns the bytes and the ending for a request id; ``None`` answers soundly."""
+        self.endless = None
+        """Returns the first bytes, and those that follow without end, for a request id."""
+        self.endless_answers = 0
         self.received = collections.Counter()
         """Requests by id."""
 
@@ -44,6 +49,12 @@
             line.partition(b": ")[2] for line in lines if line.startswith(b"x-request-id")
         )
         self.received[request_id] += 1
+        if self.endless is not None:
+            self.endless_answers += 1
+            first, again = self.endless(self, request_id)
+            for piece in itertools.chain([first], itertools.repeat(again)):
+                writer.write(piece)
+                await writer.drain()
         message, ending = sound(self, request_id, head.startswith(b"HEAD ")), "keep"
         if self.script is not None:
             message, ending = self.script(self, request_id)
@@ -275,3 +286,54 @@
         assert statuses[b"o", 502] + statuses[b"o", 504] > 0
 
     run_scenario(tmp_path, scenario)
+
+
+ENDLESS = {
+    "header lines": lambda replica, request_id: (
+        head_lines(replica, request_id),
+        b"x-a: b\r\n" * 8192,
+    ),
+    "one header line": lambda replica, request_id: (
+        head_lines(replica, request_id) + b"x-a: ",
+        b"a" * 65536,
+    ),
+    "trailers": lambda replica, request_id: (
+        head_lines(replica, request_id) + b"transfer-encoding: chunked\r\n\r\n0\r\n",
+        b"x-a: b\r\n" * 8192,
+    ),
+}
+RESIDENT_BYTES = 64e6
+"""Largest difference from a quiet instance."""
+
+
+def peak_resident_bytes(instance):
+    """Return the largest resident memory of an instance so far."""
+    status = pathlib.Path(f"/proc/{instance.process.pid}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(line.split()[1]) * 1024
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_a_replica_without_end_costs_its_instance_little(tmp_path, kind):
+    """
+    One of two replicas of each shard sends answers without end. The instance must give them up at
+    their limit, keep its memory, and answer its callers with the other replicas.
+    """
+
+    async def scenario(replicas, instance):
+        quiet_bytes = peak_resident_bytes(instance)
+        for replica in replicas:
+            if replica.name.endswith("-0"):
+                replica.endless = ENDLESS[kind]
+        statuses = collections.Counter()
+        for turn in range(20):
+            answers = await asyncio.gather(
+                *(ask(instance, b"/all/1", b"a%d.%d" % (turn, n)) for n in range(3)),
+                *(ask(instance, b"/plain/1", b"p%d.%d" % (turn, n)) for n in range(3)),
+            )
+            statuses.update(answer.status for answer in answers)
+        assert statuses == {200: 120}
+        assert any(replica.endless_answers for replica in replicas)
+        assert peak_resident_bytes(instance) - quiet_bytes <= RESIDENT_BYTES
+
+    run_scenario(tmp_path, scenario)
