Count a write of the store as done only with its revision

What callers saw: an instance whose address nobody got: a 200 without a body, or with null, counted as the write of its entry, so that it took itself for registered until its lease ended.

--- a/src/turmericlug/platform/answers.py
+++ b/src/turmericlug/platform/answers.py
@@ -65,6 +65,15 @@
     return _read_number(body, "Lease", minimum=1)
 
 
+def read_written_revision(body: typing.Any) -> int:
+    """
+    Read the answer to ``kv-txn``: without a revision, nothing shows that it was carried out.
+
+    :raises FieldError: the revision is malformed
+    """
+    return _read_number(body, "Revision", minimum=1)
+
+
 def _read_number(body: typing.Any, name: str, minimum: int = 0) -> int:
     if not isinstance(body, dict):
         raise fields.FieldError("the answer is not an object")
--- a/src/turmericlug/platform/store.py
+++ b/src/turmericlug/platform/store.py
@@ -216,7 +216,7 @@
         value = base64.b64encode(decode.encode_instance(instance)).decode()
         put = {"Key": names.INSTANCES_PREFIX + instance.name, "Value": value, "Lease": lease}
         body = {"ExpectedRev": [], "Puts": [put], "Remove": []}
-        await self._call(b"POST", "kv-txn", body, errors=_LEASE_ERRORS)
+        await self._write(body, _LEASE_ERRORS)
 
     async def remove(self, written: abc.Sequence[source.Written]) -> bool:
         """
@@ -233,11 +233,15 @@
             "Remove": [entry.key for entry in written],
         }
         try:
-            await self._call(b"POST", "kv-txn", body, errors={412: _RevisionMismatchError})
+            await self._write(body, {412: _RevisionMismatchError})
         except _RevisionMismatchError:
             return False
         return True
 
+    async def _write(self, body: typing.Any, errors: Errors) -> None:
+        result = await self._call(b"POST", "kv-txn", body, errors=errors)
+        self._read("kv-txn", lambda body, era: answers.read_written_revision(body), result)
+
     async def _get(
         self,
         path: str,
