--- a/tests/integration/test_machine_limits.py
+++ b/tests/integration/test_machine_limits.py
@@ -5,16 +5,23 @@
 import asyncio
 import contextlib
 import os
+import pathlib
 import resource
 import signal
 import sys
 
 import entry_process
 import pytest
+import standin_platform
 from integration import test_entry
+from integration import test_outside_values
 
 from turmericlug.http1 import client
 
+MAX_MEMORY_MB = 256
+"""The memory that one instance may use."""
+MANY_ROUTES, MANY_VERSIONS = 4500, 90
+"""Configurations of 0.8 MB, as many as come within minutes."""
 ADDRESS_SPACE_BYTES = 300 * 1024 * 1024
 CALLERS = 400
 BODY = b"x" * 200_000
@@ -154,3 +161,33 @@
                     await entry_process.until(lambda: entry_process.ready(instance), timeout_s=10)
 
     asyncio.run(scenario())
+
+
+def test_memory_is_bounded_while_large_configurations_change(tmp_path):
+    """All earlier configurations stayed in memory, and the process grew over its limit."""
+
+    async def scenario():
+        routes = [
+            standin_platform.route(f"r{number}", f"/r{number}/", Service="one")
+            for number in range(MANY_ROUTES)
+        ]
+        async with test_entry.platform() as (store, _, store_port):
+            async with test_entry.running_instance(tmp_path, store_port) as instance:
+                await entry_process.until(lambda: entry_process.ready(instance))
+                for version in range(2, 2 + MANY_VERSIONS):
+                    store.put("op/config", standin_platform.configuration(version, routes, ["one"]))
+                    await entry_process.until(lambda version=version: applies(instance, version))
+                assert peak_memory_mb(instance.process.pid) < MAX_MEMORY_MB
+
+    asyncio.run(scenario())
+
+
+async def applies(instance, version):
+    """Whether an instance has a version of the configuration in force."""
+    return await test_outside_values.version_in_force(instance) == version
+
+
+def peak_memory_mb(pid):
+    """Return the largest resident memory that a process has had."""
+    lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) // 1024 for line in lines if line.startswith("VmHWM"))
