--- a/src/turmericlug/entry/journal.py
+++ b/src/turmericlug/entry/journal.py
@@ -10,13 +10,17 @@
 
 MAX_CHANGES = 4000
 """Some minutes of changes of a large deployment, or one start of all its replicas."""
+MAX_CONTENT_BYTES = 8 * 1024 * 1024
+"""Sum of the values kept, which take some times as much decoded. Clients that ask for older changes
+read everything from the source."""
 
 
 class Journal:
     """The latest changes, to answer requests for all changes after a position."""
 
     def __init__(self) -> None:
-        self._changes: collections.deque[source.Change] = collections.deque(maxlen=MAX_CHANGES)
+        self._changes: collections.deque[source.Change] = collections.deque()
+        self._content_bytes = 0
         self._known_from: source.Position | None = None
         self.position: source.Position | None = None
         """The position up to which changes are known; ``None`` before the first snapshot."""
@@ -26,13 +30,13 @@
 
     def restart(self, position: source.Position) -> None:
         """Drop all changes and continue from a position."""
-        self._changes.clear()
+        self._clear()
         self._known_from = self.position = position
         self._eras = {position.era: (position.revision, math.inf)}
 
     def discard(self) -> None:
         """Drop all changes, as some may be missing; the next snapshot starts the journal again."""
-        self._changes.clear()
+        self._clear()
         self._known_from = self.position = None
         self._eras = {}
         self._wake_waiting()
@@ -52,13 +56,23 @@
             self._eras[self.position.era] = (first, self.position.revision)
             self._eras[changes.era] = (changes.revision, math.inf)
         for change in changes.changes:
-            if len(self._changes) == MAX_CHANGES:
-                # A change whose revision could not be read has position 0.
-                self._known_from = max(self._known_from, self._changes[0].position)
             self._changes.append(change)
+            self._content_bytes += _content_size(change)
+        while len(self._changes) > MAX_CHANGES or self._content_bytes > MAX_CONTENT_BYTES:
+            self._drop_oldest()
         self.position = max(self.position, changes.position)
         self._wake_waiting()
 
+    def _clear(self) -> None:
+        self._changes.clear()
+        self._content_bytes = 0
+
+    def _drop_oldest(self) -> None:
+        change = self._changes.popleft()
+        self._content_bytes -= _content_size(change)
+        # A change whose revision could not be read has position 0.
+        self._known_from = max(self._known_from, change.position)
+
     def _wake_waiting(self) -> None:
         arrived, self._arrived = self._arrived, asyncio.Event()
         arrived.set()
@@ -97,3 +111,7 @@
             # The client took its position from a malformed answer: nothing would ever follow it.
             raise source.HistoryLostError
         return self.position
+
+
+def _content_size(change: source.Change) -> int:
+    return 0 if isinstance(change, source.Removed) else len(change.content)
--- a/tests/entry/test_journal.py
+++ b/tests/entry/test_journal.py
@@ -52,6 +52,24 @@
     asyncio.run(main())
 
 
+def test_large_values_are_dropped_before_their_sum_takes_the_memory():
+    """Only the number of changes was limited: 69 large configurations took 228 MB for good."""
+
+    async def main():
+        journal = journal_module.Journal()
+        journal.restart(at(10))
+        size = journal_module.MAX_CONTENT_BYTES // 4
+        for number in range(10):
+            change = attrs.evolve(replica("a", 11 + number), content=bytes(size))
+            journal.add(source.Changes((change,), 11 + number))
+        found = await journal.since(at(16), 0.01)
+        assert [change.revision for change in found.changes] == [17, 18, 19, 20]
+        with pytest.raises(source.HistoryLostError):
+            await journal.since(at(15), 0.01)
+
+    asyncio.run(main())
+
+
 def restored_journal():
     """Return a journal that knows era 1 from 10 to 20, and era 2 from a snapshot at 15 on."""
     journal = journal_module.Journal()
