Don't deny what a configuration that can't be read may name

Callers saw: 401 for a key and 404 for a path of the newest configuration, at instances that had refused it for a malformed field. The instance knew that the newest configuration isn't in force, and looked at the age of the source only.

An instance whose newest configuration was refused answers 503, not run, as one whose source is silent. test_routes_of_a_refused_configuration_are_not_denied failed before (404).

--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -123,7 +123,7 @@
             route,
             configuration.organisations,
             self.sender.names.api_key,
-            is_current=self._source_age_s() <= STALE_AGE_S,
+            is_current=self._knows_newest_configuration(),
         )
         match result:
             case identity.Identified():
@@ -133,6 +133,10 @@
             case identity.Rejected():
                 return self._unauthorised(request, route, configuration, result.reason)
 
+    def _knows_newest_configuration(self) -> bool:
+        """Whether what the configuration doesn't name is unknown to the operators, too."""
+        return self._source_age_s() <= STALE_AGE_S and not self.view.has_refused_configuration
+
     def start_draining(
         self, refuse_unrepeatable_from_s: float, refuse_from_s: float, exits_at_s: float
     ) -> None:
@@ -427,7 +431,7 @@
         host: str,
         path: str,
     ) -> messages.Response:
-        if self._source_age_s() > STALE_AGE_S:
+        if not self._knows_newest_configuration():
             return self._refused(request, "route_perhaps_new")
         self.sender.counters.add("entry.no_route")
         decisions.log(
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -47,6 +47,8 @@
         now_s: abc.Callable[[], float],
     ) -> None:
         self.configuration: routes.Configuration | None = None
+        self.has_refused_configuration = False
+        """Whether the newest configuration could not be read, and an older one is in force."""
         self.replicas = replicas
         self.peers = peers
         """The other instances, as replicas of a service that is named after their data centre and
@@ -215,6 +217,8 @@
         if isinstance(written, source.Unreadable):
             self._mark_unreadable(written)
             return
+        if written is not known and isinstance(written.value, routes.Configuration):
+            self.has_refused_configuration = False
         self._known[written.key] = written
         self._held.pop(written.key, None)
         self._activate(written)
@@ -245,6 +249,7 @@
         known = self._known.get(unreadable.key)
         if isinstance(known, source.Written):
             if isinstance(known.value, routes.Configuration):
+                self.has_refused_configuration = True
                 return
             if self._is_own(known):
                 self.own_entry_removed = True
--- a/tests/integration/test_outside_values.py
+++ b/tests/integration/test_outside_values.py
@@ -154,6 +154,27 @@
     asyncio.run(scenario())
 
 
+def test_routes_of_a_refused_configuration_are_not_denied(tmp_path):
+    """An instance that can't read the newest configuration answered its new routes with 404."""
+
+    async def scenario():
+        async with test_entry.platform() as (store, _, store_port):
+            async with test_entry.running_instance(tmp_path, store_port) as entry_instance:
+                await entry_process.until(lambda: entry_process.ready(entry_instance))
+
+                async def status(expected):
+                    response = await entry_process.ask(entry_instance.ports[0], b"/new/", b"q")
+                    return response.status == expected
+
+                assert await status(404)
+                store.put(*configuration(ROUTE | {"Prefix": "/new/", "TimeoutMs": "soon"}))
+                await entry_process.until(lambda: status(503))
+                test_entry.configure(store, NEW_VERSION)
+                await entry_process.until(lambda: status(404))
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("call, body", ANSWERS.values(), ids=ANSWERS)
 def test_odd_answer_of_the_store_ends_no_task(tmp_path, call, body):
     """One answer of the store with a missing or odd field ended the task that had asked."""
