Write lines of the start to standard error without depending on its reader

Callers saw: a process that ended with status 1 while its port was held, if nobody read its standard error: the line that reports the held port raised.

test_unwritable_standard_error_does_not_end_an_instance_whose_port_is_held failed before.

--- a/src/turmericlug/entry/early.py
+++ b/src/turmericlug/entry/early.py
@@ -6,7 +6,7 @@
 that makes both its attempts within it gets no answer. On a port that already listens, its request
 waits until the program is loaded, and is served.
 
-This module imports only ``os``, ``socket``, ``sys`` and ``types``, so that it loads first.
+This module imports only ``os``, ``socket`` and ``types``, so that it loads first.
 Log lines are written to standard error, since the decision log is not loaded yet.
 """
 
@@ -14,13 +14,13 @@
 
 import os
 import socket
-import sys
 import types
 
 OPTION = "--listen-early"
 BACKLOG = 1024
 """Backlog of connections that wait until the program is loaded: several seconds of traffic."""
 STATUS_FAILED = 1
+_STDERR_DESCRIPTOR = 2
 _MAX_TRACE_CHARACTERS = 4000
 
 
@@ -69,7 +69,12 @@
     import time
 
     line = {"time_s": round(time.time(), 4), "instance": "", "event": event} | fields
-    print(json.dumps(line, separators=(",", ":")), file=sys.stderr, flush=True)
+    content = json.dumps(line, separators=(",", ":")).encode() + b"\n"
+    try:
+        os.write(_STDERR_DESCRIPTOR, content)
+    except OSError:
+        # A reader that is gone or slow is no reason to end, and there is nowhere else to report it.
+        return
 
 
 def log_uncaught(
--- a/tests/entry/test_early.py
+++ b/tests/entry/test_early.py
@@ -62,9 +62,9 @@
         ([early.OPTION, "192.0.2.1:8080"], ["192.0.2.1:8080"]),
     ],
 )
-def test_no_early_listener_without_a_usable_address(arguments, addresses, capsys):
+def test_no_early_listener_without_a_usable_address(arguments, addresses, capfd):
     assert early.listener(arguments) is None
-    lines = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
+    lines = [json.loads(line) for line in capfd.readouterr().err.splitlines()]
     assert [line["address"] for line in lines] == addresses
     assert all(line["event"] == "listener.not_early" and line["error"] for line in lines)
 
--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -54,11 +54,12 @@
         """The log file, next to the settings file."""
         return self.settings.with_suffix(".log")
 
-    async def start(self, streams=True):
+    async def start(self, streams=True, standard_error=None):
         """
         Start the process; its output is appended to the log file.
 
         :param streams: whether its standard streams are open
+        :param standard_error: descriptor for its standard error instead of the log file
         """
         close_streams = None if streams else functools.partial(os.closerange, 0, 3)
         with self.log.open("ab") as output:
@@ -69,7 +70,7 @@
                 preexec_fn=close_streams,
                 env=os.environ | {"TURMERICLUG_NODE_FILE": str(self.settings)},
                 stdout=output,
-                stderr=output,
+                stderr=output if standard_error is None else standard_error,
             )
         self.disturbed = False
 
--- a/tests/integration/test_start.py
+++ b/tests/integration/test_start.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import socket
 
@@ -181,3 +182,28 @@
             await assert_serves(instance)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("output", ["closed", "full"])
+def test_unwritable_standard_error_does_not_end_an_instance_whose_port_is_held(tmp_path, output):
+    """The line about the held port raised, as nobody read it, and ended the process."""
+
+    async def scenario():
+        async with stopped_instance(tmp_path) as instance:
+            reader, writer = os.pipe()
+            os.set_blocking(writer, False)
+            if output == "closed":
+                os.close(reader)
+            else:
+                with contextlib.suppress(BlockingIOError):
+                    while True:
+                        os.write(writer, bytes(4096))
+            with holding_port(instance.ports[CALLERS]):
+                await instance.start(standard_error=writer)
+                os.close(writer)
+                await asyncio.sleep(HELD_S)
+            await assert_serves(instance)
+            if output == "full":
+                os.close(reader)
+
+    asyncio.run(scenario())
