Ask for an early stop signal once its handlers are replaced

A SIGTERM between the question and the new handlers was remembered and never read: the instance served on until it was killed. Found by the review, which sent the signal within that moment. test_stop_while_the_handlers_change_is_not_lost fails with the former order (the question comes as a callable now, so that the order can be checked).

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -138,7 +138,7 @@
     signals: early_signals.Remembered,
 ) -> None:
     loop = asyncio.get_running_loop()
-    stop_requested = stop_signal.expect(loop, live, signals.stop_requested_s)
+    stop_requested = stop_signal.expect(loop, live, lambda: signals.stop_requested_s)
     loop.add_signal_handler(signal.SIGHUP, live.reload)
     for name, arrived_s in signals.arrived_s.items():
         waited_ms = round((time.monotonic() - arrived_s) * 1000)
--- a/src/turmericlug/entry/stop_signal.py
+++ b/src/turmericlug/entry/stop_signal.py
@@ -7,6 +7,7 @@
 import signal
 import time
 import types
+from collections import abc
 
 from turmericlug.entry import live_settings
 from turmericlug.telemetry import decisions
@@ -19,7 +20,7 @@
 def expect(
     loop: asyncio.AbstractEventLoop,
     live: live_settings.LiveSettings,
-    early_stop_s: float | None = None,
+    early_stop_s: abc.Callable[[], float | None] = lambda: None,
 ) -> asyncio.Future[float]:
     """
     Return a future with the time at which SIGTERM or SIGINT arrives, by ``time.monotonic``.
@@ -28,7 +29,8 @@
     turns. These handlers interrupt a turn; they also ensure that the process exits in time if the
     loop is still blocked near the end of the grace period.
 
-    :param early_stop_s: when such a signal arrived before this call, if one did
+    :param early_stop_s: returns when such a signal arrived before these handlers were installed, if
+        one did
     """
     stop_requested: asyncio.Future[float] = loop.create_future()
 
@@ -54,6 +56,8 @@
     signal.signal(signal.SIGALRM, on_alarm)
     signal.signal(signal.SIGTERM, on_stop_signal)
     signal.signal(signal.SIGINT, on_stop_signal)
-    if early_stop_s is not None:
-        begin_grace_period(early_stop_s)
+    # Asked only now: the former handlers may have got a signal until this moment.
+    remembered_s = early_stop_s()
+    if remembered_s is not None:
+        begin_grace_period(remembered_s)
     return stop_requested
--- a/tests/entry/test_stop_signal.py
+++ b/tests/entry/test_stop_signal.py
@@ -50,9 +50,27 @@
     async def main():
         live = types.SimpleNamespace(policy=types.SimpleNamespace(grace_s=6.0))
         arrived_s = time.monotonic() - 2.0
-        stop_requested = stop_signal.expect(asyncio.get_running_loop(), live, arrived_s)
+        stop_requested = stop_signal.expect(asyncio.get_running_loop(), live, lambda: arrived_s)
         left_s, _ = signal.getitimer(signal.ITIMER_REAL)
         assert left_s <= 6.0 - 2.0 - stop_signal.FORCED_EXIT_MARGIN_S
         assert await stop_requested == arrived_s
 
     asyncio.run(main())
+
+
+def test_stop_while_the_handlers_change_is_not_lost(handlers):
+    """A signal that reached the former handlers after they had been asked was never read."""
+    early_signals.remember()
+    former = signal.getsignal(signal.SIGTERM)
+    in_force = []
+
+    def early_stop_s():
+        in_force.append(signal.getsignal(signal.SIGTERM))
+        return None
+
+    async def main():
+        live = types.SimpleNamespace(policy=types.SimpleNamespace(grace_s=6.0))
+        stop_signal.expect(asyncio.get_running_loop(), live, early_stop_s)
+        assert in_force and former not in in_force
+
+    asyncio.run(main())
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -590,7 +590,7 @@
     mutant.one(
         "forget-an-early-stop",
         "entry/stop_signal.py",
-        "        begin_grace_period(early_stop_s)\n",
+        "        begin_grace_period(remembered_s)\n",
         "        pass\n",
         "integration/test_start.py::test_stop_while_it_starts_answers_the_callers_that_wait",
     ),
