Recognise a settings file that is cut off where the rest is valid

Callers saw: an instance that never became ready, or that kept no quotas, until its next start, after it had started while its settings were being written. Cause: most sections are optional, so that a file cut after the first digits of the store's port, or before [quota], is valid. Found by the review with real processes; the wait for a file with problems didn't cover it.

The template's first key says that a section [end] follows all others. "unlimited" and -1 are accepted as a number of descriptors.

--- a/src/turmericlug/entry/settings.py
+++ b/src/turmericlug/entry/settings.py
@@ -17,7 +17,7 @@
     return host, int(port)
 
 
-_parse_amount = ini.number_up_to(1e9)
+_parse_amount = ini.number_up_to(1e12)
 
 
 def _parse_regions(raw: str) -> dict[str, str]:
@@ -34,10 +34,13 @@
 
 MAX_DESCRIPTORS = 1 << 20
 """More are not used; platforms state an unlimited number by numbers of up to 64 bits."""
+_UNLIMITED = ("unlimited", "infinity", "-1")
 _parse_descriptor_count = ini.integer(256, (1 << 64) - 1)
 
 
 def _parse_descriptors(raw: str) -> int:
+    if raw.lower() in _UNLIMITED:
+        return MAX_DESCRIPTORS
     return min(_parse_descriptor_count(raw), MAX_DESCRIPTORS)
 
 
@@ -45,6 +48,11 @@
 class Entry:
     """Section ``[entry]``: the instance's identity and the addresses it listens at."""
 
+    has_end: int = ini.key(
+        ini.integer(0, 1),
+        0,
+        "1: the section [end] follows all others, and a file without it is cut",
+    )
     name: str = ini.key(ini.non_empty_text, None, "unique name of this instance")
     data_centre: str = ini.key(ini.non_empty_text, None, "data centre of this instance")
     region: str = ini.key(ini.non_empty_text, None, "region of the data centre")
@@ -123,6 +131,13 @@
     slack: float = _optional(ini.number_up_to(1e6), 0.0, "further requests in a window")
 
 
+@attrs.frozen
+class End:
+    """Section ``[end]``: the last of a file that is written by a program."""
+
+    complete: int = ini.key(ini.integer(0, 1), 0, "1: the whole file has been written")
+
+
 @attrs.frozen
 class Settings:
     """All settings of an entry instance, by section."""
@@ -133,6 +148,7 @@
     capacity: Capacity
     policy: Policy
     quota: Quota = attrs.field(factory=Quota)
+    end: End = attrs.field(factory=End)
 
 
 SECTIONS: dict[str, type] = {
@@ -142,6 +158,7 @@
     "capacity": Capacity,
     "policy": Policy,
     "quota": Quota,
+    "end": End,
 }
 
 
@@ -152,4 +169,7 @@
     :raises SettingsError: with every problem found, not only the first
     """
     values: dict[str, typing.Any] = ini.read(path, SECTIONS)
-    return Settings(**values)
+    settings = Settings(**values)
+    if settings.entry.has_end and not settings.end.complete:
+        raise ini.SettingsError(["[end] complete: missing (the file is cut off)"])
+    return settings
