Count answers that callers are slow to read in the memory of requests

Callers saw: instances that grew beyond their memory while some callers read slowly.

A connection's next request waits until most of the answer before it has been taken. What isn't taken counts in the budget, so that further requests are refused (503, memory) instead of the process ending. A caller that takes nothing for the idle timeout is given up, with counter and line.

Tests: a caller that reads slowly, one that reads nothing; neither can pass before, as answers didn't count. No limit bounds the answers in progress when many callers begin to read slowly at the same moment.

--- a/src/turmericlug/http1/request_budget.py
+++ b/src/turmericlug/http1/request_budget.py
@@ -3,6 +3,8 @@
 
 The limits on the size of one request don't bound their sum: with thousands of connections, requests
 of the allowed size exceed the memory of the process, which is then killed with all of them.
+Responses that callers are slow to read count, too. They are sent all the same, but while they take
+the memory, further requests are refused.
 """
 
 from __future__ import annotations
@@ -26,6 +28,10 @@
         self.held_bytes += size_bytes
         return True
 
+    def hold(self, size_bytes: int) -> None:
+        """Hold bytes of a response, whatever the limit."""
+        self.held_bytes += size_bytes
+
     def release(self, size_bytes: int) -> None:
         """Hold bytes no longer."""
         self.held_bytes -= size_bytes
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -122,6 +122,8 @@
         self._must_close = False
         self._end_sent = False
         self._requests = 0
+        self._writable = asyncio.Event()
+        self._writable.set()
         self._queued_bytes: collections.deque[int] = collections.deque()
         """Bytes held for each request of the queue."""
         self._begin_message()
@@ -165,6 +167,14 @@
         if self._serve_task is not None:
             self._serve_task.cancel()
 
+    def pause_writing(self) -> None:
+        """Note that the caller takes the response more slowly than it is written."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Note that the caller has taken most of the response."""
+        self._writable.set()
+
     def eof_received(self) -> bool:
         """Treat end of input as a disconnect, since a half close can't be told from one."""
         return False
@@ -342,6 +352,7 @@
         response = await self._call_handler(request)
         close = response.close or self._server.draining or (self._must_close and not self._queue)
         await self._write(request, response, close)
+        await self._drained()
         return close
 
     async def _call_handler(self, request: messages.Request) -> messages.Response:
@@ -364,8 +375,27 @@
             if not chunk:
                 continue  # On the wire, an empty chunk is the end of the body.
             self._transport.write(b"%x\r\n%s\r\n" % (len(chunk), chunk))
+            await self._drained()
         self._transport.write(b"0\r\n\r\n")
 
+    async def _drained(self) -> None:
+        """
+        Wait until the caller has taken most of the response; the rest counts in the memory.
+
+        :raises TimeoutError: it has taken nothing for the idle timeout
+        """
+        while not self._writable.is_set():
+            unsent_bytes = self._transport.get_write_buffer_size()
+            self._server.budget.hold(unsent_bytes)
+            try:
+                async with asyncio.timeout(self._server.limits().idle_timeout_s):
+                    await self._writable.wait()
+            except TimeoutError:
+                if self._transport.get_write_buffer_size() >= unsent_bytes:
+                    raise
+            finally:
+                self._server.budget.release(unsent_bytes)
+
     def _reject(self, status: int, reason: str) -> None:
         """Send an error response, and close after the caller had time to read it."""
         self._rejected = True
--- a/tests/http1/test_request_budget.py
+++ b/tests/http1/test_request_budget.py
@@ -170,6 +170,68 @@
     asyncio.run(scenario())
 
 
+def test_a_caller_that_reads_slowly_gets_one_response_at_a_time():
+    """Responses that callers did not read took the memory, and the process ended."""
+    body, handled = bytes(160 * LIMIT_BYTES), []
+
+    async def scenario():
+        async def handle(request):
+            handled.append(request)
+            return messages.Response(200, body=body)
+
+        http_server = server.Server(
+            handle, messages.Limits, 10, budget=request_budget.RequestBudget(LIMIT_BYTES)
+        )
+        listener = await server.listen(http_server, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        try:
+            writer.write(3 * b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+            async with asyncio.timeout(10):
+                while http_server.budget.held_bytes < LIMIT_BYTES:
+                    await asyncio.sleep(0.01)
+            assert len(handled) == 1
+            _, refused = await start(port, post(LENGTH, 10))
+            assert (await refused).status == 503
+            async with asyncio.timeout(20):
+                for _ in range(3):
+                    await reader.readuntil(b"\r\n\r\n")
+                    assert await reader.readexactly(len(body)) == body
+            assert len(handled) == 3
+            await until_empty(http_server)
+        finally:
+            writer.close()
+            listener.close()
+            http_server.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_caller_that_reads_nothing_is_given_up():
+    """The memory of a response that is never read would be held for good."""
+
+    async def scenario():
+        async def handle(request):
+            return messages.Response(200, body=bytes(160 * LIMIT_BYTES))
+
+        http_server = server.Server(handle, lambda: messages.Limits(idle_timeout_s=0.2), 10)
+        listener = await server.listen(http_server, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        _, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        try:
+            writer.write(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+            async with asyncio.timeout(10):
+                while not http_server.counters.totals["caller.response_failed"]:
+                    await asyncio.sleep(0.01)
+            await until_empty(http_server)
+            assert not http_server.connections
+        finally:
+            writer.close()
+            listener.close()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("memory_mb, expected_mb", [(300.0, 75), (0.0, 64)])
 def test_budget_is_a_share_of_the_memory(memory_mb, expected_mb):
     """A machine whose memory is unknown has a bound, too."""
