Limit the lists of a batch that another instance hands over

A message of 20 kB with 1.3 million empty headers kept the event loop for 3.6 s (shown by the review; a damaged or hostile instance). More than 4,096 headers or 65,535 shards are refused before they are read.

--- a/src/turmericlug/direct/handover_codec.py
+++ b/src/turmericlug/direct/handover_codec.py
@@ -17,6 +17,8 @@
 _MAX_UINT16 = 65535
 _MAX_UINT32 = (1 << 32) - 1
 _MAX_TIME_MS = 1e10
+_MAX_HEADERS = 4096
+"""More than a head of the usual limit can hold. Packed, a million empty headers take 15 kB."""
 """Ten times the longest time-out of a route."""
 
 
@@ -126,6 +128,8 @@
     """
     try:
         message = packed.read(_SCHEMA.Batch, content)
+        if len(message.headers) > _MAX_HEADERS or len(message.shards) > _MAX_UINT16:
+            raise ValueError(f"more than {_MAX_HEADERS} headers or {_MAX_UINT16} shards")
         return Batch(
             request_id=message.requestId,
             method=message.method,
--- a/tests/direct/test_handover_codec.py
+++ b/tests/direct/test_handover_codec.py
@@ -75,3 +75,11 @@
     content = handover_codec.encode_answer(attrs.evolve(ANSWER, spent_ms=value), shards)
     with pytest.raises(handover_codec.MessageError):
         handover_codec.decode_answer(content, shards)
+
+
+@pytest.mark.parametrize("field, items", [("headers", [(b"", b"")]), ("shards", ["s"])])
+def test_batches_with_too_many_items_are_rejected(field, items):
+    """A million empty headers fit into 15 kB, and held up the event loop for seconds."""
+    batch = attrs.evolve(handover_helpers.BATCH, **{field: type(items)(100_000 * items)})
+    with pytest.raises(handover_codec.MessageError, match="more than"):
+        handover_codec.decode_batch(handover_codec.encode_batch(batch))
