Refused connections take no descriptors that requests need

Cause: the instance keeps 124 of these connections and refuses the others, but each refused one held its descriptor for up to a second, so that its caller can read why, and the event loop's server accepts all that wait in one turn. Connecting to a replica then failed with EMFILE. That the test passed depended on how fast the callers connect.

The listener is our own now (http1/accepting.py): it accepts at most 64 connections a turn, at most 64 refused ones stay open, and any further one is answered and closed at once. A failure to accept is counted, logged and tried again after 0.1 s. All listeners count refusals.

--- a/src/turmericlug/entry/listeners.py
+++ b/src/turmericlug/entry/listeners.py
@@ -18,6 +18,7 @@
 from turmericlug.entry import quota_service
 from turmericlug.entry import relay
 from turmericlug.entry import suspects
+from turmericlug.http1 import accepting
 from turmericlug.http1 import messages
 from turmericlug.http1 import request_budget
 from turmericlug.http1 import server
@@ -59,7 +60,7 @@
         early = None
     sockets = [early]
 
-    def open_listener() -> abc.Awaitable[asyncio.Server]:
+    def open_listener() -> abc.Awaitable[accepting.Listener]:
         return server.listen(http_server, *address, sockets.pop() if sockets else None)
 
     binding = binding_module.Binding(
@@ -105,6 +106,8 @@
                 messages.Limits,
                 settings.limits.descriptors // 8,
                 budget=request_budget.RequestBudget(OWN_REQUESTS_LIMIT_BYTES),
+                on_refused=_refusal_counter(kernel, name),
+                counters=kernel.find("counters"),
             )
             await stack.enter_async_context(listen(kernel, name, http_server, address))
         peer_server = server.Server(
@@ -123,6 +126,10 @@
         yield
 
 
+def _refusal_counter(kernel: Kernel, name: str) -> abc.Callable[[str], None]:
+    return lambda reason: kernel.find("counters").add(f"listener.refused.{name}")
+
+
 def _operators_handler(kernel: Kernel) -> messages.Handler:
     counts = kernel.find("request handler").organisation_counts
     quotas = kernel.find("quotas")
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from turmericlug.http1 import accepting
 from turmericlug.http1 import client as client_module
 from turmericlug.http1 import messages
 from turmericlug.http1 import request_budget
@@ -26,6 +27,9 @@
 LINGER_S = 1.0
 """A rejected caller that is still sending needs about a round trip to read the response; closing
 with unread bytes resets the connection and discards the response."""
+MAX_LINGERING = 64
+"""Refused connections that may stay open until their callers have read why; the file descriptors
+left for the rest of the process bear this many."""
 BACKLOG = 1024
 """Size of the accept queue; when it is full, connecting takes a caller a second longer."""
 _START_LINE_BYTES = 1024
@@ -97,6 +101,20 @@
         """Start draining: every response from now on has ``connection: close``."""
         self.draining = True
 
+    def is_full(self, opening: int) -> bool:
+        """
+        Whether a new connection can only be refused and closed at once.
+
+        :param opening: connections that were accepted and are not among the open ones yet
+        """
+        return len(self.connections) + opening >= self.max_connections + MAX_LINGERING
+
+    def refuse_connection(self) -> bytes:
+        """Note that a connection is refused; return the response to it."""
+        self.on_refused("connections")
+        decisions.log("caller.refused", reason="connections")
+        return _rejection_bytes(503, "too many connections")
+
     def busy_count(self) -> int:
         """Return how many connections have a request that was read and has no response yet."""
         return sum(connection.busy for connection in self.connections)
@@ -151,8 +169,9 @@
         client_module.set_socket_options(transport)
         self._server.connections.add(self)
         if len(self._server.connections) > self._server.max_connections:
-            decisions.log("caller.refused", reason="connections")
-            self._reject(503, "too many connections")
+            self._rejected = True
+            self._transport.write(self._server.refuse_connection())
+            self._linger()
             return
         self._start_idle_timer()
 
@@ -411,9 +430,7 @@
     def _write_rejection(self, status: int, reason: str) -> None:
         if self._transport.is_closing() or self._end_sent:
             return
-        headers = ((b"retry-after", b"0.5"),) if status == 503 else ()
-        response = messages.Response(status, headers, reason.encode())
-        self._transport.write(messages.response_bytes(b"GET", response, True, 0))
+        self._transport.write(_rejection_bytes(status, reason))
         self._linger()
 
     def _linger(self) -> None:
@@ -460,37 +477,28 @@
         self._transport.close()
 
 
+def _rejection_bytes(status: int, reason: str) -> bytes:
+    """Return the response to a request that the server refuses by itself."""
+    headers = ((b"retry-after", b"0.5"),) if status == 503 else ()
+    response = messages.Response(status, headers, reason.encode())
+    return messages.response_bytes(b"GET", response, True, 0)
+
+
 async def listen(
     server: Server, host: str, port: int, listening_socket: socket.socket | None = None
-) -> asyncio.Server:
+) -> accepting.Listener:
     """
     Accept connections; the server is ready when this returns.
 
     :param listening_socket: a socket that already listens at the address
-    """
-    if listening_socket is None:
-        listening_socket = bind(host, port)
-    return await asyncio.get_running_loop().create_server(
-        lambda: _Connection(server), sock=listening_socket, backlog=BACKLOG
-    )
-
-
-def bind(host: str, port: int) -> socket.socket:
-    """
-    Bind a socket to an address without a look-up.
-
-    The event loop looks each address up on a pool of threads. Their stacks and memory arenas take
-    288 MB of address space, and where they can't be created the process aborts.
-
-    :param host: an IPv4 address
     :raises OSError: the address is in use, or is none of this machine's
     """
-    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bound.bind((host, port))
-        bound.setblocking(False)
-    except OSError:
-        bound.close()
-        raise
-    return bound
+    listener = accepting.Listener(
+        listening_socket if listening_socket is not None else accepting.bind(host, port),
+        lambda: _Connection(server),
+        server.is_full,
+        server.refuse_connection,
+        server.counters,
+    )
+    listener.start(BACKLOG)
+    return listener
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
+import errno
 
 import pytest
 
+from turmericlug.http1 import accepting
 from turmericlug.http1 import messages
 from turmericlug.http1 import server
 from turmericlug.telemetry import counters as counters_module
@@ -292,6 +294,56 @@
     asyncio.run(main())
 
 
+def test_refused_connections_take_a_bounded_number_of_descriptors():
+    """Refused connections stayed open for a second each, however many there were."""
+
+    async def main():
+        async with serving(echo, max_connections=1) as (http_server, address):
+            streams = [await asyncio.open_connection(*address) for _ in range(300)]
+            async with asyncio.timeout(10):
+                answers = await asyncio.gather(*(reader.readline() for reader, _ in streams[1:]))
+            assert len(http_server.connections) <= 1 + server.MAX_LINGERING
+            assert all(b" 503 " in answer for answer in answers)
+            for _, writer in streams:
+                writer.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("error_number", [errno.EMFILE, errno.ENOBUFS])
+def test_listener_goes_on_after_a_failure_to_accept(error_number):
+    """Without a free descriptor for a moment, no connection may be accepted ever again."""
+
+    class Failing:
+        failures = 0
+
+        def __init__(self, listening):
+            self._listening = listening
+
+        def accept(self):
+            self.failures += 1
+            if self.failures < 3:
+                raise OSError(error_number, "no room")
+            return self._listening.accept()
+
+        def __getattr__(self, name):
+            return getattr(self._listening, name)
+
+    async def main():
+        counters = counters_module.Counters()
+        http_server = server.Server(echo, lambda: LIMITS, 100, counters=counters)
+        listening = Failing(accepting.bind("127.0.0.1", 0))
+        listener = await server.listen(http_server, "127.0.0.1", 0, listening)
+        try:
+            answer = await send_and_receive(listening.getsockname(), CLOSING_REQUEST)
+            assert answer.startswith(b"HTTP/1.1 200")
+            assert counters.totals["listener.accept_failed"] == 2
+        finally:
+            listener.close()
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     ("limits_s", "at_s", "kept_s"),
     [([15.0], 0.0, 16.0), ([15.0, 5.0], 10.0, 16.0), ([15.0, 5.0], 60.0, 6.0)],
--- a/tests/integration/test_machine_limits.py
+++ b/tests/integration/test_machine_limits.py
@@ -163,6 +163,31 @@
     asyncio.run(scenario())
 
 
+def test_callers_that_connect_during_a_pause_leave_descriptors_for_requests(tmp_path):
+    """
+    Callers that connected while the process stood still, and were all refused at once when it went
+    on, took the descriptors for replicas, and requests on open connections got a 503.
+    """
+
+    def limit():
+        resource.setrlimit(resource.RLIMIT_NOFILE, (1024, 1024))
+
+    async def scenario():
+        with (tmp_path / "lines").open("wb") as output:
+            async with logging_to(output, tmp_path, limit) as instance:
+                async with connected(instance.ports[0], 1) as (reader, writer):
+                    instance.signal(signal.SIGSTOP)
+                    async with connected(instance.ports[0], 1000):
+                        writer.write(
+                            b"GET /all/1 HTTP/1.1\r\nhost: h.example\r\nx-request-id: q\r\n\r\n"
+                        )
+                        instance.signal(signal.SIGCONT)
+                        async with asyncio.timeout(20):
+                            assert b" 200 " in await reader.readline()
+
+    asyncio.run(scenario())
+
+
 def test_memory_is_bounded_while_large_configurations_change(tmp_path):
     """All earlier configurations stayed in memory, and the process grew over its limit."""
 
