Keep signals and a replaced settings file from ending turmericlugd as it starts

SIGHUP or SIGTERM while turmericlugd was loaded ended it by the signal, without a line; a settings file that was missing, empty or half written just then ended it with status 2 at once.

Cause: its handlers were installed in the running event loop, after all imports, and the file was read once. The pieces that keep entry instances from this were part of their own packages.

Change: turmericlugd starts in start.py, which remembers signals before it imports anything else. early_signals moves to kernel/, the wait for a usable settings file from platform/start.py to config/waiting.py; both programs use them. A remembered stop ends turmericlugd with status 0 before it serves. Its handlers outlast the event loop, whose own are replaced by the default action when it closes, and aiomisc's, which ended the loop by an error, are off.

--- a/src/turmericlug/daemon.py
+++ b/src/turmericlug/daemon.py
@@ -1,27 +1,23 @@
-"""``turmericlugd``: one instance of the query tier."""
+"""One instance of the query tier: its services, from its start to its drain."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import functools
-import gc
-import pathlib
-import signal
 import time
 import typing
 from collections import abc
 
 import aiohttp
-import aiomisc
-import typer
 
 from turmericlug import long_running
 from turmericlug.config import settings as settings_module
-from turmericlug.config import version as version_module
 from turmericlug.kernel import binding as binding_module
+from turmericlug.kernel import early_signals
 from turmericlug.kernel import failures
 from turmericlug.kernel import kernel as kernel_module
+from turmericlug.kernel import loop_signals
 from turmericlug.kernel import supervisor
 from turmericlug.membership import detector as detector_module
 from turmericlug.membership import freshness as freshness_module
@@ -42,9 +38,6 @@
 from turmericlug.telemetry import events
 from turmericlug.wire import server as server_module
 
-EXIT_SETTINGS = 2
-EXIT_RUNTIME = 3
-_GC_THRESHOLDS = (20_000, 20, 50)
 _STATE_INTERVAL_S = 0.1
 _JOIN_TIMEOUT_S = 2.0
 _DRAIN_TIMEOUT_S = 60.0
@@ -346,8 +339,15 @@
 )
 
 
-async def serve(settings: settings_module.Settings) -> None:
-    """Run one instance until it is asked to stop, then drain it and stop."""
+async def serve(
+    settings: settings_module.Settings, signals: early_signals.Remembered | None = None
+) -> None:
+    """
+    Run one instance until it is asked to stop, then drain it and stop.
+
+    :param signals: signals that have arrived while the program was loaded; a stop among them ends
+        it before it serves
+    """
     kernel = Kernel()
     counters = counters_module.Counters(
         settings.metrics.statsd_host, settings.metrics.statsd_port, settings.metrics.prefix
@@ -362,10 +362,10 @@
     kernel.provide("configuration", configuration.Configuration(freshness, counters))
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(functools.partial(_report_failure, counters))
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
-    # There is nothing to reload, and the default action ends the process.
-    loop.add_signal_handler(signal.SIGHUP, events.emit, "instance.hangup_ignored")
+    _handle_signals(loop, stop, signals or early_signals.Remembered())
+    if stop.is_set():
+        events.emit("instance.stopped")
+        return
     try:
         for name, factory in _SERVICES:
             await kernel.open(name, factory)
@@ -383,6 +383,26 @@
     events.emit("instance.stopped")
 
 
+def _handle_signals(
+    loop: asyncio.AbstractEventLoop, stop: asyncio.Event, signals: early_signals.Remembered
+) -> None:
+    """Handle signals in the event loop, and those that have arrived before."""
+
+    def ignore_hangup() -> None:
+        # There is nothing to reload, and the default action ends the process.
+        events.emit("instance.hangup_ignored")
+
+    for number in loop_signals.STOPS:
+        loop_signals.install(loop, number, stop.set)
+    loop_signals.install(loop, loop_signals.HANGUP, ignore_hangup)
+    # Asked only now: the former handlers may have got a signal until this moment.
+    for name, arrived_s in signals.arrived_s.items():
+        waited_ms = round((time.monotonic() - arrived_s) * 1000)
+        events.emit("signal.early", signal=name, waited_ms=waited_ms)
+    if signals.stop_requested_s is not None:
+        stop.set()
+
+
 def _report_failure(
     counters: counters_module.Counters,
     loop: asyncio.AbstractEventLoop,
@@ -414,61 +434,3 @@
     while (owner.in_flight() or coordinator.running) and time.monotonic() < deadline_s:
         await asyncio.sleep(0.02)
     await kernel.find("callers").finish()
-
-
-def _tune_garbage_collector() -> None:
-    """
-    Exclude objects that live as long as the process from cyclic garbage collection.
-
-    A full collection over all loaded modules blocks the event loop for tens of milliseconds, which
-    adds tail latency and makes this instance look silent to its peers.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*_GC_THRESHOLDS)
-
-
-application = typer.Typer(add_completion=True)
-
-
-@application.command()
-def main(
-    settings_file: typing.Annotated[
-        pathlib.Path, typer.Argument(help="INI file with the settings of this instance.")
-    ],
-    check_settings: typing.Annotated[
-        bool,
-        typer.Option("--check-settings", help="Validate the settings, print problems and exit."),
-    ] = False,
-    version: version_module.Option = False,
-) -> None:
-    """
-    Run one turmericlug instance.
-
-    SIGTERM and SIGINT stop it gracefully: it gives up its entry address, returns queued parts to
-    their coordinators, serves callers that still use its address, and exits.
-
-    Exit codes: 0 stopped gracefully, 2 invalid settings, 3 the instance could not run.
-    """
-    try:
-        settings = settings_module.load(settings_file)
-    except settings_module.SettingsError as error:
-        for problem in error.problems:
-            typer.echo(problem, err=True)
-        raise typer.Exit(EXIT_SETTINGS) from error
-    if check_settings:
-        typer.echo(f"{settings_file}: the settings are valid")
-        return
-    events.setup(settings.instance.name)
-    try:
-        _tune_garbage_collector()
-        with aiomisc.entrypoint(log_config=False) as loop:
-            loop.run_until_complete(serve(settings))
-    except OSError as error:
-        events.emit("instance.cannot_run", "error", reason=str(error))
-        raise typer.Exit(EXIT_RUNTIME) from error
-
-
-def run() -> None:
-    """Run the command line."""
-    application()
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -33,7 +33,6 @@
 from turmericlug.entry import descriptors
 from turmericlug.entry import directory as directory_module
 from turmericlug.entry import draining
-from turmericlug.entry import early_signals
 from turmericlug.entry import follower
 from turmericlug.entry import journal as journal_module
 from turmericlug.entry import listeners
@@ -54,6 +53,7 @@
 from turmericlug.http1 import messages
 from turmericlug.http1 import request_budget
 from turmericlug.http1 import server
+from turmericlug.kernel import early_signals
 from turmericlug.kernel import failures
 from turmericlug.kernel import kernel as kernel_module
 from turmericlug.kernel import supervisor as supervisor_module
--- a/src/turmericlug/platform/start.py
+++ b/src/turmericlug/platform/start.py
@@ -5,16 +5,16 @@
 import os
 import pathlib
 import socket
-import time
 import typing
 
 import uvloop
 
 from turmericlug.config import ini
+from turmericlug.config import waiting
 from turmericlug.entry import daemon
-from turmericlug.entry import early_signals
 from turmericlug.entry import live_settings
 from turmericlug.entry import settings as settings_module
+from turmericlug.kernel import early_signals
 from turmericlug.platform import decode
 from turmericlug.platform import interfaces
 from turmericlug.platform import names
@@ -25,9 +25,6 @@
 SETTINGS_VARIABLE = "TURMERICLUG_NODE_FILE"
 EXIT_STOPPED = 0
 EXIT_SETTINGS = 2
-SETTINGS_WAIT_S = 3.0
-"""How long a settings file that can't be used is read again: it may just be being replaced."""
-SETTINGS_POLL_S = 0.05
 
 
 def _make_source(
@@ -66,23 +63,21 @@
 def _load_settings(
     path: pathlib.Path, signals: early_signals.Remembered
 ) -> live_settings.LiveSettings:
-    """Load the settings; read a file with problems again for a while, then exit."""
-    deadline_s = time.monotonic() + SETTINGS_WAIT_S
-    known_problems: list[str] = []
-    while True:
+    """Load the settings, or exit if the file stays unusable."""
+
+    def load() -> live_settings.LiveSettings:
         version = live_settings.file_version(path)
-        try:
-            return live_settings.LiveSettings(path, settings_module.load(path), version)
-        except ini.SettingsError as error:
-            problems = error.problems
-        if signals.stop_requested_s is not None:
-            _exit(EXIT_STOPPED, "stopped while the settings could not be used", problems)
-        if time.monotonic() >= deadline_s:
-            _exit(EXIT_SETTINGS, "settings", problems)
-        if problems != known_problems:
-            decisions.log("settings.not_usable", path=str(path), problems=problems)
-            known_problems = problems
-        time.sleep(SETTINGS_POLL_S)
+        return live_settings.LiveSettings(path, settings_module.load(path), version)
+
+    def on_problems(problems: list[str]) -> None:
+        decisions.log("settings.not_usable", path=str(path), problems=problems)
+
+    try:
+        return waiting.until_usable(load, signals, on_problems)
+    except waiting.StoppedError as error:
+        _exit(EXIT_STOPPED, "stopped while the settings could not be used", error.problems)
+    except ini.SettingsError as error:
+        _exit(EXIT_SETTINGS, "settings", error.problems)
 
 
 def _exit(status: int, reason: str, problems: list[str]) -> typing.NoReturn:
--- a/src/turmericlug_entry.py
+++ b/src/turmericlug_entry.py
@@ -4,7 +4,7 @@
 It lies outside the package so that ``src``, not the package's folder, comes first in ``sys.path``.
 """
 
-from turmericlug.entry import early_signals
+from turmericlug.kernel import early_signals
 
 if __name__ == "__main__":
     signals = early_signals.remember()
--- a/tests/entry/test_early.py
+++ b/tests/entry/test_early.py
@@ -93,7 +93,7 @@
     ("module", "unwanted"),
     [
         (
-            "turmericlug.entry.early_signals",
+            "turmericlug.kernel.early_signals",
             ("asyncio", "attr", "collections", "enum", "json", "signal", "socket", "typing"),
         ),
         ("turmericlug.entry.early", ("asyncio", "attr", "capnp", "json", "logging", "ssl")),
--- a/tests/entry/test_stop_signal.py
+++ b/tests/entry/test_stop_signal.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from turmericlug.entry import early_signals
 from turmericlug.entry import stop_signal
+from turmericlug.kernel import early_signals
 
 
 @pytest.fixture
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -582,7 +582,7 @@
     ),
     mutant.one(
         "signals-not-remembered",
-        "entry/early_signals.py",
+        "kernel/early_signals.py",
         "        _signal.signal(number, on_signal)\n",
         "        pass\n",
         "integration/test_start.py::test_hangups_while_it_starts_do_not_end_an_instance[40]",
@@ -619,9 +619,9 @@
     ),
     mutant.one(
         "read-the-settings-once",
-        "platform/start.py",
-        "SETTINGS_WAIT_S = 3.0",
-        "SETTINGS_WAIT_S = 0.0",
+        "config/waiting.py",
+        "WAIT_S = 3.0",
+        "WAIT_S = 0.0",
         "integration/test_start.py::"
         "test_settings_file_that_is_being_written_does_not_end_an_instance[empty]",
     ),
