Let the stand-ins wait for ports that others hold

turmericlug-standin ended with a trace if another process held one of its ports at the start, and a stand-in replica that came back after a crash stayed away for good.

Cause: each address was bound once.

Change: the platform, replicas, the proxy and the baseline bind through kernel/binding.py, which tries again; each port waits for itself alone.

--- a/src/turmericlug_lab/baseline.py
+++ b/src/turmericlug_lab/baseline.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 
 from turmericlug.owner import target as target_module
+from turmericlug_lab import listening
 
 _MAX_ATTEMPTS = 2
 
@@ -97,7 +98,5 @@
         application = web.Application()
         application.router.add_post("/v1/query", entry.handle_query)
         application.router.add_get("/v1/ready", handle_ready)
-        runner = web.AppRunner(application, access_log=None, handler_cancellation=True)
-        await runner.setup()
-        await web.TCPSite(runner, config["host"], config["port"]).start()
-        await asyncio.Event().wait()
+        async with listening.serving("callers", application, config["host"], config["port"]):
+            await asyncio.Event().wait()
--- a/src/turmericlug_lab/standin_platform.py
+++ b/src/turmericlug_lab/standin_platform.py
@@ -5,7 +5,6 @@
 import asyncio
 import base64
 import collections
-import contextlib
 import json
 import time
 import typing
@@ -14,6 +13,8 @@
 import attrs
 from aiohttp import web
 
+from turmericlug_lab import listening
+
 
 @attrs.define
 class Behaviour:
@@ -269,11 +270,5 @@
     instances.add_routes(application)
     application.router.add_post("/control", control)
     application.router.add_get("/control", stats)
-    runner = web.AppRunner(application, access_log=None, handler_cancellation=True)
-    await runner.setup()
-    try:
-        await web.TCPSite(runner, host, port).start()
+    async with listening.serving("platform", application, host, port):
         await asyncio.Event().wait()
-    finally:
-        with contextlib.suppress(Exception):
-            await runner.cleanup()
--- a/src/turmericlug_lab/standin_proxy.py
+++ b/src/turmericlug_lab/standin_proxy.py
@@ -4,12 +4,17 @@
 
 import asyncio
 import contextlib
+import functools
 import typing
 from collections import abc
 
 import attrs
 from aiohttp import web
 
+from turmericlug.kernel import binding as binding_module
+from turmericlug.kernel import tasks
+from turmericlug_lab import listening
+
 _READ_BYTES = 1 << 16
 
 
@@ -45,18 +50,28 @@
         self._host = host
         self.routes = {route.name: route for route in routes}
         self._tasks: dict[asyncio.Task[None], str] = {}
-        self._listeners: list[asyncio.Server] = []
+        self._closed = False
+        self._bindings: list[binding_module.Binding] = []
+        self._late_binds = tasks.Tasks()
 
     async def start(self) -> None:
-        """Listen on every route."""
+        """Listen on every route, at once or as soon as its port can be bound."""
         for route in self.routes.values():
-            listener = await asyncio.start_server(self._handler(route), self._host, route.listen)
-            self._listeners.append(listener)
+            open_listener = functools.partial(
+                asyncio.start_server, self._handler(route), self._host, route.listen
+            )
+            binding = listening.make(route.name, self._host, route.listen, open_listener)
+            self._bindings.append(binding)
+            await binding.bind()
+            if not binding.is_bound:
+                self._late_binds.start(binding.bind_later(lambda: not self._closed))
 
     def close(self) -> None:
         """Stop listening and close every connection."""
-        for listener in self._listeners:
-            listener.close()
+        self._closed = True
+        for binding in self._bindings:
+            if binding.is_bound:
+                binding.listener.close()
         for task in list(self._tasks):
             task.cancel()
 
@@ -149,7 +164,5 @@
 
     application = web.Application()
     application.router.add_post("/control/{name}", control)
-    runner = web.AppRunner(application, access_log=None)
-    await runner.setup()
-    await web.TCPSite(runner, host, control_port).start()
-    await asyncio.Event().wait()
+    async with listening.serving("proxy control", application, host, control_port):
+        await asyncio.Event().wait()
--- a/src/turmericlug_lab/standin_target.py
+++ b/src/turmericlug_lab/standin_target.py
@@ -16,6 +16,7 @@
 
 from turmericlug.kernel import tasks
 from turmericlug.owner import target as target_module
+from turmericlug_lab import listening
 
 
 @attrs.define
@@ -277,19 +278,26 @@
         handler.replica = replica
         return handler
 
-    listener = await loop.create_server(new_connection, host, replica.spec.port)
+    def open_listener() -> abc.Awaitable[asyncio.Server]:
+        return loop.create_server(new_connection, host, replica.spec.port)
 
-    async def restart_after_crash(listener: asyncio.Server) -> None:
+    binding = listening.make(replica.spec.name, host, replica.spec.port, open_listener)
+
+    async def restart_after_crash() -> None:
         while True:
             try:
+                await binding.bind_later(lambda: True)
                 await replica.crashed.wait()
             finally:
-                listener.close()
+                if binding.is_bound:
+                    binding.listener.close()
             await asyncio.sleep(replica.behaviour.away_s)
             replica.crashed.clear()
-            listener = await loop.create_server(new_connection, host, replica.spec.port)
+            binding.listener = None
+            await binding.bind()
 
-    async with tasks.background(restart_after_crash(listener)):
+    await binding.bind()
+    async with tasks.background(restart_after_crash()):
         try:
             yield
         finally:
