Move the readers of fields and JSON out of the platform's package

turmericlugd is to read its documents with the same types and bounds. decoding/fields.py reads single fields, decoding/json_values.py parses JSON within limits of size and depth; what only the platform's values have (optional fields, regions, rates, load reports) is platform/optional_fields.py. Nothing else changes.

--- a/src/turmericlug/platform/json_values.py
+++ b/src/turmericlug/decoding/json_values.py
@@ -6,7 +6,7 @@
 import json
 import typing
 
-from turmericlug.platform import fields
+from turmericlug.decoding import fields
 
 MAX_BYTES = 8 * 1024 * 1024
 """The largest value that instances relay to each other."""
--- a/src/turmericlug/platform/answers.py
+++ b/src/turmericlug/platform/answers.py
@@ -11,9 +11,9 @@
 
 import attrs
 
+from turmericlug.decoding import fields
 from turmericlug.entry import source
 from turmericlug.platform import decode
-from turmericlug.platform import fields
 
 
 @attrs.frozen
--- a/src/turmericlug/platform/decode.py
+++ b/src/turmericlug/platform/decode.py
@@ -14,12 +14,13 @@
 import typing
 from collections import abc
 
+from turmericlug.decoding import fields
+from turmericlug.decoding import json_values
 from turmericlug.direct import routes
 from turmericlug.entry import source
 from turmericlug.http1 import messages
-from turmericlug.platform import fields
-from turmericlug.platform import json_values
 from turmericlug.platform import names
+from turmericlug.platform import optional_fields
 from turmericlug.platform import organisations
 from turmericlug.policy import capacity
 
@@ -193,7 +194,7 @@
     return routes.Service(
         name=fields.read_text_field(item, "Name"),
         health_path=(
-            fields.read_optional(
+            optional_fields.read_optional(
                 item, "HealthPath", fields.read_any_text, _DEFAULT_HEALTH_PATH, ignored
             )
             if "HealthPath" in item
@@ -202,7 +203,9 @@
         # Connections to one replica, over all callers.
         max_connections=_read_count(item, "MaxConns") or _DEFAULT_MAX_CONNECTIONS,
         cold_rate_per_s=(
-            fields.read_optional(item, "WarmupPerS", fields.read_rate_per_s, 0.0, ignored)
+            optional_fields.read_optional(
+                item, "WarmupPerS", optional_fields.read_rate_per_s, 0.0, ignored
+            )
             if "WarmupPerS" in item
             else 0.0
         ),
@@ -252,7 +255,11 @@
         shards=_decode_shards(item) if "Gather" in item else (),
         top_records=_read_count(item, "TopK") if "TopK" in item else 0,
         min_coverage=_read_amount(item, "MinCoverage", 1.0) if "MinCoverage" in item else 0.0,
-        regions=fields.read_allowed_regions(item, ignored) if "AllowedRegions" in item else None,
+        regions=(
+            optional_fields.read_allowed_regions(item, ignored)
+            if "AllowedRegions" in item
+            else None
+        ),
         is_public=item.get("Public") is True,
     )
 
@@ -320,7 +327,7 @@
         host=host,
         port=port,
         data_centre=fields.read_name_field(item, "Zone"),
-        slots=fields.read_integer_field(item, "Slots", 1, fields.MAX_LOAD),
+        slots=fields.read_integer_field(item, "Slots", 1, optional_fields.MAX_LOAD),
         draining=state == _STATE_DRAINING,
         warmup_left_ms=fields.read_field(item, "WarmupLeftMs", _read_duration_ms),
         born_ms=(
@@ -363,7 +370,9 @@
         fields.read_field(item, "data_centre", fields.read_text),
         fields.read_field(item, "region", fields.read_text),
         item["peers_address"],
-        fields.read_optional(item, "capacity", fields.read_capacity, capacity.DEFAULT, ignored),
+        optional_fields.read_optional(
+            item, "capacity", optional_fields.read_capacity, capacity.DEFAULT, ignored
+        ),
     )
 
 
--- a/src/turmericlug/platform/names.py
+++ b/src/turmericlug/platform/names.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from turmericlug.decoding import fields
 from turmericlug.direct import header_names
 from turmericlug.direct import load
-from turmericlug.platform import fields
+from turmericlug.platform import optional_fields
 
 _PERCENT = 100
 
@@ -12,7 +13,7 @@
 def read_load(header_value: bytes) -> load.Load | None:
     """Parse the load reported by a replica; return ``None`` if it is malformed."""
     try:
-        running, waiting, slots, *slowdown_percent = fields.read_load_values(header_value)
+        running, waiting, slots, *slowdown_percent = optional_fields.read_load_values(header_value)
     except fields.FieldError:
         return None
     slowdown = slowdown_percent[0] / _PERCENT if slowdown_percent else 1.0
--- a/src/turmericlug/platform/organisations.py
+++ b/src/turmericlug/platform/organisations.py
@@ -4,8 +4,9 @@
 
 import typing
 
+from turmericlug.decoding import fields
 from turmericlug.direct import organisations
-from turmericlug.platform import fields
+from turmericlug.platform import optional_fields
 
 MAX_NAME_LENGTH = 200
 """Longer names are rejected: every request to a replica carries the name in a header."""
@@ -67,10 +68,12 @@
         return None
     return organisations.Organisation(
         name=name,
-        priority=fields.read_optional(item, "Priority", _read_priority, None, ignored),
-        rate_per_s=fields.read_optional(item, "RatePerS", fields.read_rate_per_s, 0.0, ignored),
-        burst=fields.read_optional(item, "Burst", _read_burst, 0.0, ignored),
-        regions=fields.read_allowed_regions(item, ignored),
+        priority=optional_fields.read_optional(item, "Priority", _read_priority, None, ignored),
+        rate_per_s=optional_fields.read_optional(
+            item, "RatePerS", optional_fields.read_rate_per_s, 0.0, ignored
+        ),
+        burst=optional_fields.read_optional(item, "Burst", _read_burst, 0.0, ignored),
+        regions=optional_fields.read_allowed_regions(item, ignored),
     )
 
 
--- a/src/turmericlug/platform/store.py
+++ b/src/turmericlug/platform/store.py
@@ -18,12 +18,12 @@
 
 import attrs
 
+from turmericlug.decoding import fields
+from turmericlug.decoding import json_values
 from turmericlug.entry import source
 from turmericlug.http1 import client
 from turmericlug.platform import answers
 from turmericlug.platform import decode
-from turmericlug.platform import fields
-from turmericlug.platform import json_values
 from turmericlug.platform import names
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
--- a/tests/platform/test_json_values.py
+++ b/tests/decoding/test_json_values.py
@@ -8,8 +8,8 @@
 import pytest
 from hypothesis import strategies
 
-from turmericlug.platform import fields
-from turmericlug.platform import json_values
+from turmericlug.decoding import fields
+from turmericlug.decoding import json_values
 
 LIMIT = json_values.MAX_DEPTH
 
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -373,10 +373,10 @@
     ),
     mutant.one(
         "depth-left-to-the-parser",
-        "platform/json_values.py",
+        "decoding/json_values.py",
         "    if _is_too_deep(content):",
         "    if False:",
-        "platform/test_json_values.py::test_deeper_values_are_refused",
+        "decoding/test_json_values.py::test_deeper_values_are_refused",
     ),
     mutant.one(
         "keys-that-no-message-holds-relayed",
@@ -394,7 +394,7 @@
     ),
     mutant.one(
         "text-of-any-code-points",
-        "platform/fields.py",
+        "decoding/fields.py",
         "    if not (value.isascii() or is_unicode(value)):",
         "    if False:",
         "platform/test_decode_bounds.py::test_bounds_of_a_replica",
@@ -797,7 +797,7 @@
     ),
     mutant.one(
         "unreadable-regions-allow-all",
-        "platform/fields.py",
+        "platform/optional_fields.py",
         "    return regions if len(ignored) == ignored_before else frozenset()",
         "    return regions",
         "platform/test_fields.py::test_malformed_region_list_allows_no_region",
--- a/tests/platform/test_decode_bounds.py
+++ b/tests/platform/test_decode_bounds.py
@@ -8,9 +8,9 @@
 import pytest
 import standin_platform
 
+from turmericlug.decoding import fields
 from turmericlug.entry import source
 from turmericlug.platform import decode
-from turmericlug.platform import fields
 
 MANY_DIGITS = 10**400
 SURROGATE = "\ud800"
--- a/tests/platform/test_fields.py
+++ b/tests/platform/test_fields.py
@@ -9,11 +9,12 @@
 import standin_platform
 from hypothesis import strategies
 
+from turmericlug.decoding import fields
 from turmericlug.direct import load
 from turmericlug.entry import source
 from turmericlug.platform import decode
-from turmericlug.platform import fields
 from turmericlug.platform import names
+from turmericlug.platform import optional_fields
 
 MALFORMED = [
     None,
@@ -185,4 +186,4 @@
 
 def test_field_error_states_the_expected_format():
     with pytest.raises(fields.FieldError, match="list of 64"):
-        fields.read_regions("montreal")
+        optional_fields.read_regions("montreal")
--- a/tests/platform/test_fuzz_decoders.py
+++ b/tests/platform/test_fuzz_decoders.py
@@ -15,14 +15,14 @@
 import standin_platform
 from hypothesis import strategies
 
+from turmericlug.decoding import fields
+from turmericlug.decoding import json_values
 from turmericlug.direct import handover_codec
 from turmericlug.direct import organisations
 from turmericlug.entry import relay_codec
 from turmericlug.entry import source
 from turmericlug.platform import answers
 from turmericlug.platform import decode
-from turmericlug.platform import fields
-from turmericlug.platform import json_values
 from turmericlug.platform import names
 from turmericlug.policy import poison
 from turmericlug.policy import quota
