Refuse an odd configuration document alone

turmericlugd stopped following the store where a document or the head had a field of another type, was no JSON, was nested too deeply or was missing: at every instance that reads the store, at each attempt. An instance without peers stopped serving after freshness_ms. An edit was answered 500 without the reason, and a peer's odd document kept the sound ones after it from being applied.

Cause: rules/ took what the store and peers hold for what this program writes: json.loads and indices, without types or bounds.

Change: rules/documents.py reads each field by type and bounds, with the readers of entry instances. What fails is refused alone, with origin, field, reason and revision in rules.unreadable and a counter for each reason; what is in force stays. A stored revision that can't be read does not make an instance outdated. An edit is checked by reading it again before it is stored. The catalogue has bounds and Unicode names.

--- a/src/turmericlug/catalog/catalog.py
+++ b/src/turmericlug/catalog/catalog.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
-import json
 import typing
 
 import attrs
 
+from turmericlug.decoding import fields
+from turmericlug.decoding import json_values
+
+MAX_CONNECTIONS = 1_000_000
+"""Of one replica; no system gives a process more."""
+
 
 class CatalogError(Exception):
     """Invalid catalogue document; ``problems`` lists every reason."""
@@ -65,8 +70,8 @@
     :raises CatalogError: with every problem found
     """
     try:
-        document = json.loads(text)
-    except (ValueError, RecursionError) as error:
+        document = json_values.parse(text.encode())
+    except (UnicodeEncodeError, fields.FieldError) as error:
         raise CatalogError([f"not JSON: {error}"]) from error
     if not isinstance(document, dict):
         raise CatalogError(["the catalogue must be a JSON object"])
@@ -96,12 +101,13 @@
             continue
         slots, connections = limits["slots"], limits["connections"]
         data_centre = limits.get("data_centre", "")
-        if not all(isinstance(limit, int) and limit > 0 for limit in (slots, connections)):
-            problems.append(f"services.{name}: slots and connections must be integers above 0")
+        if not all(_is_count(limit) for limit in (slots, connections)):
+            reason = f"slots and connections must be integers above 0, at most {MAX_CONNECTIONS}"
+            problems.append(f"services.{name}: {reason}")
         elif connections < 2 * slots:
             problems.append(f"services.{name}: connections must be at least twice slots")
-        elif not isinstance(data_centre, str):
-            problems.append(f"services.{name}: data_centre must be a string")
+        elif not (_is_text(name) and _is_text(data_centre)):
+            problems.append(f"services.{name!a}: name and data_centre must be strings of Unicode")
         else:
             parsed[name] = Service(name, slots, connections, data_centre)
     return parsed
@@ -117,7 +123,7 @@
     for name, members in items.items():
         if name in services:
             problems.append(f"groups.{name}: is also the name of a service")
-        elif not _are_strings(members) or not members:
+        elif not _is_text(name) or not _are_strings(members) or not members:
             problems.append(f"groups.{name}: must be a non-empty list of services")
         elif unknown := [member for member in members if member not in services]:
             problems.append(f"groups.{name}: unknown service {unknown[0]}")
@@ -134,7 +140,7 @@
         problems.append("snapshots: must be a list")
         return ()
     for item in items:
-        if not isinstance(item, dict) or not isinstance(item.get("name"), str):
+        if not isinstance(item, dict) or not _is_text(item.get("name")):
             problems.append("snapshots: each must be an object with a string as name")
             continue
         name, shards = item["name"], item.get("shards", {})
@@ -158,4 +164,16 @@
 
 
 def _are_strings(items: typing.Any) -> typing.TypeGuard[list[str]]:
-    return isinstance(items, list) and all(isinstance(item, str) for item in items)
+    return isinstance(items, list) and all(_is_text(item) for item in items)
+
+
+def _is_text(value: typing.Any) -> bool:
+    try:
+        fields.read_any_text(value)
+    except fields.FieldError:
+        return False
+    return True
+
+
+def _is_count(value: typing.Any) -> bool:
+    return type(value) is int and 0 < value <= MAX_CONNECTIONS
--- a/src/turmericlug/membership/freshness.py
+++ b/src/turmericlug/membership/freshness.py
@@ -43,6 +43,8 @@
         self._ticked_at_s = now_s()
         self.in_force = Revisions()
         self.newest_known = Revisions()
+        self.refused = Revisions()
+        """The last revisions that can't be read; they don't count as newer than those in force."""
 
     def tick(self) -> bool:
         """
@@ -82,7 +84,16 @@
             max(self.newest_known.rules, revisions.rules),
             max(self.newest_known.catalog, revisions.catalog),
         )
-        return self.in_force.covers(revisions)
+        return self._covers(revisions)
+
+    def _covers(self, revisions: Revisions) -> bool:
+        """Whether each revision is in force, or can't be."""
+        return self.in_force.covers(
+            Revisions(
+                0 if revisions.rules == self.refused.rules else revisions.rules,
+                0 if revisions.catalog == self.refused.catalog else revisions.catalog,
+            )
+        )
 
     def age_ms(self) -> int:
         """Return the age of the evidence from the store, as sent to peers."""
@@ -91,7 +102,7 @@
     def is_current(self) -> bool:
         """Whether this instance may answer callers now."""
         self.tick()
-        if not self.in_force.rules or not self.in_force.covers(self.newest_known):
+        if not self.in_force.rules or not self._covers(self.newest_known):
             return False
         newest_at_s = max(self._store_evidence_at_s, self._peer_evidence_at_s)
         return self._now_s() - newest_at_s <= self._limit_s
--- a/src/turmericlug/operators/http.py
+++ b/src/turmericlug/operators/http.py
@@ -91,6 +91,8 @@
             return _error_response(400, *error.problems)
         except (ValueError, TypeError) as error:
             return _error_response(400, f"malformed: {error}")
+        except repository_module.UnreadableError as error:
+            return _error_response(503, f"the store can't be read: {error}")
         except repository_module.RepositoryError as error:
             return _error_response(503, f"the store does not answer ({error}); try again")
 
--- a/src/turmericlug/rules/configuration.py
+++ b/src/turmericlug/rules/configuration.py
@@ -9,13 +9,17 @@
 import attrs
 
 from turmericlug.catalog import catalog as catalog_module
+from turmericlug.decoding import fields
 from turmericlug.membership import freshness as freshness_module
+from turmericlug.rules import documents
 from turmericlug.rules import model
 from turmericlug.storage import store as store_module
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import events
 
 RULES, CATALOG = "rules", "catalog"
+_MAX_PROBLEM_LENGTH = 200
+"""Error messages are truncated to this length: they may quote names from the value."""
 
 
 @attrs.frozen
@@ -39,6 +43,8 @@
         self.on_change: list[abc.Callable[[], None]] = []
         self._counters = counters
         self._texts: dict[str, DocumentText] = {}
+        self._refused: dict[str, DocumentText | store_module.Value] = {}
+        """The last value refused of each origin; it is read again at each poll."""
 
     @property
     def catalog_revision(self) -> int:
@@ -49,25 +55,39 @@
         """Return the documents in force, as sent to peers."""
         return list(self._texts.values())
 
-    def apply(self, document: DocumentText) -> bool:
+    def apply(self, document: DocumentText, origin: str, from_store: bool = False) -> bool:
         """
         Put a document in force if its revision is higher than the current one.
 
         Lower revisions are ignored whatever their source: a store restored from a backup, or a
         peer that was partitioned, must not bring back rules that operators have replaced.
 
+        A document that can't be read is refused alone, and the one in force stays. If it is the
+        store's, its revision does not make this instance outdated: nothing would bring it up to
+        date.
+
+        :param origin: key or peer that the document is from
+        :param from_store: whether it was read from the store itself
         :returns: whether the document was put in force
         """
+        if document.name not in (RULES, CATALOG):
+            problem = fields.FieldError("neither rules nor catalogue", "unknown", "name")
+            self.refuse(origin, document, document.revision, problem)
+            return False
         in_force = self.freshness.in_force
         current = in_force.rules if document.name == RULES else in_force.catalog
         if document.revision <= current:
             return False
-        if document.name == RULES:
-            self.rules = model.from_json(document.text)
-            self.freshness.in_force = attrs.evolve(in_force, rules=document.revision)
-        else:
-            self.catalog = catalog_module.parse(document.text)
-            self.freshness.in_force = attrs.evolve(in_force, catalog=document.revision)
+        try:
+            self._parse(document)
+        except fields.FieldError as error:
+            self.refuse(origin, document, document.revision, error)
+            if from_store:
+                self.freshness.refused = attrs.evolve(
+                    self.freshness.refused, **{document.name: document.revision}
+                )
+            return False
+        self.freshness.in_force = attrs.evolve(in_force, **{document.name: document.revision})
         self._texts[document.name] = document
         self._counters.add("rules.applied")
         events.emit("rules.applied", document=document.name, revision=document.revision)
@@ -75,6 +95,45 @@
             listener()
         return True
 
+    def _parse(self, document: DocumentText) -> None:
+        if not 0 < document.revision <= documents.MAX_REVISION:
+            problem = f"not from 1 to {documents.MAX_REVISION}"
+            raise fields.FieldError(problem, "range", "revision")
+        if document.name == RULES:
+            self.rules = documents.parse_rules(document.text)
+            return
+        try:
+            self.catalog = catalog_module.parse(document.text)
+        except catalog_module.CatalogError as error:
+            raise fields.FieldError(error.problems[0], "catalog") from error
+
+    def refuse(
+        self,
+        origin: str,
+        value: DocumentText | store_module.Value,
+        revision: int,
+        error: fields.FieldError,
+    ) -> None:
+        """
+        Log and count a value that can't be read, once for each different one of an origin.
+
+        :param origin: key or peer that the value is from
+        """
+        if self._refused.get(origin) == value:
+            return
+        self._refused[origin] = value
+        self._counters.add("rules.unreadable")
+        self._counters.add(f"rules.unreadable.{error.reason}")
+        events.emit(
+            "rules.unreadable",
+            "error",
+            origin=origin,
+            field=error.field[:_MAX_PROBLEM_LENGTH],
+            reason=error.reason,
+            problem=str(error)[:_MAX_PROBLEM_LENGTH],
+            revision=revision,
+        )
+
 
 @attrs.frozen
 class Head:
@@ -97,8 +156,12 @@
 
 
 def parse_head(value: store_module.Value) -> Head:
-    """Parse a head; an empty text means that the store has never been written."""
+    """
+    Parse a head; an empty text means that the store has never been written.
+
+    :raises FieldError: a field is malformed
+    """
     if not value.text:
         return Head(0, 0, value)
-    fields = json.loads(value.text)
-    return Head(fields[RULES], fields[CATALOG], value)
+    item = documents.parse_object(value.text)
+    return Head(documents.read_revision(item, RULES), documents.read_revision(item, CATALOG), value)
--- a/src/turmericlug/rules/distribution.py
+++ b/src/turmericlug/rules/distribution.py
@@ -9,11 +9,13 @@
 import typing
 from collections import abc
 
+from turmericlug.decoding import fields
 from turmericlug.kernel import tasks
 from turmericlug.membership import detector as detector_module
 from turmericlug.membership import freshness as freshness_module
 from turmericlug.membership import members as members_module
 from turmericlug.rules import configuration
+from turmericlug.rules import documents as documents_module
 from turmericlug.rules import repository as repository_module
 from turmericlug.storage import store as store_module
 from turmericlug.telemetry import events
@@ -30,6 +32,7 @@
 FALLBACK_READERS = 2
 """Expected number of other instances per data centre that read when their evidence is stale."""
 CONFIRM_TIMEOUT_S = 3.0
+_MAX_REVISION_DIGITS = len(str(documents_module.MAX_REVISION))
 _CHILD_TIMEOUT_SHARE = 0.6
 """Share of its own timeout that a node of the tree passes on to its children."""
 
@@ -119,20 +122,30 @@
         return random.random() < FALLBACK_READERS / max(len(local_members), 1)
 
     async def refresh(self) -> bool:
-        """Read the head, and the documents if they differ; return whether the store answered."""
+        """
+        Read the head, and the documents if they differ; return whether the store answered.
+
+        What can't be read is logged, and what is in force stays in force: nothing says that there
+        is anything newer.
+        """
         began_at_s = time.monotonic()
+        revisions = self._config.freshness.in_force
         try:
             head = await self._repository.read_head()
             if not head.rules or head.revisions != self._config.freshness.in_force:
                 contents = await self._repository.read()
                 head = contents.head
                 for document in contents.documents:
-                    self._config.apply(document)
+                    key = self._repository.key_of(document.name)
+                    self._config.apply(document, key, from_store=True)
+            revisions = head.revisions
+        except repository_module.UnreadableError as error:
+            self._config.refuse(error.value.key, error.value, error.value.revision, error.error)
         except repository_module.RepositoryError:
             self.store_reachable = False
             return False
         self.store_reachable = True
-        self._config.freshness.record_store_read(began_at_s, head.revisions)
+        self._config.freshness.record_store_read(began_at_s, revisions)
         return True
 
     def pull_from(self, peer: str) -> None:
@@ -153,25 +166,30 @@
 
             reply = await link.ask(fill, PULL_TIMEOUT_S)
             if reply.which() == "documentsReply":
-                self._apply_all(reply.documentsReply)
+                self._apply_all(reply.documentsReply, peer)
         except link_module.LinkError as error:
             events.emit("rules.pull_failed", peer=peer, reason=error.reason)
         finally:
             self._pulling.discard(peer)
 
-    def _apply_all(self, documents: typing.Any) -> None:
+    def _apply_all(self, documents: typing.Any, peer: str) -> None:
         for document in documents:
-            self._config.apply(
-                configuration.DocumentText(document.name, document.revision, document.text)
-            )
+            try:
+                name, revision, text = document.name, document.revision, document.text
+            except ValueError as error:
+                problem = fields.FieldError(str(error), "text")
+                unreadable = configuration.DocumentText("", document.revision, "")
+                self._config.refuse(peer, unreadable, document.revision, problem)
+                continue
+            self._config.apply(configuration.DocumentText(name, revision, text), peer)
 
     def on_documents(self, request: server_module.Request) -> None:
         """Reply with the documents that are newer than those of the requesting peer."""
-        known = dict(entry.split(">") for entry in request.message.documents)
+        known = _read_known(request.message.documents)
         newer = [
             {"name": document.name, "revision": document.revision, "text": document.text}
             for document in self._config.documents()
-            if document.revision > int(known.get(document.name, 0))
+            if document.revision > known.get(document.name, 0)
         ]
         request.reply(lambda envelope: setattr(envelope, "documentsReply", newer))
 
@@ -249,7 +267,7 @@
         once the queries under older rules have ended, and not at all if that takes too long.
         """
         message = request.message.spread
-        self._apply_all(message.documents)
+        self._apply_all(message.documents, request.peer)
         announced = freshness_module.Revisions(
             message.stamp.rulesRevision, message.stamp.catalogRevision
         )
@@ -303,3 +321,13 @@
     async def close(self) -> None:
         """Cancel the fetches and the watch."""
         await self._tasks.close()
+
+
+def _read_known(entries: typing.Any) -> dict[str, int]:
+    """Read the revisions that a peer has; it is sent the documents of which it states none."""
+    known = {}
+    for entry in entries:
+        name, _, revision = entry.partition(">")
+        if revision.isascii() and revision.isdigit() and len(revision) <= _MAX_REVISION_DIGITS:
+            known[name] = int(revision)
+    return known
--- a/src/turmericlug/rules/model.py
+++ b/src/turmericlug/rules/model.py
@@ -5,13 +5,18 @@
 import fnmatch
 import json
 import typing
-from collections import abc
 
 import attrs
 
 PREFER_LATENCY, PREFER_COVERAGE = "latency", "coverage"
 MAX_PRIORITY = 9
 DEFAULT_PRIORITY = 5
+DEADLINE_MS = (1, 600_000)
+COVERAGE = (0.0, 1.0)
+RETRIES = (0, 3)
+RATE_PER_S = (0.001, 1e6)
+COME_BACK_MS = (1, 3_600_000)
+"""Bounds of the actions, both included."""
 EDIT_HISTORY_LENGTH = 64
 """Edits kept in the document, to detect conflicts and repeated edits."""
 
@@ -158,16 +163,3 @@
     }
     when = {key: list(patterns) for key, patterns in rule.when.items()}
     return {"name": rule.name, "when": when, "then": then}
-
-
-def from_json(text: str) -> Document:
-    """Parse a document read from the store."""
-    fields = json.loads(text)
-    rules = tuple(rule_from_dict(item) for item in fields["rules"])
-    return Document(fields["revision"], rules, tuple(Edit(**item) for item in fields["edits"]))
-
-
-def rule_from_dict(item: abc.Mapping[str, typing.Any]) -> Rule:
-    """Create a rule from JSON types, which must be valid."""
-    when = {key: tuple(patterns) for key, patterns in item["when"].items()}
-    return Rule(item["name"], when, Treatment(rule=item["name"], **item["then"]))
--- a/src/turmericlug/rules/parser.py
+++ b/src/turmericlug/rules/parser.py
@@ -175,16 +175,16 @@
 
 
 _ACTIONS: dict[str, abc.Callable[[str], typing.Any]] = {
-    "deadline_ms": _integer(1, 600000),
-    "answer_by_ms": _integer(1, 600000),
-    "min_coverage": _number(0.0, 1.0),
+    "deadline_ms": _integer(*model.DEADLINE_MS),
+    "answer_by_ms": _integer(*model.DEADLINE_MS),
+    "min_coverage": _number(*model.COVERAGE),
     "prefer": _one_of(model.PREFER_LATENCY, model.PREFER_COVERAGE),
     "priority": _integer(0, model.MAX_PRIORITY),
     "hedge": _parse_yes_no,
-    "retries": _integer(0, 3),
-    "rate_per_s": _number(0.001, 1e6),
+    "retries": _integer(*model.RETRIES),
+    "rate_per_s": _number(*model.RATE_PER_S),
     "refuse": _parse_reason,
-    "come_back_ms": _integer(1, 3600000),
+    "come_back_ms": _integer(*model.COME_BACK_MS),
 }
 
 
--- a/src/turmericlug/rules/repository.py
+++ b/src/turmericlug/rules/repository.py
@@ -11,7 +11,9 @@
 import attrs
 
 from turmericlug.catalog import catalog as catalog_module
+from turmericlug.decoding import fields
 from turmericlug.rules import configuration
+from turmericlug.rules import documents
 from turmericlug.rules import edits
 from turmericlug.rules import model
 from turmericlug.rules import parser as parser_module
@@ -19,6 +21,7 @@
 from turmericlug.telemetry import events
 
 _MAX_ATTEMPTS = 12
+_MAX_PLACE_LENGTH = 300
 _EMPTY_CATALOG = json.dumps({"services": {}, "groups": {}, "snapshots": []})
 
 
@@ -26,13 +29,37 @@
     """The configuration could not be read because the store did not answer."""
 
 
+class UnreadableError(RepositoryError):
+    """A value of the configuration has a malformed field."""
+
+    def __init__(self, value: store_module.Value, error: fields.FieldError) -> None:
+        place = f"{value.key} {error.field}".rstrip()
+        super().__init__(f"{place[:_MAX_PLACE_LENGTH]}: {error}")
+        self.value = value
+        self.error = error
+
+
 @attrs.frozen
 class Contents:
     """The whole configuration, from one read of the store."""
 
     head: configuration.Head
-    rules: model.Document
     documents: list[configuration.DocumentText]
+    """Rules and catalogue, as they are stored."""
+    values: list[store_module.Value]
+    """Their values, in the same order."""
+
+    @property
+    def rules(self) -> model.Document:
+        """
+        The rules.
+
+        :raises UnreadableError: a field is malformed
+        """
+        try:
+            return documents.parse_rules(self.documents[0].text)
+        except fields.FieldError as error:
+            raise UnreadableError(self.values[0], error) from error
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,12 +102,13 @@
         Read the newest revisions.
 
         :raises RepositoryError: the store did not answer
+        :raises UnreadableError: a field is malformed
         """
         try:
             value = await self._store.read(self.head_key)
         except store_module.StoreError as error:
             raise RepositoryError(error.reason) from error
-        return configuration.parse_head(value)
+        return _parse_head(value)
 
     async def read(self) -> Contents:
         """
@@ -91,6 +119,7 @@
         reuse a revision that instances already have in force, and all of them would ignore it.
 
         :raises RepositoryError: the store did not answer
+        :raises UnreadableError: the head is malformed, or a key is missing
         """
         try:
             contents = await self._read()
@@ -106,14 +135,23 @@
             await self._create()
             values = await self._store.read_prefix(self._prefix)
         by_key = {value.key: value for value in values}
-        head = configuration.parse_head(by_key[self.head_key])
-        rules_text = by_key[f"{self._prefix}rules"].text
-        catalog_text = by_key[f"{self._prefix}catalog"].text
+        names = (configuration.RULES, configuration.CATALOG)
+        keys = [self.head_key, *map(self.key_of, names)]
+        head_value, rules, catalog = (
+            by_key.get(key) or store_module.Value(key, "", 0) for key in keys
+        )
+        if not head_value.text:
+            raise UnreadableError(head_value, fields.FieldError("absent", "missing"))
+        head = _parse_head(head_value)
         texts = [
-            configuration.DocumentText(configuration.RULES, head.rules, rules_text),
-            configuration.DocumentText(configuration.CATALOG, head.catalog, catalog_text),
+            configuration.DocumentText(configuration.RULES, head.rules, rules.text),
+            configuration.DocumentText(configuration.CATALOG, head.catalog, catalog.text),
         ]
-        return Contents(head, model.from_json(rules_text), texts)
+        return Contents(head, texts, [rules, catalog])
+
+    def key_of(self, document: str) -> str:
+        """Return the key of a document in the store."""
+        return f"{self._prefix}{document}"
 
     async def _write_back_lost_documents(self, contents: Contents) -> bool:
         """Write the documents that the store has lost; return whether there were any."""
@@ -168,9 +206,12 @@
         for _ in range(_MAX_ATTEMPTS):
             try:
                 contents = await self.read()
+                stored_rules = contents.rules
+            except UnreadableError as error:
+                return Rejected([f"the store can't be read: {error}"])
             except RepositoryError as error:
                 return Unknown(str(error))
-            outcome = edits.apply(contents.rules, change, int(time.time()))
+            outcome = edits.apply(stored_rules, change, int(time.time()))
             if isinstance(outcome, edits.AlreadyStored):
                 return Stored(outcome.revision)
             if isinstance(outcome, edits.Conflict):
@@ -180,8 +221,14 @@
             try:
                 catalog = catalog_module.parse(contents.documents[1].text)
                 parser_module.check_reachability(outcome.document.rules, catalog)
+                # What can't be read again must not be written.
+                documents.parse_rules(model.to_json(outcome.document))
             except parser_module.RulesError as error:
                 return Rejected([problem.reason for problem in error.problems])
+            except catalog_module.CatalogError as error:
+                return Rejected([f"the stored catalogue can't be read: {error}"])
+            except fields.FieldError as error:
+                return Rejected([f"{error.field}: {error}"])
             result = await self._write_rules(contents.head, outcome.document)
             if isinstance(result, str):
                 reason = result
@@ -224,6 +271,8 @@
                 puts = {self.head_key: head_text, f"{self._prefix}catalog": text}
                 if await self._store.swap([contents.head.value], puts):
                     return Stored(revision)
+            except UnreadableError as error:
+                return Rejected([f"the store can't be read: {error}"])
             except (RepositoryError, store_module.StoreError) as error:
                 return Unknown(str(error))
         return Unknown("contention")
@@ -233,6 +282,14 @@
         Return the latest edits, newest first.
 
         :raises RepositoryError: the store did not answer
+        :raises UnreadableError: a field is malformed
         """
         contents = await self.read()
         return [attrs.asdict(edit) for edit in reversed(contents.rules.edits)][:limit]
+
+
+def _parse_head(value: store_module.Value) -> configuration.Head:
+    try:
+        return configuration.parse_head(value)
+    except fields.FieldError as error:
+        raise UnreadableError(value, error) from error
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -51,6 +51,8 @@
     "records.written_again": "records written again after the store was restored from a backup",
     "rules.applied": "revisions put in force",
     "rules.edit.*": "operators' edits, by outcome",
+    "rules.unreadable": "documents and heads refused, as a field is malformed",
+    "rules.unreadable.*": "the same, by reason",
     "records.claim.*": "idempotency claims, by outcome",
     "records.settle.*": "request outcomes recorded, by result of the write",
     "records.release.*": "claims released because nothing ran, by outcome",
--- a/tests/rules/test_configuration.py
+++ b/tests/rules/test_configuration.py
@@ -23,7 +23,7 @@
     replaced. They must not come into force again.
     """
     config = configuration.Configuration(freshness.Freshness(1000), counters.Counters())
-    applied = [config.apply(rules(revision)) for revision in revisions]
+    applied = [config.apply(rules(revision), "t/config/rules") for revision in revisions]
     assert config.rules.revision == in_force == config.freshness.in_force.rules
     assert applied == [
         revision > max(revisions[:index], default=0) for index, revision in enumerate(revisions)
--- a/tests/rules/test_parser.py
+++ b/tests/rules/test_parser.py
@@ -3,6 +3,7 @@
 import pytest
 
 from turmericlug.catalog import catalog
+from turmericlug.rules import documents
 from turmericlug.rules import model
 from turmericlug.rules import parser
 
@@ -89,4 +90,4 @@
     document = model.Document(
         3, tuple(parser.parse(given)), (model.Edit("e", 3, "o", "add", "a", 1),)
     )
-    assert model.from_json(model.to_json(document)) == document
+    assert documents.parse_rules(model.to_json(document)) == document
--- a/tests/rules/test_repository.py
+++ b/tests/rules/test_repository.py
@@ -11,6 +11,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from turmericlug.rules import documents
 from turmericlug.rules import edits
 from turmericlug.rules import model
 from turmericlug.rules import repository
@@ -148,7 +149,7 @@
     @stateful.invariant()
     def check_stored_edits(self):
         value = self.store.values.get("t/config/rules")
-        document = model.from_json(value.text)
+        document = documents.parse_rules(value.text)
         assert document.revision >= self.newest
         self.newest = document.revision
         revisions = {edit.edit: edit.revision for edit in document.edits}
