Keep the start command of turmericlugd as it was

A rolling upgrade, and the tools that start older builds beside the new one, run the same command line with either build: the entry point is turmericlug.daemon:run again. daemon.py is the small module that remembers signals and then imports command.py; the services moved to instance.py. Nothing else changes.

--- a/src/turmericlug/command.py
+++ b/src/turmericlug/command.py
@@ -9,7 +9,7 @@
 import aiomisc
 import typer
 
-from turmericlug import daemon
+from turmericlug import instance
 from turmericlug.config import settings as settings_module
 from turmericlug.config import version as version_module
 from turmericlug.config import waiting
@@ -76,7 +76,7 @@
         _tune_garbage_collector()
         # ``serve`` handles the signals.
         with aiomisc.entrypoint(log_config=False, catch_signals=()) as loop:
-            loop.run_until_complete(daemon.serve(settings, signals))
+            loop.run_until_complete(instance.serve(settings, signals))
     except OSError as error:
         events.emit("instance.cannot_run", "error", reason=str(error))
         raise typer.Exit(EXIT_RUNTIME) from error
--- a/src/turmericlug_lab/fleet.py
+++ b/src/turmericlug_lab/fleet.py
@@ -378,7 +378,7 @@
 
 
 _LAUNCHER = {
-    "daemon": "from turmericlug import start; start.run()",
+    "daemon": "from turmericlug import daemon; daemon.run()",
     "standin": "from turmericlug_lab import standin; standin.run()",
 }
 
--- a/tests/failing_daemon.py
+++ b/tests/failing_daemon.py
@@ -6,7 +6,7 @@
 import math
 import sys
 
-from turmericlug import command
+from turmericlug import daemon
 from turmericlug import long_running
 from turmericlug.membership import detector
 from turmericlug.membership import freshness
@@ -45,4 +45,4 @@
     """Run the daemon of the command line with faults, for ever if ``times`` is 0."""
     for task in faulty_tasks:
         install(task, times or math.inf)
-    command.run()
+    daemon.run()
--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -146,7 +146,7 @@
     ),
     mutant.one(
         "stop-before-addresses-expire",
-        "daemon.py",
+        "instance.py",
         "await asyncio.sleep(settings.policy.address_lifetime_ms / 1000)",
         "await asyncio.sleep(0)",
         "integration/test_planned_stop.py::test_rolling_replacement[False]",
