Refuse an odd line of the idempotency records alone

A line or head of a bucket's log that turmericlugd could not read raised at each load, at every instance: requests with a key of that bucket were refused until a person changed the store. Where the head was missing or named a segment that exists, the next write replaced that segment, so that its requests could run a second time.

Cause: json.loads and unpacking without types or bounds, of values that other programs can change.

Change: records/entries.py reads head and lines by type and bounds. A line that can't be read may be a claim, so keys made until it was first seen that have no record count as in use, as after a restore of the store; a writer that knows its entry writes it again. For an odd head, the segments in the store give the range. records.unreadable names key, field, reason and revision, and counts by reason.

--- a/src/turmericlug/records/ledger.py
+++ b/src/turmericlug/records/ledger.py
@@ -4,15 +4,17 @@
 
 import asyncio
 import contextlib
-import json
 import time
-import uuid
+from collections import abc
 
 import attrs
 
+from turmericlug.decoding import fields
 from turmericlug.kernel import failures
+from turmericlug.records import entries as entries_module
 from turmericlug.storage import store as store_module
 from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import events
 
 CLAIM, SETTLE, RELEASE = "claim", "settle", "release"
 GRANTED, SETTLED, OPEN, MISMATCH, EXPIRED, UNAVAILABLE = (
@@ -27,7 +29,7 @@
 _CLOCK_ERROR_MARGIN_S = 600
 """Records are kept this much longer than their keys are accepted, to allow for clock errors."""
 _COMPACTION_MIN_SEGMENTS = 48
-_MAX_SEGMENT_BYTES = 512 * 1024
+_MAX_PROBLEM_LENGTH = 200
 _RETRY_S = 0.05
 _RECONCILE_RETRY_S = 1.0
 
@@ -52,15 +54,7 @@
     detail: str = ""
 
 
-@attrs.frozen
-class Entry:
-    """Record of one key: the attempt that claimed it, and its outcome once known."""
-
-    attempt: str
-    fingerprint: str
-    created_at_s: int
-    outcome: str = ""
-    released: bool = False
+Entry = entries_module.Entry
 
 
 def decide(entry: Entry | None, operation: Operation) -> tuple[Verdict, Entry | None]:
@@ -142,6 +136,9 @@
         self._needs_reconciling = False
         self._head: store_module.Value | None = None
         """The head as last read or written; ``None``: must be read."""
+        self._refused_lines: set[entries_module.Refused] = set()
+        self._refused_head: store_module.Value | None = None
+        self._refused_head_s = 0.0
         self._next_segment = 0
         self._first_segment = 0
         self._pending: list[_PendingOperation] = []
@@ -258,7 +255,7 @@
         return decide(entry, operation)
 
     async def _append(self, changed: dict[str, Entry]) -> bool:
-        text = _encode_entries(changed)
+        text = entries_module.encode(changed)
         written = await self._swap(
             {self._segment_key(self._next_segment): text},
             self._first_segment,
@@ -271,15 +268,9 @@
 
     async def _swap(self, segments: dict[str, str], first_segment: int, next_segment: int) -> bool:
         """Write segments and the head, and delete the segments before the log's new first one."""
-        # A unique ID per write keeps a swap from matching another head whose revision was reused.
-        head = json.dumps(
-            {
-                "base": first_segment,
-                "next": next_segment,
-                "era": self._era,
-                "doubted_until_s": self._uncertain_until_s,
-                "write": uuid.uuid4().hex,
-            }
+        # The unique ID of each write keeps a swap from matching another head of the same revision.
+        head = entries_module.encode_head(
+            entries_module.Head(first_segment, next_segment, self._era, self._uncertain_until_s)
         )
         puts = {self._head_key: head, **segments}
         # The head is unknown until the response arrives, and stays so if the response is lost.
@@ -305,20 +296,71 @@
     async def _load(self) -> None:
         values = await self._store.read_prefix(self._prefix)
         head = next((value for value in values if value.key == self._head_key), None)
-        head_fields = json.loads(head.text) if head else {"base": 0, "next": 0}
-        self._first_segment, self._next_segment = head_fields["base"], head_fields["next"]
-        first_key = self._segment_key(self._first_segment)
+        segments = {
+            number: value
+            for value in values
+            if (number := entries_module.segment_number(value.key.removeprefix(self._prefix)))
+            is not None
+        }
+        log_head = self._read_head(head, segments)
+        self._first_segment, self._next_segment = log_head.first_segment, log_head.next_segment
         stored: dict[str, Entry] = {}
-        for value in values:
-            if value.key != self._head_key and value.key >= first_key:
-                stored.update(_decode_entries(value.text))
-        self._update_uncertain_period(
-            head_fields.get("era", 0), head_fields.get("doubted_until_s", 0.0)
+        refused: set[entries_module.Refused] = set()
+        for number, value in sorted(segments.items()):
+            if number >= self._first_segment:
+                decoded, unreadable = entries_module.decode(value.text)
+                stored.update(decoded)
+                new = [line for line in unreadable if line not in self._refused_lines]
+                if new:
+                    self._report(value, new[0].error, len(new))
+                refused.update(unreadable)
+        self._update_uncertain_period(log_head.era, log_head.uncertain_until_s)
+        if refused - self._refused_lines:
+            # Any claim of until now may be in these lines.
+            self._uncertain_until_s = time.time()
+        self._refused_lines = refused
+        self._lost = entries_module.find_missing(
+            self._entries | self._lost, stored, self._retention_start_s()
         )
-        self._lost = _find_missing(self._entries | self._lost, stored, self._retention_start_s())
         self._entries = stored
         self._head = head or store_module.Value(self._head_key, "", 0)
 
+    def _read_head(
+        self, head: store_module.Value | None, segments: abc.Mapping[int, store_module.Value]
+    ) -> entries_module.Head:
+        """Return the log's head, or one for the segments that exist if it can't be read."""
+        now_s = time.time()
+        try:
+            if head is not None:
+                return entries_module.decode_head(
+                    head.text, segments, now_s + _CLOCK_ERROR_MARGIN_S
+                )
+            if not segments:
+                return entries_module.Head(0, 0, 0, 0.0)
+            error = fields.FieldError("absent", "missing")
+        except fields.FieldError as malformed:
+            error = malformed
+        value = head or store_module.Value(self._head_key, "", 0)
+        if value != self._refused_head:
+            self._refused_head = value
+            self._refused_head_s = now_s
+            self._report(value, error)
+        return entries_module.recovered_head(segments, self._refused_head_s)
+
+    def _report(self, value: store_module.Value, error: fields.FieldError, lines: int = 1) -> None:
+        self._counters.add("records.unreadable", lines)
+        self._counters.add(f"records.unreadable.{error.reason}", lines)
+        events.emit(
+            "records.unreadable",
+            "error",
+            key=value.key,
+            lines=lines,
+            field=error.field,
+            reason=error.reason,
+            problem=str(error)[:_MAX_PROBLEM_LENGTH],
+            revision=value.revision,
+        )
+
     def _update_uncertain_period(self, written_era: int, uncertain_until_s: float) -> None:
         """Update the time up to which records may be lost, from the era of the log's last write."""
         eras = self._store.eras
@@ -347,14 +389,14 @@
         }
         first_segment, next_segment = self._next_segment, self._next_segment
         segments = {}
-        for text in _split_segments(live):
+        for text in entries_module.split_segments(live):
             segments[self._segment_key(next_segment)] = text
             next_segment += 1
         if await self._swap(segments, first_segment, next_segment):
             self._entries = live
 
     def _segment_key(self, number: int) -> str:
-        return f"{self._prefix}seg/{number:012d}"
+        return f"{self._prefix}{entries_module.segment_key(number)}"
 
 
 def _may_change(verdict: Verdict) -> bool:
@@ -362,59 +404,6 @@
     return verdict.status != SETTLED
 
 
-def _find_missing(
-    known: dict[str, Entry], stored: dict[str, Entry], retention_start_s: float
-) -> dict[str, Entry]:
-    """Return acknowledged entries that are not stored, without those past their retention."""
-    return {
-        key: entry
-        for key, entry in known.items()
-        if entry.created_at_s > retention_start_s
-        and (key not in stored or _is_outdated(stored[key], entry))
-    }
-
-
-def _is_outdated(stored: Entry, known: Entry) -> bool:
-    """Whether a stored entry lacks the outcome or release that is known for the same attempt."""
-    if stored.attempt != known.attempt or stored.outcome or stored.released:
-        return False
-    return bool(known.outcome) or known.released
-
-
-def _encode_entries(entries: dict[str, Entry]) -> str:
-    return "\n".join(
-        json.dumps(
-            [key, entry.attempt, entry.fingerprint, entry.created_at_s, entry.outcome]
-            + ([1] if entry.released else [])
-        )
-        for key, entry in entries.items()
-    )
-
-
-def _decode_entries(text: str) -> dict[str, Entry]:
-    entries = {}
-    for line in text.splitlines():
-        key, attempt, fingerprint, created_at_s, outcome, *released = json.loads(line)
-        entries[key] = Entry(attempt, fingerprint, created_at_s, outcome, bool(released))
-    return entries
-
-
-def _split_segments(entries: dict[str, Entry]) -> list[str]:
-    """Encode entries as texts within the store's value size; one empty text if there are none."""
-    segments: list[str] = []
-    lines: list[str] = []
-    size = 0
-    for key, entry in entries.items():
-        line = _encode_entries({key: entry})
-        if size + len(line) > _MAX_SEGMENT_BYTES:
-            segments.append("\n".join(lines))
-            lines, size = [], 0
-        lines.append(line)
-        size += len(line) + 1
-    segments.append("\n".join(lines))
-    return segments
-
-
 def unavailable(detail: str) -> Verdict:
     """Return the verdict on an operation that was not confirmed; it may still be recorded."""
     return Verdict(UNAVAILABLE, detail)
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -56,6 +56,8 @@
     "records.claim.*": "idempotency claims, by outcome",
     "records.settle.*": "request outcomes recorded, by result of the write",
     "records.release.*": "claims released because nothing ran, by outcome",
+    "records.unreadable": "heads and lines of the log refused, as a field is malformed",
+    "records.unreadable.*": "the same, by reason",
     "records.writes": "store writes that contained records",
     "records.carried": "records in those writes",
     "peer.rejected.*": "peer connections rejected, by reason",
--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -104,8 +104,8 @@
     ),
     mutant.one(
         "heads-without-unique-id",
-        "records/ledger.py",
-        '                "write": uuid.uuid4().hex,\n',
+        "records/entries.py",
+        '            "write": uuid.uuid4().hex,\n',
         "",
         "records/test_ledger.py::test_writer_does_not_mistake_another_head_for_the_one_it_read",
     ),
