Name the replicas of a handed-over part that any instance may send it to

Cause: an instance took a peer for lost after 103 ms and sent the parts itself, while the peer, which was only stalled, sent them too and hedged 80 ms later. Both limit themselves to one common replica, but each worked it out from the replicas that it knew itself, and neither does if it knows no more replicas than a part may reach. Three entries were unreadable for 0.6 s: both knew two replicas, and the hedge went to the third, whose entry had come back 10 ms before.

Change: the batch names the replicas to which its parts may be sent a second time, in the view of the instance that hands over: all, if they are no more than max_attempts, else one. The peer counts them as reached; a second send goes to one of them only, whoever makes it. A part that moves to the other owner keeps one of them. Earlier builds read a limit that leaves one attempt; their own batches leave one replica unused, and are refused if their parts may have been sent before.

--- a/src/turmericlug/direct/attempts.py
+++ b/src/turmericlug/direct/attempts.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import collections
+from collections import abc
 
 import attrs
 
+from turmericlug.direct import placement
 from turmericlug.direct import replica as replica_module
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import sender as sender_module
@@ -52,10 +54,10 @@
     sender: sender_module.Sender
     call: sending.Call
     service: str
-    common_replica: str = ""
-    """The replica that other instances may also send the request to; it counts as reached."""
-    forbidden: list[replica_module.Replica] = attrs.field(factory=list)
-    """Replicas that the request must not be sent to."""
+    shared: frozenset[int] = frozenset()
+    """Identifiers of replicas that the request may reach without it; they count as reached."""
+    only_shared: bool = False
+    """Whether the request must not be sent to other replicas."""
     tried: list[replica_module.Replica] = attrs.field(factory=list)
     """Replicas that the request was sent to, except those that may be retried."""
     attempts_by_replica: collections.Counter[str] = attrs.field(factory=collections.Counter)
@@ -86,7 +88,7 @@
     call: sending.Call,
     service: str,
     first_replica: replica_module.Replica | None = None,
-    handover_data_centre: str = "",
+    shared: abc.Set[int] = frozenset(),
     is_retry: bool = False,
 ) -> sending.Outcome:
     """
@@ -96,10 +98,10 @@
     ``call.abandon`` cancels them.
 
     :param first_replica: replica for the first attempt, if it has been chosen already
-    :param handover_data_centre: data centre of the instances to which the part was handed over, if
-        it was; all of them use the same replicas
-    :param is_retry: whether one of them may have sent the request before; it then gets one more
-        attempt, within the retry budget
+    :param shared: identifiers of the replicas to which other instances may send the part too, if it
+        was handed over; they count towards the route's limit
+    :param is_retry: whether another instance may have sent the part before; it then gets one more
+        attempt, at one of these replicas and within the retry budget
     :returns: the first answer, or the failure; ``NotRun`` only if no attempt can have run
     """
     if not sender.quarantine.may_send(call):
@@ -109,11 +111,7 @@
             else sending.NotRun(sending.CRASHES_REPLICAS, sent=False)
         )
     loop = asyncio.get_running_loop()
-    state = _RequestState(sender, call, service)
-    if handover_data_centre:
-        state.common_replica = sender.replicas.common_replica(
-            service, call.route, call.request_id, handover_data_centre
-        )
+    state = _RequestState(sender, call, service, frozenset(shared), is_retry)
     if not is_retry:
         sender.replicas.retry_budget(service).count_request(loop.time(), call.organisation_name)
     elif call.route.max_attempts < 2 or not sender.spend_retry_budget(service, call, loop.time()):
@@ -122,10 +120,6 @@
     else:
         state.attempt_count = call.route.max_attempts - 1
         state.same_replica_retries = MAX_SAME_REPLICA_RETRIES
-        replicas = sender.replicas.of(service) if state.common_replica else []
-        state.forbidden = [
-            replica for replica in replicas if replica.entry.instance != state.common_replica
-        ]
         state.failure = sending.Unknown("batch_lost")
     try:
         return await _first_answer(state, first_replica)
@@ -372,18 +366,22 @@
 
 def _choose_replica(state: _RequestState, now_s: float) -> replica_module.Replica | None:
     """Choose the best replica that the request may be sent to now."""
-    replicas, call = state.sender.replicas, state.call
-    excluded = [*state.forbidden, *state.tried]
-    reached = {name for name, count in state.attempts_by_replica.items() if count}
-    if state.common_replica:
-        reached.add(state.common_replica)
-    if len(reached) >= call.route.max_attempts:
-        excluded += [
-            replica
-            for replica in replicas.of(state.service)
-            if replica.entry.instance not in reached
-        ]
-    return replicas.choose(state.service, call.route, excluded, now_s)
+    excluded = _excluded_replicas(state)
+    return state.sender.replicas.choose(state.service, state.call.route, excluded, now_s)
+
+
+def _excluded_replicas(state: _RequestState) -> list[replica_module.Replica]:
+    """Return the replicas that were tried or are beyond the route's limit."""
+    names = [name for name, count in state.attempts_by_replica.items() if count]
+    reached = state.shared.union(map(placement.replica_id, names))
+    if not state.only_shared and len(reached) < state.call.route.max_attempts:
+        return state.tried
+    others = [
+        replica
+        for replica in state.sender.replicas.of(state.service)
+        if placement.replica_id(replica.entry.instance) not in reached
+    ]
+    return [*state.tried, *others]
 
 
 def _send_to(state: _RequestState, replica: replica_module.Replica, now_s: float) -> None:
--- a/src/turmericlug/direct/handover.capnp
+++ b/src/turmericlug/direct/handover.capnp
@@ -21,9 +21,10 @@
   # Time after which the peer sends the answers that it has.
   timeLeftMs @12 :Float32;
   dataCentre @13 :Text;
-  # Data centre of the peer. All instances there send a part to the same replicas.
+  # Data centre of the peer.
   again @14 :Bool;
-  # Another instance there may have sent the parts, which leaves one attempt for each.
+  # Another instance there may have sent the parts, which leaves one attempt for each, at one of
+  # the shared replicas.
   bound @15 :Bool;
   regions @16 :List(Text);
   # If bound is set, the only regions whose replicas may get the parts.
@@ -31,6 +32,13 @@
   # Name of the caller's organisation; empty if it needs none.
   organisationPriority @18 :Int16 = -1;
   # Priority of the organisation; -1: none of its own.
+  attemptLimit @19 :UInt8;
+  # Largest number of replicas that each part may reach, sent by whichever instance. 0: an earlier
+  # build that does not state shared. maxAttempts is for such builds and leaves one replica for
+  # the sender, since they ignore shared.
+  shared @20 :List(UInt32);
+  # Identifiers of the replicas that other instances may send the parts to as well: as many for each
+  # shard, in the order of shards. 0: none.
 }
 
 struct Answer {
--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -6,6 +6,11 @@
 batch at once with an interim response. If that is missing after about a round trip, the batch
 counts as lost: with many instances it goes to the other owner of its shards, else its parts are
 sent directly.
+
+A peer that is taken for lost may go on sending, and instances know different replicas for a while.
+So the batch names the replicas to which its parts may be sent a second time, in the view of the
+instance that hands it over. The peer counts them as reached, and whoever sends a part again sends
+it to one of these: together they reach no more replicas than the route allows.
 """
 
 from __future__ import annotations
@@ -48,6 +53,8 @@
     """Whether the current peer has certainly sent none of the parts."""
     maybe_sent_before: bool = False
     """Whether an earlier peer may have sent the parts."""
+    shared: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    """Names of the replicas of each shard that all instances may send its part to."""
     outcomes: dict[str, asyncio.Future[sending.Outcome | None]] = attrs.field(factory=dict)
     """By shard; the result is ``None`` if its batch is lost."""
 
@@ -111,6 +118,15 @@
         for assignment in self.peers.plan(sender, call, first_replicas, loop.time()):
             pending = PendingBatch(assignment.peer, assignment.shards)
             pending.outcomes = {shard: loop.create_future() for shard in assignment.shards}
+            pending.shared = {
+                shard: sender.replicas.shared(
+                    shard,
+                    call.route,
+                    call.request_id,
+                    assignment.peer.entry.data_centre,
+                )
+                for shard in assignment.shards
+            }
             task = sender.tasks.start(self._run_batch(sender, call, pending, answer_at_s))
             call.tasks.add(task)
             task.add_done_callback(call.tasks.discard)
@@ -190,6 +206,9 @@
         if peer is None:
             return False
         pending.move_to(peer)
+        if pending.maybe_sent_before:
+            for shard in pending.shards:
+                pending.shared[shard] = _only_common(sender, call, pending, shard)
         call.handed_over.update(dict.fromkeys(pending.shards, peer.entry.instance))
         sender.counters.add("handover.moved")
         decisions.log(
@@ -314,9 +333,31 @@
         maybe_sent_before=pending.maybe_sent_before,
         regions=call.route.regions,
         organisation=call.organisation,
+        shared=tuple(
+            frozenset(map(placement.replica_id, pending.shared[shard])) for shard in pending.shards
+        ),
     )
 
 
+def _only_common(
+    sender: sender_module.Sender, call: sending.Call, pending: PendingBatch, shard: str
+) -> frozenset[str]:
+    """
+    Return the one shared replica that is left once a part may be sent a second and a third time.
+
+    The first peer may be an earlier build, which has left a single attempt for all others.
+    """
+    known = {replica.entry.instance: replica for replica in sender.replicas.of(shard)}
+    data_centres = {
+        name: known[name].entry.data_centre if name in known else ""
+        for name in pending.shared[shard]
+    }
+    if not data_centres:
+        return frozenset()
+    common = placement.common_replica(call.request_id, data_centres, pending.peer.entry.data_centre)
+    return frozenset({common})
+
+
 async def shard_outcome(
     sender: sender_module.Sender, call: sending.Call, pending: PendingBatch, shard: str
 ) -> sending.Outcome:
@@ -330,10 +371,8 @@
     if isinstance(outcome, sending.AnsweredInBatch):
         sender.quarantine.record_answer(call)
     if outcome is None and pending.may_have_sent:
-        peer_data_centre = pending.peer.entry.data_centre
-        return await attempts.get_answer(
-            sender, call, shard, handover_data_centre=peer_data_centre, is_retry=True
-        )
+        shared = frozenset(map(placement.replica_id, pending.shared[shard]))
+        return await attempts.get_answer(sender, call, shard, shared=shared, is_retry=True)
     if outcome is None or _lacked_replica(outcome):
         return await attempts.get_answer(sender, call, shard)
     return outcome
--- a/src/turmericlug/direct/handover_codec.py
+++ b/src/turmericlug/direct/handover_codec.py
@@ -45,13 +45,17 @@
     """Time after which the peer sends the answers that it has."""
     time_left_ms: float
     data_centre: str
-    """Data centre of the peer. All instances there send a part to the same replicas."""
+    """Data centre of the peer."""
     maybe_sent_before: bool = False
-    """Whether another instance there may have sent the parts, which leaves one attempt for each."""
+    """Whether another instance there may have sent the parts, which leaves one attempt for each, at
+    one of the shared replicas."""
     regions: frozenset[str] | None = None
     """The only regions whose replicas may get the parts; ``None`` allows all."""
     organisation: organisations_module.Organisation | None = None
     """The caller's organisation, with its name and priority only."""
+    shared: tuple[frozenset[int], ...] | None = None
+    """For each shard, the identifiers of the replicas to which other instances may send its part as
+    well; they count towards ``max_attempts``. ``None``: from an earlier build without them."""
 
 
 @attrs.frozen
@@ -103,7 +107,7 @@
         goalMs=batch.goal_ms,
         # Beyond these numbers, the exact one makes no difference to the peer.
         priority=min(batch.priority, _MAX_UINT8),
-        maxAttempts=min(batch.max_attempts, _MAX_UINT8),
+        maxAttempts=min(_max_attempts_of_earlier_builds(batch), _MAX_UINT8),
         topRecords=min(batch.top_records, _MAX_UINT32),
         shards=list(batch.shards),
         answerInMs=batch.answer_in_ms,
@@ -113,6 +117,9 @@
         bound=batch.regions is not None,
         regions=sorted(batch.regions or ()),
     )
+    if batch.shared is not None:
+        message.attemptLimit = min(batch.max_attempts, _MAX_UINT8)
+        message.shared = _pad_equally(batch.shared)
     if batch.organisation is not None:
         message.organisation = batch.organisation.name
         if batch.organisation.priority is not None:
@@ -120,6 +127,39 @@
     return message.to_bytes_packed()
 
 
+def _max_attempts_of_earlier_builds(batch: Batch) -> int:
+    """
+    Return the limit for a peer that does not read the shared replicas.
+
+    It sends to other replicas than this instance does if the batch is lost, so that one attempt is
+    left for this instance. A part that may have been sent before gets no further attempt there.
+    """
+    if batch.shared is None:
+        return batch.max_attempts
+    return 1 if batch.maybe_sent_before else max(batch.max_attempts - 1, 1)
+
+
+def _pad_equally(shared: tuple[frozenset[int], ...]) -> list[int]:
+    width = max(map(len, shared), default=0)
+    return [
+        identifier
+        for identifiers in shared
+        for identifier in (*sorted(identifiers), *[0] * (width - len(identifiers)))
+    ]
+
+
+def _read_shared(message: typing.Any) -> tuple[frozenset[int], ...] | None:
+    if not message.attemptLimit:
+        return None
+    shards, identifiers = len(message.shards), list(message.shared)
+    width = len(identifiers) // shards if shards else 0
+    if len(identifiers) != width * shards:
+        raise ValueError(f"{len(identifiers)} shared replicas for {shards} shards")
+    return tuple(
+        frozenset(identifiers[index * width : (index + 1) * width]) - {0} for index in range(shards)
+    )
+
+
 def decode_batch(content: bytes) -> Batch:
     """
     Decode a batch.
@@ -139,7 +179,7 @@
             route=message.route,
             goal_ms=_read_time_ms(message.goalMs),
             priority=message.priority,
-            max_attempts=message.maxAttempts,
+            max_attempts=message.attemptLimit or message.maxAttempts,
             top_records=message.topRecords,
             shards=tuple(message.shards),
             answer_in_ms=_read_time_ms(message.answerInMs),
@@ -148,6 +188,7 @@
             maybe_sent_before=message.again,
             regions=frozenset(message.regions) if message.bound else None,
             organisation=_decode_organisation(message),
+            shared=_read_shared(message),
         )
     except Exception as error:  # the library raises a different type for each kind of damage
         raise MessageError(str(error).splitlines()[0][:200]) from error
--- a/src/turmericlug/direct/placement.py
+++ b/src/turmericlug/direct/placement.py
@@ -37,6 +37,8 @@
 """The number of groups grows in steps. If it followed the number of instances, each one added or
 removed would move every shard to other owners, which have no connections open yet."""
 
+UNNAMED_REPLICA = 0
+"""Stands for a replica that another instance may use without naming it."""
 _HASH_MULTIPLIER = 2654435761
 """Knuth's factor for multiplicative hashing. Without it two names keep their order for nearly all
 salts, as the CRCs of strings that differ in the same position differ in the same bits."""
@@ -170,14 +172,22 @@
     return owners_of_groups
 
 
+def replica_id(name: str) -> int:
+    """
+    Return what names a replica in messages between instances; never ``UNNAMED_REPLICA``.
+
+    With 32 bits, two replicas of a service have the same once in 4e9 pairs; a part may then reach
+    one replica too many.
+    """
+    return zlib.crc32(name.encode()) or 1
+
+
 def common_replica(request_id: bytes, data_centres: abc.Mapping[str, str], data_centre: str) -> str:
     """
     Return the one replica to which any instance may send a part handed to a data centre.
 
-    All instances that may get the part compute the same replica. A part that one of them has sent
-    without the others' knowledge thus can't reach more replicas than allowed. Replicas in the given
-    data centre come first; among several the choice depends on the request, so that they get equal
-    shares.
+    Replicas in the given data centre come first; among several the choice depends on the request,
+    so that they get equal shares.
 
     :param request_id: the request's identifier
     :param data_centres: the data centre of each replica, by the replica's name
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -238,19 +238,29 @@
             and self._place.allows(route.regions, replica.entry.data_centre)
         ]
 
-    def common_replica(
-        self, service: str, route: routes.Route, request_id: bytes, data_centre: str
-    ) -> str:
+    def shared(
+        self,
+        service: str,
+        route: routes.Route,
+        request_id: bytes,
+        data_centre: str,
+    ) -> frozenset[str]:
         """
-        Return the replica to which any instance of a data centre may send a handed part.
+        Return the replicas to which any instance may send a part handed to a data centre.
 
-        :returns: an empty string if there are no more replicas than a request may be sent to
+        :returns: no more names than the request may be sent to replicas; none if a lost part is not
+            sent again
         """
-        replicas = self.eligible(service, route)
-        if len(replicas) <= route.max_attempts:
-            return ""
-        data_centres = {replica.entry.instance: replica.entry.data_centre for replica in replicas}
-        return placement.common_replica(request_id, data_centres, data_centre)
+        if route.max_attempts < 2:
+            return frozenset()
+        data_centres = {
+            replica.entry.instance: replica.entry.data_centre
+            for replica in self.eligible(service, route)
+        }
+        if len(data_centres) <= route.max_attempts:
+            return frozenset(data_centres)
+        common = placement.common_replica(request_id, data_centres, data_centre)
+        return frozenset({common})
 
     def no_replica_reason(self, service: str, route: routes.Route, now_s: float) -> str:
         """Return the reason for which no replica of a service can get a request."""
--- a/src/turmericlug/entry/batches.py
+++ b/src/turmericlug/entry/batches.py
@@ -13,6 +13,7 @@
 from turmericlug.direct import handover_codec
 from turmericlug.direct import header_names
 from turmericlug.direct import merge
+from turmericlug.direct import placement
 from turmericlug.direct import routes
 from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
@@ -63,6 +64,9 @@
     """Return the log field with the reason for refusing a batch; empty if it is accepted."""
     if stalled_s > MAX_STALL_S:
         return {"stalled_ms": round(stalled_s * 1000)}
+    if batch.shared is None and batch.maybe_sent_before:
+        # An earlier build: how many replicas the parts may have reached is not known.
+        return {"unstated_replicas": len(batch.shards)}
     unknown = sum(not sender.replicas.of(shard) for shard in batch.shards)
     if unknown > MAX_UNKNOWN_SHARE * len(batch.shards):
         return {"unknown_shards": unknown}
@@ -88,12 +92,12 @@
                     sender,
                     call,
                     shard,
-                    handover_data_centre=batch.data_centre,
+                    shared=shared,
                     is_retry=batch.maybe_sent_before,
                 )
             )
         ): shard
-        for shard in batch.shards
+        for shard, shared in zip(batch.shards, _shared_replicas(batch), strict=True)
     }
     answer_at_s = min(arrived_s + batch.answer_in_ms / 1000, call.deadline_s)
     call.answer_at_s = answer_at_s
@@ -137,6 +141,15 @@
             call.shorten_timeouts(timing.STUCK_AFTER_S)
 
 
+def _shared_replicas(batch: handover_codec.Batch) -> abc.Iterable[frozenset[int]]:
+    """Return for each shard the replicas that other instances may send its part to."""
+    if batch.shared is not None:
+        return batch.shared
+    # An earlier build may send a lost part again without naming the replica.
+    unnamed = frozenset({placement.UNNAMED_REPLICA} if batch.max_attempts > 1 else ())
+    return [unnamed] * len(batch.shards)
+
+
 def _log_first_answer(
     sender: sender_module.Sender,
     call: sending.Call,
--- a/tests/handover_helpers.py
+++ b/tests/handover_helpers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 
+import attrs
 import scripted
 
 from turmericlug.direct import budget
@@ -105,6 +106,18 @@
     }
 
 
+def state_shared(batch, sender):
+    """Return a batch that states the shared replicas in the view of a sender."""
+    route = scripted.make_call(max_attempts=batch.max_attempts).route
+    shared = [
+        sender.replicas.shared(shard, route, batch.request_id, batch.data_centre)
+        for shard in batch.shards
+    ]
+    return attrs.evolve(
+        batch, shared=tuple(frozenset(map(placement.replica_id, names)) for names in shared)
+    )
+
+
 def query_call(**changes):
     values = {"shards": ("x", "y", "z"), "top_records": 2, "min_coverage": 0.3, "services": ()}
     return scripted.make_call(**(values | changes))
