Count the replica of a trial towards the limit of replicas

A query that had been tried at one replica, because replicas had crashed under it, could then reach as many others of its shard as the route allows in all.

Cause: the limit is kept by the state of the attempts at one service, and the trial and the query that follows have one each.

Change: replicas that an earlier attempt of the same call has reached count from the start, also for the first replica, which is chosen beforehand, and at the peer that gets the part in a batch, which names them.

--- a/src/turmericlug/direct/attempts.py
+++ b/src/turmericlug/direct/attempts.py
@@ -55,7 +55,8 @@
     call: sending.Call
     service: str
     shared: frozenset[int] = frozenset()
-    """Identifiers of replicas that the request may reach without it; they count as reached."""
+    """Identifiers of replicas that the request may reach or have reached without this state; they
+    count as reached."""
     only_shared: bool = False
     """Whether the request must not be sent to other replicas."""
     tried: list[replica_module.Replica] = attrs.field(factory=list)
@@ -111,7 +112,8 @@
             else sending.NotRun(sending.CRASHES_REPLICAS, sent=False)
         )
     loop = asyncio.get_running_loop()
-    state = _RequestState(sender, call, service, frozenset(shared), is_retry)
+    reached = map(placement.replica_id, call.reached(service))
+    state = _RequestState(sender, call, service, shared | frozenset(reached), is_retry)
     if not is_retry:
         sender.replicas.retry_budget(service).count_request(loop.time(), call.organisation_name)
     elif call.route.max_attempts < 2 or not sender.spend_retry_budget(service, call, loop.time()):
@@ -134,7 +136,7 @@
     """Attempt, hedge and retry until there is an answer or no further attempt is allowed."""
     loop = asyncio.get_running_loop()
     call = state.call
-    if first_replica is not None:
+    if first_replica is not None and first_replica not in _excluded_replicas(state):
         _send_to(state, first_replica, loop.time())
     else:
         _send_first(state, loop.time())
--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -124,6 +124,7 @@
                     call.route,
                     call.request_id,
                     assignment.peer.entry.data_centre,
+                    call.reached(shard),
                 )
                 for shard in assignment.shards
             }
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -244,23 +244,25 @@
         route: routes.Route,
         request_id: bytes,
         data_centre: str,
+        reached: frozenset[str] = frozenset(),
     ) -> frozenset[str]:
         """
         Return the replicas to which any instance may send a part handed to a data centre.
 
+        :param reached: replicas that the request was sent to before
         :returns: no more names than the request may be sent to replicas; none if a lost part is not
             sent again
         """
         if route.max_attempts < 2:
-            return frozenset()
+            return reached
         data_centres = {
             replica.entry.instance: replica.entry.data_centre
             for replica in self.eligible(service, route)
         }
-        if len(data_centres) <= route.max_attempts:
-            return frozenset(data_centres)
+        if len(reached | data_centres.keys()) <= route.max_attempts:
+            return reached | data_centres.keys()
         common = placement.common_replica(request_id, data_centres, data_centre)
-        return frozenset({common})
+        return reached or frozenset({common})
 
     def no_replica_reason(self, service: str, route: routes.Route, now_s: float) -> str:
         """Return the reason for which no replica of a service can get a request."""
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -100,6 +100,11 @@
             return True
         return any(attempt.ran for attempt in self.attempts_by_service.get(service, ()))
 
+    def reached(self, service: str) -> frozenset[str]:
+        """Return the replicas of a service that may have run the request."""
+        attempts = self.attempts_by_service.get(service, ())
+        return frozenset(attempt.instance for attempt in attempts if attempt.ran)
+
     def connections_used(self, service: str) -> list[client.Connection]:
         """
         Return the connections on which the request was sent to replicas of a service.
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -247,11 +247,18 @@
     mutant.one(
         "any-replica-for-a-handed-over-part",
         "direct/attempts.py",
-        "    state = _RequestState(sender, call, service, frozenset(shared), is_retry)\n",
-        "    state = _RequestState(sender, call, service)\n",
+        "    state = _RequestState(sender, call, service, shared | frozenset(reached), is_retry)\n",
+        "    state = _RequestState(sender, call, service, frozenset(reached))\n",
         "direct/test_handover.py"
         "::test_a_batch_that_is_run_twice_reaches_no_more_replicas_than_allowed",
     ),
+    mutant.one(
+        "do-not-count-the-replica-of-a-trial",
+        "direct/sending.py",
+        "        return frozenset(attempt.instance for attempt in attempts if attempt.ran)\n",
+        "        return frozenset()\n",
+        "direct/test_trial_limit.py",
+    ),
     mutant.one(
         "do-not-count-shared-replicas",
         "entry/batches.py",
