Don't refuse a key whose claim got no verdict

Cause: a claim without a verdict in time was answered as if it had been denied. Nobody had looked into the records, so that nothing is known of an earlier request with the same key.

Change: only a key that was used with another body is refused. All other claims that are not granted fail ("may have run") with the same reason and a time to come back; the claim is released as before.

test_refused_in_outage_then_runs required "refused" while the store is down, which can't be known there. It is replaced: the request must fail as one that may have run, nothing may have run by then, and its key must still run exactly once after the outage.

--- a/src/turmericlug/query/coordinator.py
+++ b/src/turmericlug/query/coordinator.py
@@ -315,7 +315,8 @@
         Run a request at most once per idempotency key: claim the key, run, record the outcome.
 
         No part is sent before the store has confirmed the claim. Without confirmation the request
-        does not run, and the claim is released so that a retry with the same key may run.
+        does not run, and the claim is released so that a retry with the same key may run; whether
+        the key has run before is not known then.
         """
         revision, rule = self._config.rules.revision, treatment.rule
         claim = ledger.Operation(
@@ -332,11 +333,15 @@
             return outcome_module.Failed(
                 "key_in_use", revision, rule, retry_after_ms=self._jitter_ms(500)
             )
+        if verdict.status == ledger.MISMATCH:
+            return outcome_module.Refused("key_mismatch", self._jitter_ms(1000), revision, rule)
         if verdict.status != ledger.GRANTED:
             if verdict.status == ledger.UNAVAILABLE:
                 self._settle(attrs.evolve(claim, kind=ledger.RELEASE))
-            return outcome_module.Refused(
-                f"key_{verdict.status}", self._jitter_ms(1000), revision, rule
+            # Without a record, the key may have run through another instance, whose answer was
+            # lost. Refused as not run, it would be sent again under a new key.
+            return outcome_module.Failed(
+                f"key_{verdict.status}", revision, rule, retry_after_ms=self._jitter_ms(1000)
             )
         # If this task ends here, because it is cancelled or the instance is lost, the claim stays
         # open: an open claim means that it is unknown whether the request ran.
--- a/src/turmericlug/records/ledger.py
+++ b/src/turmericlug/records/ledger.py
@@ -221,7 +221,7 @@
                 if not await self._confirm_head():
                     return
             except store_module.StoreError:
-                # As unavailable, a claim would be answered "not run", but its key may have run.
+                # As unavailable, the caller would not learn that its key has been claimed.
                 for pending, verdict in zip(batch, verdicts, strict=True):
                     if verdict.status == OPEN and not pending.future.done():
                         pending.future.set_result(verdict)
--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -123,6 +123,13 @@
         "if True or time.monotonic()",
         "records/test_records.py::test_settle_retries_until_an_instance_is_available",
     ),
+    mutant.one(
+        "refuse-keys-without-a-verdict",
+        "query/coordinator.py",
+        "        if verdict.status == ledger.MISMATCH:\n",
+        "        if verdict.status in (ledger.MISMATCH, ledger.UNAVAILABLE):\n",
+        "integration/test_at_most_once.py::test_outage_of_the_store_then_runs",
+    ),
     mutant.one(
         "late-claim-granted",
         "records/ledger.py",
