Order the starts of a replica by the store, not by the times that they state

Cause: View._is_from_older_start dropped all entries whose start time is earlier than the latest known one, as long as that start lived, its notice to drain among them. It guarded against the last write of a process that has ended, which may take effect after the first write of the next start and then has the later revision.

Change: the store's order decides. An entry whose start was replaced before, or that states an earlier time, may be such a late write: it is held back for 2.2 s, in which a replica that is alive writes its entry again, and is then in force. A notice to drain in it counts at once. A late write is now recognised after a clock that was ahead, too. A relay hands on the removal of an entry that it holds back itself.

Ruled out: the revision alone (a late write would be used until the next heartbeat, and tests/entry/test_view.py forbids that).

--- a/src/turmericlug/direct/routes.py
+++ b/src/turmericlug/direct/routes.py
@@ -133,7 +133,8 @@
     warmup_left_ms: float
     """Remaining warm-up time when the entry was written."""
     born_ms: int | None = None
-    """Start time in milliseconds since 1970, if the entry contains it. A later time under the same
-    instance name means that the replica has restarted and has lost its earlier state."""
+    """Start time in milliseconds since 1970, if the entry contains it. Another time under the same
+    instance name means that the replica has restarted and has lost its earlier state. As clocks may
+    be set back between two starts, the later time need not be that of the later start."""
     sequence: int = 0
     """Number of the entry among those written since the start."""
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -3,34 +3,34 @@
 
 The view decides how to recover from failures of the source: a configuration never reverts to an
 older version; entries that disappear while the source is unreachable or shortly after are held for
-a time before they are removed; a restarted replica is a new replica, and entries of its earlier
-starts are ignored.
+a time before they are removed; a restarted replica is a new replica, and an entry that may be of an
+earlier start is held back until it is certain (``starts``).
 """
 
 from __future__ import annotations
 
-import collections
 import math
 from collections import abc
 
+import attrs
+
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import routes
 from turmericlug.entry import capacities
 from turmericlug.entry import differences
 from turmericlug.entry import sliding_maximum
 from turmericlug.entry import source
+from turmericlug.entry import starts
 from turmericlug.telemetry import decisions
 
 ENTRY_HOLD_S = 2.2
 """How long entries are held. Entries whose leases expired while the source was unreachable are
-written again within 2 s of its return."""
+written again within 2 s of its return, and a replica that is alive writes its entry again within a
+heartbeat of 1.2 s if another process has written it."""
 MASS_REMOVAL_SHARE = 0.25
 MASS_REMOVAL_MIN = 5
 """Removals of this share of the replica entries at once, and at least this many, are treated as an
 expiry of leases in an outage that this instance has not noticed, not as replicas that ended."""
-MAX_REMEMBERED_STARTS = 4096
-"""Start times kept of removed replicas: some minutes' worth in a large deployment, 100 bytes
-each."""
 INSTANCE_COUNT_WINDOW_S = 15.0
 """A removed instance still counts for this long among those that share connections and budgets,
 because its connections and sends remain for a while."""
@@ -78,8 +78,7 @@
         """When a request to the source failed last."""
         self.capacities = capacities.Capacities(own_name, now_s, INSTANCE_COUNT_WINDOW_S)
         self._instance_counts = sliding_maximum.SlidingMaximum(INSTANCE_COUNT_WINDOW_S)
-        self._removed_start_ms: collections.OrderedDict[str, int] = collections.OrderedDict()
-        """The latest start time of removed replicas, by key."""
+        self._starts = starts.Starts(now_s)
 
     @property
     def ready(self) -> bool:
@@ -160,7 +159,8 @@
 
     def changes_in(self, snapshot: source.Snapshot) -> source.Changes:
         """Return the changes that lead from the known entries to a fresh snapshot."""
-        return differences.between(self._known, snapshot)
+        held_back = {written.key: written for written in self._starts.held_back()}
+        return differences.between({**self._known, **held_back}, snapshot)
 
     def _record_instance_count(self) -> None:
         self._instance_counts.add(self._now_s(), len(self.instances))
@@ -172,6 +172,7 @@
         present = {written.key for written in snapshot.entries}
         missing = [key for key in self._known if key not in present]
         differences.log_outdated(self._known, snapshot.entries, snapshot.revision)
+        self._starts.keep_only(present)
         for written in snapshot.entries:
             self._apply(written)
         self._handle_removed([key for key in missing if key not in self._held], snapshot.revision)
@@ -183,6 +184,7 @@
         differences.log_outdated(self._known, changes.changes, changes.revision)
         for change in changes.changes:
             if isinstance(change, source.Removed):
+                self._starts.record_removal(change)
                 if self._is_newer_removal(change):
                     removed.append(change.key)
                 continue
@@ -210,10 +212,18 @@
 
     def _apply(self, written: source.Written | source.Unreadable) -> None:
         known = self._known.get(written.key)
-        if self._is_from_older_start(written, known):
+        is_outdated = known is not None and known.position >= written.position
+        if isinstance(written, source.Written) and self._starts.may_have_ended(written, known):
+            if not is_outdated:
+                self._hold_back(written, known)
             return
-        if known is not None and known.position >= written.position:
-            written = known
+        self._accept(known if is_outdated else written)
+
+    def _accept(self, written: source.Written | source.Unreadable) -> None:
+        """Use an entry that is the latest of its key."""
+        known = self._known.get(written.key)
+        if written is not known:
+            self._starts.record(written, known)
         if isinstance(written, source.Unreadable):
             self._mark_unreadable(written)
             return
@@ -223,22 +233,25 @@
         self._held.pop(written.key, None)
         self._activate(written)
 
-    def _is_from_older_start(
-        self,
-        written: source.Written | source.Unreadable,
-        known: source.Written | source.Unreadable | None,
-    ) -> bool:
+    def _hold_back(
+        self, written: source.Written, known: source.Written | source.Unreadable | None
+    ) -> None:
         """
-        Whether an entry is from an earlier start of its replica than the known one.
+        Hold back an entry that may be a late write of a start that has ended.
 
-        A write that got no answer may take effect seconds later, after the first write of the next
-        start. Applying it would restore the address and state of a process that has ended.
+        If it says that the replica drains, the known one gets no more requests meanwhile: it may be
+        the one that has ended.
         """
-        start_ms = _start_ms(written)
-        newest_ms = (
-            _start_ms(known) if _is_replica(known) else self._removed_start_ms.get(written.key)
-        )
-        return start_ms is not None and newest_ms is not None and start_ms < newest_ms
+        if self._starts.hold_back(written):
+            decisions.log(
+                "view.start_in_doubt",
+                replica=written.value.instance,
+                born_ms=written.value.born_ms,
+                known_born_ms=known.value.born_ms if starts.is_replica(known) else None,
+                revision=written.revision,
+            )
+        if written.value.draining and starts.is_replica(known):
+            self.replicas.put(attrs.evolve(known.value, draining=True), self._now_s())
 
     def _mark_unreadable(self, unreadable: source.Unreadable) -> None:
         """
@@ -325,7 +338,7 @@
         now_s = self._now_s()
         hold = self._unreachable_since_s is not None or now_s - self._recovered_s < ENTRY_HOLD_S
         new_era = now_s - self._era_changed_s < ENTRY_HOLD_S
-        replica_count = sum(map(_is_replica, self._known.values()))
+        replica_count = sum(map(starts.is_replica, self._known.values()))
         if len(keys) >= max(MASS_REMOVAL_MIN, MASS_REMOVAL_SHARE * replica_count):
             hold = True
         for key in keys:
@@ -355,7 +368,7 @@
         written = self._known[key]
         match written.value:
             case routes.ReplicaEntry():
-                self._remember_start(key, written.value)
+                self._starts.remember(key, written.value)
                 self.replicas.remove(written.value.instance)
                 decisions.log(
                     "view.replica_gone", replica=written.value.instance, revision=revision
@@ -381,17 +394,10 @@
         del self._known[key]
         self._held.pop(key, None)
 
-    def _remember_start(self, key: str, entry: routes.ReplicaEntry) -> None:
-        if entry.born_ms is None:
-            return
-        self._removed_start_ms[key] = entry.born_ms
-        self._removed_start_ms.move_to_end(key)
-        if len(self._removed_start_ms) > MAX_REMEMBERED_STARTS:
-            self._removed_start_ms.popitem(last=False)
-
     def expire_held(self) -> None:
         """
-        Remove held entries whose hold time has elapsed while the source was reachable.
+        Remove held entries whose hold time has elapsed while the source was reachable, and accept
+        the entries that were held back for as long.
 
         The time counts from the recovery of the source, not from the expiry of the entry: entries
         expire early in an outage, and would be removed just when they are written again.
@@ -399,6 +405,10 @@
         if self._unreachable_since_s is not None:
             return
         now_s = self._now_s()
+        if now_s >= self._recovered_s + ENTRY_HOLD_S:
+            for written in self._starts.take_confirmed(now_s - ENTRY_HOLD_S):
+                decisions.log("view.start_confirmed", key=written.key, revision=written.revision)
+                self._accept(written)
         expired = [
             key
             for key, held_since_s in self._held.items()
@@ -408,16 +418,6 @@
             self._delete(key, self._known[key].revision)
 
 
-def _is_replica(written: source.Written | source.Unreadable | None) -> bool:
-    return isinstance(written, source.Written) and isinstance(written.value, routes.ReplicaEntry)
-
-
-def _start_ms(written: source.Written | source.Unreadable | None) -> int | None:
-    if isinstance(written, source.Written) and isinstance(written.value, routes.ReplicaEntry):
-        return written.value.born_ms
-    return None
-
-
 def rounded_age_s(age_s: float) -> float | None:
     """Return an age as reported in logs and answers, ``None`` before the first answer."""
     return round(age_s, 3) if math.isfinite(age_s) else None
