Let queries wait while the configuration is confirmed after a pause

Callers saw: queries refused with not_current by an instance that had stood still for over a second, although store and peers answered within milliseconds.

Cause: a gap voids what the instance knew, and the coordinator refused at once what met that state. The renewal began at the next tick of the detector, and at no probe at all if a query noticed the gap first.

Whoever notices the gap starts the renewal; queries wait for it within their deadlines, and are refused when no renewal is left. A newer revision that is being fetched is waited for too. Replies requested before the gap don't count as evidence any more.

A pause longer than a query's deadline still gives a partial answer (late).

--- a/src/turmericlug/instance.py
+++ b/src/turmericlug/instance.py
@@ -200,7 +200,8 @@
     while True:
         await asyncio.sleep(_STATE_INTERVAL_S)
         members.set_own_load(owner.load_permille())
-        current = freshness.is_current() and _listens(kernel)
+        wait_end_s = time.monotonic() + _STATE_INTERVAL_S
+        current = await freshness.wait_until_current(wait_end_s) and _listens(kernel)
         if current and not members.own.ready:
             await owner.open_owned(joining=True)
             members.announce(ready=True)
--- a/src/turmericlug/membership/detector.py
+++ b/src/turmericlug/membership/detector.py
@@ -23,6 +23,7 @@
 from turmericlug.wire import server as server_module
 
 _INDIRECT_PROBES = 2
+_RENEWAL_PROBES = 8
 _RETRY_DEAD_INTERVALS = 5
 _SLOW_POLL_FACTOR = 30
 _DEAD_RETENTION_S = 30.0
@@ -57,6 +58,7 @@
         self._dead_since_s: dict[str, float] = {}
         self._probe_queue: list[str] = []
         self._tasks = tasks.Tasks()
+        freshness.on_gap.append(self._on_gap)
 
     def stamp(self) -> dict[str, int]:
         """Return the revisions, evidence age, load and store era that each probe carries."""
@@ -74,10 +76,7 @@
         count = 0
         while True:
             await asyncio.sleep(self._interval_s * random.uniform(0.9, 1.1))
-            if self._freshness.tick():
-                events.emit("instance.resumed_after_gap", "warning")
-                for member in self.members.peers()[:8]:
-                    self._tasks.start(self._probe(member.instance))
+            self._freshness.tick()
             self._expire_suspicions()
             peer = self._next_peer()
             if peer is not None:
@@ -86,6 +85,11 @@
             if count % _RETRY_DEAD_INTERVALS == 0:
                 self._tasks.start(self._retry_listed())
 
+    def _on_gap(self) -> None:
+        events.emit("instance.resumed_after_gap", "warning")
+        for member in self.members.peers()[:_RENEWAL_PROBES]:
+            self._freshness.track_renewal(self._tasks.start(self._probe(member.instance)))
+
     def _next_peer(self) -> str | None:
         """Return the next peer of the probe set, in a new random order after each full pass."""
         while self._probe_queue:
--- a/src/turmericlug/membership/freshness.py
+++ b/src/turmericlug/membership/freshness.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
+import typing
 from collections import abc
 
 import attrs
@@ -33,6 +35,9 @@
     An instance whose evidence from the store is older than ``limit_ms`` keeps serving only while
     peers answer. Without store and peers it stops serving, since the other instances may have
     applied a newer configuration.
+
+    After a pause of the process all evidence is void until it is renewed. A renewal takes one
+    exchange with a peer or the store, so that queries wait for it instead of being refused.
     """
 
     def __init__(self, limit_ms: int, now_s: abc.Callable[[], float] = time.monotonic) -> None:
@@ -41,6 +46,11 @@
         self._store_evidence_at_s = NEVER_S
         self._peer_evidence_at_s = NEVER_S
         self._ticked_at_s = now_s()
+        self._resumed_at_s = NEVER_S
+        self._renewals: set[asyncio.Task[typing.Any]] = set()
+        self._renewed = asyncio.Event()
+        self.on_gap: list[abc.Callable[[], None]] = []
+        """Called when a gap is found, to start renewals."""
         self.in_force = Revisions()
         self.newest_known = Revisions()
         self.refused = Revisions()
@@ -60,23 +70,33 @@
         gap = now_s - self._ticked_at_s > self._limit_s / 3
         self._ticked_at_s = now_s
         if gap:
+            self._resumed_at_s = now_s
             self._store_evidence_at_s = NEVER_S
             self._peer_evidence_at_s = NEVER_S
+            for listener in self.on_gap:
+                listener()
         return gap
 
     def record_store_read(self, began_at_s: float, revisions: Revisions) -> None:
         """Record the revisions of a read of the store that began at ``began_at_s``."""
-        if self._observe(revisions):
+        if self._observe(revisions) and not self._is_from_before_gap(began_at_s):
             self._store_evidence_at_s = max(self._store_evidence_at_s, began_at_s)
+            self._renewed.set()
 
     def record_peer_reply(self, requested_at_s: float, revisions: Revisions, age_ms: int) -> None:
         """Record a peer's revisions and the age of its evidence at the time of its reply."""
-        if self._observe(revisions):
+        if self._observe(revisions) and not self._is_from_before_gap(requested_at_s):
             self._peer_evidence_at_s = max(self._peer_evidence_at_s, requested_at_s)
             if revisions == self.in_force:
                 self._store_evidence_at_s = max(
                     self._store_evidence_at_s, requested_at_s - age_ms / 1000
                 )
+            self._renewed.set()
+
+    def _is_from_before_gap(self, began_at_s: float) -> bool:
+        """Whether the process was suspended since then, for longer than its clock may show."""
+        self.tick()
+        return began_at_s < self._resumed_at_s
 
     def _observe(self, revisions: Revisions) -> bool:
         """Update the newest known revisions; return whether those in force cover ``revisions``."""
@@ -106,3 +126,28 @@
             return False
         newest_at_s = max(self._store_evidence_at_s, self._peer_evidence_at_s)
         return self._now_s() - newest_at_s <= self._limit_s
+
+    def track_renewal(self, renewal: asyncio.Task[typing.Any]) -> None:
+        """Let queries wait for evidence until the end of a task, which has its own timeouts."""
+        self._renewals.add(renewal)
+        renewal.add_done_callback(self._on_renewal_end)
+
+    def _on_renewal_end(self, renewal: asyncio.Task[typing.Any]) -> None:
+        self._renewals.discard(renewal)
+        self._renewed.set()
+
+    async def wait_until_current(self, end_s: float) -> bool:
+        """
+        Wait until this instance may answer callers, as long as evidence is being renewed.
+
+        :param end_s: time on the clock of this object after which not to wait any more
+        :returns: whether this instance may answer callers now
+        """
+        try:
+            async with asyncio.timeout(max(end_s - self._now_s(), 0.0)):
+                while not self.is_current() and self._renewals:
+                    self._renewed.clear()
+                    await self._renewed.wait()
+        except TimeoutError:
+            pass
+        return self.is_current()
--- a/src/turmericlug/query/coordinator.py
+++ b/src/turmericlug/query/coordinator.py
@@ -138,7 +138,7 @@
     async def _process(
         self, query: Query, query_id: str, started_at_s: float
     ) -> outcome_module.Outcome:
-        if not self._config.freshness.is_current():
+        if not await self._wait_until_current(query, query_id, started_at_s):
             # The other instances may have accepted new rules without this one; from then on no
             # query may be answered under the old rules.
             return outcome_module.Refused(
@@ -167,6 +167,24 @@
             return await self._run_at_most_once(query, treatment, query_id, deadline_s)
         return await self._run_parts(query, treatment, query_id, started_at_s, deadline_s)
 
+    async def _wait_until_current(self, query: Query, query_id: str, started_at_s: float) -> bool:
+        """
+        Wait for the configuration if it is being confirmed, as after a pause of this process.
+
+        :returns: whether the query may be answered
+        """
+        freshness = self._config.freshness
+        if freshness.is_current():
+            return True
+        self._counters.add("query.unconfirmed")
+        current = await freshness.wait_until_current(
+            started_at_s + query.deadline_ms / 1000 - _ANSWER_MARGIN_S
+        )
+        # The query has not begun yet: it keeps the rules that are in force now.
+        self._query_revisions[query_id] = self._config.rules.revision
+        self._query_ended.set()
+        return current
+
     def _check_admission(
         self, query: Query, treatment: model.Treatment
     ) -> outcome_module.Refused | None:
--- a/src/turmericlug/rules/distribution.py
+++ b/src/turmericlug/rules/distribution.py
@@ -70,6 +70,7 @@
         )
         self.refresh_instance_list: abc.Callable[[], abc.Awaitable[None]] = _skip_list_read
         self._head_changed = asyncio.Event()
+        config.freshness.on_gap.append(self._on_gap)
 
     async def run(self) -> None:
         """Poll the store until cancelled, while this instance is one that reads it."""
@@ -81,6 +82,10 @@
                     await self._head_changed.wait()
             self._head_changed.clear()
 
+    def _on_gap(self) -> None:
+        if self._should_read_store():
+            self._config.freshness.track_renewal(self._tasks.start(self.refresh()))
+
     async def run_watch(self) -> None:
         """Watch the head key while this instance is a reader, until cancelled."""
         while True:
@@ -152,7 +157,7 @@
         """Fetch documents from a peer that has newer ones, unless a fetch is in flight."""
         if peer not in self._pulling:
             self._pulling.add(peer)
-            self._tasks.start(self._pull(peer))
+            self._config.freshness.track_renewal(self._tasks.start(self._pull(peer)))
 
     async def _pull(self, peer: str) -> None:
         try:
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -20,6 +20,7 @@
     "query.bad_request.*": "requests rejected before they became queries, by reason",
     "query.restarted": "queries restarted on another snapshot",
     "query.moved_parts": "parts sent to the next owner because the first did not respond",
+    "query.unconfirmed": "queries that met a configuration not confirmed to be the newest",
     "query.mismatched_reply": "owners' replies dropped because they were for another query",
     "query.total_ms": "timer: a query, from its arrival to its answer",
     "owner.part.answered": "parts answered by a target",
--- a/tests/integration/test_rules.py
+++ b/tests/integration/test_rules.py
@@ -7,6 +7,7 @@
 import json
 import select
 import signal
+import time
 from http import client
 
 import pytest
@@ -187,6 +188,67 @@
     run_scenario(scenario)
 
 
+async def cut_off(fleet, store=False, peers=False):
+    """Cut the second of three instances off from the store, from its peers, or from both."""
+    if store:
+        await fleet.control("proxy/platform-e2", mode="hang")
+    if peers:
+        other_hosts = [fleet.daemons[daemon_name].host for daemon_name in ("e1", "e3")]
+        await fleet.control("proxy/peers-e2", blocked_sources=other_hosts)
+        for daemon_name in ("e1", "e3"):
+            await fleet.control(
+                f"proxy/peers-{daemon_name}", blocked_sources=[fleet.daemons["e2"].host]
+            )
+
+
+async def query_frozen_instance(fleet, deadline_ms):
+    """Return the answers to queries that the second instance gets while it is frozen for 1.5 s."""
+    fleet.signal("e2", signal.SIGSTOP)
+    queries = [
+        asyncio.create_task(
+            fleet.query("e2", service="devis", body={"mark": str(number)}, deadline_ms=deadline_ms)
+        )
+        for number in range(8)
+    ]
+    await asyncio.sleep(1.5)
+    fleet.signal("e2", signal.SIGCONT)
+    return [answer for _, answer in await asyncio.gather(*queries)]
+
+
+@pytest.mark.parametrize("lost", ["nothing", "store", "peers"])
+def test_resumed_instance_serves_the_queries_that_it_can(run_scenario, lost):
+    """
+    An instance is frozen for longer than its evidence may be renewed. Queries that it reads before
+    the store or a peer has confirmed its rules again were refused, although that takes some ms.
+    """
+
+    async def scenario(fleet):
+        if lost != "nothing":
+            await cut_off(fleet, **{lost: True})
+        answers = await query_frozen_instance(fleet, deadline_ms=5000)
+        assert [answer["outcome"] for answer in answers] == ["complete"] * len(answers), answers
+
+    run_scenario(scenario, proxied=True)
+
+
+def test_resumed_instance_without_store_and_peers_refuses_early(run_scenario):
+    """
+    An instance that nobody confirms after a freeze must refuse queries within the time-outs of its
+    renewal, a second for the store, and not hold them until their deadlines.
+    """
+
+    async def scenario(fleet):
+        await cut_off(fleet, store=True, peers=True)
+        answers = asyncio.create_task(query_frozen_instance(fleet, deadline_ms=20000))
+        await asyncio.sleep(1.5)
+        resumed_at_s = time.monotonic()
+        reasons = {answer.get("reason") for answer in await answers}
+        assert reasons == {"not_current"}
+        assert time.monotonic() - resumed_at_s < 4
+
+    run_scenario(scenario, proxied=True)
+
+
 def test_cut_from_store_only(run_scenario):
     """
     One instance loses the store but not its peers: an edit is accepted and in force there too.
--- a/tests/membership/test_freshness.py
+++ b/tests/membership/test_freshness.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from turmericlug.membership import freshness
@@ -72,3 +74,51 @@
     assert not tracker.is_current()
     tracker.record_peer_reply(clock.now_s, freshness.Revisions(1, 1), 100)
     assert tracker.is_current()
+
+
+@pytest.mark.parametrize("is_from_peer", [False, True], ids=["store", "peer"])
+def test_evidence_that_was_requested_before_a_gap_is_void(is_from_peer):
+    """A reply that waited in the socket during a freeze must not confirm the rules from before."""
+    tracker, clock = make_tracker()
+    requested_at_s = clock.now_s
+    clock.now_s += 2.0
+    if is_from_peer:
+        tracker.record_peer_reply(requested_at_s, freshness.Revisions(1, 1), 0)
+    else:
+        tracker.record_store_read(requested_at_s, freshness.Revisions(1, 1))
+    assert not tracker.is_current()
+    assert tracker.age_ms() > 10**6
+
+
+@pytest.mark.parametrize(
+    ("renewal", "is_current"),
+    [("answered", True), ("failed", False), ("newer", False), ("none", False), ("endless", False)],
+)
+def test_queries_wait_only_for_a_renewal(renewal, is_current):
+    """Guards against refusals in vain after a pause, and against a wait that nothing will end."""
+
+    async def main():
+        tracker, clock = make_tracker()
+        tracker.record_store_read(clock.now_s, freshness.Revisions(1, 1))
+        started = []
+
+        async def renew():
+            await asyncio.sleep(60 if renewal == "endless" else 0.01)
+            if renewal in ("answered", "newer"):
+                newest = freshness.Revisions(1 if renewal == "answered" else 2, 1)
+                tracker.record_peer_reply(clock.now_s, newest, 0)
+
+        def start():
+            started.append(asyncio.create_task(renew()))
+            tracker.track_renewal(started[-1])
+
+        if renewal != "none":
+            tracker.on_gap.append(start)
+        clock.now_s += 2.0
+        async with asyncio.timeout(10):
+            result = await tracker.wait_until_current(clock.now_s + 0.2)
+        for task in started:
+            task.cancel()
+        return result, len(started)
+
+    assert asyncio.run(main()) == (is_current, renewal != "none")
