Don't refuse a key that is turned away before its record is read

Found by reading the paths with the same cause; not reported.

Change: with a key, such an answer is "failed" (may have run, 504) with the same reason and time to come back. Without a key it stays "refused". So "refused" now means for a key that no request with it has run.

The new test (no time left, refused by a rule) failed in both cases before and passes.

--- a/src/turmericlug/query/coordinator.py
+++ b/src/turmericlug/query/coordinator.py
@@ -141,8 +141,9 @@
         if not await self._wait_until_current(query, query_id, started_at_s):
             # The other instances may have accepted new rules without this one; from then on no
             # query may be answered under the old rules.
-            return outcome_module.Refused(
-                "not_current", self._jitter_ms(_NOT_CURRENT_RETRY_AFTER_MS)
+            return _without_record(
+                query,
+                outcome_module.Refused("not_current", self._jitter_ms(_NOT_CURRENT_RETRY_AFTER_MS)),
             )
         treatment = self._config.rules.match(
             model.Request(
@@ -155,14 +156,16 @@
         )
         refusal = self._check_admission(query, treatment)
         if refusal is not None:
-            return refusal
+            return _without_record(query, refusal)
         deadline_ms = min(query.deadline_ms, treatment.deadline_ms or query.deadline_ms)
         deadline_s = started_at_s + deadline_ms / 1000 - _ANSWER_MARGIN_S
         if deadline_s <= time.monotonic():
             # If the parts were sent, they would miss the deadline for certain and might still run.
-            return outcome_module.Refused(
-                "no_time", self._jitter_ms(1), self._config.rules.revision, treatment.rule
+            revision = self._config.rules.revision
+            no_time = outcome_module.Refused(
+                "no_time", self._jitter_ms(1), revision, treatment.rule
             )
+            return _without_record(query, no_time)
         if query.idempotency_key:
             return await self._run_at_most_once(query, treatment, query_id, deadline_s)
         return await self._run_parts(query, treatment, query_id, started_at_s, deadline_s)
@@ -381,6 +384,25 @@
         self._settle_tasks.start(self._records.settle(operation))
 
 
+def _without_record(
+    query: Query, refusal: outcome_module.Refused
+) -> outcome_module.Refused | outcome_module.Failed:
+    """
+    Return the outcome of a query that is turned away before the record of its key is looked up.
+
+    The key may have run through another instance, whose answer was lost. Refused as not run, it
+    would be sent again under a new key.
+    """
+    if not query.idempotency_key:
+        return refusal
+    return outcome_module.Failed(
+        refusal.reason,
+        refusal.rules_revision,
+        refusal.rule,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+
+
 def _decode_recorded(text: str, revision: int, rule: str) -> outcome_module.Answer:
     """Rebuild the answer recorded by the first request with an idempotency key."""
     payload = json.loads(text)
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -7,6 +7,7 @@
 
 import pytest
 from integration import conftest
+from integration import test_rules
 
 
 async def send_bill(fleet, daemon_name, key, **fields):
@@ -197,6 +198,35 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    ("rule", "deadline_ms", "reason"), [("", 1, "no_time"), ("closed", 1500, "rule_shut")]
+)
+def test_a_key_that_ran_is_turned_away(run_scenario, rule, deadline_ms, reason):
+    """
+    A billing request has run and its answer is lost. Its repeat is turned away before its record is
+    looked up; refused as not run, the caller would send it again under a new key.
+    """
+
+    async def scenario(fleet):
+        key, caller = conftest.new_idempotency_key("ran"), rule or "tests"
+        _, answer = await send_bill(fleet, "e1", key)
+        assert answer["outcome"] == "complete"
+        if rule:
+            text = test_rules.rule(rule)
+            _, edit = await test_rules.send_edit(fleet, "e1", "add", text=text)
+            assert edit["outcome"] == "accepted"
+        status, answer = await send_bill(fleet, "e3", key, deadline_ms=deadline_ms, caller=caller)
+        assert (status, answer["outcome"], answer["ran"]) == (504, "failed", "maybe"), answer
+        assert answer["reason"] == reason
+        assert answer["come_back_ms"] > 0
+        status, answer = await fleet.query(
+            "e3", service="devis", body={}, deadline_ms=deadline_ms, caller=caller
+        )
+        assert (status, answer["outcome"], answer["reason"]) == (503, "refused", reason)
+
+    run_scenario(scenario)
+
+
 def test_outage_of_the_store_then_runs(run_scenario):
     """
     A billing request is sent while the store is down: whether its key has run can't be known, so it
--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -123,6 +123,13 @@
         "if True or time.monotonic()",
         "records/test_records.py::test_settle_retries_until_an_instance_is_available",
     ),
+    mutant.one(
+        "refuse-keys-without-a-record",
+        "query/coordinator.py",
+        "    if not query.idempotency_key:\n        return refusal\n",
+        "    if query:\n        return refusal\n",
+        "integration/test_at_most_once.py::test_a_key_that_ran_is_turned_away",
+    ),
     mutant.one(
         "refuse-keys-without-a-verdict",
         "query/coordinator.py",
