Test parts that move to the other owner and back, with earlier builds

Without the narrowing to one replica when a part moves, a part reaches three where two are allowed (mutant several-replicas-for-a-moved-part).

--- a/tests/direct/test_handover_limit.py
+++ b/tests/direct/test_handover_limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import pathlib
 
 import attrs
@@ -150,6 +151,11 @@
     assert asyncio.run(main()) == reached
 
 
+def _read_message(content):
+    schema = capnp.load(str(pathlib.Path(handover_codec.__file__).with_name("handover.capnp")))
+    return schema.Batch.from_bytes_packed(content)
+
+
 def _request(batch):
     now_s = asyncio.get_running_loop().time()
     return messages.Request(b"POST", handover.PATH, (), handover_codec.encode_batch(batch), now_s)
@@ -173,8 +179,7 @@
         shared=(frozenset({7, 3}), frozenset()),
     )
     content = handover_codec.encode_batch(batch)
-    schema = capnp.load(str(pathlib.Path(handover_codec.__file__).with_name("handover.capnp")))
-    assert schema.Batch.from_bytes_packed(content).maxAttempts == read
+    assert _read_message(content).maxAttempts == read
     decoded = handover_codec.decode_batch(content)
     assert decoded == attrs.evolve(batch, max_attempts=min(max_attempts, 255))
 
@@ -184,3 +189,87 @@
     batch = attrs.evolve(handover_helpers.BATCH, shared=(frozenset({1}), frozenset(), frozenset()))
     with pytest.raises(handover_codec.MessageError):
         handover_codec.decode_batch(handover_codec.encode_batch(batch))
+
+
+def _as_read_by_an_earlier_build(content, sender):
+    """Return a batch as an earlier build takes it: it shares replicas in its own view."""
+    limit = _read_message(content).maxAttempts
+    batch = attrs.evolve(handover_codec.decode_batch(content), max_attempts=limit)
+    return handover_codec.encode_batch(handover_helpers.state_shared(batch, sender))
+
+
+async def _reached_by_way_of_two(own, peers, earlier_builds, request_id, max_attempts):
+    """
+    Hand over a part to two owners one after the other, which go on sending, then send it directly.
+
+    :param peers: the replicas that each owner knows, the preferred ones first
+    :param earlier_builds: whether each of the owners is of an earlier build
+    :returns: the replicas that the part has reached, and how many batches were sent
+    """
+    replicas = {name: scripted.ScriptedReplica(30.0) for name in {*own, *peers[0], *peers[1], "y"}}
+    sender = handover_helpers.make_sender(_shards(own, replicas))
+    sender.instance_count = lambda: 74
+    _prefer(sender, own)
+    tasks = []
+
+    def make_handler(names, reads_as_earlier_build):
+        peer_sender = handover_helpers.make_sender(_shards(names, replicas))
+        _prefer(peer_sender, names)
+        handle = batches.handler(peer_sender)
+
+        async def run(request):
+            if reads_as_earlier_build:
+                content = _as_read_by_an_earlier_build(request.body, peer_sender)
+                request = attrs.evolve(request, body=content)
+            answer = await handle(request)
+            async for _ in answer.chunks or ():
+                pass
+            await peer_sender.tasks.close()
+
+        async def handler(request):
+            tasks.append(asyncio.create_task(run(request)))
+            return messages.Response(500)
+
+        return handler
+
+    first, second = map(make_handler, peers, earlier_builds)
+    async with handover_helpers.peer(first, others=[second]) as sender.handover:
+        call = handover_helpers.query_call(
+            shards=("x",), min_coverage=1.0, deadline_ms=400.0, max_attempts=max_attempts
+        )
+        call.request_id = request_id
+        await answering.query_shards(sender, call)
+        await asyncio.gather(*tasks)
+        call.abandon()
+        await sender.tasks.close()
+    reached = {name for name, replica in replicas.items() if replica.requests and name != "y"}
+    return reached, len(tasks)
+
+
+@pytest.mark.parametrize(
+    ("own", "peers"),
+    [
+        (["far-2", "far-1"], (["far-1", "far-2"], ["far-3", "far-1"])),
+        (["far-1", "far-2", "far-3"], (["far-2", "far-3"], ["far-3", "far-4"])),
+        (["far-4", "far-1"], (["far-1", "far-2", "far-3"], ["far-2", "far-3"])),
+        (["far-1"], (["far-2", "far-3"], ["far-4", "far-5"])),
+        (["far-4", "far-1"], (["far-2", "far-3"], ["far-1"])),
+    ],
+)
+@pytest.mark.parametrize("earlier_builds", list(itertools.product([False, True], repeat=2)))
+@pytest.mark.parametrize("max_attempts", [1, 2, 3])
+def test_a_part_that_moves_to_the_other_owner_and_back(
+    own, peers, earlier_builds, max_attempts, monkeypatch
+):
+    """
+    Guards against more attempts than the route allows where both owners of a shard are taken for
+    lost, go on sending, know other replicas, and may be of an earlier build.
+    """
+    # All instances run in this process; if it stalls, a batch would count as lost unsent.
+    monkeypatch.setattr(handover, "INTERIM_TIMEOUT_SLACK_MS", 5000.0)
+    for request_id in (b"q1", b"q2"):
+        reached, sent_batches = asyncio.run(
+            _reached_by_way_of_two(own, peers, earlier_builds, request_id, max_attempts)
+        )
+        assert sent_batches == 2
+        assert 1 <= len(reached) <= max_attempts
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -266,6 +266,13 @@
         "                    shared=shared if batch.maybe_sent_before else frozenset(),\n",
         "direct/test_handover_limit.py::test_views_that_differ_while_a_part_is_handed_over",
     ),
+    mutant.one(
+        "several-replicas-for-a-moved-part",
+        "direct/handover.py",
+        "        if pending.maybe_sent_before:\n            for shard",
+        "        if not call:\n            for shard",
+        "direct/test_handover_limit.py::test_a_part_that_moves_to_the_other_owner_and_back",
+    ),
     mutant.one(
         "all-attempts-to-an-earlier-build",
         "direct/handover_codec.py",
