Read operators' requests and peers' status reports by type and bounds

A priority of Infinity or 100,000 levels of nesting in a request of an operator to turmericlugd were answered 500; other odd fields 400 without the field's name. A negative limit left out the oldest edits. One odd status report of a peer ended the status of all instances with an error.

Cause: int(), dict() and json.loads of what others send, and a list of exceptions that was guessed.

Change: operators/reading.py reads bodies within limits of size and depth, and each field by type and bounds, as for documents. A peer whose report can't be read is shown as not reached, with the problem, and counted as peer.unreadable_status.

--- a/src/turmericlug/operators/http.py
+++ b/src/turmericlug/operators/http.py
@@ -5,8 +5,6 @@
 import asyncio
 import hmac
 import json
-import re
-import secrets
 import typing
 from collections import abc
 
@@ -14,7 +12,9 @@
 from aiohttp import web
 
 from turmericlug.config import settings as settings_module
+from turmericlug.decoding import fields
 from turmericlug.membership import detector as detector_module
+from turmericlug.operators import reading
 from turmericlug.owner import owner as owner_module
 from turmericlug.rules import configuration
 from turmericlug.rules import distribution as distribution_module
@@ -28,8 +28,7 @@
 from turmericlug.wire import server as server_module
 
 _STATUS_TIMEOUT_S = 1.0
-_MAX_BODY_BYTES = 1 << 20
-_EDIT_ID = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
+_MAX_PROBLEM_LENGTH = 200
 
 Handler = abc.Callable[[web.Request], abc.Awaitable[web.StreamResponse]]
 
@@ -60,7 +59,7 @@
     def application(self) -> web.Application:
         """Build the web application with its routes."""
         application = web.Application(
-            client_max_size=_MAX_BODY_BYTES, middlewares=[self._authenticate]
+            client_max_size=reading.MAX_BODY_BYTES, middlewares=[self._authenticate]
         )
         router = application.router
         router.add_get("/v1/rules", self._list_rules)
@@ -87,8 +86,10 @@
             return await handler(request)
         except web.HTTPException as error:
             return _error_response(error.status, error.reason)
-        except _BadRequestError as error:
+        except reading.BadRequestError as error:
             return _error_response(400, *error.problems)
+        except fields.FieldError as error:
+            return _error_response(400, f"{error.field}: {error}")
         except (ValueError, TypeError) as error:
             return _error_response(400, f"malformed: {error}")
         except repository_module.UnreadableError as error:
@@ -102,10 +103,10 @@
         return web.json_response({"revision": rules_document.revision, "rules": rules})
 
     async def _check_rules(self, request: web.Request) -> web.Response:
-        text = _string_field(await _read_json_object(request), "text")
-        rules = _parse_rules(text)
+        text = reading.read_string(await reading.read_json_object(request), "text")
+        rules = reading.parse_rules(text)
         unchanged_rules = [
-            rule for rule in self._config.rules.rules if rule.name not in _rule_names(rules)
+            rule for rule in self._config.rules.rules if rule.name not in reading.rule_names(rules)
         ]
         self._check_reachability([*unchanged_rules, *rules], text)
         return web.json_response({"valid": True, "rules": [rule.name for rule in rules]})
@@ -116,11 +117,11 @@
                 rules, self._config.catalog, parser_module.line_numbers(text)
             )
         except parser_module.RulesError as error:
-            raise _BadRequestError(str(error).splitlines()) from error
+            raise reading.BadRequestError(str(error).splitlines()) from error
 
     async def _edit_rules(self, request: web.Request) -> web.Response:
-        body = await _read_json_object(request)
-        change = _parse_change(body)
+        body = await reading.read_json_object(request)
+        change = reading.read_change(body)
         outcome = await self._repository.edit(change)
         self._counters.add(f"rules.edit.{type(outcome).__name__.lower()}")
         events.emit("rules.edit", edit=change.edit, outcome=type(outcome).__name__.lower())
@@ -195,17 +196,8 @@
         )
 
     async def _explain_rules(self, request: web.Request) -> web.Response:
-        body = await _read_json_object(request)
-        rule_request = model.Request(
-            service=str(body.get("service", "")),
-            caller=str(body.get("caller", "")),
-            data_centre=str(body.get("data_centre", "")),
-            priority=int(body.get("priority", model.DEFAULT_PRIORITY)),
-            headers={
-                str(name).lower(): str(value)
-                for name, value in dict(body.get("headers", {})).items()
-            },
-        )
+        body = await reading.read_json_object(request)
+        rule_request = reading.read_rule_request(body)
         rules_document = self._config.rules
         steps = [
             {"rule": rule, "matches": not mismatch, "because": mismatch}
@@ -217,7 +209,7 @@
         )
 
     async def _list_edits(self, request: web.Request) -> web.Response:
-        limit = int(request.query.get("limit", "20"))
+        limit = reading.read_limit(request.query.get("limit", "20"))
         return web.json_response({"edits": await self._repository.history(limit)})
 
     async def _get_catalog(self, request: web.Request) -> web.Response:
@@ -274,7 +266,14 @@
             )
         except link_module.LinkError:
             return not_reached
-        return json.loads(reply.statusReply) if reply.which() == "statusReply" else not_reached
+        if reply.which() != "statusReply":
+            return not_reached
+        try:
+            return reading.read_status(reply.statusReply)
+        except ValueError as error:
+            # The status of the others is shown all the same.
+            self._counters.add("peer.unreadable_status")
+            return not_reached | {"problem": str(error)[:_MAX_PROBLEM_LENGTH]}
 
     def own_status(self) -> dict[str, typing.Any]:
         """Return the status of this instance."""
@@ -330,12 +329,6 @@
     rule: str
 
 
-class _BadRequestError(Exception):
-    def __init__(self, problems: list[str]) -> None:
-        super().__init__("; ".join(problems))
-        self.problems = problems
-
-
 def _error_response(status: int, *problems: str) -> web.Response:
     return web.json_response({"outcome": "rejected", "problems": list(problems)}, status=status)
 
@@ -344,66 +337,3 @@
     """Prefix a problem with its rule's line number; a problem begins with the rule's name."""
     line_number = line_numbers.get(problem.partition(":")[0])
     return f"line {line_number}: {problem}" if line_number else problem
-
-
-async def _read_json_object(request: web.Request) -> dict[str, typing.Any]:
-    try:
-        body = await request.json()
-    except ValueError as error:
-        raise _BadRequestError([f"the body is not valid JSON: {error}"]) from error
-    if not isinstance(body, dict):
-        raise _BadRequestError(["the body must be a JSON object"])
-    return body
-
-
-def _string_field(body: dict[str, typing.Any], key: str, default: str = "") -> str:
-    value = body.get(key, default)
-    if not isinstance(value, str):
-        raise _BadRequestError([f"{key} must be a string"])
-    return value
-
-
-def _parse_rules(text: str) -> list[model.Rule]:
-    try:
-        return parser_module.parse(text)
-    except parser_module.RulesError as error:
-        raise _BadRequestError(str(error).splitlines()) from error
-
-
-def _rule_names(rules: list[model.Rule]) -> set[str]:
-    return {rule.name for rule in rules}
-
-
-def _parse_change(body: dict[str, typing.Any]) -> edits.Change:
-    """Parse the body of an edit request, with all checks that need no access to the store."""
-    operation = _string_field(body, "operation")
-    if operation not in (edits.ADD, edits.MOVE, edits.REPLACE, edits.RETIRE):
-        raise _BadRequestError(
-            [f"operation must be add, move, replace or retire, not {operation!r}"]
-        )
-    edit = _string_field(body, "edit") or secrets.token_hex(8)
-    if not _EDIT_ID.match(edit):
-        raise _BadRequestError(["edit must be 1 to 64 letters, digits, '.', '_' or '-'"])
-    base = body.get("base", 0)
-    if not isinstance(base, int):
-        raise _BadRequestError(["base must be a revision number"])
-    rule = None
-    name = _string_field(body, "name")
-    if operation in (edits.ADD, edits.REPLACE):
-        rules = _parse_rules(_string_field(body, "text"))
-        if len(rules) != 1:
-            raise _BadRequestError([f"text must contain one rule, not {len(rules)}"])
-        rule = rules[0]
-        if name and name != rule.name:
-            raise _BadRequestError([f"text contains rule {rule.name}, but name is {name}"])
-        name = rule.name
-    return edits.Change(
-        edit=edit,
-        operator=_string_field(body, "operator", "unnamed"),
-        operation=operation,
-        name=name,
-        base=base,
-        rule=rule,
-        before=_string_field(body, "before"),
-        after=_string_field(body, "after"),
-    )
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -62,6 +62,7 @@
     "records.writes": "store writes that contained records",
     "records.carried": "records in those writes",
     "peer.rejected.*": "peer connections rejected, by reason",
+    "peer.unreadable_status": "status reports of peers refused, as they are malformed",
     "peer.unasked_reply": "replies dropped because they matched no open request: late or duplicate",
     "peer.frames_sent": "frames sent to peers",
     "peer.bytes_sent": "bytes sent to peers",
