Check the size of targets' replies while they are read

Replies to health checks had no limit at all.

Cause: the whole body was read, and its length compared after that.

Change: reading stops at the limit and closes the connection. The outcome follows from the status and the headers as before, since a refusal is one whatever body it has.

--- a/src/turmericlug/owner/target.py
+++ b/src/turmericlug/owner/target.py
@@ -24,6 +24,8 @@
 CANCEL_TIMEOUT_S = 0.05
 KEEP_ALIVE_S = 3600.0
 MAX_REPLY_BYTES = 4 << 20
+MAX_STATE_BYTES = 64 * 1024
+"""Of the reply to a health check or a cancellation, which is some bytes."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,7 +112,7 @@
     async def _read_outcome(
         self, response: aiohttp.ClientResponse, attempt_id: str, snapshot: str
     ) -> Outcome:
-        body = await response.read()
+        body = await _read_limited(response, MAX_REPLY_BYTES)
         # A response with the identifier of another attempt belongs to another request, for example
         # to an earlier one on this connection that timed out. The connection is closed, because all
         # later responses on it would be off by one as well.
@@ -121,7 +123,7 @@
         if response.status == 200:
             if response.headers.get(SNAPSHOT_HEADER) != snapshot:
                 return Unknown("wrong_snapshot")
-            if len(body) > MAX_REPLY_BYTES or not _is_json(body):
+            if body is None or not _is_json(body):
                 return Unknown("bad_reply")
             return Answered(snapshot, body)
         if response.status == 409:
@@ -139,14 +141,14 @@
                 async with self._session.post(
                     f"{address}/v1/cancel", headers={ATTEMPT_HEADER: attempt_id}
                 ) as response:
-                    await response.read()
+                    await _read_limited(response, MAX_STATE_BYTES)
 
     async def health(self, address: str, timeout_s: float) -> str:
         """Return the state from a replica's health check, an empty string if there is none."""
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._session.get(f"{address}/v1/health") as response:
-                    payload = await response.json()
+                    payload = json.loads(await _read_limited(response, MAX_STATE_BYTES) or b"")
                     return str(payload.get("state", "")) if isinstance(payload, dict) else ""
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError):
             return ""
@@ -167,6 +169,19 @@
         await asyncio.gather(*(self.health(address, timeout_s) for _ in range(connections)))
 
 
+async def _read_limited(response: aiohttp.ClientResponse, max_bytes: int) -> bytes | None:
+    """Read a body; close the connection and return ``None`` if it is longer than the limit."""
+    chunks = []
+    left = max_bytes
+    async for chunk in response.content.iter_any():
+        left -= len(chunk)
+        if left < 0:
+            response.close()
+            return None
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 def _is_json(body: bytes) -> bool:
     try:
         json.loads(body)
