Hand on that a value is refused, not the value

A value that an instance refuses reached all instances that request their changes from it, as it was: those of an earlier build beside a new relay ended the task that follows the store, and another version could use what this one takes for odd.

Cause: a relay sent the raw content of each change, read or refused.

Change: a refused value is relayed as key, revision and reason, without content, and counts as refused at the receiver. Refused content is no longer kept.

--- a/src/turmericlug/entry/relay.capnp
+++ b/src/turmericlug/entry/relay.capnp
@@ -17,10 +17,13 @@
   key @0 :Text;
   content @1 :Data;
   # The raw value as the source holds it, compressed by zlib where that is shorter.
+  # Empty for a value that the sender can't read.
   revision @2 :UInt64;
   removed @3 :Bool;
   compressed @4 :Bool;
   era @5 :UInt64;
   lease @6 :UInt64;
   # The lease to which the key is attached; 0: none or unknown.
+  refused @7 :Text;
+  # Why the sender can't read the value, a keyword; empty if it can. There is no content then.
 }
--- a/src/turmericlug/entry/relay_codec.py
+++ b/src/turmericlug/entry/relay_codec.py
@@ -4,6 +4,7 @@
 
 import functools
 import pathlib
+import re
 import zlib
 from collections import abc
 
@@ -20,6 +21,9 @@
 """Eight times the largest value that the source holds under one key."""
 MAX_CHANGES = 40_000
 """Ten times as many as an instance keeps to relay."""
+_REASON = re.compile(r"[a-z0-9_]{1,20}\Z")
+"""Each different reason gets a counter."""
+_UNKNOWN_REASON = "relayed"
 _MAX_AGE_S = 3600.0
 """Reported as the age if the source has never answered: far beyond what any instance accepts."""
 
@@ -78,6 +82,13 @@
             "era": change.era,
             "removed": True,
         }
+    if isinstance(change, source.Unreadable):
+        return {
+            "key": change.key,
+            "revision": change.revision,
+            "era": change.era,
+            "refused": change.reason,
+        }
     compressed_content = _compress(change.content)
     compressed = len(compressed_content) < len(change.content)
     return {
@@ -86,7 +97,7 @@
         "era": change.era,
         "content": compressed_content if compressed else change.content,
         "compressed": compressed,
-        "lease": change.lease if isinstance(change, source.Written) else 0,
+        "lease": change.lease,
     }
 
 
@@ -144,6 +155,15 @@
             field="Revision",
             problem=f"{change.revision} in changes up to {message.revision}",
         )
+    if change.refused:
+        reason = change.refused if _REASON.match(change.refused) else _UNKNOWN_REASON
+        return source.Unreadable(
+            change.key,
+            change.revision,
+            reason,
+            era=change.era,
+            problem="refused by the instance that relays it",
+        )
     content = decompress_value(change.content) if change.compressed else bytes(change.content)
     decoded = decode_change(change.key, content, change.revision)
     if isinstance(decoded, source.Written):
--- a/src/turmericlug/entry/source.py
+++ b/src/turmericlug/entry/source.py
@@ -125,14 +125,17 @@
     """0 if it is malformed: it precedes any other, so that what is known of the key stays."""
     reason: str
     """A short keyword, which is also the name of a counter."""
-    content: bytes = attrs.field(default=b"", repr=False)
-    """The raw value as the source holds it, to be relayed to other instances."""
     era: int = 0
     field: str = ""
     """Path of the field that caused the refusal; empty if it concerns the value as a whole."""
     problem: str = ""
     """What is wrong, with the limit."""
 
+    @property
+    def content(self) -> bytes:
+        """Nothing: a value that is refused here is not handed on."""
+        return b""
+
     @property
     def position(self) -> Position:
         """Where in the source's history it is."""
--- a/src/turmericlug/platform/decode.py
+++ b/src/turmericlug/platform/decode.py
@@ -62,7 +62,6 @@
 
     :param content: the value as bytes, or as the base64 text that the store sends
     """
-    raw_value = b""
     ignored: list[str] = []
     try:
         raw_value = _decode_base64(content) if _is_base64_text(content) else content
@@ -72,7 +71,6 @@
             key,
             revision,
             error.reason,
-            raw_value,
             field=error.field[:_MAX_PROBLEM_LENGTH],
             problem=str(error)[:_MAX_PROBLEM_LENGTH],
         )
