Don't give up a connection because this process stood still

Cause: the limit of 0.4 s is a timer. After a stall the event loop finds it due in the iteration in which it learns that the connection is open, which needs more iterations to reach its caller. Beside a load of 19 on 8 cores, processes waited up to 1.05 s in the run queue.

A timer more than 50 ms late gives the connection the time of the stall once more, up to the limit. An address that doesn't accept is given up as before.

--- a/src/turmericlug/http1/client.py
+++ b/src/turmericlug/http1/client.py
@@ -13,6 +13,7 @@
 import itertools
 import socket
 import struct
+import typing
 from collections import abc
 
 import attrs
@@ -21,6 +22,8 @@
 
 CONNECT_TIMEOUT_S = 0.4
 """16 round trips of 25 ms between regions; Linux resends a lost SYN only after 1 s."""
+MIN_STALL_S = 0.05
+"""Lateness of a timer from which this process was stalled."""
 USER_TIMEOUT_MS = 3000
 """Age limit of unacknowledged data; a partition otherwise blocks a connection for minutes."""
 _TCP_INFO = struct.Struct("8B24I")
@@ -194,26 +197,49 @@
     """
     Open a connection.
 
+    If this process stands still meanwhile, it may find the connection open only after the timeout,
+    and gets the time of the stall once more, up to the timeout.
+
     :param on_unexpected_bytes: called when bytes arrive that belong to no pending request
     :raises ConnectError: the address refuses, is unreachable or does not accept in time
     """
     loop = asyncio.get_running_loop()
+    opening = asyncio.create_task(
+        loop.create_connection(lambda: Connection(on_unexpected_bytes), host, port)
+    )
     try:
-        async with asyncio.timeout(timeout_s):
-            transport, connection = await loop.create_connection(
-                lambda: Connection(on_unexpected_bytes), host, port
-            )
-    except TimeoutError:
-        raise ConnectError("no connection in time") from None
+        await _wait_beside_stalls(opening, timeout_s)
+        if not opening.done():
+            raise ConnectError("no connection in time")
+        transport, connection = opening.result()
     except ConnectionRefusedError as error:
         raise ConnectRefusedError(type(error).__name__) from error
     except (OSError, ValueError, OverflowError) as error:
         # A host that is no name, or a port out of range, raises one of the latter.
         raise ConnectError(type(error).__name__) from error
+    except (ConnectError, asyncio.CancelledError):
+        opening.cancel()
+        opening.add_done_callback(_abort_late_connection)
+        raise
     set_socket_options(transport)
     return connection
 
 
+async def _wait_beside_stalls(task: asyncio.Task[typing.Any], timeout_s: float) -> None:
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + timeout_s
+    await asyncio.wait((task,), timeout=timeout_s)
+    stalled_s = loop.time() - end_s
+    if not task.done() and stalled_s > MIN_STALL_S:
+        await asyncio.wait((task,), timeout=min(stalled_s, timeout_s))
+
+
+def _abort_late_connection(opening: asyncio.Task[typing.Any]) -> None:
+    """Abort a connection that was opened at the moment at which it was given up."""
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result()[0].abort()
+
+
 def set_socket_options(transport: asyncio.BaseTransport) -> None:
     """
     Disable Nagle's algorithm and limit the time without acknowledgements.
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -6,8 +6,10 @@
 import contextlib
 import socket
 import struct
+import time
 
 import pytest
+import uvloop
 
 from turmericlug.http1 import client
 
@@ -241,3 +243,82 @@
             await client.connect(host, port)
 
     asyncio.run(main())
+
+
+def block_event_loop(duration_s):
+    """Keep this process from running anything else, as a busy machine does."""
+    time.sleep(duration_s)
+
+
+@pytest.mark.parametrize("new_event_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+@pytest.mark.parametrize("steps", range(5))
+def test_a_stall_of_this_process_does_not_fail_a_connection(steps, new_event_loop):
+    """
+    This process stands still for longer than the connection's timeout. The address has accepted
+    meanwhile, and would be taken for one that doesn't answer.
+    """
+
+    async def main():
+        async with scripted_server(respond_once(COMPLETE)) as (host, port):
+            opening = asyncio.create_task(client.connect(host, port, timeout_s=0.1))
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            block_event_loop(0.3)
+            connection = await opening
+            response = await connection.exchange(REQUEST)
+            connection.close()
+            return response.status
+
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        assert runner.run(main()) == 200
+
+
+@pytest.mark.parametrize("stalled_s", [0.0, 0.5], ids=["running", "stalled"])
+def test_an_address_that_does_not_accept_is_given_up(stalled_s):
+    """Guards against a wait without end, also where this process was stalled itself."""
+
+    async def main():
+        with contextlib.ExitStack() as stack:
+            listener = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
+            address = listener.getsockname()
+            for _ in range(4):
+                # Fills the queue of connections, so that the next one isn't accepted.
+                waiting = stack.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(address)
+            opening = asyncio.create_task(client.connect(*address, timeout_s=0.2))
+            await asyncio.sleep(0.01)
+            block_event_loop(stalled_s)
+            resumed_s = time.monotonic()
+            with pytest.raises(client.ConnectError, match="in time"):
+                await opening
+            assert time.monotonic() - resumed_s < 1.0
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("steps", range(8))
+def test_a_cancelled_connection_is_not_left_open(steps):
+    """Guards against connections that nobody uses or closes, and that servers count."""
+
+    async def main():
+        closed = asyncio.Event()
+
+        async def wait_for_end(reader, writer):
+            await reader.read()
+            closed.set()
+
+        async with scripted_server(wait_for_end) as (host, port):
+            opening = asyncio.create_task(client.connect(host, port))
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            opening.cancel()
+            try:
+                (await opening).close()
+            except asyncio.CancelledError:
+                pass
+            if steps > 2:
+                async with asyncio.timeout(5):
+                    await closed.wait()
+
+    asyncio.run(main())
