Answer the directory where the only other data centre of a region has vanished

Seen: 500 for each question of a caller in a hot data centre whose answers name instances of the next one, as all instances of that one vanish and there is no third.

Cause: Directory._spilled expects one data centre among those with instances, and there is none.

Change: nothing is added then.

Tests: a case for each loss and load, of which 3 of 9 fail before with "not enough values to unpack"; one mutant. tests/entry/test_directory.py passes.

--- a/src/turmericlug/entry/directory.py
+++ b/src/turmericlug/entry/directory.py
@@ -122,7 +122,7 @@
         if bool(before) != bool(spill.share):
             decisions.log("directory.spill", data_centre=data_centre, starts=bool(spill.share))
         count = spill.addresses(named)
-        if not count:
+        if not (count and others):
             return []
         # If the others have become hot too, what was added leaves as gradually as it came.
         (next_data_centre,) = placement.preferred(data_centre, cool or others, 1)
--- a/tests/entry/test_directory.py
+++ b/tests/entry/test_directory.py
@@ -182,6 +182,29 @@
     assert all(name.startswith("r/d/") for given in answers(tested, 30) for name in given)
 
 
+@pytest.mark.parametrize("heat", [{"d": True, "e": False}, {"d": True, "e": True}, {}])
+@pytest.mark.parametrize("lost", [["e"], ["d"], ["d", "e"]], ids=["the next", "the own", "both"])
+def test_data_centre_that_vanishes_while_its_addresses_are_named(lost, heat):
+    """
+    Guards against a failed answer to every caller of a hot data centre, as the only other one of
+    its region is lost while some of its instances are named.
+    """
+    tested = make_directory(*NAMES, capacities=UNLIKE)
+    tested.is_hot = {"d": True, "e": False}.get
+    assert any(name.startswith("r/e/") for name in answers(tested, 30)[-1])
+    tested.is_hot = heat.get
+    for name in NAMES:
+        if name.split("/")[1] in lost:
+            tested.view.capacities.remove(name)
+            del tested.view.instances[name]
+    for addresses in answers(tested, 30):
+        assert not any(name.split("/")[1] in lost for name in addresses)
+        assert len(addresses) >= 2 or len(lost) == 2
+    back = source.EntryInstance(NAMES[12], NAMES[12], "e", "r", capacity=2.0)
+    tested.view.instances[NAMES[12]] = back
+    assert answers(tested, 2)
+
+
 def test_the_number_of_addresses_is_limited():
     instances = [f"r/d/{number:03d}" for number in range(200)]
     assert len(make_directory(*instances).addresses("r", "d")) == directory.MAX_ADDRESSES
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -881,6 +881,13 @@
         "        if cycles[name] > 0.0:",
         "policy/test_balance.py::test_no_instance_gets_more_than_its_bound_on_a_steady_day",
     ),
+    mutant.one(
+        "name-instances-of-a-lost-data-centre",
+        "entry/directory.py",
+        "        if not (count and others):",
+        "        if not count:",
+        "entry/test_directory.py::test_data_centre_that_vanishes_while_its_addresses_are_named",
+    ),
     mutant.one(
         "spill-at-once",
         "policy/balance.py",
