Raise the own incarnation above that of an earlier run whose clock was ahead

Seen: by reading, after the notices to drain.

Cause: the incarnation begins with the time of day. Members.merge exceeded what others state about this instance only where the state differs from its own, so not where they know it as alive.

Change: any higher incarnation is exceeded. A new instance asks for the whole list, which has its earlier entry.

Tests: a case for each known state and readiness, of which 2 of 6 fail before; one mutant, and the one of refuted deaths follows the changed line. tests/membership, test_membership.py and test_whole_path.py pass. Not played with real processes.

--- a/src/turmericlug/membership/members.py
+++ b/src/turmericlug/membership/members.py
@@ -70,12 +70,15 @@
         Merge the gossiped state of one instance.
 
         Refutes a suspicion or death of this instance with a higher incarnation: an instance that
-        resumes after a freeze would otherwise stay dead in every view.
+        resumes after a freeze would otherwise stay dead in every view. The incarnation of an
+        earlier run is exceeded as well: it is higher if the clock was set back meanwhile, and the
+        others would drop all that this run announces.
 
         :returns: whether the state of another instance changed
         """
         if member.instance == self.own.instance:
-            if member.state != self.own.state and member.incarnation >= self.own.incarnation:
+            is_wrong = member.state != self.own.state and member.incarnation == self.own.incarnation
+            if is_wrong or member.incarnation > self.own.incarnation:
                 self.refuted += 1
                 self._set(attrs.evolve(self.own, incarnation=member.incarnation + 1))
             return False
--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -41,6 +41,25 @@
     assert view.take_updates()[0] == view.own
 
 
+@pytest.mark.parametrize("known_state", [members.ALIVE, members.SUSPECT, members.LEAVING])
+@pytest.mark.parametrize("known_ready", [True, False])
+def test_instance_that_starts_again_after_its_clock_was_set_back(known_state, known_ready):
+    """
+    Guards against an instance whose notices the others drop for as long as it lives: that it has
+    the rules, that it leaves. Its incarnation begins with its clock, and was higher before.
+    """
+    other = members.Members(make_member("peer"))
+    other.merge(attrs.evolve(make_member("me", known_state, 5000), ready=known_ready))
+    view = members.Members(attrs.evolve(make_member("me", incarnation=4000), ready=False))
+    for member in other.by_instance.values():
+        view.merge(member)  # the reply to an instance that has just started has the whole list
+    for changes in ({"ready": True}, {"state": members.LEAVING}):
+        view.announce(**changes)
+        for member in view.take_updates():
+            other.merge(member)
+        assert other.by_instance["me"] == view.own
+
+
 def test_refuting_a_death_keeps_the_leaving_state():
     view = members.Members(make_member("me"))
     view.announce(state=members.LEAVING)
--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -5,6 +5,14 @@
 import mutant
 
 MUTANTS = (
+    mutant.one(
+        "keep-an-incarnation-below-that-of-an-earlier-run",
+        "membership/members.py",
+        "            if is_wrong or member.incarnation > self.own.incarnation:",
+        "            if is_wrong:",
+        "membership/test_members.py"
+        "::test_instance_that_starts_again_after_its_clock_was_set_back",
+    ),
     mutant.Mutant(
         "use-any-snapshot",
         "src/turmericlug/owner/service_queue.py",
@@ -211,8 +219,8 @@
     mutant.one(
         "do-not-refute-own-death",
         "membership/members.py",
-        "if member.state != self.own.state and member.incarnation >= self.own.incarnation:",
-        "if not member.instance:",
+        "            if is_wrong or member.incarnation > self.own.incarnation:",
+        "            if not member.instance:",
         "membership/test_members.py::test_own_death_is_refuted",
     ),
     mutant.one(
