Keep a stop signal from hiding the error that ended a start

An entry instance whose start failed, and that got SIGTERM just then, lost the line instance.exiting_with: what had failed was not in the log.

Cause: the handler of the signal called the event loop, which was closed; the error that this raised ended the process before the log was written.

A SIGHUP after the loop has closed, which was only read about, does not end an entry instance: uvloop keeps its handler.

Change: the handler calls a closed loop in vain, without an error.

--- a/src/turmericlug/entry/stop_signal.py
+++ b/src/turmericlug/entry/stop_signal.py
@@ -10,6 +10,7 @@
 from collections import abc
 
 from turmericlug.entry import live_settings
+from turmericlug.kernel import loop_signals
 from turmericlug.telemetry import decisions
 
 FORCED_EXIT_MARGIN_S = 0.4
@@ -43,7 +44,7 @@
             exit_at_s = arrived_s + live.policy.grace_s - FORCED_EXIT_MARGIN_S
             exit_after_s = max(exit_at_s - time.monotonic(), 0.01)
             signal.setitimer(signal.ITIMER_REAL, exit_after_s)
-            loop.call_soon_threadsafe(on_stop, arrived_s)
+            loop_signals.call(loop, on_stop, arrived_s)
 
     def on_stop_signal(number: int, frame: types.FrameType | None) -> None:
         begin_grace_period(time.monotonic())
--- a/tests/integration/test_start_log.py
+++ b/tests/integration/test_start_log.py
@@ -48,6 +48,59 @@
     asyncio.run(scenario())
 
 
+_SIGNALLED_PROGRAM = """\
+import os, signal, sys
+sys.path.insert(0, {source!r})
+from turmericlug.entry import daemon
+flush = daemon.decisions.flush
+def flush_after_signal():
+    os.kill(os.getpid(), signal.{name})
+    flush()
+daemon.decisions.flush = flush_after_signal
+{failure}
+from turmericlug.platform import start
+start.run()
+"""
+
+
+@pytest.mark.parametrize("name", ["SIGHUP", "SIGTERM"])
+def test_a_signal_after_the_event_loop_has_closed_does_not_end_the_process(tmp_path, name):
+    """Guards against a signal's default action, by which a planned stop would look failed."""
+
+    async def scenario():
+        async with test_start.stopped_instance(tmp_path) as instance:
+            instance.program = tmp_path / "program.py"
+            source = str(entry_process.ROOT / "src")
+            program = _SIGNALLED_PROGRAM.format(source=source, name=name, failure="")
+            instance.program.write_text(program)
+            await instance.start()
+            await test_start.assert_serves(instance)
+            instance.signal(signal.SIGTERM)
+            async with asyncio.timeout(20):
+                assert await instance.process.wait() == 0
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("name", ["SIGHUP", "SIGTERM"])
+def test_a_signal_after_a_failed_start_hides_no_error(tmp_path, name):
+    """SIGTERM then raised in its handler, and the line with the error was lost."""
+
+    async def scenario():
+        async with test_start.stopped_instance(tmp_path) as instance:
+            instance.program = tmp_path / "program.py"
+            source = str(entry_process.ROOT / "src")
+            failure, reason, _ = FAILURES["service"]
+            program = _SIGNALLED_PROGRAM.format(source=source, name=name, failure=failure)
+            instance.program.write_text(program)
+            await instance.start()
+            assert await instance.process.wait() == 1
+            (line,) = instance.lines("instance.exiting_with")
+            assert reason in line["reason"]
+
+    asyncio.run(scenario())
+
+
 def test_a_settings_file_with_problems_is_in_the_log(tmp_path):
     """The problems were on standard error as text, where readers of the log did not see them."""
 
