Count and log each request that the server refuses unread

Callers got 431, 413, 408 and 400 from an instance for heads and bodies that are too large, too slow or unclear, and operators saw none of it: no counter, and a line for 400 only.

Cause: each place that refuses had to count by itself; only the newest two did.

--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -36,6 +36,7 @@
 """Bytes of a head beyond its target and headers: method, version, white space, empty lines."""
 _IDLE_SLACK_S = 1.0
 _IDLE_LIMIT_HISTORY_S = 30.0
+_BODY = "body"
 REQUESTS_LIMIT_BYTES = 64 * 1024 * 1024
 """Memory of the requests that a server holds at the same time if its user states no limit."""
 _HEADER_OVERHEAD_BYTES = 150
@@ -220,11 +221,15 @@
             body_size = len(self._body) - body_size_before
             too_large = self._sizes.count(len(data), body_size, head_was_done, self._head_done)
             if too_large:
-                self._reject(431 if too_large == sizes.HEAD else 413, f"{too_large} too large")
+                self._reject_large(431 if too_large == sizes.HEAD else 413, too_large)
 
     def _reject_unreadable(self, detail: str) -> None:
-        decisions.log("caller.refused", reason="unreadable", detail=detail[:100])
-        self._reject(400, "unreadable request")
+        self._reject(400, "unreadable", "unreadable request", detail=detail[:100])
+
+    def _reject_large(self, status: int, part: str) -> None:
+        limits = self._server.limits()
+        limit_bytes = limits.body_bytes if part == _BODY else limits.header_bytes
+        self._reject(status, f"{part}_too_large", f"{part} too large", limit_bytes=limit_bytes)
 
     def on_url(self, url: bytes) -> None:
         """Parser callback: a piece of the request's target."""
@@ -241,7 +246,7 @@
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._server.limits().header_bytes:
-            self._reject(431, "head too large")
+            self._reject_large(431, sizes.HEAD)
             raise _RejectedError
 
     def on_headers_complete(self) -> None:
@@ -254,7 +259,7 @@
             (value for name, value in self._headers if name == b"content-length"), b"0"
         )
         if content_length.isdigit() and int(content_length) > self._server.limits().body_bytes:
-            self._reject(413, "body too large")
+            self._reject_large(413, _BODY)
             raise _RejectedError
         self._held_head_bytes = self._head_bytes + len(self._headers) * _HEADER_OVERHEAD_BYTES
         self._hold(self._held_head_bytes + (int(content_length) if content_length.isdigit() else 0))
@@ -272,7 +277,7 @@
     def on_body(self, body: bytes) -> None:
         """Parser callback: a piece of the body."""
         if len(self._body) + len(body) > self._server.limits().body_bytes:
-            self._reject(413, "body too large")
+            self._reject_large(413, _BODY)
             raise _RejectedError
         self._hold(self._held_head_bytes + len(self._body) + len(body) - self._held_bytes)
         self._body += body
@@ -282,11 +287,12 @@
         if size_bytes <= 0:
             return
         if not self._server.budget.reserve(size_bytes):
-            self._server.on_refused("memory")
-            decisions.log(
-                "caller.refused", reason="memory", held_bytes=self._server.budget.held_bytes
+            self._reject(
+                503,
+                "memory",
+                "requests in progress take too much memory",
+                held_bytes=self._server.budget.held_bytes,
             )
-            self._reject(503, "requests in progress take too much memory")
             raise _RejectedError
         self._held_bytes += size_bytes
 
@@ -415,17 +421,25 @@
             finally:
                 self._server.budget.release(unsent_bytes)
 
-    def _reject(self, status: int, reason: str) -> None:
-        """Send an error response, and close after the caller had time to read it."""
+    def _reject(self, status: int, reason: str, text: str, **details: object) -> None:
+        """
+        Send an error response, and close after the caller had time to read it.
+
+        :param reason: a keyword, which is also the name of a counter
+        :param text: what the caller is told
+        :param details: further fields of the log line
+        """
+        self._server.on_refused(reason)
+        decisions.log("caller.refused", reason=reason, status=status, **details)
         self._rejected = True
         self._release_unread()
         self._stop_timer()
         if self._serve_task is not None:
             # Earlier requests on this connection get their responses first, in order.
             self._must_close = True
-            self._serve_task.add_done_callback(lambda _: self._write_rejection(status, reason))
+            self._serve_task.add_done_callback(lambda _: self._write_rejection(status, text))
             return
-        self._write_rejection(status, reason)
+        self._write_rejection(status, text)
 
     def _write_rejection(self, status: int, reason: str) -> None:
         if self._transport.is_closing() or self._end_sent:
@@ -461,10 +475,13 @@
         if self._head_done:
             # The body has a timeout of its own: a slow caller is served, a stalled one rejected.
             self._timer = self._loop.call_later(
-                self._server.limits().idle_timeout_s, lambda: self._reject(408, "body too slow")
+                self._server.limits().idle_timeout_s, self._reject_slow, _BODY
             )
             return
-        self._reject(408, "head too slow")
+        self._reject_slow(sizes.HEAD)
+
+    def _reject_slow(self, part: str) -> None:
+        self._reject(408, f"{part}_too_slow", f"{part} too slow")
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
