Go on with the drain after an error in one of its steps

An error in a first step of the drain ended an entry instance at once with status 1, and with it all requests in flight; one in the last step left them without an answer. Nothing known raises there.

Cause: the steps were statements of one coroutine, so that each depended on the success of those before.

Change: an error of a step is reported as task.failed, and the drain goes on.

--- a/src/turmericlug/entry/draining.py
+++ b/src/turmericlug/entry/draining.py
@@ -5,11 +5,13 @@
 import asyncio
 import contextlib
 import time
+from collections import abc
 
 from turmericlug.entry import follower
 from turmericlug.entry import long_running
 from turmericlug.entry import quota_service
 from turmericlug.http1 import server
+from turmericlug.kernel import failures
 from turmericlug.kernel import kernel as kernel_module
 from turmericlug.kernel import supervisor
 from turmericlug.telemetry import decisions
@@ -54,14 +56,16 @@
         grace_s=grace_s,
         noticed_after_ms=round(noticed_after_s * 1000),
     )
-    caller_server.drain()
+    _attempt(caller_server.drain)
     refuse_after_s = REFUSE_AFTER_SHARE * grace_s
     refuse_unrepeatable_after_s = min(refuse_after_s, REFUSE_UNREPEATABLE_AFTER_S)
     exit_at_s = began_s + grace_s - EXIT_MARGIN_S
-    handler.start_draining(
-        began_s + refuse_unrepeatable_after_s, began_s + refuse_after_s, exit_at_s
+    _attempt(
+        lambda: handler.start_draining(
+            began_s + refuse_unrepeatable_after_s, began_s + refuse_after_s, exit_at_s
+        )
     )
-    quota_service.leave(kernel)
+    _attempt(lambda: quota_service.leave(kernel))
     await kernel.find("registration tasks").close()
     source = kernel.find("source")
     ended_era = source.era
@@ -77,10 +81,22 @@
                 break
             await asyncio.sleep(0.05)
         decisions.log("instance.exiting", in_flight=caller_server.busy_count())
-        handler.end_requests()
+        _attempt(handler.end_requests)
         await _wait_for_last_answers(caller_server)
 
 
+def _attempt(step: abc.Callable[[], object]) -> None:
+    """
+    Take a step of the drain; report an error and go on.
+
+    An error that ended the drain would end the process at once, and with it the requests in flight.
+    """
+    try:
+        step()
+    except Exception as error:
+        failures.report(error)
+
+
 async def _wait_for_last_answers(caller_server: server.Server) -> None:
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(LAST_ANSWERS_S):
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -53,7 +53,7 @@
     mutant.one(
         "cut-off-requests-at-the-exit",
         "entry/draining.py",
-        "        handler.end_requests()\n",
+        "        _attempt(handler.end_requests)\n",
         "",
         "integration/test_leaving_entry.py::test_requests_that_outlast_the_process_are_answered",
     ),
