Don't count a batch as lost because this process stood still

Callers saw: parts sent once more after a stall of the instance that their query came through, though the other instance had confirmed them in time; and instances set aside that were sound.

Cause: the limit of the interim response is a timer, and uvloop runs the timers that are due before it reads its sockets. A timer more than 30 ms late gives the peer the time of the stall once more, up to the duration that was set.

--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -27,6 +27,7 @@
 from turmericlug.direct import replicas as replicas_module
 from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
+from turmericlug.direct import stall_timeout
 from turmericlug.http1 import client
 from turmericlug.telemetry import decisions
 
@@ -232,7 +233,8 @@
         loop = asyncio.get_running_loop()
         data_centre = pending.peer.entry.data_centre
         peer_name = pending.peer.entry.instance
-        async with asyncio.timeout(self._interim_timeout_s(data_centre)) as timeout:
+        overdue_s = loop.time() + self._interim_timeout_s(data_centre)
+        async with stall_timeout.StallTimeout(overdue_s) as timeout:
             async with pending.peer.pool.connection(call.rank) as connection:
                 attempt.began_s = now_s = loop.time()
                 batch = _make_batch(
--- a/tests/direct/test_handover.py
+++ b/tests/direct/test_handover.py
@@ -5,11 +5,13 @@
 import asyncio
 import operator
 import random
+import time
 
 import attrs
 import handover_helpers
 import pytest
 import scripted
+import uvloop
 
 from turmericlug.direct import answering
 from turmericlug.direct import attempts
@@ -258,6 +260,38 @@
     assert set(handed_over.values()) == {owner}
 
 
+def block_event_loop(duration_s):
+    """Keep this process from running anything else, as a busy machine does."""
+    time.sleep(duration_s)
+
+
+@pytest.mark.parametrize("new_event_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+@pytest.mark.parametrize("steps", range(20))
+def test_a_stall_of_this_process_does_not_lose_a_batch(steps, new_event_loop):
+    """
+    This process stands still while its peer confirms a batch. The batch counted as lost, and its
+    parts were sent to other replicas beside those that the peer sends to.
+    """
+    peer_replicas = handover_helpers.scripts()
+
+    async def main():
+        sender = handover_helpers.make_sender(handover_helpers.scripts())
+        async with handover_helpers.peer(
+            handover_helpers.peer_handler(peer_replicas)
+        ) as sender.handover:
+            call = handover_helpers.query_call(min_coverage=1.0, goal_ms=4000.0, deadline_ms=5000.0)
+            query = asyncio.create_task(answering.query_shards(sender, call))
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            block_event_loop(0.3)
+            result = await query
+            await sender.tasks.close()
+        return result.outcome, sender.counters.totals.get("handover.lost", 0)
+
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        assert runner.run(main()) == ("answered", 0)
+
+
 @pytest.mark.parametrize(
     ("known", "lost", "directly"),
     [((), 1, 2), (("y",), 0, 1), (("x", "y"), 0, 0)],
