Report the end of a replica with the first entry of its next start

Cause: an entry that states an earlier time is held back for 2.2 s, and the end of the start before was reported to the quarantine only as it came into force. Before such an entry, and with it the end, was never used.

Change: the first entry of a start that was not known before reports the end at once. One of a start that another has replaced is probably a late write and reports nothing.

Tests: test_end_is_reported_with_the_first_entry_of_the_next_start (0 instead of 1 before) and a mutant.

--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -332,6 +332,12 @@
             self.on_lost(replica)
         return True
 
+    def report_lost(self, instance: str) -> None:
+        """Report that a replica has probably ended without notice, before it is removed."""
+        replica = self._by_instance.get(instance)
+        if replica is not None and not replica.leaving:
+            self.on_lost(replica)
+
     def find(self, instance: str) -> replica_module.Replica | None:
         """Return a replica by its instance name."""
         return self._by_instance.get(instance)
--- a/src/turmericlug/entry/starts.py
+++ b/src/turmericlug/entry/starts.py
@@ -65,7 +65,11 @@
         start_ms, latest_ms = _start_ms(written), self._latest_ms(written.key, known)
         if start_ms is None or latest_ms is None or start_ms == latest_ms:
             return False
-        return start_ms < latest_ms or start_ms in self._replaced.get(written.key, ())
+        return start_ms < latest_ms or self.was_replaced(written)
+
+    def was_replaced(self, written: source.Written | source.Unreadable) -> bool:
+        """Whether another start has been known after the one of an entry."""
+        return _start_ms(written) in self._replaced.get(written.key, ())
 
     def hold_back(self, written: source.Written) -> bool:
         """
--- a/src/turmericlug/entry/view.py
+++ b/src/turmericlug/entry/view.py
@@ -240,7 +240,8 @@
         Hold back an entry that may be a late write of a start that has ended.
 
         If it says that the replica drains, the known one gets no more requests meanwhile: it may be
-        the one that has ended.
+        the one that has ended. That is reported at once for a start that was not known before, as
+        a request that crashes replicas is to be recognised within a second.
         """
         if self._starts.hold_back(written):
             decisions.log(
@@ -250,6 +251,8 @@
                 known_born_ms=known.value.born_ms if starts.is_replica(known) else None,
                 revision=written.revision,
             )
+            if starts.is_replica(known) and not self._starts.was_replaced(written):
+                self.replicas.report_lost(known.value.instance)
         if written.value.draining and starts.is_replica(known):
             self.replicas.put(attrs.evolve(known.value, draining=True), self._now_s())
 
--- a/tests/entry/test_starts.py
+++ b/tests/entry/test_starts.py
@@ -125,6 +125,27 @@
     assert followed.replica is None
 
 
+@pytest.mark.parametrize(
+    ("starts_ms", "next_ms", "reported"),
+    [((5000,), 4000, 1), ((5000,), 6000, 1), ((4000, 5000), 4000, 0)],
+    ids=["clock set back", "clock right", "late write"],
+)
+@pytest.mark.parametrize("draining", [False, True], ids=["ready", "draining"])
+def test_end_is_reported_with_the_first_entry_of_the_next_start(
+    starts_ms, next_ms, reported, draining
+):
+    """
+    Guards against a request that crashes one replica after the other: that a replica has ended and
+    started again was seen only once its start was certain, if its clock had been set back.
+    """
+    followed = following(*starts_ms)
+    lost = []
+    followed.view.replicas.on_lost = lost.append
+    followed.write(next_ms, draining=draining)
+    assert len(lost) == reported
+    assert all(replica.entry.born_ms == starts_ms[-1] for replica in lost)
+
+
 @pytest.mark.parametrize("draining", [False, True], ids=["ready", "draining"])
 @pytest.mark.parametrize(
     ("starts_ms", "late_ms"),
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -612,10 +612,17 @@
     mutant.one(
         "forget-replaced-starts",
         "entry/starts.py",
-        " or start_ms in self._replaced.get(written.key, ())",
+        " or self.was_replaced(written)",
         "",
         "entry/test_starts.py::test_late_write_while_the_replica_is_alive",
     ),
+    mutant.one(
+        "report-an-end-only-with-the-confirmed-start",
+        "entry/view.py",
+        "                self.replicas.report_lost(known.value.instance)",
+        "                pass",
+        "entry/test_starts.py::test_end_is_reported_with_the_first_entry_of_the_next_start",
+    ),
     mutant.one(
         "send-to-a-replica-that-may-drain",
         "entry/view.py",
