Believe an era of the store once a second response states it

One response whose era header was too high, of up to 18 digits, made an entry instance refuse all later ones as older_era until a restart: it followed no configuration any more.

Cause: the highest era that was ever stated counted as the known one.

Change: before a later era is taken over, a response on a new connection has to state it, or a still later one: one more call at each return from a copy.

--- a/src/turmericlug/platform/store.py
+++ b/src/turmericlug/platform/store.py
@@ -37,6 +37,8 @@
 """Keys that the store accepts in one call."""
 _STATUS_REASONS = {429: "rate", 503: "busy"}
 _ERA_HEADER = b"store-era"
+_NO_KEYS_PREFIX = names.INSTANCES_PREFIX + "?"
+"""A prefix of no key, to read as little as possible."""
 _MAX_ERA_DIGITS = 18
 """An era of this length fits into the 64-bit field of the protocol between instances."""
 MAX_PAGES = 4096
@@ -90,7 +92,9 @@
         self._has_lost_position = False
         """Whether the last watch returned a position that can't follow the previous one."""
         self.era = 0
-        """The latest era of any response; 0 if none stated one."""
+        """The latest era of the responses; 0 if none stated one."""
+        self._era_is_confirmed = False
+        """Whether a second response has stated this era."""
 
     async def read_all(self, may_be_stale: bool) -> source.Snapshot:
         """
@@ -273,7 +277,7 @@
         self._counters.add(f"source.call.{operation}")
         async with channel.lock:
             response = await self._exchange(channel, method, path, body, timeout_s)
-        era = self._update_era(response)
+        era = await self._settle_era(response)
         if response.status in errors:
             raise errors[response.status]
         if response.status != 200:
@@ -308,29 +312,62 @@
             "source.malformed", call=operation, field=field, reason=reason, problem=problem
         )
 
-    def _update_era(self, response: client.Response) -> int:
+    async def _settle_era(self, response: client.Response) -> int:
         """
         Return a response's era, or the latest known era if the response states none.
 
-        A later era becomes the known one.
+        A later era becomes the known one if a second response states it, or a still later one. So
+        does an earlier one where the known one is of a single response: it would hide all others
+        for good.
 
-        :raises SourceError: the response is from before the store was restored from a backup
+        :raises SourceError: the response is from before the store was restored from a backup, or
+            states an era that no other one does
         """
-        header_value = response.header(_ERA_HEADER) or b""
-        if not (header_value.isdigit() and len(header_value) <= _MAX_ERA_DIGITS):
+        era = _stated_era(response)
+        if era is None:
             return self.era
-        era = int(header_value)
+        if era == self.era:
+            self._era_is_confirmed = True
+        elif not self.era:
+            self.era = era
+        elif era > self.era or not self._era_is_confirmed:
+            before, second = self.era, await self._ask_era()
+            if second is None or second < era:
+                self._log_malformed("era", "", "range", f"{era}, which no second response states")
+                raise source.SourceError("odd_era")
+            if era < before <= second:
+                raise source.SourceError("older_era")
+            self._adopt_era(era)
+            if era < before:
+                # What has been read states the other era.
+                raise source.SourceError("older_era")
         if era < self.era:
             raise source.SourceError("older_era")
-        if era > self.era:
-            if self.era:
-                self._counters.add("source.returned_from_copy")
-                decisions.log("source.returned_from_copy", era=era, before=self.era)
-            self.era = era
-            # A pending watch waits for changes after a revision of the earlier era: it is ended.
-            self._close_channel(self._watch_channel)
         return era
 
+    async def _ask_era(self) -> int | None:
+        """Return the era that a response on a new connection states."""
+        self._counters.add("source.call.kv-range")
+        channel = _Channel()
+        path = "kv-range?" + urllib.parse.urlencode({"Prefix": _NO_KEYS_PREFIX})
+        try:
+            return _stated_era(await self._exchange(channel, b"GET", path, None, CALL_TIMEOUT_S))
+        finally:
+            self._close_channel(channel)
+
+    def _adopt_era(self, era: int) -> None:
+        if era == self.era:
+            return
+        if era > self.era:
+            self._counters.add("source.returned_from_copy")
+            decisions.log("source.returned_from_copy", era=era, before=self.era)
+        elif self._era_is_confirmed:
+            # Another call has found a later one meanwhile.
+            return
+        self.era, self._era_is_confirmed = era, True
+        # A pending watch waits for changes after a revision of the earlier era: it is ended.
+        self._close_channel(self._watch_channel)
+
     async def _exchange(
         self, channel: _Channel, method: bytes, path: str, body: typing.Any, timeout_s: float
     ) -> client.Response:
@@ -364,3 +401,11 @@
         """Close both connections."""
         self._close_channel(self._call_channel)
         self._close_channel(self._watch_channel)
+
+
+def _stated_era(response: client.Response) -> int | None:
+    """Return the era that a response states, ``None`` if it is absent or malformed."""
+    header_value = response.header(_ERA_HEADER) or b""
+    if not (header_value.isdigit() and len(header_value) <= _MAX_ERA_DIGITS):
+        return None
+    return int(header_value)
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -467,8 +467,8 @@
     mutant.one(
         "pending-watch-kept-after-a-restore",
         "platform/store.py",
-        "            self._close_channel(self._watch_channel)\n        return era",
-        "        return era",
+        "it is ended.\n        self._close_channel(self._watch_channel)\n",
+        "it is ended.\n",
         "platform/test_store.py::test_changes_do_not_continue_over_a_restore",
     ),
     mutant.one(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -241,6 +241,54 @@
     asyncio.run(main())
 
 
+class OddEra:
+    """Lets one response of a store state an odd era."""
+
+    def __init__(self, standin, responses_before, value):
+        self._headers, self._left, self._value = standin._headers, responses_before, value
+        standin._headers = self.headers
+
+    def headers(self):
+        self._left -= 1
+        if self._left != -1:
+            return self._headers()
+        return ((standin_platform.ERA_HEADER, self._value),)
+
+
+async def read_until_it_succeeds(store):
+    for _ in range(3):
+        try:
+            return await store.read_all(may_be_stale=True)
+        except source.SourceError:
+            continue
+    raise AssertionError("the store can't be read")
+
+
+@pytest.mark.parametrize("value", [b"2", b"7", b"9" * 18])
+@pytest.mark.parametrize("responses_before", [0, 1, 2, 3, 4])
+def test_an_era_that_one_response_states_is_not_believed(responses_before, value):
+    """One response with an odd era made all others count as outdated, until a restart."""
+
+    async def main():
+        async with connected() as (standin, store):
+            write_entries(standin, 3)
+            odd = OddEra(standin, responses_before, value)
+            snapshot = await read_until_it_succeeds(store)
+            assert snapshot.era == store.era == 1
+            for _ in range(3):
+                with contextlib.suppress(source.SourceError):
+                    await store.open_lease(3.0)
+            assert odd._left < 0
+            assert (await store.read_all(may_be_stale=False)).position == snapshot.position
+            assert store.era == 1
+            restore(standin)
+            with pytest.raises(source.HistoryLostError):
+                await store.changes(snapshot.position, 0.01)
+            assert (await store.read_all(may_be_stale=False)).era == 2
+
+    asyncio.run(main())
+
+
 def test_registration_ends_with_its_lease():
     async def main():
         async with connected() as (standin, store):
