Let the test of rolling replacement tell the machine's pauses from the instances'

The caller of the test asked for its next address where the last one had just expired, at an instance that may be gone then, as nobody promises to answer there. It asks where the last answer said (Turmericlug-Move-To), and every use of an address within its lifetime has to succeed as before, as has the request for the next one.

The test records for each answer how long the instance that was asked was ready to run without a processor (schedstat).

--- a/src/turmericlug_lab/fleet.py
+++ b/src/turmericlug_lab/fleet.py
@@ -296,13 +296,22 @@
         return status["instances"][0]["members"]
 
     async def query(
-        self, name: str, headers: dict[str, str] | None = None, **fields: typing.Any
+        self,
+        name: str,
+        headers: dict[str, str] | None = None,
+        on_headers: abc.Callable[[abc.Mapping[str, str]], None] = lambda headers: None,
+        **fields: typing.Any,
     ) -> tuple[int, dict[str, typing.Any]]:
-        """Send a query to a daemon; return the status and the answer."""
+        """
+        Send a query to a daemon; return the status and the answer.
+
+        :param on_headers: called with the headers of the answer
+        """
         daemon = self.daemons[name]
         url = f"http://{daemon.host}:{daemon.callers_port}/v1/query"
         body = {"caller": "tests", **fields}
         async with self.http.post(url, json=body, headers=headers) as response:
+            on_headers(response.headers)
             return response.status, await response.json()
 
     async def call_operators_api(
--- a/tests/pauses.py
+++ b/tests/pauses.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import pathlib
 import time
 
 import attrs
@@ -47,6 +48,15 @@
         )
 
 
+def run_queue_wait_s(pid="self"):
+    """Return for how long a process's main thread has been ready without a processor."""
+    try:
+        fields = pathlib.Path(f"/proc/{pid}/schedstat").read_text().split()
+    except OSError:
+        return 0.0
+    return int(fields[1]) / 1e9
+
+
 @contextlib.asynccontextmanager
 async def recording():
     """Record the pauses of this process until the end of the block."""
