Keep the port of a leaving instance open until its addresses have expired

Callers saw: connections refused at an instance that was being stopped, with an address whose lifetime was not over, up to 340 ms before its end, where instances are many.

Cause: a leaving instance waited for two probe intervals and then for the lifetime of an address. In two intervals it tells two peers; gossip takes longer to reach the others, which went on naming it to callers.

It tells the peers that it probes (16 at most) at once and waits until they have confirmed it, or are dead to it. Larger fleets get two more rounds of gossip for each doubling of those that know.

--- a/src/turmericlug/instance.py
+++ b/src/turmericlug/instance.py
@@ -424,11 +424,10 @@
     served through the new owners for its lifetime, and told which address to use instead; only then
     is the port closed.
     """
-    settings, mesh = kernel.find("settings"), kernel.find("mesh")
+    settings = kernel.find("settings")
     owner, coordinator = kernel.find("owner"), kernel.find("coordinator")
     events.emit("instance.leaving")
-    mesh.members.announce(state=members_module.LEAVING)
-    await asyncio.sleep(2 * settings.membership.probe_interval_ms / 1000)
+    await kernel.find("detector").announce_leaving()
     owner.drain()
     await asyncio.sleep(settings.policy.address_lifetime_ms / 1000)
     deadline_s = time.monotonic() + _DRAIN_TIMEOUT_S
--- a/src/turmericlug/membership/detector.py
+++ b/src/turmericlug/membership/detector.py
@@ -155,6 +155,37 @@
             self._suspect_since_s.pop(instance, None)
         return bool(reply.probeReply.reached)
 
+    async def announce_leaving(self) -> None:
+        """
+        Announce that this instance leaves, and wait until its peers should know.
+
+        The peers that it probes are told directly and confirm it. A silent one is told until it is
+        dead here; it finds the message in its socket when it resumes. The others of a larger fleet
+        learn it by gossip within some rounds.
+        """
+        self.members.announce(state=members_module.LEAVING)
+        peers = self.members.peers()
+        untold = set(members_module.probe_set(self.members.own.instance, peers))
+        rounds = members_module.gossip_rounds(len(peers) + 1, len(untold) + 1)
+        gossip = asyncio.create_task(asyncio.sleep(rounds * self._interval_s))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._suspicion_s + self._timeout_s):
+                while untold:
+                    names = sorted(untold)
+                    results = await asyncio.gather(
+                        *(self._probe_once(name, "") for name in names), return_exceptions=True
+                    )
+                    untold = {
+                        name
+                        for name, result in zip(names, results, strict=True)
+                        if result is not True and self.mesh.link(name) is not None
+                    }
+                    if untold:
+                        await asyncio.sleep(self._timeout_s / 10)
+        if untold:
+            events.emit("instance.leaving_unconfirmed", "warning", peers=sorted(untold)[:8])
+        await gossip
+
     def _wants_full_list(self, instance: str) -> bool:
         """Whether to ask for all members: few are known, or the peer is not known to serve."""
         known = self.members.by_instance.get(instance)
--- a/src/turmericlug/membership/members.py
+++ b/src/turmericlug/membership/members.py
@@ -17,6 +17,7 @@
 _MAX_UPDATES_PER_MESSAGE = 48
 MAX_RANKED_OWNERS = 8
 """Maximum number of instances in a ranking of owners."""
+MIN_GOSSIP_ROUNDS = 2
 PROBED_PEERS = 16
 """Number of peers that one instance probes, in turn."""
 
@@ -193,6 +194,15 @@
     return [member.instance for member in heapq.nlargest(PROBED_PEERS, peers, key=rank_key)]
 
 
+def gossip_rounds(instances: int, informed: int) -> int:
+    """
+    Return the number of probe intervals after which an update should have reached every instance.
+
+    :param informed: how many instances know it already
+    """
+    return MIN_GOSSIP_ROUNDS + 2 * math.ceil(math.log2(max(instances / informed, 1.0)))
+
+
 def to_wire(members: list[Member]) -> list[dict[str, typing.Any]]:
     """Encode members for an envelope's list."""
     return [
--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import time
 
 import pytest
 from integration import conftest
@@ -50,6 +51,55 @@
     run_scenario(scenario)
 
 
+async def wait_until_closed(daemon):
+    """Connect to a port for callers until it refuses; return when the last attempt began."""
+    while True:
+        began_at_s = time.monotonic()
+        try:
+            _, writer = await asyncio.open_connection(daemon.host, daemon.callers_port)
+        except ConnectionError:
+            return began_at_s
+        writer.close()
+        await asyncio.sleep(0.005)
+
+
+def test_addresses_outlast_a_stop(run_scenario):
+    """
+    An instance of fourteen leaves. The others name it to callers until the gossip has reached them,
+    and each address must stay valid for its lifetime. Its port was closed a fixed time after it
+    left, which is enough for gossip among a few instances only.
+    """
+
+    async def scenario(fleet):
+        valid_until_s = 0.0
+
+        async def record_addresses(daemon_name):
+            nonlocal valid_until_s
+            while True:
+                answer, requested_at_s = await conftest.request_addresses(fleet, daemon_name)
+                if "e2" in {address["instance"] for address in answer["addresses"]}:
+                    expires_at_s = requested_at_s + answer["lifetime_ms"] / 1000
+                    valid_until_s = max(valid_until_s, expires_at_s)
+                await asyncio.sleep(0.02)
+
+        others = [name for name in fleet.daemons if name != "e2"]
+        tasks = [asyncio.create_task(record_addresses(name)) for name in others]
+        try:
+            await asyncio.sleep(0.5)
+            fleet.signal("e2", signal.SIGTERM)
+            closed_at_s = await wait_until_closed(fleet.daemons["e2"])
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        assert await fleet.wait_exit("e2") == 0
+        assert valid_until_s
+        early_ms = 1000 * (valid_until_s - closed_at_s)
+        assert early_ms < 0, f"refused {early_ms:.0f} ms before an address expired"
+
+    run_scenario(scenario, daemons=14)
+
+
 def test_stop_waits_for_running_request(run_scenario):
     """
     An instance is stopped while a request of more than a second runs through it. The caller must
--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import collections
+import random
 
 import attrs
 import hypothesis
@@ -131,3 +132,38 @@
     codec.fill(envelope, "probeReply", news=members.to_wire(fleet))
     decoded = codec.decode(codec.encode(envelope)[4:])
     assert members.from_wire(decoded.probeReply.news) == fleet
+
+
+def make_view(own, names):
+    """Return the view of an instance that knows all others and has nothing to gossip."""
+    view = members.Members(make_member(own))
+    for name in names:
+        if name != own:
+            view.merge(make_member(name))
+    view._pending_updates.clear()
+    return view
+
+
+@pytest.mark.parametrize("instances", [2, 14, 30, 76, 300])
+def test_gossip_reaches_all_instances_in_time(instances):
+    """
+    An instance that leaves closes its port when its address has expired for whoever may still name
+    it. In larger fleets the gossip took longer than the fixed time that it waited.
+    """
+    rng = random.Random(instances)
+    names = [f"e{number}" for number in range(instances)]
+    fleet = {name: make_view(name, names) for name in names}
+    probe_sets = {name: members.probe_set(name, fleet[name].peers()) for name in names}
+
+    def exchange(name, peer):
+        for sender, receiver in ((name, peer), (peer, name)):
+            for update in fleet[sender].take_updates():
+                fleet[receiver].merge(update)
+
+    fleet["e0"].announce(state=members.LEAVING)
+    for peer in probe_sets["e0"]:
+        exchange("e0", peer)
+    for number in range(members.gossip_rounds(instances, len(probe_sets["e0"]) + 1)):
+        for name in rng.sample(names, instances):
+            exchange(name, probe_sets[name][number % len(probe_sets[name])])
+    assert all(view.by_instance["e0"].state == members.LEAVING for view in fleet.values())
