Soak: an end for want of settings that the harness held back is the harness's

The harness takes the file away, waits up to 3 s for the process to listen, and up to 0.5 s more, until it writes it again. It records now when the file can't be used; an end with status 2 counts as caused only if that was so for the whole of SETTINGS_WAIT_S within the life of that process. Every other end counts as before.

--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -186,16 +186,17 @@
         good = good.format(rng.randint(50, 60))
         partial = rng.choice(("", good[: rng.randint(0, 100)], "\0" * 200, None))
         hangups, between_s = rng.choice((0, 0, 1, 3)), rng.uniform(0.0, 0.5)
-        if partial is None:
-            instance.settings.unlink(missing_ok=True)
-        else:
-            instance.settings.write_text(partial)
-        run = instance.runs[-1]
-        if hangups and await instance.wait_until_listening(run):
-            for _ in range(hangups):
-                instance.signal_run(run, signal.SIGHUP)
-        await asyncio.sleep(between_s)
-        instance.settings.write_text(good)
+        with instance.rewriting_settings():
+            if partial is None:
+                instance.settings.unlink(missing_ok=True)
+            else:
+                instance.settings.write_text(partial)
+            run = instance.runs[-1]
+            if hangups and await instance.wait_until_listening(run):
+                for _ in range(hangups):
+                    instance.signal_run(run, signal.SIGHUP)
+            await asyncio.sleep(between_s)
+            instance.settings.write_text(good)
         if hangups:
             await self._send_hangups(instance)
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -15,6 +15,8 @@
 import attrs
 import entry_process
 
+from turmericlug.platform import start
+
 RESTART_DELAY_S = 0.3
 """After this time a supervisor starts a process again that has ended by itself."""
 MAX_REASON_CHARACTERS = 400
@@ -52,6 +54,8 @@
     """The complete text of the settings file."""
     runs: list[Run] = attrs.field(factory=list)
     violations: list[str] = attrs.field(factory=list)
+    settings_rewrites_s: list[tuple[float, float]] = attrs.field(factory=list)
+    """When the settings file could not be used: start and end, on the monotonic clock."""
     is_closed: bool = False
     """Whether the test is over, so that no process is started any more."""
     _starting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
@@ -112,11 +116,31 @@
             self.signal_run(run, signal.SIGKILL)
         await asyncio.gather(*(run.process.wait() for run in self.runs), *self._watchers)
 
+    @contextlib.contextmanager
+    def rewriting_settings(self):
+        """Record that the settings file can't be used until the end of the block."""
+        number, began_s = len(self.settings_rewrites_s), time.monotonic()
+        self.settings_rewrites_s.append((began_s, math.inf))
+        try:
+            yield
+        finally:
+            self.settings_rewrites_s[number] = (began_s, time.monotonic())
+
+    def _lacked_settings(self, run):
+        """Whether a process found no usable settings for as long as it has to wait for them."""
+        return run.process.returncode == start.EXIT_SETTINGS and any(
+            min(end_s, run.ended_s) - max(began_s, run.started_s) >= start.SETTINGS_WAIT_S
+            for began_s, end_s in self.settings_rewrites_s
+        )
+
     async def _watch(self, run):
         await run.process.wait()
         run.ended_s = time.monotonic()
         if run.is_caused():
             return
+        if self._lacked_settings(run):
+            await self.start()
+            return
         self.violations.append(
             f"FAULT {self.name}: status {run.process.returncode} at an age of "
             f"{run.ended_s - run.started_s:.2f} s, last lines: {self._last_lines(run)}"
