Tell all instances of a holder that begins with little

Cause: a holder that has just started, and a standby, now begin with less than the reserve below which an organisation is limited. Others were told only of a change while a report was accounted for, so that instances that had not asked yet went on admitting requests without a token.

Change: the holder compares with what it has told last. A test in entry/test_quota_holders.py: nine instances, all told after the first request.

--- a/src/turmericlug/entry/quota_holder.py
+++ b/src/turmericlug/entry/quota_holder.py
@@ -46,6 +46,9 @@
     bucket: quota_bucket.Bucket
     is_first: bool
     told_all_s: float = -math.inf
+    was_limited: bool = False
+    """Whether the organisation was limited when others were told last. A holder that has just
+    started may begin so."""
     asked_s: float = -math.inf
     """When the standby was asked for a lease last."""
     probed_s: float = -math.inf
@@ -92,9 +95,10 @@
     ) -> quota.Notice:
         """Account for a report, and notify other instances if the organisation becomes limited."""
         held = self._hold(organisation, now_s)
-        bucket, was_limited = held.bucket, held.bucket.is_limited
+        bucket = held.bucket
         notice = bucket.report(sender, sequence, report, now_s)
-        if bucket.is_limited != was_limited:
+        if bucket.is_limited != held.was_limited:
+            held.was_limited = bucket.is_limited
             event = "quota.limited" if bucket.is_limited else "quota.opened"
             self._counters.add(event)
             decisions.log(
--- a/tests/entry/test_quota_holders.py
+++ b/tests/entry/test_quota_holders.py
@@ -159,3 +159,20 @@
 
     fleet = quota_fleet.run(main)
     assert fleet.most_in_a_window() <= fleet.bound()
+
+
+def test_a_holder_that_begins_with_little_tells_all():
+    """Instances that have not asked yet would go on admitting requests without asking."""
+
+    async def main():
+        fleet = quota_fleet.Fleet(9, quota_fleet.organisation(5.0, 0.0))
+        fleet.start_all(is_young=True)
+        await fleet.request(fleet.holders()[0])
+        await asyncio.sleep(0.3)
+        now_s = asyncio.get_running_loop().time()
+        return [
+            "org" in other._shares.known and other._shares.known["org"].is_limited(now_s)
+            for other in fleet.quotas.values()
+        ]
+
+    assert quota_fleet.run(main) == [True] * 9
