Hold no organisation while no instance is known

Cause: the store failed before it had listed any of three instances that had started together. With an empty list each took itself for the only instance and for the holder.

Change: an instance whose list is empty holds nothing. It admits the fixed share of one in 100, at least one request in a window.

Callers within their quota are refused until a list is known.

--- a/src/turmericlug/entry/quota_holder.py
+++ b/src/turmericlug/entry/quota_holder.py
@@ -116,7 +116,7 @@
     def _hold(self, organisation: organisations_module.Organisation, now_s: float) -> _Held:
         name = organisation.name
         limit = quota.Limit(self._rule, organisation.rate_per_s, organisation.burst)
-        is_first = self._peers.listed_candidates(name)[0] == self._peers.own_name
+        is_first = self._peers.listed_candidates(name)[:1] == [self._peers.own_name]
         held = self._held.get(name)
         if held is None:
             is_young = now_s - self._started_s < self._rule.window_s
@@ -140,7 +140,7 @@
         for at_s in rights.changes(bucket.updated_s, now_s):
             share = rights.share(at_s, held.is_first, others, bucket.is_in_use)
             bucket.set_share(share, at_s, share or 1.0)
-        held.is_first = self._peers.listed_candidates(name)[0] == self._peers.own_name
+        held.is_first = self._peers.listed_candidates(name)[:1] == [self._peers.own_name]
         bucket.set_role(not held.is_first, now_s)
         bucket.advance(now_s)
         share = rights.share(now_s, held.is_first, others, bucket.is_in_use)
--- a/src/turmericlug/entry/quota_peers.py
+++ b/src/turmericlug/entry/quota_peers.py
@@ -23,6 +23,8 @@
 MAX_TOLD_DIRECTLY = 128
 """Instances that the holder notifies itself: those of a large data centre in one round trip. With
 more, the instances that are notified forward the notice."""
+UNKNOWN_COUNT = 100
+"""Number of instances that are assumed to share the rate while none is known."""
 _NO_QUOTAS_STATUS = 404
 """Status of an instance whose settings or software know no quotas."""
 
@@ -73,6 +75,10 @@
         """Until when an instance is not asked about an organisation that it may not know."""
         self._tasks = tasks_module.Tasks()
 
+    def count(self) -> int:
+        """Return the number of all instances, or that of a large deployment if none is known."""
+        return self._view.instance_count() if self._view.instances else UNKNOWN_COUNT
+
     def __len__(self) -> int:
         return len(self._view.peers)
 
@@ -90,7 +96,11 @@
         self._is_leaving = True
 
     def candidates(self, organisation: str) -> list[str]:
-        """Return the holder and the standby; only instances that others can find are eligible."""
+        """
+        Return the holder and the standby; only instances that others can find are eligible.
+
+        There are none while no instance is known: others may be in the same state.
+        """
         is_listed = not (self._is_leaving or self._view.own_entry_removed)
         if is_listed != self._is_listed:
             self._is_listed = is_listed
@@ -98,7 +108,9 @@
         candidates = self._candidates.get(organisation)
         if candidates is None:
             names = (name for name in self._view.instances if is_listed or name != self.own_name)
-            candidates = quota.holders(organisation, names) or [self.own_name]
+            candidates = quota.holders(organisation, names)
+            if not candidates and self._view.instances:
+                candidates = [self.own_name]
             self._candidates[organisation] = candidates
         return candidates
 
@@ -106,7 +118,7 @@
         """Return the holder and the standby as other instances see them while this one leaves."""
         if not self._is_leaving or self._view.own_entry_removed:
             return self.candidates(organisation)
-        return quota.holders(organisation, self._view.instances) or [self.own_name]
+        return quota.holders(organisation, self._view.instances)
 
     def target(self, organisation: str, now_s: float) -> str | None:
         """Return the instance to ask; ``None`` if neither holder nor standby can answer."""
--- a/src/turmericlug/entry/quotas.py
+++ b/src/turmericlug/entry/quotas.py
@@ -111,7 +111,7 @@
         if target is None:
             self._begin_cut_off(name, share, now_s)
         unreported = share.unreported
-        decision = share.try_admit(now_s, self._rng, self._view.instance_count())
+        decision = share.try_admit(now_s, self._rng, self._peers.count())
         if target is not None and (
             share.unreported > unreported
             or share.cut_off_since_s is not None
@@ -204,7 +204,7 @@
                 name,
                 share,
                 self._holder.bucket(name),
-                self._peers.candidates(name)[0],
+                next(iter(self._peers.candidates(name)), ""),
                 now_s,
             )
             for name, share in self._shares.known.items()
--- a/tests/entry/test_quota_check.py
+++ b/tests/entry/test_quota_check.py
@@ -15,6 +15,7 @@
 from turmericlug.direct import routes
 from turmericlug.entry import callers as callers_module
 from turmericlug.entry import quotas as quotas_module
+from turmericlug.entry import source
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import messages
 from turmericlug.policy import quota_share
@@ -40,6 +41,7 @@
     view.configuration = routes.Configuration(
         3, (route, public), {}, messages.Limits(), ORGANISATIONS
     )
+    view.instances["own"] = source.EntryInstance("own", "127.0.0.1:1", "dc", "r")
     quotas = quotas_module.Quotas(quota_fleet.RULE, "own", view, sender.counters, random.Random(1))
     quotas._holder._started_s -= 60
     return callers_module.RequestHandler(view, sender, lambda: 0.0, quotas), quotas, sender
--- a/tests/entry/test_quota_holders.py
+++ b/tests/entry/test_quota_holders.py
@@ -176,3 +176,25 @@
         ]
 
     assert quota_fleet.run(main) == [True] * 9
+
+
+@pytest.mark.parametrize("size", [3, 9])
+@pytest.mark.parametrize(("rate_per_s", "burst"), [(0.5, 0.0), (10.0, 3.0)])
+def test_instances_that_know_nobody(size, rate_per_s, burst):
+    """The store is lost before any instance is listed: each takes itself for the only one."""
+
+    async def main():
+        fleet = quota_fleet.Fleet(size, quota_fleet.organisation(rate_per_s, burst))
+        names, fleet.listed = fleet.listed, []
+        fleet.start_all(is_young=True)
+        load = asyncio.create_task(fleet.load(10 * rate_per_s + 40, DURATION_S))
+        await asyncio.sleep(DURATION_S / 2)
+        fleet.while_unknown = len(fleet.admitted_s)
+        fleet.set_listed(names)
+        await load
+        return fleet
+
+    fleet = quota_fleet.run(main)
+    assert fleet.while_unknown >= size
+    assert fleet.most_in_a_window() <= fleet.bound()
+    assert len(fleet.admitted_s) - fleet.while_unknown >= 0.8 * rate_per_s * DURATION_S / 2
