Ignore an incarnation that can't be raised

A peer of turmericlugd that states 2^64 - 1 as the incarnation of an instance made that instance raise its own to a number that fits into no message, and every probe of it failed from then on. No caller reported it.

Change: an incarnation of 2^63 or more is ignored alone, counted as membership.unreadable and logged.

--- a/src/turmericlug/membership/detector.py
+++ b/src/turmericlug/membership/detector.py
@@ -193,6 +193,16 @@
 
     def _merge_updates(self, items: typing.Any) -> None:
         for member in members_module.from_wire(items):
+            if member.incarnation > members_module.MAX_INCARNATION:
+                self._counters.add("membership.unreadable")
+                events.emit(
+                    "membership.unreadable",
+                    "warning",
+                    member=member.instance,
+                    field="incarnation",
+                    limit=members_module.MAX_INCARNATION,
+                )
+                continue
             if not self.members.merge(member):
                 self.members.refresh_load(member)
             elif member.state == members_module.ALIVE:
--- a/src/turmericlug/membership/members.py
+++ b/src/turmericlug/membership/members.py
@@ -18,6 +18,9 @@
 MAX_RANKED_OWNERS = 8
 """Maximum number of instances in a ranking of owners."""
 MIN_GOSSIP_ROUNDS = 2
+MAX_INCARNATION = (1 << 63) - 1
+"""Milliseconds since 1970 are far below. The highest number of 64 bits, once raised, would fit into
+no message."""
 PROBED_PEERS = 16
 """Number of peers that one instance probes, in turn."""
 
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -45,6 +45,7 @@
     "task.failed.*": "tasks and callbacks that ended by an unexpected error, by name",
     "membership.suspected": "peers that missed a probe",
     "membership.died": "peers declared dead",
+    "membership.unreadable": "gossiped instances ignored because a field is out of range",
     "membership.refuted": "times this instance refuted reports of its own death",
     "membership.stepped_aside": "times this instance stopped serving because it got no updates",
     "store.call.*": "calls to the store, by operation",
