--- a/src/turmericlug/http1/accepting.py
+++ b/src/turmericlug/http1/accepting.py
@@ -31,8 +31,11 @@
 
     socket: socket.socket
     create_protocol: abc.Callable[[], asyncio.Protocol]
-    is_full: abc.Callable[[int], bool]
-    """Whether there is no room for another connection, given how many are being opened."""
+    """Called as a connection is accepted."""
+    on_failed: abc.Callable[[asyncio.Protocol], None]
+    """Called if the connection of a protocol could not be used."""
+    is_full: abc.Callable[[], bool]
+    """Whether there is no room for another connection."""
     refusal: abc.Callable[[], bytes]
     """Returns the response to a connection for which there is no room."""
     counters: counters_module.Counters
@@ -82,10 +85,11 @@
                 self._pause(error)
                 return
             accepted.setblocking(False)
-            if self.is_full(len(self._opening)):
+            if self.is_full():
                 _refuse(accepted, self.refusal())
                 continue
-            task = asyncio.get_running_loop().create_task(self._open(accepted))
+            opening = self._open(accepted, self.create_protocol())
+            task = asyncio.get_running_loop().create_task(opening)
             self._opening.add(task)
             task.add_done_callback(self._opening.discard)
 
@@ -96,11 +100,13 @@
         loop.remove_reader(self.socket)
         self._retry = loop.call_later(RETRY_S, self._watch)
 
-    async def _open(self, accepted: socket.socket) -> None:
+    async def _open(self, accepted: socket.socket, protocol: asyncio.Protocol) -> None:
+        loop = asyncio.get_running_loop()
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(self.create_protocol, accepted)
+            await loop.connect_accepted_socket(lambda: protocol, accepted)
         except OSError as error:
             accepted.close()
+            self.on_failed(protocol)
             self.counters.add("listener.open_failed")
             decisions.log("listener.open_failed", error=str(error))
 
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -80,6 +80,8 @@
         self.limits = limits
         self.max_connections = max_connections
         self.connections: set[_Connection] = set()
+        self.opening: set[asyncio.BaseProtocol] = set()
+        """Accepted connections that are not among these yet."""
         self.draining = False
         self._recent_idle_limits: collections.deque[tuple[float, float]] = collections.deque()
 
@@ -102,13 +104,16 @@
         """Start draining: every response from now on has ``connection: close``."""
         self.draining = True
 
-    def is_full(self, opening: int) -> bool:
-        """
-        Whether a new connection can only be refused and closed at once.
+    def is_full(self) -> bool:
+        """Whether a new connection can only be refused and closed at once."""
+        open_count = len(self.connections) + len(self.opening)
+        return open_count >= self.max_connections + MAX_LINGERING
 
-        :param opening: connections that were accepted and are not among the open ones yet
-        """
-        return len(self.connections) + opening >= self.max_connections + MAX_LINGERING
+    def create_connection(self) -> asyncio.Protocol:
+        """Return the protocol of a connection that was accepted."""
+        connection = _Connection(self)
+        self.opening.add(connection)
+        return connection
 
     def refuse_connection(self) -> bytes:
         """Note that a connection is refused; return the response to it."""
@@ -168,6 +173,7 @@
         """Accept the connection, or reject it when too many are open."""
         self._transport = typing.cast(asyncio.Transport, transport)
         client_module.set_socket_options(transport)
+        self._server.opening.discard(self)
         self._server.connections.add(self)
         if len(self._server.connections) > self._server.max_connections:
             self._rejected = True
@@ -512,7 +518,8 @@
     """
     listener = accepting.Listener(
         listening_socket if listening_socket is not None else accepting.bind(host, port),
-        lambda: _Connection(server),
+        server.create_connection,
+        server.opening.discard,
         server.is_full,
         server.refuse_connection,
         server.counters,
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -5,8 +5,10 @@
 import asyncio
 import contextlib
 import errno
+import socket
 
 import pytest
+import uvloop
 
 from turmericlug.http1 import accepting
 from turmericlug.http1 import messages
@@ -294,6 +296,29 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("event_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_callers_that_connect_at_once_are_served_up_to_the_limit(event_loop):
+    """Connections were counted twice while they were opened, and refused far below the limit."""
+
+    async def main():
+        async with serving(echo, max_connections=300) as (_, address):
+            sockets = [socket.create_connection(address) for _ in range(300)]
+            try:
+                for each in sockets:
+                    each.sendall(REQUEST)
+                loop = asyncio.get_running_loop()
+                for each in sockets:
+                    each.setblocking(False)
+                async with asyncio.timeout(20):
+                    return [await loop.sock_recv(each, 12) for each in sockets]
+            finally:
+                for each in sockets:
+                    each.close()
+
+    with asyncio.Runner(loop_factory=event_loop) as runner:
+        assert set(runner.run(main())) == {b"HTTP/1.1 200"}
+
+
 def test_refused_connections_take_a_bounded_number_of_descriptors():
     """Refused connections stayed open for a second each, however many there were."""
 
