State the age of the changes that a relay sends

A relay read the age of the source's last answer after it had encoded the changes, some turns later: an answer that came meanwhile made them look new, and the receiver took itself for up to date.

--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -78,7 +78,12 @@
             changes = await journal.since(after, wait_s)
         except source_module.HistoryLostError:
             changes = None
-        body = await slices.in_turns(relay_codec.encoding(changes, source_age_s))
+        # What the source answers from now on is not among these changes.
+        known_s, age_s = asyncio.get_running_loop().time(), source_age_s()
+        steps = relay_codec.encoding(
+            changes, lambda: age_s + asyncio.get_running_loop().time() - known_s
+        )
+        body = await slices.in_turns(steps)
         return messages.Response(200, body=body)
 
     return handle
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -391,6 +391,30 @@
     asyncio.run(main())
 
 
+def test_relay_states_the_age_of_the_changes_that_it_sends(monkeypatch):
+    """
+    The source answered while a relay was encoding its changes: it stated the age of that answer
+    with changes from before, and the receiver took itself for up to date.
+    """
+
+    ages_s = [1.2]
+    encode_change = relay_codec._encode_change
+
+    def encode_after_answer(change):
+        ages_s.append(0.0)
+        return encode_change(change)
+
+    monkeypatch.setattr(relay_codec, "_encode_change", encode_after_answer)
+
+    async def main():
+        journal = journal_with(replica("a", 11))
+        handle = relay.handler(journal, lambda: ages_s[-1], liveness.PeerLiveness())
+        response = await handle(changes_request(after=10))
+        return relay_codec.decode(response.body, decode).changes.age_s
+
+    assert asyncio.run(main()) >= 1.2
+
+
 def test_relay_without_a_snapshot_reports_lost_history():
     """A new instance is asked for changes before its first snapshot, and has no age to report."""
     answer = asyncio.run(relay_handler(journal_module.Journal(), math.inf)(changes_request()))
