--- a/src/turmericlug/direct/pool.py
+++ b/src/turmericlug/direct/pool.py
@@ -221,6 +221,12 @@
                 available.set_result(None)
                 return
 
+    def _wake_all(self) -> None:
+        waiting, self._waiters = self._waiters, []
+        for _, _, available in sorted(waiting):
+            if not available.done():
+                available.set_result(None)
+
     def _release(self, connection: client.Connection, used: bool) -> None:
         if self.closed and not connection.closed:
             connection.close()
@@ -274,7 +280,7 @@
             if connection.closed or spare or age_s > self._max_idle_s(connection):
                 self._idle.remove(connection)
                 self._discard(connection)
-        self._wake_next()
+        self._wake_all()
 
     def close(self) -> None:
         """
@@ -285,8 +291,7 @@
         self.closed = True
         while self._idle:
             self._discard(self._idle.popleft())
-        while self._waiters:
-            self._wake_next()
+        self._wake_all()
 
     def _max_idle_s(self, connection: client.Connection) -> float:
         advertised_s = connection.keep_alive_timeout_s
