Go on with a drain after any failed step, in turmericlugd, too

The same cause as in an entry instance: an error in one step ended the process, and with it the requests in flight. Read by a reviewer; nothing known raises there, and the step that is new here has no test of its own.

--- a/src/turmericlug/entry/draining.py
+++ b/src/turmericlug/entry/draining.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import time
-from collections import abc
 
 from turmericlug.entry import follower
 from turmericlug.entry import long_running
@@ -60,17 +59,20 @@
         grace_s=grace_s,
         noticed_after_ms=round(noticed_after_s * 1000),
     )
-    _attempt(caller_server.drain)
+    # An error that ended the drain would end the process, and with it the requests in flight.
+    with failures.reported():
+        caller_server.drain()
     refuse_after_s = REFUSE_AFTER_SHARE * grace_s
     refuse_unrepeatable_after_s = min(refuse_after_s, REFUSE_UNREPEATABLE_AFTER_S)
     exit_at_s = began_s + grace_s - EXIT_MARGIN_S
-    _attempt(
-        lambda: handler.start_draining(
+    with failures.reported():
+        handler.start_draining(
             began_s + refuse_unrepeatable_after_s, began_s + refuse_after_s, exit_at_s
         )
-    )
-    _attempt(lambda: quota_service.leave(kernel))
-    await kernel.find("registration tasks").close()
+    with failures.reported():
+        quota_service.leave(kernel)
+    with failures.reported():
+        await kernel.find("registration tasks").close()
     source = kernel.find("source")
     ended_era = source.era
     deregistered = supervisor.Job(
@@ -82,26 +84,16 @@
     async with kernel.find("supervisor").background(deregistered):
         while loop.time() < exit_at_s:
             may_exit_s = max(began_s + MIN_DRAIN_S, accepted_by_s)
-            if loop.time() >= may_exit_s and not caller_server.connections:
+            is_idle = not (caller_server.connections or caller_server.opening)
+            if loop.time() >= may_exit_s and is_idle:
                 break
             await asyncio.sleep(0.05)
         decisions.log("instance.exiting", in_flight=caller_server.busy_count())
-        _attempt(handler.end_requests)
+        with failures.reported():
+            handler.end_requests()
         await _wait_for_last_answers(caller_server, accepted_by_s)
 
 
-def _attempt(step: abc.Callable[[], object]) -> None:
-    """
-    Take a step of the drain; report an error and go on.
-
-    An error that ended the drain would end the process at once, and with it the requests in flight.
-    """
-    try:
-        step()
-    except Exception as error:
-        failures.report(error)
-
-
 async def _wait_for_last_answers(caller_server: server.Server, accepted_by_s: float) -> None:
     loop = asyncio.get_running_loop()
     with contextlib.suppress(TimeoutError):
--- a/src/turmericlug/instance.py
+++ b/src/turmericlug/instance.py
@@ -427,8 +427,11 @@
     settings = kernel.find("settings")
     owner, coordinator = kernel.find("owner"), kernel.find("coordinator")
     events.emit("instance.leaving")
-    await kernel.find("detector").announce_leaving()
-    owner.drain()
+    # An error that ended the drain would end the process, and with it the requests in flight.
+    with failures.reported():
+        await kernel.find("detector").announce_leaving()
+    with failures.reported():
+        owner.drain()
     await asyncio.sleep(settings.policy.address_lifetime_ms / 1000)
     deadline_s = time.monotonic() + _DRAIN_TIMEOUT_S
     while (owner.in_flight() or coordinator.running) and time.monotonic() < deadline_s:
--- a/src/turmericlug/kernel/failures.py
+++ b/src/turmericlug/kernel/failures.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import pathlib
 import traceback
 import types
 import typing
+from collections import abc
 
 import attrs
 
@@ -42,6 +44,15 @@
     )
 
 
+@contextlib.contextmanager
+def reported() -> abc.Iterator[None]:
+    """Report an unexpected error of the block, and go on after it."""
+    try:
+        yield
+    except Exception as error:
+        report(error)
+
+
 def of_error(name: str, error: BaseException) -> Failure:
     """Return the failure of a named task."""
     return Failure(name, _shorten(f"{type(error).__name__}: {error}"), _innermost_place(error))
