Keep the check of rolling replacement as strict as before

The exception for instances that the machine had kept from running let any reason pass, where the trace shows late answers only (reviewer).

--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -9,9 +9,6 @@
 import pytest
 from integration import conftest
 
-SUSPENDED_S = 1.0
-"""A third of the fleet's ``freshness_ms``: after such a pause, an instance counts as suspended."""
-
 
 @pytest.mark.parametrize("outage", [False, True])
 def test_rolling_replacement(run_scenario, outage):
@@ -20,8 +17,7 @@
     lifetime. No caller may see a refused connection or a failed request; queued parts must go to
     the next owner. With the store down, a new instance must also get the rules from its peers.
 
-    An answer may be incomplete only if the machine kept its instance from running for so long that
-    the instance counts as suspended.
+    The output names the longest times for which the machine kept an instance from running.
     """
 
     async def scenario(fleet):
@@ -36,11 +32,7 @@
                 assert await fleet.wait_exit(daemon_name) == 0
                 fleet.start_daemon(daemon_name)
                 await fleet.wait_ready(daemon_name)
-        incomplete = [
-            answer
-            for mark, _, answer in answers
-            if answer["outcome"] != "complete" and waited_s[mark] < SUSPENDED_S
-        ]
+        incomplete = [answer for _, _, answer in answers if answer["outcome"] != "complete"]
         print("longest waits for a processor, in s:", sorted(waited_s.values())[-5:])
         assert not incomplete, (
             f"{len(incomplete)} of {len(answers)} answers are incomplete: "
