--- a/tests/direct/test_pool.py
+++ b/tests/direct/test_pool.py
@@ -101,3 +101,31 @@
         assert pool.open_count == 0
 
     asyncio.run(main())
+
+
+def test_each_waiting_request_checks_whether_it_may_be_written():
+    """A withheld request waited for a connection behind one that may still be written."""
+
+    async def main():
+        reason = ""
+        pool = make_pool(Clock(), pool_module.KeepAliveTimeout())
+        release = asyncio.Event()
+
+        async def use(get_withhold_reason):
+            async with pool.connection(0, get_withhold_reason=get_withhold_reason):
+                await release.wait()
+
+        tasks = []
+        # Two use the connections of the pool, the third waits ahead of the withheld one.
+        for get_withhold_reason in (*[lambda: ""] * 3, lambda: reason):
+            tasks.append(asyncio.create_task(use(get_withhold_reason)))
+            await asyncio.sleep(0)
+        reason = "draining"
+        pool.trim()
+        async with asyncio.timeout(5):
+            with pytest.raises(pool_module.WithheldError):
+                await tasks[3]
+            release.set()
+            await asyncio.gather(*tasks[:3])
+
+    asyncio.run(main())
