Read 1_0 in the header of a caller's remaining time as no number

A caller that sent 1_0 was answered 504 after 10 ms: Python reads it as 10. The route's timeout applies now, as with any other value that is no number.

The new row of test_remaining_time_that_a_caller_states fails before.

--- a/src/turmericlug/policy/caller_timeout.py
+++ b/src/turmericlug/policy/caller_timeout.py
@@ -74,8 +74,10 @@
 
     Without a valid number it is infinite, so that the route's timeout applies.
     """
+    if not value or b"_" in value:
+        return math.inf  # Python reads 1_0 as 10, which is no number in a header.
     try:
-        stated_ms = float(value or b"inf")
+        stated_ms = float(value)
     except ValueError:
         return math.inf
     return math.inf if math.isnan(stated_ms) else max(stated_ms, 0.0)
--- a/tests/policy/test_caller_timeout.py
+++ b/tests/policy/test_caller_timeout.py
@@ -53,3 +53,22 @@
     for number in range(1000):
         times.add(number)
     assert len(times._latest) == len(times._counts) == caller_timeout.MAX_SAMPLES
+
+
+@pytest.mark.parametrize(
+    ("value", "remaining_ms"),
+    [
+        (None, math.inf),
+        (b"", math.inf),
+        (b"250", 250.0),
+        (b"0.5", 0.5),
+        (b"-1", 0.0),
+        (b"nan", math.inf),
+        (b"1_0", math.inf),
+        (b"0x10", math.inf),
+        (b"9" * 5000, math.inf),
+    ],
+)
+def test_remaining_time_that_a_caller_states(value, remaining_ms):
+    """A header of 1_0 was read as 10 ms, and the request failed after them."""
+    assert caller_timeout.parse_remaining_ms(value) == remaining_ms
