Show resident memory, and what is held for callers and other instances

What operators saw: an instance that is killed because it outgrows its machine leaves no line, and neither its log nor its metrics told what had grown.

Gauges memory.resident_mb and memory.held_kb.HOLDER, in /metrics and in the lines of totals.

--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -38,6 +38,7 @@
 from turmericlug.entry import listeners
 from turmericlug.entry import live_settings
 from turmericlug.entry import long_running
+from turmericlug.entry import memory_gauges
 from turmericlug.entry import own_entry
 from turmericlug.entry import own_load
 from turmericlug.entry import quota_service
@@ -153,6 +154,7 @@
     counters = counters_module.Counters()
     loop.set_exception_handler(functools.partial(_report_failure, counters))
     kernel.provide("counters", counters)
+    kernel.provide("memory gauges", memory_gauges.MemoryGauges(counters))
     decisions.log("instance.starting")
     try:
         for name, factory in _SERVICES:
@@ -235,9 +237,10 @@
     peers = replicas_module.Replicas(make_peer_pool, place, allowance)
     view = view_module.View(settings.entry.name, replicas, peers, loop.time)
     view.capacities.set_own(own_entry.capacity(settings))
+    gauges = kernel.find("memory gauges")
     async with kernel.find("supervisor").background(
         Job(long_running.HOUSEKEEPING, lambda: _run_housekeeping(view)),
-        Job(long_running.TOTALS, lambda: _log_totals(view, counters)),
+        Job(long_running.TOTALS, lambda: _log_totals(view, counters, gauges)),
         Job(long_running.SETTINGS_POLL, live.watch),
     ):
         yield view
@@ -247,10 +250,15 @@
     return budget.Allowance(policy.extra_ratio, policy.extra_slack, policy.extra_window_s)
 
 
-async def _log_totals(view: view_module.View, counters: counters_module.Counters) -> None:
+async def _log_totals(
+    view: view_module.View,
+    counters: counters_module.Counters,
+    gauges: memory_gauges.MemoryGauges,
+) -> None:
     """Log the counters regularly, since the metrics of a terminated instance can't be read."""
     while True:
         await asyncio.sleep(TOTALS_INTERVAL_S)
+        gauges.update()
         decisions.log("instance.totals", connections=view.replicas.connections(), **counters.totals)
 
 
@@ -369,6 +377,7 @@
         counters=kernel.find("counters"),
     )
     kernel.provide("caller server", caller_server)
+    kernel.find("memory gauges").add("callers", lambda: caller_server.budget.held_bytes)
     async with (
         listeners.listen(
             kernel,
--- a/src/turmericlug/entry/listeners.py
+++ b/src/turmericlug/entry/listeners.py
@@ -120,6 +120,7 @@
             on_refused=lambda reason: kernel.find("counters").add(f"peers.refused.{reason}"),
             counters=kernel.find("counters"),
         )
+        kernel.find("memory gauges").add("peers", lambda: peer_server.budget.held_bytes)
         await stack.enter_async_context(
             listen(kernel, "peers", peer_server, settings.entry.peers_address)
         )
@@ -134,6 +135,7 @@
     counts = kernel.find("request handler").organisation_counts
     quotas = kernel.find("quotas")
     tasks = kernel.find("supervisor").statuses
+    gauges = kernel.find("memory gauges")
     serve_metrics = metrics.handler(kernel.find("counters"), counts, tasks)
     serve_inspection = inspection.handler(
         kernel.find("settings").entry.name,
@@ -147,6 +149,7 @@
 
     async def handle(request: messages.Request) -> messages.Response:
         if request.target.startswith(metrics.PATH):
+            gauges.update()
             return await serve_metrics(request)
         return await serve_inspection(request)
 
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -137,6 +137,8 @@
     "relay.stale": "answers of a relay whose data from the store was stale",
     "directory.omitted": "instances that an answer to a caller omits because of their capacity",
     "directory.spilled": "addresses of the next data centre in answers while the caller's is hot",
+    "memory.resident_mb": "gauge: resident memory of the process, MB",
+    "memory.held_kb.*": "gauge: memory held for callers, other instances or answers, kB, by holder",
     "instance.missed": "registrations of other instances removed because they were silent",
     "listener.bind_failed.*": "failed attempts to listen at an address, by listener",
     "listener.accept_failed": "times no connection could be accepted, mostly without descriptors",
--- a/tests/faulty_replicas.py
+++ b/tests/faulty_replicas.py
@@ -147,8 +147,8 @@
     """
     Run an instance until the block ends.
 
-    :param faulty_replicas: replicas of the service ``FAULTY`` and of the shard ``s0`` whose kind can
-        be set
+    :param faulty_replicas: replicas of the service ``FAULTY`` and of the shard ``s0`` whose kind
+        can be set
     :param sound_beside: sound replicas of these services
     :param size_bytes: length of the sound answers of the service ``SOUND``
     """
