Tell responses beyond a limit from other unreadable ones

The reader's error, the exchange's and the outcome of an attempt carry it, so that a replica that sends ever more can be handled apart from one that sends something else. No change of behaviour.

--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -200,6 +200,8 @@
     reason: str
     connection_lost: bool = False
     """Whether the connection was lost after the request was written."""
+    exceeded_limit: bool = False
+    """Whether the response exceeded a limit on its size."""
 
 
 INTERNAL_ERROR = Unknown("internal_error")
@@ -359,6 +361,10 @@
     except client.ConnectError as error:
         return NotRun(f"connect: {error}", sent=False)
     except client.ExchangeError as error:
-        return Unknown(str(error), isinstance(error, client.ConnectionLostError))
+        return Unknown(
+            str(error),
+            connection_lost=isinstance(error, client.ConnectionLostError),
+            exceeded_limit=isinstance(error, client.ResponseLimitError),
+        )
     except TimeoutError:
         return _timeout_outcome(attempt)
--- a/src/turmericlug/http1/client.py
+++ b/src/turmericlug/http1/client.py
@@ -60,6 +60,10 @@
     """The server closed or reset the connection before its response was complete."""
 
 
+class ResponseLimitError(ExchangeError):
+    """The response exceeded a limit on its size; the request may have run."""
+
+
 Response = reading.Response
 
 
@@ -101,6 +105,9 @@
         assert self._reader is not None
         try:
             self._reader.feed(data)
+        except reading.LimitError as error:
+            self._fail(ResponseLimitError(str(error)))
+            return
         except reading.ReadError as error:
             self._fail(ExchangeError(str(error)))
             return
--- a/src/turmericlug/http1/messages.py
+++ b/src/turmericlug/http1/messages.py
@@ -59,6 +59,8 @@
     close: bool = False
     chunks: abc.AsyncIterator[bytes] | None = None
     """The body in chunks, each sent as soon as it is available; replaces ``body``."""
+    memory: object = attrs.field(default=None, eq=False, repr=False)
+    """Accounts for the memory of the body for as long as something refers to it."""
 
 
 Handler = abc.Callable[[Request], abc.Awaitable[Response]]
--- a/src/turmericlug/http1/reading.py
+++ b/src/turmericlug/http1/reading.py
@@ -29,6 +29,10 @@
     """The bytes received are not a response that can be used."""
 
 
+class LimitError(ReadError):
+    """The response exceeds a limit: reading on would take ever more memory or time."""
+
+
 @attrs.frozen
 class Response:
     """A complete response as received."""
@@ -145,7 +149,7 @@
             return
         self._count_head(len(name) + len(value))
         if len(self._headers) == MAX_HEADERS:
-            raise ReadError(f"response has too many headers: more than {MAX_HEADERS}")
+            raise LimitError(f"response has too many headers: more than {MAX_HEADERS}")
         self._headers.append((name.lower(), value))
 
     def _count_head(self, size: int) -> None:
@@ -204,7 +208,7 @@
         if 100 <= self._parser.get_status_code() < 200:
             self._interim_responses += 1
             if self._interim_responses > MAX_INTERIM_RESPONSES:
-                raise ReadError(f"too many interim responses: more than {MAX_INTERIM_RESPONSES}")
+                raise LimitError(f"too many interim responses: more than {MAX_INTERIM_RESPONSES}")
             self._begin_message()
             if self._on_interim is not None:
                 self._on_interim()
@@ -212,5 +216,5 @@
         self._finish(reusable=self._parser.should_keep_alive())
 
 
-def _too_large(what: str, limit_bytes: int) -> ReadError:
-    return ReadError(f"{what} too large: more than {limit_bytes} bytes")
+def _too_large(what: str, limit_bytes: int) -> LimitError:
+    return LimitError(f"{what} too large: more than {limit_bytes} bytes")
