Limit the memory of the answers of all replicas as a sum

What callers saw: an instance told 300 MB grew to 2,078 MB, and on a real machine was killed with every request in it, while a replica sent bodies without end, or 8 MB and then nothing, to 40 callers that pressed on it.

Cause: each answer is limited to 8 MiB, and nothing limits their sum over connections, queries that hold parts, and callers that take answers slowly.

Memory is reserved before a body is read on; a connection without any pauses, so that flow control holds the rest at the replica, and goes on in order as others give memory back. A body of unknown length reserves that of the largest before it grows large, so that no two wait for each other. An answer keeps its memory until nothing refers to it, its caller's included. The system's receive buffer of these connections is limited, as it is memory of the machine, too. An answer that has waited until its deadline is no_memory.

--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -98,7 +98,7 @@
     headers = tuple(
         (name, value) for name, value in client.end_to_end(response.headers) if name != _DATE
     )
-    return messages.Response(status, headers, response.body)
+    return messages.Response(status, headers, response.body, memory=response.memory)
 
 
 async def query_shards(sender: sender_module.Sender, call: sending.Call) -> Result:
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -27,6 +27,8 @@
 """Reason if the request reached another replica that has taken over the address."""
 NO_RESPONSE = "silent"
 """Reason if a replica got the request and did not respond in time."""
+NO_MEMORY = "no_memory"
+"""Reason if the response waited for memory until the time ran out."""
 CRASHES_REPLICAS = "ends_replicas"
 """Reason if the request is not forwarded because replicas crashed while they ran it."""
 
@@ -293,7 +295,7 @@
 
 def timed_out(outcome: Outcome) -> bool:
     """Whether there is no response because the time ran out."""
-    return isinstance(outcome, Unknown) and outcome.reason in ("deadline", NO_RESPONSE)
+    return isinstance(outcome, Unknown) and outcome.reason in ("deadline", NO_RESPONSE, NO_MEMORY)
 
 
 def was_shed(outcome: Outcome) -> bool:
@@ -316,7 +318,8 @@
 def _timeout_outcome(attempt: replica_module.Attempt) -> Outcome:
     if attempt.written_s is None:
         return NotRun("no_connection_in_time", sent=False)
-    return Unknown(NO_RESPONSE)
+    waits = attempt.connection is not None and attempt.connection.waits_for_memory
+    return Unknown(NO_MEMORY if waits else NO_RESPONSE)
 
 
 async def send(
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -53,6 +53,7 @@
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
 from turmericlug.http1 import request_budget
+from turmericlug.http1 import response_budget
 from turmericlug.http1 import server
 from turmericlug.kernel import early_signals
 from turmericlug.kernel import failures
@@ -70,6 +71,8 @@
 CALLERS_REQUESTS_SHARE = 0.25
 """Share of the memory for callers' requests. A request is held once more while it is sent to a
 replica."""
+ANSWERS_SHARE = 0.125
+"""Share of the memory for the answers of replicas and of other instances."""
 MAX_PEER_CONNECTIONS = 16
 """Maximum number of batches in flight to one instance; a query has one for each region."""
 HOUSEKEEPING_INTERVAL_S = 0.1
@@ -191,6 +194,8 @@
 
     waiting = pool_module.Waiting()
     kernel.provide("waiting parts", waiting)
+    answers_budget = response_budget.of_memory(settings.capacity.memory_mb, ANSWERS_SHARE)
+    kernel.provide("answers budget", answers_budget)
     keep_alive: dict[str, pool_module.KeepAliveTimeout] = collections.defaultdict(
         pool_module.KeepAliveTimeout
     )
@@ -206,12 +211,25 @@
         counters.add("direct.unasked_bytes")
         decisions.log("send.unasked_bytes", replica=entry.instance, service=entry.service)
 
+    def on_wait_for_memory(entry: routes.ReplicaEntry, size_bytes: int) -> None:
+        counters.add("direct.waited_for_memory")
+        decisions.log(
+            "send.waits_for_memory",
+            replica=entry.instance,
+            service=entry.service,
+            size_bytes=size_bytes,
+            held_bytes=answers_budget.held_bytes,
+        )
+
     def make_pool(entry: routes.ReplicaEntry) -> pool_module.Pool:
         connect = functools.partial(
             client.connect,
             entry.host,
             entry.port,
             on_unexpected_bytes=functools.partial(on_unexpected_bytes, entry),
+            source=answers_budget.source(
+                entry.service, functools.partial(on_wait_for_memory, entry)
+            ),
         )
         return pool_module.Pool(
             connect,
@@ -222,7 +240,12 @@
         )
 
     def make_peer_pool(entry: routes.ReplicaEntry) -> pool_module.Pool:
-        connect = functools.partial(client.connect, entry.host, entry.port)
+        connect = functools.partial(
+            client.connect,
+            entry.host,
+            entry.port,
+            source=answers_budget.source(f"instances/{entry.service}"),
+        )
         return pool_module.Pool(
             connect,
             lambda: MAX_PEER_CONNECTIONS,
@@ -238,6 +261,7 @@
     view = view_module.View(settings.entry.name, replicas, peers, loop.time)
     view.capacities.set_own(own_entry.capacity(settings))
     gauges = kernel.find("memory gauges")
+    gauges.add("answers", lambda: answers_budget.held_bytes)
     async with kernel.find("supervisor").background(
         Job(long_running.HOUSEKEEPING, lambda: _run_housekeeping(view)),
         Job(long_running.TOTALS, lambda: _log_totals(view, counters, gauges)),
--- a/src/turmericlug/http1/client.py
+++ b/src/turmericlug/http1/client.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 import socket
 import struct
@@ -19,6 +20,7 @@
 import attrs
 
 from turmericlug.http1 import reading
+from turmericlug.http1 import response_budget
 
 CONNECT_TIMEOUT_S = 0.4
 """16 round trips of 25 ms between regions; Linux resends a lost SYN only after 1 s."""
@@ -29,6 +31,11 @@
 _TCP_INFO = struct.Struct("8B24I")
 _TCP_INFO_RTT_INDEX = 8 + 15
 """Field index of the smoothed round-trip time (µs) in Linux's ``tcp_info``."""
+SLICE_BYTES = 4096
+"""Bytes that the parser gets at once, so that limits and memory are checked between slices."""
+RECEIVE_BUFFER_BYTES = 128 * 1024
+"""Of a connection to a replica; the system takes twice this. At a round trip of 25 ms between
+regions it allows 10 MB/s; the system's own limit is several megabytes for each connection."""
 _connection_numbers = itertools.count(1)
 _HOP_HEADERS = frozenset(
     (
@@ -70,11 +77,21 @@
 class Connection(asyncio.Protocol):
     """A connection that carries one request at a time."""
 
-    def __init__(self, on_unexpected_bytes: abc.Callable[[], None] | None = None) -> None:
+    def __init__(
+        self,
+        on_unexpected_bytes: abc.Callable[[], None] | None = None,
+        source: response_budget.Source | None = None,
+    ) -> None:
         self._transport: asyncio.Transport | None = None
         self._pending: asyncio.Future[Response] | None = None
         self._reader: reading.Reader | None = None
         self._on_unexpected_bytes = on_unexpected_bytes
+        self._source = source
+        self._holding: response_budget.Holding | None = None
+        self._unread = memoryview(b"")
+        """What was received and waits for memory, or for the next iteration of the event loop."""
+        self.waits_for_memory = False
+        """Whether the response waits, or waited until the exchange was given up, for memory."""
         self.number = next(_connection_numbers)
         """Identifies the connection in the log."""
         self.closed = False
@@ -104,7 +121,7 @@
             return
         assert self._reader is not None
         try:
-            self._reader.feed(data)
+            self._parse(self._reader, memoryview(data))
         except reading.LimitError as error:
             self._fail(ResponseLimitError(str(error)))
             return
@@ -113,6 +130,49 @@
             return
         self._deliver()
 
+    def _parse(self, reader: reading.Reader, data: memoryview) -> None:
+        """Feed the parser until the response is complete, or reading has to pause."""
+        while data:
+            piece, data = data[:SLICE_BYTES], data[SLICE_BYTES:]
+            reader.feed(piece)
+            if reader.response is not None:
+                reader.has_surplus |= bool(data)
+                return
+            if not self._has_memory(reader.required_bytes):
+                self._pause(data)
+                self._wait_for_memory(reader.required_bytes)
+                return
+
+    def _has_memory(self, required_bytes: int) -> bool:
+        if self._source is None or not required_bytes:
+            return True
+        if self._holding is None:
+            self._holding = response_budget.Holding(self._source)
+        is_held = required_bytes <= self._holding.size_bytes
+        return is_held or self._holding.reserve(required_bytes)
+
+    def _wait_for_memory(self, required_bytes: int) -> None:
+        assert self._holding is not None and self._source is not None
+        if not self.waits_for_memory:
+            self._source.on_wait(required_bytes)
+        self.waits_for_memory = True
+        self._holding.reserve_later(required_bytes, functools.partial(self._go_on, self._reader))
+
+    def _pause(self, unread: memoryview) -> None:
+        self._unread = unread
+        if self._transport is not None and not self.closed:
+            self._transport.pause_reading()
+
+    def _go_on(self, reader: reading.Reader) -> None:
+        """Parse what was left unread, unless the exchange has ended meanwhile."""
+        if reader is not self._reader or self.closed:
+            return
+        self.waits_for_memory = False
+        unread, self._unread = self._unread, memoryview(b"")
+        if self._transport is not None:
+            self._transport.resume_reading()
+        self.data_received(unread)
+
     def eof_received(self) -> bool:
         """Complete a response that has no length and ends when the server closes."""
         self.closed = True
@@ -141,16 +201,30 @@
             # request.
             response = attrs.evolve(response, reusable=False)
         self.keep_alive_timeout_s = _keep_alive_timeout_s(response.header(b"keep-alive"))
+        response = self._with_memory(response)
         self._drop_reader()
         if not response.reusable:
             self.close()
         if not pending.done():
             pending.set_result(response)
 
+    def _with_memory(self, response: Response) -> Response:
+        """Hand the memory of the body over to the response."""
+        if self._source is None or not response.body:
+            return response
+        holding = self._holding or response_budget.Holding(self._source)
+        self._holding = None
+        holding.resize(len(response.body))
+        return attrs.evolve(response, memory=holding)
+
     def _drop_reader(self) -> None:
         reader, self._reader = self._reader, None
         if reader is not None:
             reader.close()
+        self._unread = memoryview(b"")
+        holding, self._holding = self._holding, None
+        if holding is not None:
+            holding.release()
 
     def _fail(self, error: ExchangeError) -> None:
         self._drop_reader()
@@ -177,6 +251,7 @@
         if self.closed or self._transport is None:
             raise ExchangeError("connection closed before sending")
         self.exchanges += 1
+        self.waits_for_memory = False
         self._reader = reading.Reader(request.startswith(b"HEAD "), on_interim, on_chunk)
         self._pending = asyncio.get_running_loop().create_future()
         self._transport.write(request)
@@ -208,6 +283,7 @@
     port: int,
     timeout_s: float = CONNECT_TIMEOUT_S,
     on_unexpected_bytes: abc.Callable[[], None] | None = None,
+    source: response_budget.Source | None = None,
 ) -> Connection:
     """
     Open a connection.
@@ -216,11 +292,12 @@
     and gets the time of the stall once more, up to the timeout.
 
     :param on_unexpected_bytes: called when bytes arrive that belong to no pending request
+    :param source: the share of memory for responses; ``None``: without a limit on their sum
     :raises ConnectError: the address refuses, is unreachable or does not accept in time
     """
     loop = asyncio.get_running_loop()
     opening = asyncio.create_task(
-        loop.create_connection(lambda: Connection(on_unexpected_bytes), host, port)
+        loop.create_connection(lambda: Connection(on_unexpected_bytes, source), host, port)
     )
     try:
         await _wait_beside_stalls(opening, timeout_s)
@@ -237,9 +314,19 @@
         opening.add_done_callback(_abort_late_connection)
         raise
     set_socket_options(transport)
+    if source is not None:
+        _limit_receive_buffer(transport)
     return connection
 
 
+def _limit_receive_buffer(transport: asyncio.BaseTransport) -> None:
+    """Limit what the system receives for a connection that pauses: it is memory of the machine."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 async def _wait_beside_stalls(task: asyncio.Task[typing.Any], timeout_s: float) -> None:
     loop = asyncio.get_running_loop()
     end_s = loop.time() + timeout_s
--- a/src/turmericlug/http1/reading.py
+++ b/src/turmericlug/http1/reading.py
@@ -11,6 +11,8 @@
 
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 """Bounds the memory per response; the largest measured bodies are some tens of kilobytes."""
+SMALL_BYTES = 64 * 1024
+"""Size up to which a body of unknown length counts as small."""
 MAX_HEAD_BYTES = 64 * 1024
 """Bounds the bytes before the body: status line and headers, with those of interim responses. The
 largest are some tens of kilobytes, the signatures of 500 parts. Bounded bytes also bound the time:
@@ -43,6 +45,8 @@
     body: bytes
     reusable: bool
     """Whether the connection may carry another request."""
+    memory: object = attrs.field(default=None, eq=False, repr=False)
+    """Accounts for the memory of the response for as long as something refers to it."""
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, by its lower-case name."""
@@ -88,6 +92,19 @@
         """Bytes of the body that were read, those of chunks that were passed on included."""
         return self._body_bytes
 
+    @property
+    def required_bytes(self) -> int:
+        """
+        Memory that the body takes until it is complete; 0 before the head is.
+
+        A body of unknown length counts as small until it is not, and then as the largest one.
+        """
+        if not self._head_done:
+            return 0
+        if self._length is not None:
+            return self._length
+        return SMALL_BYTES if len(self._body) <= SMALL_BYTES else MAX_RESPONSE_BYTES
+
     def close(self) -> None:
         """
         Drop the parser and the body.
@@ -102,6 +119,8 @@
         self._reason = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_done = False
+        self._length: int | None = None
+        """Length of the body, if the head states it."""
         self._body = bytearray()
 
     def feed(self, data: bytes) -> None:
@@ -196,8 +215,12 @@
             raise ReadError(f"unreadable response: transfer-encoding {names!r}, not chunked")
         if encodings and version == "1.0":
             raise ReadError("unreadable response: transfer-encoding in HTTP 1.0")
-        length = next((value for name, value in self._headers if name == b"content-length"), b"0")
-        if int(length) > MAX_RESPONSE_BYTES and not self._is_head and status not in (204, 304):
+        if self._is_head or status in (204, 304):
+            self._length = 0
+            return
+        length = next((value for name, value in self._headers if name == b"content-length"), None)
+        self._length = None if length is None else int(length)
+        if self._length is not None and self._length > MAX_RESPONSE_BYTES:
             raise _too_large("response body", MAX_RESPONSE_BYTES)
 
     def on_body(self, body: bytes) -> None:
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -91,6 +91,7 @@
     "direct.repeat.*": "retries, by the failure of the previous attempt",
     "direct.repeat_denied.*": "failed attempts not retried although a retry is safe, by reason",
     "direct.missing_parts": "shards missing in partial answers",
+    "direct.waited_for_memory": "answers that waited until others had given memory back",
     "direct.unasked_bytes": "connections closed because of bytes received outside of a response",
     "handover.sent": "batches of parts handed over to an instance near their replicas",
     "handover.shards": "parts in those batches",
--- a/tests/http1/test_client_memory.py
+++ b/tests/http1/test_client_memory.py
@@ -32,13 +32,13 @@
     """Answer each request with the content; yield the address."""
 
     async def serve(reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(content)
-            await writer.drain()
-            if not closes:
-                await reader.read()
-        writer.close()
+        with contextlib.closing(writer):
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(content)
+                await writer.drain()
+                if not closes:
+                    await reader.read()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     try:
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -36,6 +36,20 @@
         "        self._reader = self._reader or reading.Reader(",
         "http1/test_cut_responses.py::test_a_cut_response_with_a_length_is_never_complete",
     ),
+    mutant.one(
+        "read-on-without-memory",
+        "http1/client.py",
+        "            if not self._has_memory(reader.required_bytes):\n",
+        "            if not self._has_memory(0):\n",
+        "http1/test_response_budget.py::test_a_response_waits_for_memory_and_is_read_whole",
+    ),
+    mutant.one(
+        "leave-failed-answers-to-the-garbage-collector",
+        "http1/reading.py",
+        "        del self._parser\n        self._body = bytearray()\n",
+        "        pass\n",
+        "http1/test_client_memory.py::test_an_exchange_leaves_no_body_to_the_garbage_collector",
+    ),
     mutant.one(
         "read-heads-without-end",
         "http1/sizes.py",
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -52,6 +52,7 @@
         self.keep_alive_timeout_s = None
         self.exchanges = 0
         self.had_unnamed_response = False
+        self.waits_for_memory = False
 
     async def exchange(self, request):
         self.exchanges += 1
