Bound the exponents of backoff for any number of failures

After 1,025 failures in a row at a replica, all later requests that reached it were answered 500: OverflowError, as the duration of an ejection is computed with a power of two that no float holds. The task that follows the store computed the same kind of power from the failures of the store.

policy/backoff.py computes the delay after any number of failures. The module is in policy, which imports nothing of the others, so that kernel and wire can import it, too.

--- a/src/turmericlug/direct/attempts.py
+++ b/src/turmericlug/direct/attempts.py
@@ -15,11 +15,13 @@
 from turmericlug.direct import sending
 from turmericlug.direct import timing
 from turmericlug.direct import tracking
+from turmericlug.policy import backoff
 from turmericlug.telemetry import decisions
 
 RETRY_DELAY_S = 0.015
 """Delay before the first retry at replicas that have all shed a request: one or two service times.
 It doubles with each further retry."""
+MAX_RETRY_DELAY_S = 0.12
 MAX_DELAYED_RETRIES = 4
 """Delayed retries per request: 0.23 s in total. A request that is still shed after that is refused
 while its caller has time to try another instance."""
@@ -337,9 +339,10 @@
 
     :param suspected: whether the request is withheld from all replicas only because it is suspected
     """
-    delay_s = RETRY_DELAY_S * 2**state.delayed_retries * state.sender.rng.uniform(0.75, 1.25)
     if not (state.shed_by or suspected) or state.delayed_retries >= MAX_DELAYED_RETRIES:
         return
+    delay_s = backoff.delay(RETRY_DELAY_S, MAX_RETRY_DELAY_S, state.delayed_retries + 1)
+    delay_s *= state.sender.rng.uniform(0.75, 1.25)
     if now_s + delay_s < state.call.deadline_s:
         state.retry_at_s = now_s + delay_s
 
--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -28,6 +28,7 @@
 from turmericlug.http1 import messages
 from turmericlug.kernel import failures
 from turmericlug.kernel import slices
+from turmericlug.policy import backoff
 from turmericlug.policy import liveness as liveness_module
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
@@ -229,8 +230,8 @@
         try:
             changes = await self.source.changes(after, wait_s)
         except source_module.SourceError:
-            delay_s = min(BACKOFF_MIN_S * 2**self._source_failures, BACKOFF_MAX_S)
             self._source_failures += 1
+            delay_s = backoff.delay(BACKOFF_MIN_S, BACKOFF_MAX_S, self._source_failures)
             now_s = asyncio.get_running_loop().time()
             self._source_retry_at_s = now_s + delay_s * self.rng.uniform(0.75, 1.25)
             raise
--- a/src/turmericlug/kernel/binding.py
+++ b/src/turmericlug/kernel/binding.py
@@ -16,6 +16,7 @@
 import attrs
 
 from turmericlug.kernel import tasks
+from turmericlug.policy import backoff
 from turmericlug.telemetry import counters as counters_module
 
 OpenListener = abc.Callable[[], abc.Awaitable[typing.Any]]
@@ -80,7 +81,7 @@
 
 def retry_delay_s(failures: int, rng: random.Random | None = None) -> float:
     """Return how long to wait after a number of failures."""
-    delay_s = min(FIRST_RETRY_S * 2.0 ** min(failures - 1, 10), MAX_RETRY_S)
+    delay_s = backoff.delay(FIRST_RETRY_S, MAX_RETRY_S, failures)
     return delay_s * (rng or random).uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
 
 
--- a/src/turmericlug/kernel/supervisor.py
+++ b/src/turmericlug/kernel/supervisor.py
@@ -12,6 +12,7 @@
 
 from turmericlug.kernel import failures
 from turmericlug.kernel import tasks as tasks_module
+from turmericlug.policy import backoff
 
 RESTART_MIN_S = 0.2
 RESTART_MAX_S = 10.0
@@ -116,9 +117,9 @@
                 failure = await _attempt(job)
                 self._note_stable(status)
                 status.state = WAITING
-                delay_s = self._next_delay_s(status)
                 status.last_failure = failure
                 status.failures_in_a_row += 1
+                delay_s = self._next_delay_s(status)
                 self._on_failure(failure, status.restarts, delay_s)
                 await self._sleep(delay_s)
                 status.restarts += 1
@@ -131,9 +132,7 @@
             status.failures_in_a_row = 0
 
     def _next_delay_s(self, status: Status) -> float:
-        # The exponent is bounded, since a job may fail any number of times.
-        doublings = min(status.failures_in_a_row, 16)
-        delay_s = min(RESTART_MIN_S * 2**doublings, RESTART_MAX_S)
+        delay_s = backoff.delay(RESTART_MIN_S, RESTART_MAX_S, status.failures_in_a_row)
         return delay_s * self._rng.uniform(MIN_JITTER, 1.0)
 
 
--- a/src/turmericlug/owner/policy.py
+++ b/src/turmericlug/owner/policy.py
@@ -13,6 +13,8 @@
 
 import attrs
 
+from turmericlug.policy import backoff
+
 EJECT_AFTER_FAILURES = 3
 """Consecutive failures after which a replica is ejected."""
 EJECTION_BASE_MS = 500.0
@@ -72,12 +74,12 @@
 
 def backoff_ms(attempt: int, rng: random.Random) -> float:
     """Draw the delay before a retry: exponential backoff with full jitter."""
-    return rng.uniform(0, min(BACKOFF_MAX_MS, BACKOFF_BASE_MS * 2**attempt))
+    return rng.uniform(0, backoff.delay(BACKOFF_BASE_MS, BACKOFF_MAX_MS, attempt + 1))
 
 
 def ejection_ms(ejections: int) -> float:
     """Return the duration of the n-th consecutive ejection of a replica."""
-    return min(EJECTION_MAX_MS, EJECTION_BASE_MS * 2 ** max(ejections - 1, 0))
+    return backoff.delay(EJECTION_BASE_MS, EJECTION_MAX_MS, ejections)
 
 
 def increased_limit(limit: float, max_limit: float) -> float:
--- a/src/turmericlug/policy/poison.py
+++ b/src/turmericlug/policy/poison.py
@@ -26,6 +26,8 @@
 
 import attrs
 
+from turmericlug.policy import backoff
+
 CRASHES_TO_SUSPECT = 3
 """Replicas that crashed while they had the request. One or two are coincidence where replicas crash
 every day."""
@@ -50,8 +52,6 @@
 TIME_TOLERANCE_S = 0.5
 """Longer than any transmission delay of a report between instances."""
 
-_MAX_DOUBLINGS = 32
-
 Fingerprint = bytes
 
 
@@ -153,9 +153,7 @@
     """Return the duration of the latest quarantine, given the number of quarantines."""
     if not quarantines:
         return 0.0
-    # Other instances state the number; a float holds no power of 2 beyond 1023.
-    doublings = min(quarantines - 1, _MAX_DOUBLINGS)
-    return min(QUARANTINE_S * 2.0**doublings, MAX_QUARANTINE_S)
+    return backoff.delay(QUARANTINE_S, MAX_QUARANTINE_S, quarantines)
 
 
 class SuspectTable:
--- a/src/turmericlug/records/records.py
+++ b/src/turmericlug/records/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import re
 import time
 import typing
@@ -13,6 +14,7 @@
 from turmericlug.kernel import tasks
 from turmericlug.membership import members as members_module
 from turmericlug.membership import mesh as mesh_module
+from turmericlug.policy import backoff
 from turmericlug.records import ledger
 from turmericlug.storage import store as store_module
 from turmericlug.telemetry import counters as counters_module
@@ -139,13 +141,12 @@
         :returns: ``unavailable`` if no instance confirmed it within ``SETTLE_TOTAL_S``
         """
         deadline_s = time.monotonic() + SETTLE_TOTAL_S
-        backoff_s = SETTLE_BACKOFF_MIN_S
-        while True:
+        for failures in itertools.count(1):
             verdict = await self.ask(operation, SETTLE_ATTEMPT_TIMEOUT_S)
-            if verdict.status != ledger.UNAVAILABLE or time.monotonic() + backoff_s > deadline_s:
+            delay_s = backoff.delay(SETTLE_BACKOFF_MIN_S, SETTLE_BACKOFF_MAX_S, failures)
+            if verdict.status != ledger.UNAVAILABLE or time.monotonic() + delay_s > deadline_s:
                 return verdict
-            await asyncio.sleep(backoff_s)
-            backoff_s = min(2 * backoff_s, SETTLE_BACKOFF_MAX_S)
+            await asyncio.sleep(delay_s)
 
     async def _ask_own(
         self, bucket: int, operation: ledger.Operation, timeout_s: float
--- a/src/turmericlug/wire/link.py
+++ b/src/turmericlug/wire/link.py
@@ -12,6 +12,7 @@
 
 from turmericlug.kernel import failures
 from turmericlug.kernel import tasks
+from turmericlug.policy import backoff
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import events
 from turmericlug.wire import codec
@@ -84,7 +85,7 @@
 
     async def run(self) -> None:
         """Keep the link connected until cancelled."""
-        delay_s = _BACKOFF_S[0]
+        failures_in_a_row = 0
         while True:
             started_at_s = time.monotonic()
             try:
@@ -98,9 +99,10 @@
                 # The link goes on: it is kept for this peer, and no other would be opened.
                 failures.report(error)
             if time.monotonic() - started_at_s > 5:
-                delay_s = _BACKOFF_S[0]
+                failures_in_a_row = 0
+            failures_in_a_row += 1
+            delay_s = backoff.delay(*_BACKOFF_S, failures_in_a_row)
             await asyncio.sleep(delay_s * (0.5 + random.random()))
-            delay_s = min(delay_s * 2, _BACKOFF_S[1])
 
     async def _connect_and_read(self) -> None:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -1304,7 +1304,7 @@
     mutant.one(
         "restart-without-backoff",
         "kernel/supervisor.py",
-        "RESTART_MIN_S * 2**doublings",
+        "backoff.delay(RESTART_MIN_S, RESTART_MAX_S, status.failures_in_a_row)",
         "RESTART_MIN_S",
         "entry/test_restarts.py::test_poisoned_snapshot_is_not_read_in_a_tight_loop",
     ),
