Tell outcomes that could not be recorded

What callers saw: status 500 for a request that a replica had answered, since an error in the replica's statistics became the result of the attempt; the overflow of an ejection's duration was one. In turmericlugd the part of such a target had no reply until its deadline. A slot of the slow start or of the overload control was lost where the wait for it could not be logged.

Each step that records an outcome is called through failures.try_record, which reports an error as recording.failed with the step, counts it and goes on. An unexpected error in an attempt itself is an outcome, too: not run if nothing was written, otherwise unknown. Requests that wait below the concurrency limit are started also if the duration of the one that ended could not be learned.

--- a/src/turmericlug/direct/answering.py
+++ b/src/turmericlug/direct/answering.py
@@ -19,6 +19,7 @@
 from turmericlug.direct import timing
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
+from turmericlug.kernel import failures
 
 RETRY_AFTER_MIN_S = 0.05
 RETRY_AFTER_MAX_S = 0.4
@@ -275,8 +276,9 @@
     if not missing:
         return Result(answer, "answered")
     sender.counters.add("direct.missing_parts", len(missing))
-    details = _describe_missing(call, parts, missing, asyncio.get_running_loop().time())
-    return Result(answer, "partial", details)
+    now_s = asyncio.get_running_loop().time()
+    details = failures.try_record("missing parts", _describe_missing, call, parts, missing, now_s)
+    return Result(answer, "partial", details or "")
 
 
 def _record_sets(answers: list[Success]) -> list[bytes]:
@@ -321,6 +323,8 @@
         return refusal(sender, ", ".join(sorted(reasons)) or "not_sent")
     now_s = asyncio.get_running_loop().time()
     missing = [shard for shard, part in parts.items() if not _success(part)]
-    details = _describe_missing(call, parts, missing, now_s)
+    details = failures.try_record("missing parts", _describe_missing, call, parts, missing, now_s)
     late = timing.has_passed(call.deadline_s, now_s)
-    return failure(504 if late else 502, f"too few shards ({len(missing)} missing): {details}")
+    return failure(
+        504 if late else 502, f"too few shards ({len(missing)} missing): {details or ''}"
+    )
--- a/src/turmericlug/direct/attempts.py
+++ b/src/turmericlug/direct/attempts.py
@@ -15,6 +15,7 @@
 from turmericlug.direct import sending
 from turmericlug.direct import timing
 from turmericlug.direct import tracking
+from turmericlug.kernel import failures
 from turmericlug.policy import backoff
 from turmericlug.telemetry import decisions
 
@@ -117,7 +118,7 @@
     reached = map(placement.replica_id, call.reached(service))
     state = _RequestState(sender, call, service, shared | frozenset(reached), is_retry)
     if not is_retry:
-        sender.replicas.retry_budget(service).count_request(loop.time(), call.organisation_name)
+        failures.try_record("retry budget", sender.count_request, service, call, loop.time())
     elif call.route.max_attempts < 2 or not sender.spend_retry_budget(service, call, loop.time()):
         sender.counters.add("direct.repeat_denied.budget")
         return sending.Unknown("budget")
@@ -399,8 +400,6 @@
         replica.cold_sent_s = now_s
     call.attempts_by_service.setdefault(state.service, []).append(attempt)
     task = sender.tasks.start(tracking.send_and_record(sender, call, replica, attempt))
-    near = sender.replicas.in_own_region(replica.entry.data_centre)
-    sender.counters.add("direct.sent.near" if near else "direct.sent.far")
     call.tasks.add(task)
     task.add_done_callback(call.tasks.discard)
     task.add_done_callback(lambda _: replica.attempts.discard(attempt))
@@ -408,3 +407,4 @@
     state.attempts_by_replica[replica.entry.instance] += 1
     state.pending[task] = _PendingAttempt(replica, attempt)
     state.attempt_count += 1
+    failures.try_record("sent", sender.count_attempt, replica)
--- a/src/turmericlug/direct/handover.py
+++ b/src/turmericlug/direct/handover.py
@@ -29,6 +29,7 @@
 from turmericlug.direct import sending
 from turmericlug.direct import stall_timeout
 from turmericlug.http1 import client
+from turmericlug.kernel import failures
 from turmericlug.telemetry import decisions
 
 PATH = b"/parts"
@@ -133,11 +134,10 @@
             call.tasks.add(task)
             task.add_done_callback(call.tasks.discard)
             by_shard.update(dict.fromkeys(assignment.shards, pending))
-            sender.counters.add("handover.sent")
-            sender.counters.add("handover.shards", len(assignment.shards))
             call.handed_over.update(
                 dict.fromkeys(assignment.shards, assignment.peer.entry.instance)
             )
+            failures.try_record("handover", _count_sent, sender, pending)
         return by_shard
 
     async def _run_batch(
@@ -169,6 +169,7 @@
             loop.time(), self._interim_timeout_s(peer.entry.data_centre)
         )
         peer.attempts.add(attempt)
+        lost = ""
         try:
             await self._send_batch(sender, call, pending, answer_at_s, attempt)
         except (
@@ -176,14 +177,17 @@
             client.ExchangeError,
             handover_codec.MessageError,
         ) as error:
-            self._record_loss(sender, call, pending, str(error), attempt.began_s)
-            return False
+            lost = str(error)
         except TimeoutError:
-            self._record_loss(sender, call, pending, "silent", attempt.began_s)
-            return False
+            lost = "silent"
         finally:
             peer.attempts.discard(attempt)
-        peer.record_success(1.0, 1.0, loop.time())
+        if lost:
+            failures.try_record(
+                "handover loss", self._record_loss, sender, call, pending, lost, attempt.began_s
+            )
+            return False
+        failures.try_record("handover success", peer.record_success, 1.0, 1.0, loop.time())
         return True
 
     def _move_to_other_owner(
@@ -212,14 +216,7 @@
             for shard in pending.shards:
                 pending.shared[shard] = _only_common(sender, call, pending, shard)
         call.handed_over.update(dict.fromkeys(pending.shards, peer.entry.instance))
-        sender.counters.add("handover.moved")
-        decisions.log(
-            "handover.moved",
-            request=call.request_id,
-            lost=lost_peer.instance,
-            to=peer.entry.instance,
-            shards=len(open_shards),
-        )
+        failures.try_record("handover move", _log_move, sender, call, pending, lost_peer.instance)
         return True
 
     async def _send_batch(
@@ -232,7 +229,6 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         data_centre = pending.peer.entry.data_centre
-        peer_name = pending.peer.entry.instance
         overdue_s = loop.time() + self._interim_timeout_s(data_centre)
         async with stall_timeout.StallTimeout(overdue_s) as timeout:
             async with pending.peer.pool.connection(call.rank) as connection:
@@ -260,16 +256,14 @@
 
                 def on_chunk(chunk: bytes) -> None:
                     answer = handover_codec.decode_answer(chunk, pending.shards)
-                    self.peers.loads.record(peer_name, answer.load, loop.time())
                     if answer.first:
-                        duration_ms = (loop.time() - now_s) * 1000
-                        self.peers.record_round_trip(data_centre, duration_ms - answer.spent_ms)
-                        sender.counters.time_ms("handover.total_ms", duration_ms)
                         # The peer waits for the remaining slow parts until the caller's deadline.
                         timeout.reschedule(call.deadline_s)
                         attempt.late_after_s = call.deadline_s - attempt.began_s
-                    sender.overload.on_peer_load(pending.peer.entry.instance, answer.load)
                     pending.apply(answer)
+                    failures.try_record(
+                        "handover answer", self._record_answer, sender, pending.peer, answer, now_s
+                    )
 
                 timeout.reschedule(now_s + self._interim_timeout_s(data_centre))
                 content = handover_codec.encode_batch(batch)
@@ -282,6 +276,21 @@
         if pending.open_shards:
             raise handover_codec.MessageError("response ended before all shards had an outcome")
 
+    def _record_answer(
+        self,
+        sender: sender_module.Sender,
+        peer: replica_module.Replica,
+        answer: handover_codec.Answer,
+        sent_s: float,
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.peers.loads.record(peer.entry.instance, answer.load, now_s)
+        sender.overload.on_peer_load(peer.entry.instance, answer.load)
+        if answer.first:
+            duration_ms = (now_s - sent_s) * 1000
+            self.peers.record_round_trip(peer.entry.data_centre, duration_ms - answer.spent_ms)
+            sender.counters.time_ms("handover.total_ms", duration_ms)
+
     def _interim_timeout_s(self, data_centre: str) -> float:
         return (
             INTERIM_TIMEOUT_FACTOR * self.peers.round_trip_ms(data_centre)
@@ -310,6 +319,24 @@
         )
 
 
+def _count_sent(sender: sender_module.Sender, pending: PendingBatch) -> None:
+    sender.counters.add("handover.sent")
+    sender.counters.add("handover.shards", len(pending.shards))
+
+
+def _log_move(
+    sender: sender_module.Sender, call: sending.Call, pending: PendingBatch, lost: str
+) -> None:
+    sender.counters.add("handover.moved")
+    decisions.log(
+        "handover.moved",
+        request=call.request_id,
+        lost=lost,
+        to=pending.peer.entry.instance,
+        shards=len(pending.shards),
+    )
+
+
 def _make_batch(
     call: sending.Call,
     pending: PendingBatch,
@@ -372,7 +399,7 @@
     """
     outcome = await asyncio.shield(pending.outcomes[shard])
     if isinstance(outcome, sending.AnsweredInBatch):
-        sender.quarantine.record_answer(call)
+        failures.try_record("answer", sender.quarantine.record_answer, call)
     if outcome is None and pending.may_have_sent:
         shared = frozenset(map(placement.replica_id, pending.shared[shard]))
         return await attempts.get_answer(sender, call, shard, shared=shared, is_retry=True)
--- a/src/turmericlug/direct/quarantine.py
+++ b/src/turmericlug/direct/quarantine.py
@@ -18,6 +18,7 @@
 from turmericlug.direct import replica as replica_module
 from turmericlug.direct import sending
 from turmericlug.http1 import client
+from turmericlug.kernel import failures
 from turmericlug.policy import poison
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
@@ -97,7 +98,7 @@
         if self.table.record_answer(fingerprint, self._now_s()):
             self._counters.add("poison.cleared")
             decisions.log("poison.cleared", request=call.request_id, content=fingerprint.hex())
-            self.on_update(fingerprint)
+            self._report_update(fingerprint)
 
     async def record_outcome(
         self, call: sending.Call, replica: replica_module.Replica, outcome: sending.Outcome
@@ -139,7 +140,7 @@
         """Allow a request on an operator's command; false if it is allowed already."""
         if self.verdict(fingerprint) is poison.Verdict.ALLOWED:
             return False
-        self.on_update(fingerprint)
+        self._report_update(fingerprint)
         self.table.lift(fingerprint, self._now_s())
         self._counters.add("poison.lifted")
         decisions.log("poison.lifted", content=fingerprint.hex())
@@ -151,7 +152,7 @@
             return False
         self._counters.add("poison.trial")
         decisions.log("poison.trial", request=call.request_id, content=call.fingerprint.hex())
-        self.on_update(call.fingerprint)
+        self._report_update(call.fingerprint)
         return True
 
     def cancel_trial(self, call: sending.Call) -> None:
@@ -189,7 +190,10 @@
             on_trial=on_trial,
         )
         self._apply_verdict(fingerprint, before, "seen")
-        self.on_update(fingerprint)
+        self._report_update(fingerprint)
+
+    def _report_update(self, fingerprint: poison.Fingerprint) -> None:
+        failures.try_record("suspects", self.on_update, fingerprint)
 
     def _apply_verdict(
         self, fingerprint: poison.Fingerprint, before: poison.Verdict, how: str
--- a/src/turmericlug/direct/sender.py
+++ b/src/turmericlug/direct/sender.py
@@ -57,6 +57,15 @@
         now_s = asyncio.get_running_loop().time()
         return self.replicas.withhold_reason(replica, call.route, now_s)
 
+    def count_attempt(self, replica: replica_module.Replica) -> None:
+        """Count an attempt that was sent to a replica."""
+        near = self.replicas.in_own_region(replica.entry.data_centre)
+        self.counters.add("direct.sent.near" if near else "direct.sent.far")
+
+    def count_request(self, service: str, call: sending.Call, now_s: float) -> None:
+        """Count a request in the retry budget of a service."""
+        self.replicas.retry_budget(service).count_request(now_s, call.organisation_name)
+
     def spend_retry_budget(self, service: str, call: sending.Call, now_s: float) -> bool:
         """Spend an extra attempt of a service's retry budget; false if none is left for a call."""
         if self.handover is not None:
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -313,6 +313,13 @@
     return status in _NOT_RUN_STATUSES
 
 
+def internal_error(attempt: replica_module.Attempt) -> Outcome:
+    """Return the outcome of an attempt that ended by an unexpected error in this instance."""
+    if attempt.written_s is None:
+        return NotRun(INTERNAL_ERROR.reason, sent=False)
+    return INTERNAL_ERROR
+
+
 def _timeout_outcome(attempt: replica_module.Attempt) -> Outcome:
     if attempt.written_s is None:
         return NotRun("no_connection_in_time", sent=False)
--- a/src/turmericlug/direct/tracking.py
+++ b/src/turmericlug/direct/tracking.py
@@ -7,6 +7,7 @@
 from turmericlug.direct import replica as replica_module
 from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
+from turmericlug.kernel import failures
 from turmericlug.telemetry import decisions
 
 
@@ -17,27 +18,34 @@
     attempt: replica_module.Attempt,
 ) -> sending.Outcome:
     """Attempt a request to a replica and update the replica's statistics with the outcome."""
-    on_ended = sender.overload.observe_part(call, replica)
+    on_ended = failures.try_record("overload", sender.overload.observe_part, call, replica)
     outcome: sending.Outcome = sending.ABANDONED
     try:
         outcome = await sending.send(
             call, replica, sender.names, attempt, lambda: sender.withhold_reason(call, replica)
         )
-        attempt.ran = not isinstance(outcome, sending.NotRun)
-        if sending.was_withheld(outcome):
-            sender.counters.add(f"direct.withheld.{sending.reason(outcome)}")
-            return outcome
     except asyncio.CancelledError:
         return sending.ABANDONED
+    except Exception as error:
+        failures.report(error)
+        outcome = sending.internal_error(attempt)
     finally:
         attempt.ended_s = asyncio.get_running_loop().time()
-        on_ended(outcome)
+        if on_ended is not None:
+            failures.try_record("overload", on_ended, outcome)
+    attempt.ran = not isinstance(outcome, sending.NotRun)
+    if sending.was_withheld(outcome):
+        reason = sending.reason(outcome)
+        failures.try_record("withheld", sender.counters.add, f"direct.withheld.{reason}")
+        return outcome
     _record_outcome(sender, call, replica, outcome, attempt)
     try:
         await sender.quarantine.record_outcome(call, replica, outcome)
     except asyncio.CancelledError:
         # The attempt has ended. Without its outcome, its awaiter would wait for the deadline.
         return outcome
+    except Exception as error:
+        failures.report_recording("crash", error)
     return outcome
 
 
@@ -48,16 +56,37 @@
     outcome: sending.Outcome,
     attempt: replica_module.Attempt,
 ) -> None:
-    now_s = asyncio.get_running_loop().time()
-    duration_ms = (now_s - attempt.began_s) * 1000
     if isinstance(outcome, sending.Answered | sending.Failed):
-        sender.quarantine.record_answer(call)
+        failures.try_record("answer", sender.quarantine.record_answer, call)
     if isinstance(outcome, sending.Answered):
-        latencies = sender.replicas.latencies(call.route.name, replica.entry.data_centre)
-        replica.record_success(duration_ms, latencies.median_ms, now_s)
-        latencies.add(duration_ms)
-        sender.counters.time_ms("direct.send_ms", duration_ms)
-        return
+        failures.try_record("success", _record_success, sender, call, replica, attempt)
+    else:
+        failures.try_record("failure", _record_failure, sender, call, replica, outcome, attempt)
+
+
+def _record_success(
+    sender: sender_module.Sender,
+    call: sending.Call,
+    replica: replica_module.Replica,
+    attempt: replica_module.Attempt,
+) -> None:
+    now_s = asyncio.get_running_loop().time()
+    duration_ms = (now_s - attempt.began_s) * 1000
+    latencies = sender.replicas.latencies(call.route.name, replica.entry.data_centre)
+    replica.record_success(duration_ms, latencies.median_ms, now_s)
+    latencies.add(duration_ms)
+    sender.counters.time_ms("direct.send_ms", duration_ms)
+
+
+def _record_failure(
+    sender: sender_module.Sender,
+    call: sending.Call,
+    replica: replica_module.Replica,
+    outcome: sending.Outcome,
+    attempt: replica_module.Attempt,
+) -> None:
+    now_s = asyncio.get_running_loop().time()
+    duration_ms = (now_s - attempt.began_s) * 1000
     reason = sending.reason(outcome).partition(":")[0]
     sender.counters.add(f"direct.send_failed.{reason}")
     if isinstance(outcome, sending.Unknown) and outcome.connection_lost:
--- a/src/turmericlug/direct/trial.py
+++ b/src/turmericlug/direct/trial.py
@@ -15,6 +15,7 @@
 from turmericlug.direct import attempts
 from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
+from turmericlug.kernel import failures
 from turmericlug.policy import poison
 
 QUARANTINED_STATUS = 500
@@ -39,7 +40,7 @@
         return _untried_result(sender, call)
     shards = [shard for shard in call.route.shards if sender.replicas.of(shard)]
     if not shards:
-        sender.quarantine.cancel_trial(call)
+        failures.try_record("trial", sender.quarantine.cancel_trial, call)
         return answering.refusal(sender, sending.CRASHES_REPLICAS)
     route = attrs.evolve(call.route, max_attempts=1)
     trial_call = attrs.evolve(call, route=route, on_trial=True, tasks=set())
@@ -52,12 +53,15 @@
     result = _result_after_trial(sender, call, outcome)
     if result is None:
         # The query is sent to this shard a second time, which counts as an extra attempt.
-        sender.replicas.retry_budget(shard).count_extra(
-            asyncio.get_running_loop().time(), call.organisation_name
-        )
+        failures.try_record("retry budget", _count_extra, sender, call, shard)
     return result
 
 
+def _count_extra(sender: sender_module.Sender, call: sending.Call, shard: str) -> None:
+    now_s = asyncio.get_running_loop().time()
+    sender.replicas.retry_budget(shard).count_extra(now_s, call.organisation_name)
+
+
 async def try_request(
     sender: sender_module.Sender, call: sending.Call, service: str
 ) -> answering.Result | None:
@@ -72,7 +76,7 @@
     call.on_trial = True
     result = await answering.request_service(sender, call, service)
     if result.outcome == "refused":
-        sender.quarantine.cancel_trial(call)
+        failures.try_record("trial", sender.quarantine.cancel_trial, call)
     return _quarantine_failure(sender, call) or result
 
 
@@ -109,7 +113,7 @@
         case sending.Answered() | sending.Failed():
             return None
         case sending.NotRun():
-            sender.quarantine.cancel_trial(call)
+            failures.try_record("trial", sender.quarantine.cancel_trial, call)
             return _quarantine_failure(sender, call) or answering.refusal(
                 sender, sending.CRASHES_REPLICAS
             )
--- a/src/turmericlug/entry/admission.py
+++ b/src/turmericlug/entry/admission.py
@@ -16,6 +16,7 @@
 from turmericlug.direct import sender as sender_module
 from turmericlug.direct import sending
 from turmericlug.entry import view as view_module
+from turmericlug.kernel import failures
 from turmericlug.policy import admission as policy
 from turmericlug.policy import concurrency
 from turmericlug.telemetry import decisions
@@ -79,7 +80,7 @@
             answered = result.outcome in ("answered", "partial")
             return result
         finally:
-            self.release(call, began_s, answered)
+            failures.try_record("admission", self.release, call, began_s, answered)
 
     async def acquire(self, call: sending.Call) -> policy.Decision:
         """Decide whether a request is sent, perhaps later; every admitted one must be released."""
@@ -96,12 +97,8 @@
         :param began_s: when it was admitted
         :param answered: whether there was an answer, whose duration says something about the load
         """
-        now_s = self._loop.time()
-        answer = None
-        if answered:
-            in_time = now_s + call.response_latency_s <= call.goal_at_s
-            answer = concurrency.Answer(now_s - began_s, call.route.goal_ms / 1000, in_time)
-        self._limit(call).release(now_s, answer)
+        answer = failures.try_record("duration", _answer, call, began_s) if answered else None
+        self._limit(call).release(self._loop.time(), answer)
 
     def _limit(self, call: sending.Call) -> concurrency.ConcurrencyLimit:
         return self._queries if call.route.shards else self._requests
@@ -135,9 +132,9 @@
             if slot.done() and not slot.cancelled() and slot.result():
                 # The slot was granted while the caller disconnected: pass it on.
                 self.release(call, began_s, answered=False)
-            self._log_wait("admission.left", call, began_s)
+            failures.try_record("wait", self._log_wait, "admission.left", call, began_s)
             raise
-        self._log_wait("admission.waited", call, began_s)
+        failures.try_record("wait", self._log_wait, "admission.waited", call, began_s)
         return True
 
     @contextlib.contextmanager
@@ -207,6 +204,10 @@
         )
 
     def _refuse(self, call: sending.Call, refused: policy.Refused) -> answering.Result:
+        failures.try_record("refusal", self._log_refusal, call, refused)
+        return answering.refusal(self._sender, refused.reason, lambda rng: refused.retry_after_s)
+
+    def _log_refusal(self, call: sending.Call, refused: policy.Refused) -> None:
         self._sender.counters.add(f"admission.refused.{refused.reason}")
         decisions.log(
             "admission.refused",
@@ -217,7 +218,6 @@
             level=round(self._shedding.level(self._loop.time()), 3),
             retry_after_s=round(refused.retry_after_s, 3),
         )
-        return answering.refusal(self._sender, refused.reason, lambda rng: refused.retry_after_s)
 
     def _on_batch(self, call: sending.Call) -> None:
         if self.active():
@@ -265,3 +265,9 @@
                 record(is_congested=True)
 
         return on_ended
+
+
+def _answer(call: sending.Call, began_s: float) -> concurrency.Answer:
+    now_s = asyncio.get_running_loop().time()
+    in_time = now_s + call.response_latency_s <= call.goal_at_s
+    return concurrency.Answer(now_s - began_s, call.route.goal_ms / 1000, in_time)
--- a/src/turmericlug/entry/batches.py
+++ b/src/turmericlug/entry/batches.py
@@ -19,6 +19,7 @@
 from turmericlug.direct import sending
 from turmericlug.direct import timing
 from turmericlug.http1 import messages
+from turmericlug.kernel import failures
 from turmericlug.telemetry import decisions
 
 PartTask = asyncio.Task[sending.Outcome]
@@ -84,7 +85,7 @@
     """
     loop = asyncio.get_running_loop()
     call = _make_call(batch, arrived_s, sender.names)
-    sender.overload.on_batch(call)
+    failures.try_record("overload", sender.overload.on_batch, call)
     shard_by_task = {
         loop.create_task(
             sending.part_outcome(
@@ -113,7 +114,7 @@
                 first=True,
                 load=_own_load(sender),
             )
-            _log_first_answer(sender, call, batch, answer)
+            failures.try_record("batch", _log_first_answer, sender, call, batch, answer)
             yield handover_codec.encode_answer(answer, batch.shards)
             while pending and loop.time() < call.deadline_s:
                 done, pending = await asyncio.wait(
@@ -241,4 +242,8 @@
 
 
 def _own_load(sender: sender_module.Sender) -> handover_codec.Load:
+    return failures.try_record("own load", _measured_load, sender) or handover_codec.Load()
+
+
+def _measured_load(sender: sender_module.Sender) -> handover_codec.Load:
     return attrs.evolve(sender.own_load(), level=sender.overload.own_load().level)
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -27,6 +27,7 @@
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
+from turmericlug.kernel import failures
 from turmericlug.policy import caller_timeout
 from turmericlug.policy import slow_start
 from turmericlug.telemetry import decisions
@@ -265,12 +266,16 @@
         except in_flight.ExitingError:
             result = self._interrupt(call)
         except asyncio.CancelledError:
-            self._on_caller_left(call, loop.time())
-            self._quota_check.refund_unsent(call)
+            if call.route.idempotent:
+                # Another one that has been written is left to finish: cancelled halfway, its effect
+                # would be unknown, and there is no caller to report that to.
+                call.abandon()
+            failures.try_record("caller left", self._log_caller_left, call, loop.time())
+            failures.try_record("refund", self._quota_check.refund_unsent, call)
             raise
         if result.outcome == "refused":
-            self._quota_check.refund(call)
-        self._log_result(call, result, loop.time())
+            failures.try_record("refund", self._quota_check.refund, call)
+        failures.try_record("result", self._log_result, call, result, loop.time())
         return result.answer
 
     async def _get_result(self, call: sending.Call, now_s: float) -> answering.Result:
@@ -316,7 +321,10 @@
             in_time = result.answer.status == 200 and received_s <= call.goal_at_s
             return result
         finally:
-            self._slow_start.release(loop.time(), loop.time() - began_s, in_time)
+            duration_s = loop.time() - began_s
+            failures.try_record(
+                "slow start", self._slow_start.release, loop.time(), duration_s, in_time
+            )
 
     async def _wait_for_slot(self, call: sending.Call) -> bool:
         """Wait until slow start admits the query; false when that would be too late."""
@@ -337,24 +345,19 @@
             if isinstance(error, TimeoutError):
                 return False
             raise
+        failures.try_record("wait", self._log_wait, call, loop.time() - began_s)
+        return True
+
+    def _log_wait(self, call: sending.Call, waited_s: float) -> None:
         self.sender.counters.add("entry.waited")
         decisions.log(
             "query.waited",
             request=call.request_id,
-            waited_ms=round((loop.time() - began_s) * 1000, 1),
+            waited_ms=round(waited_s * 1000, 1),
             others=self._slow_start.queue_length,
         )
-        return True
-
-    def _on_caller_left(self, call: sending.Call, now_s: float) -> None:
-        """
-        Abandon the request of a caller that has disconnected.
 
-        A request that is not idempotent and has been written is left to finish: cancelled halfway,
-        its effect would be unknown, and there is no caller to report that to.
-        """
-        if call.route.idempotent:
-            call.abandon()
+    def _log_caller_left(self, call: sending.Call, now_s: float) -> None:
         self.sender.counters.add("entry.caller_left")
         decisions.log(
             "query.caller_left",
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -172,8 +172,8 @@
     context: dict[str, typing.Any],
 ) -> None:
     failure = failures.of_context(context)
-    counters.add(f"task.failed.{failure.name}")
-    decisions.log("task.failed", name=failure.name, reason=failure.reason, place=failure.place)
+    counters.add(f"{failure.event}.{failure.name}")
+    decisions.log(failure.event, name=failure.name, reason=failure.reason, place=failure.place)
 
 
 @contextlib.asynccontextmanager
--- a/src/turmericlug/instance.py
+++ b/src/turmericlug/instance.py
@@ -410,9 +410,9 @@
     context: dict[str, typing.Any],
 ) -> None:
     failure = failures.of_context(context)
-    counters.add(f"task.failed.{failure.name}")
+    counters.add(f"{failure.event}.{failure.name}")
     events.emit(
-        "task.failed", "error", name=failure.name, reason=failure.reason, place=failure.place
+        failure.event, "error", name=failure.name, reason=failure.reason, place=failure.place
     )
 
 
--- a/src/turmericlug/kernel/failures.py
+++ b/src/turmericlug/kernel/failures.py
@@ -13,6 +13,8 @@
 import attrs
 
 MAX_REASON_LENGTH = 500
+TASK_FAILED = "task.failed"
+RECORDING_FAILED = "recording.failed"
 _LOOP_MODULES = ("asyncio", "uvloop")
 
 
@@ -26,11 +28,15 @@
     """Type and message of the exception."""
     place: str
     """File and line that raised it; empty if there is no traceback."""
+    event: str = TASK_FAILED
+    """Under which it is logged and counted."""
 
 
 def of_context(context: dict[str, typing.Any]) -> Failure:
     """Return the failure that an event loop passes to its exception handler."""
     error = context.get("exception")
+    if step := context.get("step"):
+        return attrs.evolve(of_error(step, error), event=RECORDING_FAILED)
     task = context.get("task") or context.get("future")
     if error is None:
         return Failure(_task_name(task) or "loop", _shorten(str(context.get("message"))), "")
@@ -53,6 +59,38 @@
         report(error)
 
 
+Parameters = typing.ParamSpec("Parameters")
+Recorded = typing.TypeVar("Recorded")
+
+
+def try_record(
+    step: str,
+    record: abc.Callable[Parameters, Recorded],
+    *args: Parameters.args,
+    **kwargs: Parameters.kwargs,
+) -> Recorded | None:
+    """
+    Record an outcome by calling a function; report its error and go on.
+
+    The outcome is known by then, and whoever waits for it must be told of it.
+
+    :param step: name of what is recorded, for the log and the counter
+    :returns: the result of the function; ``None`` if it failed
+    """
+    try:
+        return record(*args, **kwargs)
+    except Exception as error:
+        report_recording(step, error)
+        return None
+
+
+def report_recording(step: str, error: Exception) -> None:
+    """Log and count an error in recording an outcome."""
+    asyncio.get_running_loop().call_exception_handler(
+        {"message": "recording failed", "exception": error, "step": step}
+    )
+
+
 def of_error(name: str, error: BaseException) -> Failure:
     """Return the failure of a named task."""
     return Failure(name, _shorten(f"{type(error).__name__}: {error}"), _innermost_place(error))
--- a/src/turmericlug/owner/service_queue.py
+++ b/src/turmericlug/owner/service_queue.py
@@ -8,6 +8,7 @@
 import time
 from collections import abc
 
+from turmericlug.kernel import failures
 from turmericlug.kernel import tasks
 from turmericlug.owner import fair_queue
 from turmericlug.owner import hedging
@@ -243,7 +244,8 @@
     ) -> str:
         """Start an attempt; return its identifier."""
         if not part.attempt_count:
-            self._counters.time_ms("owner.queue_ms", (now_s - part.queued_at_s) * 1000)
+            queued_ms = (now_s - part.queued_at_s) * 1000
+            failures.try_record("wait", self._counters.time_ms, "owner.queue_ms", queued_ms)
         part.attempt_count += 1
         part.tried_replicas.add(replica.instance)
         attempt_id = f"{part.attempt_id_prefix}.{part.attempt_count}"
@@ -295,9 +297,12 @@
             replica.in_flight -= 1
             part.attempts_in_flight.pop(attempt_id, None)
         duration_ms = (time.monotonic() - started_at_s) * 1000
-        self._counters.time_ms("owner.target_ms", duration_ms)
-        self._update_replica(replica, part, outcome, duration_ms)
-        await self._suspects.record_outcome(part, replica, outcome, self._client)
+        failures.try_record("duration", self._counters.time_ms, "owner.target_ms", duration_ms)
+        failures.try_record("target", self._update_replica, replica, part, outcome, duration_ms)
+        try:
+            await self._suspects.record_outcome(part, replica, outcome, self._client)
+        except Exception as error:
+            failures.report_recording("crash", error)
         if not part.done:
             self._apply_outcome(part, replica, outcome, attempt_id)
         self.start_attempts()
@@ -351,11 +356,7 @@
         """Finish the part with the outcome of an attempt, or start another attempt."""
         match outcome:
             case target.Answered():
-                self._record_stuck_attempts(part)
-                if part.hedge_attempt_id:
-                    won = attempt_id == part.hedge_attempt_id
-                    self._hedging.delay.record_result(won)
-                    self._counters.add("owner.hedge.won" if won else "owner.hedge.lost")
+                failures.try_record("answer", self._record_answer, part, attempt_id)
                 self._counters.add("owner.part.answered")
                 self._finish(
                     part,
@@ -378,6 +379,13 @@
                 part.may_have_run = True
                 self._retry(part, reason)
 
+    def _record_answer(self, part: part_module.Part, attempt_id: str) -> None:
+        self._record_stuck_attempts(part)
+        if part.hedge_attempt_id:
+            won = attempt_id == part.hedge_attempt_id
+            self._hedging.delay.record_result(won)
+            self._counters.add("owner.hedge.won" if won else "owner.hedge.lost")
+
     def _record_stuck_attempts(self, part: part_module.Part) -> None:
         """
         Record a failure for each slower attempt that looks stuck.
--- a/src/turmericlug/policy/concurrency.py
+++ b/src/turmericlug/policy/concurrency.py
@@ -161,9 +161,11 @@
         :param answer: ``None`` if its caller has left or it failed, which says nothing about load
         """
         self._active -= 1
-        if answer is not None:
-            self._learn(now_s, answer)
-        self.start_waiting(now_s)
+        try:
+            if answer is not None:
+                self._learn(now_s, answer)
+        finally:
+            self.start_waiting(now_s)
 
     def _learn(self, now_s: float, answer: Answer) -> None:
         self._mean_duration_s += DURATION_WEIGHT * (answer.duration_s - self._mean_duration_s)
--- a/src/turmericlug/query/callers_http.py
+++ b/src/turmericlug/query/callers_http.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from turmericlug.config import settings as settings_module
+from turmericlug.kernel import failures
 from turmericlug.kernel import tasks
 from turmericlug.membership import members as members_module
 from turmericlug.membership import mesh as mesh_module
@@ -126,7 +127,7 @@
         retry_after_ms = getattr(outcome, "retry_after_ms", 0)
         if retry_after_ms:
             headers["Retry-After"] = str(math.ceil(retry_after_ms / 1000))
-        move_to = self._move_to_address()
+        move_to = failures.try_record("address", self._move_to_address)
         if move_to:
             headers[MOVE_TO_HEADER] = move_to
         text = outcome_module.to_json(outcome, self._settings.instance.name, query_id)
--- a/src/turmericlug/query/coordinator.py
+++ b/src/turmericlug/query/coordinator.py
@@ -12,6 +12,7 @@
 import attrs
 
 from turmericlug.config import settings as settings_module
+from turmericlug.kernel import failures
 from turmericlug.kernel import tasks
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.owner import owner as owner_module
@@ -114,13 +115,19 @@
         finally:
             del self._query_revisions[query_id]
             self._query_ended.set()
-        self._counters.time_ms("query.total_ms", (time.monotonic() - started_at_s) * 1000)
+        duration_ms = (time.monotonic() - started_at_s) * 1000
+        failures.try_record("result", self._record_outcome, query, query_id, outcome, duration_ms)
+        return outcome
+
+    def _record_outcome(
+        self, query: Query, query_id: str, outcome: outcome_module.Outcome, duration_ms: float
+    ) -> None:
+        self._counters.time_ms("query.total_ms", duration_ms)
         name = outcome_module.name_of(outcome)
         reason = "" if isinstance(outcome, outcome_module.Answer) else f".{outcome.reason}"
         self._counters.add(f"query.{name}{reason}")
         if name != "complete":
             self._log_outcome(query, query_id, outcome)
-        return outcome
 
     def _log_outcome(self, query: Query, query_id: str, outcome: outcome_module.Outcome) -> None:
         reasons = [getattr(outcome, "reason", "")]
@@ -370,15 +377,18 @@
         if isinstance(outcome, outcome_module.Refused):
             self._settle(attrs.evolve(claim, kind=ledger.RELEASE))
         elif isinstance(outcome, outcome_module.Answer):
-            recorded = json.dumps(
-                {
-                    "snapshot": outcome.snapshot,
-                    "results": [[shard, body.decode()] for shard, body in outcome.results],
-                }
-            )
-            self._settle(attrs.evolve(claim, kind=ledger.SETTLE, outcome=recorded))
+            failures.try_record("record of a key", self._settle_answer, claim, outcome)
         return outcome
 
+    def _settle_answer(self, claim: ledger.Operation, answer: outcome_module.Answer) -> None:
+        recorded = json.dumps(
+            {
+                "snapshot": answer.snapshot,
+                "results": [[shard, body.decode()] for shard, body in answer.results],
+            }
+        )
+        self._settle(attrs.evolve(claim, kind=ledger.SETTLE, outcome=recorded))
+
     def _settle(self, operation: ledger.Operation) -> None:
         """Record the result of a claim in the background, without delaying the response."""
         self._settle_tasks.start(self._records.settle(operation))
--- a/src/turmericlug/query/fan_out.py
+++ b/src/turmericlug/query/fan_out.py
@@ -10,6 +10,7 @@
 import attrs
 
 from turmericlug.catalog import catalog as catalog_module
+from turmericlug.kernel import failures
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.owner import owner as owner_module
 from turmericlug.owner import part as part_module
@@ -223,7 +224,7 @@
             if reply.number not in self._open_numbers:
                 continue
             part = self._parts[reply.number]
-            self._on_wait_predicted(part.service, reply.wait_ms)
+            failures.try_record("wait", self._on_wait_predicted, part.service, reply.wait_ms)
             if reply.outcome == part_module.ANSWERED:
                 self._accept_answer(reply, part)
             elif reply.outcome == part_module.FAILED:
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -43,6 +43,7 @@
     "owner.handed_over": "queued parts returned when this instance left",
     "instance.loop_lag_ms": "timer: delay of this process's event loop, which shows CPU overload",
     "task.failed.*": "tasks and callbacks that ended by an unexpected error, by name",
+    "recording.failed.*": "errors in recording a known outcome, told all the same, by step",
     "membership.suspected": "peers that missed a probe",
     "membership.died": "peers declared dead",
     "membership.unreadable": "gossiped instances ignored because a field is out of range",
