Pause replicas whose responses exceed a limit again and again

What callers saw: while 40 callers pressed on a service whose only replica sends answers without end, callers of other services waited: a replica that is set aside is still chosen where there is no other, so that the instance read such answers up to their limit all the time.

After two responses beyond a limit in a row a replica gets nothing until a pause ends, 0.5 s at first and doubled up to 10 s, also if it is the only one; requests that wait for a connection to it are withheld. Then it gets one request at a time. One without a usable response begins a longer pause, one with a response within the limits ends it, as does a restart. Responses to requests from before a pause don't prolong it. Requests without another replica are refused as replica_oversized, shards count as without a replica; hedges, retries, trials and parts that other instances hand over go by the same choice, and a part that a peer has withheld isn't sent directly. Other failures are handled as before.

What remains are the responses that are in flight when the first pause begins.

--- a/src/turmericlug/direct/replica.py
+++ b/src/turmericlug/direct/replica.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from turmericlug.direct import oversized as oversized_module
 from turmericlug.direct import pool as pool_module
 from turmericlug.direct import routes
 from turmericlug.http1 import client
@@ -80,6 +81,8 @@
     ejections: int = 0
     """Ejections since the last success."""
     ejected_until_s: float = 0.0
+    oversized: oversized_module.Oversized = attrs.field(factory=oversized_module.Oversized)
+    """Responses beyond a limit."""
     shed_until_s: float = 0.0
     """End of the backoff after it has shed a request."""
     shed_share: float = 0.0
@@ -132,6 +135,20 @@
             return True
         return self.ejections > 0 and bool(self.attempts)
 
+    def may_get_request(self, now_s: float) -> bool:
+        """Whether it may get a request; after responses beyond a limit, one at a time."""
+        if not self.oversized.is_active:
+            return True
+        return not self.oversized.is_paused(now_s) and not self.attempts
+
+    def may_be_written_to(self, now_s: float) -> bool:
+        """Whether a request that was chosen for it may be written to it now."""
+        if not self.oversized.is_active:
+            return True
+        return not self.oversized.is_paused(now_s) and not any(
+            attempt.written_s is not None and attempt.ended_s is None for attempt in self.attempts
+        )
+
     def is_misdirected(self, now_s: float) -> bool:
         """Whether another replica has recently answered at its address."""
         return now_s < self.misdirected_until_s
@@ -162,6 +179,19 @@
         self.shed_share *= 1 - EWMA_WEIGHT
         self.failures = self.ejections = 0
 
+    def record_unusable(self, exceeded_limit: bool, sent_s: float, now_s: float) -> bool:
+        """
+        Record that a request got no usable response.
+
+        :param exceeded_limit: whether it got one beyond a limit
+        :param sent_s: when it was sent
+        :returns: whether a pause begins, after several responses beyond a limit
+        """
+        self.oversized.in_a_row += exceeded_limit
+        if self.oversized.in_a_row < FAILURES_TO_EJECT:
+            return False
+        return self.oversized.pause(sent_s, now_s)
+
     def record_failure(self, now_s: float) -> bool:
         """
         Record a failed attempt.
--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -81,6 +81,8 @@
 """Reason for not sending a request: another replica has taken over the address."""
 COLD = "cold"
 """Reason for not sending a request: cold replicas have already got this instance's share."""
+OVERSIZED = "replica_oversized"
+"""Reason for not sending a request: the replica's responses repeatedly exceeded a limit."""
 
 ColdLimit = abc.Callable[[routes.ReplicaEntry], warm_up.Share]
 MakePool = abc.Callable[[routes.ReplicaEntry], pool_module.Pool]
@@ -267,7 +269,9 @@
             return LEAVING
         if reason := self._exclusion_reason(replica, route):
             return reason
-        return MISDIRECTED if replica.is_misdirected(now_s) else ""
+        if replica.is_misdirected(now_s):
+            return MISDIRECTED
+        return "" if replica.may_be_written_to(now_s) else OVERSIZED
 
     def shared(
         self,
@@ -308,9 +312,10 @@
         staying = [replica for replica in allowed if not replica.leaving]
         if staying and not any(map(self._is_eligible, staying)):
             return EVACUATED
-        if any(
-            not self.cold_limit_allows(replica, now_s) for replica in self.eligible(service, route)
-        ):
+        eligible = self.eligible(service, route)
+        if any(not replica.may_get_request(now_s) for replica in eligible):
+            return OVERSIZED
+        if any(not self.cold_limit_allows(replica, now_s) for replica in eligible):
             return COLD
         return NO_REPLICA
 
@@ -382,7 +387,7 @@
 
         A replica that is set aside is chosen only if there is no other, since a response from an
         unreliable replica is better than none. One at whose address another replica answers is
-        never chosen.
+        never chosen, nor is one that is paused as its responses exceeded a limit.
 
         :param tried: replicas to which the request has already been sent
         :returns: ``None`` if there is no replica to choose
@@ -391,6 +396,7 @@
             replica
             for replica in self.eligible(service, route)
             if not replica.is_misdirected(now_s)
+            and replica.may_get_request(now_s)
             and replica not in tried
             and self.cold_limit_allows(replica, now_s)
         ]
--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -218,6 +218,7 @@
     replicas_module.LEAVING,
     replicas_module.MISDIRECTED,
     replicas_module.OUT_OF_REGION,
+    replicas_module.OVERSIZED,
 )
 
 Outcome = Answered | AnsweredInBatch | Failed | NotRun | Unknown
--- a/src/turmericlug/direct/tracking.py
+++ b/src/turmericlug/direct/tracking.py
@@ -58,12 +58,46 @@
 ) -> None:
     if isinstance(outcome, sending.Answered | sending.Failed):
         failures.try_record("answer", sender.quarantine.record_answer, call)
+        failures.try_record("size", _record_size, replica)
     if isinstance(outcome, sending.Answered):
         failures.try_record("success", _record_success, sender, call, replica, attempt)
     else:
         failures.try_record("failure", _record_failure, sender, call, replica, outcome, attempt)
 
 
+def _record_size(replica: replica_module.Replica) -> None:
+    """Record a response within the limits."""
+    if replica.oversized.reset():
+        decisions.log(
+            "replica.oversized_ended",
+            replica=replica.entry.instance,
+            service=replica.entry.service,
+        )
+
+
+def _record_unusable(
+    sender: sender_module.Sender,
+    replica: replica_module.Replica,
+    outcome: sending.Unknown,
+    attempt: replica_module.Attempt,
+    now_s: float,
+) -> None:
+    sent_s = attempt.began_s if attempt.written_s is None else attempt.written_s
+    if not replica.record_unusable(outcome.exceeded_limit, sent_s, now_s):
+        return
+    # Attempts that wait for a connection are withheld.
+    replica.pool.trim()
+    sender.counters.add("direct.oversized")
+    decisions.log(
+        "replica.oversized",
+        replica=replica.entry.instance,
+        service=replica.entry.service,
+        reason=outcome.reason,
+        in_a_row=replica.oversized.in_a_row,
+        pause_s=round(replica.oversized.until_s - now_s, 3),
+    )
+
+
 def _record_success(
     sender: sender_module.Sender,
     call: sending.Call,
@@ -107,6 +141,8 @@
         set_aside = True
     else:
         set_aside = replica.record_failure(now_s)
+        if isinstance(outcome, sending.Unknown):
+            _record_unusable(sender, replica, outcome, attempt, now_s)
     decisions.log(
         "send.failed",
         request=call.request_id,
--- a/src/turmericlug/entry/inspection.py
+++ b/src/turmericlug/entry/inspection.py
@@ -46,7 +46,7 @@
     service: str
     data_centre: str
     state: str
-    """``in use``, ``leaving``, ``set aside``, ``cold`` or ``late``."""
+    """``in use``, ``leaving``, ``oversized``, ``set aside``, ``cold`` or ``late``."""
     sends: int
     """Attempts in flight to it from this instance."""
     expected_ms: float
@@ -273,6 +273,8 @@
 def _state(replica: replica_module.Replica, now_s: float) -> str:
     if replica.leaving:
         return "leaving"
+    if replica.oversized.is_active:
+        return "oversized"
     if replica.is_set_aside(now_s):
         return "set aside"
     if replica.is_cold(now_s):
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -86,6 +86,7 @@
     "direct.sent.*": "attempts sent to replicas, by whether they are in this instance's region",
     "direct.send_ms": "timer: an answered attempt, including the wait for a connection",
     "direct.send_failed.*": "attempts without a usable answer, by reason",
+    "direct.oversized": "pauses of replicas whose responses repeatedly exceeded a limit",
     "direct.withheld.*": "attempts that were not written, by reason",
     "direct.hedge.sent": "hedges for late attempts",
     "direct.hedge_denied.*": "late attempts without a hedge, by reason",
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -1329,4 +1329,25 @@
         "                await asyncio.Event().wait()\n",
         "integration/test_task_failures.py::test_task_that_fails_once_runs_again",
     ),
+    mutant.one(
+        "choose-a-paused-replica",
+        "direct/replicas.py",
+        "            and replica.may_get_request(now_s)\n",
+        "",
+        "direct/test_oversized_replicas.py::test_hedge_and_retry_pass_over_a_paused_replica",
+    ),
+    mutant.one(
+        "write-to-a-paused-replica",
+        "direct/replicas.py",
+        'return "" if replica.may_be_written_to(now_s) else OVERSIZED',
+        'return ""',
+        "direct/test_oversized_replicas.py::test_requests_that_wait_for_a_connection_are_withheld",
+    ),
+    mutant.one(
+        "let-errors-of-recording-through",
+        "kernel/failures.py",
+        "        report_recording(step, error)\n        return None\n",
+        "        raise\n",
+        "entry/test_recording_errors.py::test_attempt_has_its_outcome",
+    ),
 )
