Keep a bounded number of earlier weights of services

Each configuration that changes a weight left the state of the previous weights behind, as long as the instance ran. Found by reading; not seen as a failure. The oldest of 1,024 is dropped, which costs at most a new random start of its distribution.

Test: test_changed_weights_are_not_kept_without_end; the code before keeps all.

--- a/src/turmericlug/direct/weighted_round_robin.py
+++ b/src/turmericlug/direct/weighted_round_robin.py
@@ -8,6 +8,9 @@
 
 from turmericlug.direct import routes
 
+MAX_KNOWN = 1024
+"""Lists of weighted services that are kept; each change of a weight begins a new one."""
+
 
 @attrs.define
 class WeightedRoundRobin:
@@ -28,6 +31,8 @@
         total = sum(weighted.weight for weighted in services)
         deficits = self._deficits.get(services)
         if deficits is None:
+            if len(self._deficits) >= MAX_KNOWN:
+                del self._deficits[next(iter(self._deficits))]
             # Random initial deficits keep all instances from choosing the same service first.
             deficits = self._deficits[services] = [
                 rng.random() * weighted.weight / total for weighted in services
--- a/tests/direct/test_routes.py
+++ b/tests/direct/test_routes.py
@@ -54,6 +54,15 @@
     assert (matched.name if matched else None) == expected
 
 
+def test_changed_weights_are_not_kept_without_end():
+    """Guards against memory that grows with each configuration that changes a weight."""
+    round_robin, rng = weighted_round_robin.WeightedRoundRobin(), random.Random(1)
+    for weight in range(1, 3 * weighted_round_robin.MAX_KNOWN):
+        services = (routes.WeightedService("a", weight), routes.WeightedService("b", 1))
+        round_robin.pick(make_route("r", "h", "/", services=services), rng)
+    assert len(round_robin._deficits) == weighted_round_robin.MAX_KNOWN
+
+
 def test_services_are_picked_by_weight():
     route = make_route(
         "r", "h", "/", services=(routes.WeightedService("a", 3), routes.WeightedService("b", 1))
