Forget the failures of relays that are gone

The record of a relay's failures stayed when the relay ended without a later success, as long as the asking instance ran. Found by reading; not seen as a failure.

Test: test_failures_of_relays_that_are_gone_are_forgotten; with the code before 1,000 records are left of 1,000 relays that ended.

--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -282,6 +282,8 @@
 
     def _record_failure(self, relay: replica_module.Replica, reason: str) -> None:
         name = relay.entry.instance
+        for gone in [known for known in self._failures if self.peers.find(known) is None]:
+            del self._failures[gone]
         failures = self._failures.setdefault(name, _Failures())
         failures.in_a_row += 1
         if failures.in_a_row >= FAILURES_TO_SKIP:
--- a/tests/policy/test_backoff.py
+++ b/tests/policy/test_backoff.py
@@ -159,6 +159,25 @@
     asyncio.run(main())
 
 
+def test_failures_of_relays_that_are_gone_are_forgotten():
+    """Guards against memory that grows with each instance that ends while it is a relay."""
+    peers = replicas_module.Replicas(
+        lambda entry: pool_module.Pool(None, lambda: 1, lambda: 0.0), scripted.PLACE, None
+    )
+
+    async def main():
+        relayed = relay.RelayedSource(
+            None, None, scripted.PLACE, peers, counters.Counters(), liveness.PeerLiveness()
+        )
+        for number in range(1000):
+            peers.put(scripted.entry(f"e-{number}", "dc"))
+            relayed._record_failure(peers.find(f"e-{number}"), "silent")
+            peers.remove(f"e-{number}")
+        assert len(relayed._failures) == 1
+
+    asyncio.run(main())
+
+
 def test_job_that_fails_for_long_is_restarted():
     delays_s = []
 
