--- a/src/turmericlug/http1/messages.py
+++ b/src/turmericlug/http1/messages.py
@@ -96,3 +96,9 @@
     ):
         lines.append(response.body)
     return b"".join(lines)
+
+
+def rejection_bytes(status: int, reason: str) -> bytes:
+    """Return the response to a request that the server refuses by itself."""
+    headers = ((b"retry-after", b"0.5"),) if status == 503 else ()
+    return response_bytes(b"GET", Response(status, headers, reason.encode()), True, 0)
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -11,40 +11,24 @@
 import asyncio
 import collections
 import socket
-import typing
 from collections import abc
 
-import httptools
-
 from turmericlug.http1 import accepting
-from turmericlug.http1 import client as client_module
+from turmericlug.http1 import connection as connection_module
 from turmericlug.http1 import messages
 from turmericlug.http1 import request_budget
-from turmericlug.http1 import sizes
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
 
-LINGER_S = 1.0
-"""A rejected caller that is still sending needs about a round trip to read the response; closing
-with unread bytes resets the connection and discards the response."""
 MAX_LINGERING = 64
 """Refused connections that may stay open until their callers have read why; the file descriptors
 left for the rest of the process bear this many."""
 BACKLOG = 1024
 """Size of the accept queue; when it is full, connecting takes a caller a second longer."""
-_START_LINE_BYTES = 1024
-"""Bytes of a head beyond its target and headers: method, version, white space, empty lines."""
 _IDLE_SLACK_S = 1.0
 _IDLE_LIMIT_HISTORY_S = 30.0
-_BODY = "body"
 REQUESTS_LIMIT_BYTES = 64 * 1024 * 1024
 """Memory of the requests that a server holds at the same time if its user states no limit."""
-_HEADER_OVERHEAD_BYTES = 150
-"""Memory of a header beside its name and value: a tuple and two bytes objects."""
-
-
-class _RejectedError(Exception):
-    """Stops the parser, as the request has been rejected."""
 
 
 class Server:
@@ -79,7 +63,7 @@
         self.handler = handler
         self.limits = limits
         self.max_connections = max_connections
-        self.connections: set[_Connection] = set()
+        self.connections: set[connection_module.Connection] = set()
         self.opening: set[asyncio.BaseProtocol] = set()
         """Accepted connections that are not among these yet."""
         self.draining = False
@@ -111,7 +95,7 @@
 
     def create_connection(self) -> asyncio.Protocol:
         """Return the protocol of a connection that was accepted."""
-        connection = _Connection(self)
+        connection = connection_module.Connection(self)
         self.opening.add(connection)
         return connection
 
@@ -119,7 +103,7 @@
         """Note that a connection is refused; return the response to it."""
         self.on_refused("connections")
         decisions.log("caller.refused", reason="connections")
-        return _rejection_bytes(503, "too many connections")
+        return messages.rejection_bytes(503, "too many connections")
 
     def busy_count(self) -> int:
         """Return how many connections have a request that was read and has no response yet."""
@@ -131,382 +115,6 @@
             connection.close_after_flush()
 
 
-class _Connection(asyncio.Protocol):
-    """A caller's connection: reads requests and answers them in order, one at a time."""
-
-    def __init__(self, server: Server) -> None:
-        self._server = server
-        self._loop = asyncio.get_running_loop()
-        self._transport: asyncio.Transport = None  # type: ignore[assignment]
-        self._parser = httptools.HttpRequestParser(self)
-        self._queue: collections.deque[messages.Request] = collections.deque()
-        self._serve_task: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
-        self._rejected = False
-        self._must_close = False
-        self._end_sent = False
-        self._requests = 0
-        self._writable = asyncio.Event()
-        self._writable.set()
-        self._queued_bytes: collections.deque[int] = collections.deque()
-        """Bytes held for each request of the queue."""
-        self._begin_message()
-
-    @property
-    def busy(self) -> bool:
-        """Whether a request was read and has no response yet."""
-        return self._serve_task is not None or bool(self._queue)
-
-    def _begin_message(self) -> None:
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._target = b""
-        self._held_bytes = 0
-        self._held_head_bytes = 0
-        self._head_bytes = 0
-        self._body = bytearray()
-        limit = self._server.limits().header_bytes
-        self._sizes = sizes.Sizes(limit + _START_LINE_BYTES, limit)
-        self._arrived_s: float | None = None
-        self._head_done = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Accept the connection, or reject it when too many are open."""
-        self._transport = typing.cast(asyncio.Transport, transport)
-        client_module.set_socket_options(transport)
-        self._server.opening.discard(self)
-        self._server.connections.add(self)
-        if len(self._server.connections) > self._server.max_connections:
-            self._rejected = True
-            self._transport.write(self._server.refuse_connection())
-            self._linger()
-            return
-        self._start_idle_timer()
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Cancel the request of a caller that disconnected."""
-        self._server.connections.discard(self)
-        self._stop_timer()
-        self._queue.clear()
-        self._release_unread()
-        self._server.budget.release(sum(self._queued_bytes))
-        self._queued_bytes.clear()
-        if self._serve_task is not None:
-            self._serve_task.cancel()
-
-    def pause_writing(self) -> None:
-        """Note that the caller takes the response more slowly than it is written."""
-        self._writable.clear()
-
-    def resume_writing(self) -> None:
-        """Note that the caller has taken most of the response."""
-        self._writable.set()
-
-    def eof_received(self) -> bool:
-        """Treat end of input as a disconnect, since a half close can't be told from one."""
-        return False
-
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes; discard everything after a rejected or last request."""
-        if self._rejected or self._must_close:
-            return
-        if self._arrived_s is None:
-            self._arrived_s = self._loop.time()
-            if self._serve_task is None:
-                self._start_head_timer()
-        head_was_done = self._head_done
-        body_size_before, requests_before = len(self._body), self._requests
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._must_close = True
-        except httptools.HttpParserError as error:
-            if not self._rejected:
-                self._reject_unreadable(str(error))
-            return
-        if not self._rejected and self._requests == requests_before:
-            body_size = len(self._body) - body_size_before
-            too_large = self._sizes.count(len(data), body_size, head_was_done, self._head_done)
-            if too_large:
-                self._reject_large(431 if too_large == sizes.HEAD else 413, too_large)
-
-    def _reject_unreadable(self, detail: str) -> None:
-        self._reject(400, "unreadable", "unreadable request", detail=detail[:100])
-
-    def _reject_large(self, status: int, part: str) -> None:
-        limits = self._server.limits()
-        limit_bytes = limits.body_bytes if part == _BODY else limits.header_bytes
-        self._reject(status, f"{part}_too_large", f"{part} too large", limit_bytes=limit_bytes)
-
-    def on_url(self, url: bytes) -> None:
-        """Parser callback: a piece of the request's target."""
-        self._count_head(len(url))
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Parser callback: one header, or one trailer, which has no meaning here."""
-        if self._head_done:
-            return
-        self._count_head(len(name) + len(value) + len(b": \r\n"))
-        self._headers.append((name.lower(), value))
-
-    def _count_head(self, size: int) -> None:
-        self._head_bytes += size
-        if self._head_bytes > self._server.limits().header_bytes:
-            self._reject_large(431, sizes.HEAD)
-            raise _RejectedError
-
-    def on_headers_complete(self) -> None:
-        """Parser callback: check the framing of the body before reading it."""
-        self._head_done = True
-        if not self._is_framing_clear():
-            self._reject_unreadable("transfer-encoding or version")
-            raise _RejectedError
-        content_length = next(
-            (value for name, value in self._headers if name == b"content-length"), b"0"
-        )
-        if content_length.isdigit() and int(content_length) > self._server.limits().body_bytes:
-            self._reject_large(413, _BODY)
-            raise _RejectedError
-        self._held_head_bytes = self._head_bytes + len(self._headers) * _HEADER_OVERHEAD_BYTES
-        self._hold(self._held_head_bytes + (int(content_length) if content_length.isdigit() else 0))
-        if any(name == b"expect" for name, _ in self._headers):
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def _is_framing_clear(self) -> bool:
-        """Whether the replica would get the body as the caller means it."""
-        version = self._parser.get_http_version()
-        encodings = [value for name, value in self._headers if name == b"transfer-encoding"]
-        if not encodings:
-            return version in ("1.0", "1.1")
-        return version == "1.1" and [value.strip().lower() for value in encodings] == [b"chunked"]
-
-    def on_body(self, body: bytes) -> None:
-        """Parser callback: a piece of the body."""
-        if len(self._body) + len(body) > self._server.limits().body_bytes:
-            self._reject_large(413, _BODY)
-            raise _RejectedError
-        self._hold(self._held_head_bytes + len(self._body) + len(body) - self._held_bytes)
-        self._body += body
-
-    def _hold(self, size_bytes: int) -> None:
-        """Hold further bytes of the request, or refuse it if all requests get too large."""
-        if size_bytes <= 0:
-            return
-        if not self._server.budget.reserve(size_bytes):
-            self._reject(
-                503,
-                "memory",
-                "requests in progress take too much memory",
-                held_bytes=self._server.budget.held_bytes,
-            )
-            raise _RejectedError
-        self._held_bytes += size_bytes
-
-    def _release_unread(self) -> None:
-        """Drop what was read of a request that will not be served."""
-        self._server.budget.release(self._held_bytes)
-        self._held_bytes = 0
-        self._body.clear()
-        self._headers.clear()
-
-    def on_message_complete(self) -> None:
-        """Parser callback: a request is complete."""
-        if self._rejected:
-            return
-        request = self._build_request()
-        if not self._parser.should_keep_alive():
-            self._must_close = True
-        if self._server.interim:
-            self._transport.write(self._server.interim)
-        self._queued_bytes.append(self._held_bytes)
-        self._begin_message()
-        self._queue.append(request)
-        if self._serve_task is None:
-            self._stop_timer()
-            self._serve_task = self._loop.create_task(self._serve())
-        else:
-            # Backpressure: bounds the memory for pipelined requests.
-            self._transport.pause_reading()
-
-    def _build_request(self) -> messages.Request:
-        """
-        Build the request that was read.
-
-        A caller's latency goal counts from its first packet, which is sent 1.5 round trips before
-        the request arrives on a new connection, and half a round trip before on a reused one.
-        """
-        arrived_s = self._arrived_s or self._loop.time()
-        round_trip_s = client_module.round_trip_s(self._transport)
-        round_trips = 0.5 if self._requests else 1.5
-        self._requests += 1
-        return messages.Request(
-            self._parser.get_method(),
-            self._target,
-            tuple(self._headers),
-            bytes(self._body),
-            arrived_s,
-            arrived_s - round_trips * round_trip_s,
-            round_trip_s / 2,
-            self._server.stalled_s(),
-            client_module.peer_host(self._transport),
-        )
-
-    async def _serve(self) -> None:
-        try:
-            while self._queue and not self._transport.is_closing():
-                request, held_bytes = self._queue.popleft(), self._queued_bytes.popleft()
-                try:
-                    close = await self._answer(request)
-                except Exception as error:
-                    # Only a broken connection tells the receiver that the response is not whole.
-                    self._server.counters.add("caller.response_failed")
-                    reason = f"{type(error).__name__}: {error}"[:300]
-                    decisions.log("caller.response_failed", reason=reason)
-                    self._transport.abort()
-                    return
-                finally:
-                    self._server.budget.release(held_bytes)
-                if close:
-                    self._linger()
-                    return
-        finally:
-            self._serve_task = None
-        if not self._transport.is_closing():
-            self._transport.resume_reading()
-            if self._arrived_s is None:
-                self._start_idle_timer()
-            else:
-                self._start_head_timer()
-
-    async def _answer(self, request: messages.Request) -> bool:
-        """Answer a request; return whether its connection closes after the response."""
-        response = await self._call_handler(request)
-        close = response.close or self._server.draining or (self._must_close and not self._queue)
-        await self._write(request, response, close)
-        await self._drained()
-        return close
-
-    async def _call_handler(self, request: messages.Request) -> messages.Response:
-        try:
-            return await self._server.handler(request)
-        except Exception as error:
-            # A bug in the handler must not close the connection without a response. The response
-            # does not say whether the request ran.
-            decisions.log("caller.failed", reason=f"{type(error).__name__}: {error}"[:300])
-            return messages.Response(500, close=True)
-
-    async def _write(
-        self, request: messages.Request, response: messages.Response, close: bool
-    ) -> None:
-        idle_s = int(self._server.limits().idle_timeout_s)
-        self._transport.write(messages.response_bytes(request.method, response, close, idle_s))
-        if response.chunks is None:
-            return
-        async for chunk in response.chunks:
-            if not chunk:
-                continue  # On the wire, an empty chunk is the end of the body.
-            self._transport.write(b"%x\r\n%s\r\n" % (len(chunk), chunk))
-            await self._drained()
-        self._transport.write(b"0\r\n\r\n")
-
-    async def _drained(self) -> None:
-        """
-        Wait until the caller has taken most of the response; the rest counts in the memory.
-
-        :raises TimeoutError: it has taken nothing for the idle timeout
-        """
-        while not self._writable.is_set():
-            unsent_bytes = self._transport.get_write_buffer_size()
-            self._server.budget.hold(unsent_bytes)
-            try:
-                async with asyncio.timeout(self._server.limits().idle_timeout_s):
-                    await self._writable.wait()
-            except TimeoutError:
-                if self._transport.get_write_buffer_size() >= unsent_bytes:
-                    raise
-            finally:
-                self._server.budget.release(unsent_bytes)
-
-    def _reject(self, status: int, reason: str, text: str, **details: object) -> None:
-        """
-        Send an error response, and close after the caller had time to read it.
-
-        :param reason: a keyword, which is also the name of a counter
-        :param text: what the caller is told
-        :param details: further fields of the log line
-        """
-        self._server.on_refused(reason)
-        decisions.log("caller.refused", reason=reason, status=status, **details)
-        self._rejected = True
-        self._release_unread()
-        self._stop_timer()
-        if self._serve_task is not None:
-            # Earlier requests on this connection get their responses first, in order.
-            self._must_close = True
-            self._serve_task.add_done_callback(lambda _: self._write_rejection(status, text))
-            return
-        self._write_rejection(status, text)
-
-    def _write_rejection(self, status: int, reason: str) -> None:
-        if self._transport.is_closing() or self._end_sent:
-            return
-        self._transport.write(_rejection_bytes(status, reason))
-        self._linger()
-
-    def _linger(self) -> None:
-        """Close the sending side and discard input, so that no reset discards the response."""
-        self._must_close = True
-        self._end_sent = True
-        self._stop_timer()
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-        self._timer = self._loop.call_later(LINGER_S, self._transport.abort)
-
-    def _start_idle_timer(self) -> None:
-        self._stop_timer()
-        idle_s = self._server.idle_timeout_s(self._loop.time())
-        self._timer = self._loop.call_later(idle_s, self._on_idle_timeout)
-
-    def _on_idle_timeout(self) -> None:
-        if not self.busy:
-            self.close_after_flush()
-
-    def _start_head_timer(self) -> None:
-        self._stop_timer()
-        self._timer = self._loop.call_later(
-            self._server.limits().header_timeout_s, self._on_head_timeout
-        )
-
-    def _on_head_timeout(self) -> None:
-        if self._head_done:
-            # The body has a timeout of its own: a slow caller is served, a stalled one rejected.
-            self._timer = self._loop.call_later(
-                self._server.limits().idle_timeout_s, self._reject_slow, _BODY
-            )
-            return
-        self._reject_slow(sizes.HEAD)
-
-    def _reject_slow(self, part: str) -> None:
-        self._reject(408, f"{part}_too_slow", f"{part} too slow")
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def close_after_flush(self) -> None:
-        """Close once the written bytes are sent."""
-        self._stop_timer()
-        self._transport.close()
-
-
-def _rejection_bytes(status: int, reason: str) -> bytes:
-    """Return the response to a request that the server refuses by itself."""
-    headers = ((b"retry-after", b"0.5"),) if status == 503 else ()
-    response = messages.Response(status, headers, reason.encode())
-    return messages.response_bytes(b"GET", response, True, 0)
-
-
 async def listen(
     server: Server, host: str, port: int, listening_socket: socket.socket | None = None
 ) -> accepting.Listener:
--- a/tests/http1/test_endless_requests.py
+++ b/tests/http1/test_endless_requests.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from turmericlug.http1 import connection
 from turmericlug.http1 import messages
 from turmericlug.http1 import server
 
@@ -65,10 +66,10 @@
 
 def connect():
     """Return a connection of a server and its transport."""
-    connection = server._Connection(server.Server(echo, lambda: LIMITS, 10))
+    caller = connection.Connection(server.Server(echo, lambda: LIMITS, 10))
     transport = Transport()
-    connection.connection_made(transport)
-    return connection, transport
+    caller.connection_made(transport)
+    return caller, transport
 
 
 @pytest.mark.parametrize("size", [1, 1000, 65536, 262144])
@@ -81,16 +82,16 @@
     first, again, status = ENDLESS[kind]
 
     async def main():
-        connection, transport = connect()
-        connection.data_received(first)
+        caller, transport = connect()
+        caller.data_received(first)
         piece = again * max(1, size // len(again))
         fed = len(first)
         while not transport.written:
-            connection.data_received(piece)
+            caller.data_received(piece)
             fed += len(piece)
         assert transport.written.startswith(b"HTTP/1.1 " + status)
         assert fed <= LIMITS.header_bytes + 1.2 * LIMITS.body_bytes + 2 * len(piece)
-        connection.connection_lost(None)
+        caller.connection_lost(None)
 
     tracemalloc.start()
     try:
@@ -116,14 +117,14 @@
 
     async def main():
         for pieces in ([request_bytes], [bytes([byte]) for byte in request_bytes]):
-            connection, transport = connect()
+            caller, transport = connect()
             for piece in pieces:
-                connection.data_received(piece)
+                caller.data_received(piece)
             for _ in itertools.repeat(None, 5):
                 await asyncio.sleep(0)
             assert transport.written.startswith(b"HTTP/1.1 200 ")
             assert transport.written.endswith(b"\r\n\r\nbody")
-            connection.connection_lost(None)
+            caller.connection_lost(None)
 
     asyncio.run(main())
 
@@ -143,11 +144,11 @@
     """The bytes of a body in another encoding were sent to the replica without that header."""
 
     async def main():
-        connection, transport = connect()
-        connection.data_received(head + b"4\r\nbody\r\n0\r\n\r\n")
+        caller, transport = connect()
+        caller.data_received(head + b"4\r\nbody\r\n0\r\n\r\n")
         await asyncio.sleep(0)
         await asyncio.sleep(0)
         assert transport.written.startswith(b"HTTP/1.1 400 ")
-        connection.connection_lost(None)
+        caller.connection_lost(None)
 
     asyncio.run(main())
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -182,14 +182,14 @@
     ),
     mutant.one(
         "drain-without-connection-close",
-        "http1/server.py",
+        "http1/connection.py",
         "response.close or self._server.draining or (",
         "response.close or (",
         "http1/test_server.py::test_a_draining_server_answers_with_connection_close",
     ),
     mutant.one(
         "forget-the-bytes-of-queued-requests",
-        "http1/server.py",
+        "http1/connection.py",
         "        self._server.budget.release(sum(self._queued_bytes))\n",
         "",
         "http1/test_request_budget.py::"
@@ -197,21 +197,21 @@
     ),
     mutant.one(
         "forget-the-bytes-of-half-sent-requests",
-        "http1/server.py",
+        "http1/connection.py",
         "        self._queue.clear()\n        self._release_unread()\n",
         "        self._queue.clear()\n",
         "http1/test_request_budget.py::test_callers_that_leave_give_their_bytes_back",
     ),
     mutant.one(
         "count-no-heads",
-        "http1/server.py",
+        "http1/connection.py",
         "self._hold(self._held_head_bytes + (int(content_length)",
         "self._hold((int(content_length)",
         "http1/test_request_budget.py::test_pipelined_heads_beyond_the_limit_are_refused",
     ),
     mutant.one(
         "ignore-a-disconnect",
-        "http1/server.py",
+        "http1/connection.py",
         "        if self._serve_task is not None:\n            self._serve_task.cancel()\n",
         "",
         "http1/test_server.py::test_a_disconnect_cancels_the_request",
