Write the body of a response without a copy

What callers saw: an instance outgrows its machine while callers don't read their answers.

Cause: head and body were joined into a copy that the transport kept, while the handler's response was still referred to until most of it was sent.

Change: large bodies and chunks are written as buffers of their own, and the connection drops the response before it waits. What accounts for the body's memory is referred to until the last byte is sent: the transport's limit is zero, so that it reports when nothing is unsent.

--- a/src/turmericlug/http1/connection.py
+++ b/src/turmericlug/http1/connection.py
@@ -10,6 +10,7 @@
 
 from turmericlug.http1 import client as client_module
 from turmericlug.http1 import messages
+from turmericlug.http1 import outgoing
 from turmericlug.http1 import sizes
 from turmericlug.telemetry import decisions
 
@@ -37,6 +38,7 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport = None  # type: ignore[assignment]
+        self._outgoing: outgoing.Outgoing = None  # type: ignore[assignment]
         self._parser = httptools.HttpRequestParser(self)
         self._queue: collections.deque[messages.Request] = collections.deque()
         self._serve_task: asyncio.Task[None] | None = None
@@ -45,8 +47,6 @@
         self._must_close = False
         self._end_sent = False
         self._requests = 0
-        self._writable = asyncio.Event()
-        self._writable.set()
         self._queued_bytes: collections.deque[int] = collections.deque()
         """Bytes held for each request of the queue."""
         self._begin_message()
@@ -71,12 +71,13 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept the connection, or reject it when too many are open."""
         self._transport = typing.cast(asyncio.Transport, transport)
+        self._outgoing = outgoing.Outgoing(self._transport)
         client_module.set_socket_options(transport)
         self._server.opening.discard(self)
         self._server.connections.add(self)
         if len(self._server.connections) > self._server.max_connections:
             self._rejected = True
-            self._transport.write(self._server.refuse_connection())
+            self._outgoing.write(self._server.refuse_connection())
             self._linger()
             return
         self._start_idle_timer()
@@ -85,6 +86,7 @@
         """Cancel the request of a caller that disconnected."""
         self._server.connections.discard(self)
         self._stop_timer()
+        self._outgoing.end()
         self._queue.clear()
         self._release_unread()
         self._server.budget.release(sum(self._queued_bytes))
@@ -94,11 +96,11 @@
 
     def pause_writing(self) -> None:
         """Note that the caller takes the response more slowly than it is written."""
-        self._writable.clear()
+        self._outgoing.pause()
 
     def resume_writing(self) -> None:
-        """Note that the caller has taken most of the response."""
-        self._writable.set()
+        """Note that the whole response is sent."""
+        self._outgoing.resume()
 
     def eof_received(self) -> bool:
         """Treat end of input as a disconnect, since a half close can't be told from one."""
@@ -169,7 +171,7 @@
         self._held_head_bytes = self._head_bytes + len(self._headers) * _HEADER_OVERHEAD_BYTES
         self._hold(self._held_head_bytes + (int(content_length) if content_length.isdigit() else 0))
         if any(name == b"expect" for name, _ in self._headers):
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._outgoing.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _is_framing_clear(self) -> bool:
         """Whether the replica would get the body as the caller means it."""
@@ -216,7 +218,7 @@
         if not self._parser.should_keep_alive():
             self._must_close = True
         if self._server.interim:
-            self._transport.write(self._server.interim)
+            self._outgoing.write(self._server.interim)
         self._queued_bytes.append(self._held_bytes)
         self._begin_message()
         self._queue.append(request)
@@ -281,7 +283,16 @@
         """Answer a request; return whether its connection closes after the response."""
         response = await self._call_handler(request)
         close = response.close or self._server.draining or (self._must_close and not self._queue)
-        await self._write(request, response, close)
+        idle_s = int(self._server.limits().idle_timeout_s)
+        head = messages.response_head(request.method, response, close, idle_s)
+        if response.chunks is not None:
+            await self._write_chunks(head, response)
+        elif messages.has_body(request.method, response):
+            self._outgoing.write(head, response.body, memory=response.memory)
+        else:
+            self._outgoing.write(head)
+        # Else the body's memory would count until this request ends, however it does.
+        del response
         await self._drained()
         return close
 
@@ -294,34 +305,30 @@
             decisions.log("caller.failed", reason=f"{type(error).__name__}: {error}"[:300])
             return messages.Response(500, close=True)
 
-    async def _write(
-        self, request: messages.Request, response: messages.Response, close: bool
-    ) -> None:
-        idle_s = int(self._server.limits().idle_timeout_s)
-        self._transport.write(messages.response_bytes(request.method, response, close, idle_s))
-        if response.chunks is None:
-            return
+    async def _write_chunks(self, head: bytes, response: messages.Response) -> None:
+        assert response.chunks is not None
+        self._outgoing.write(head)
         async for chunk in response.chunks:
             if not chunk:
                 continue  # On the wire, an empty chunk is the end of the body.
-            self._transport.write(b"%x\r\n%s\r\n" % (len(chunk), chunk))
+            self._outgoing.write(b"%x\r\n" % len(chunk), chunk, b"\r\n")
             await self._drained()
-        self._transport.write(b"0\r\n\r\n")
+        self._outgoing.write(b"0\r\n\r\n")
 
     async def _drained(self) -> None:
         """
-        Wait until the caller has taken most of the response; the rest counts in the memory.
+        Wait until everything written is sent; meanwhile it counts in the memory.
 
-        :raises TimeoutError: it has taken nothing for the idle timeout
+        :raises TimeoutError: the caller has taken nothing for the idle timeout
         """
-        while not self._writable.is_set():
-            unsent_bytes = self._transport.get_write_buffer_size()
+        while not self._outgoing.is_sent:
+            unsent_bytes = self._outgoing.unsent_bytes
             self._server.budget.hold(unsent_bytes)
             try:
                 async with asyncio.timeout(self._server.limits().idle_timeout_s):
-                    await self._writable.wait()
+                    await self._outgoing.sent()
             except TimeoutError:
-                if self._transport.get_write_buffer_size() >= unsent_bytes:
+                if self._outgoing.unsent_bytes >= unsent_bytes:
                     raise
             finally:
                 self._server.budget.release(unsent_bytes)
@@ -349,7 +356,7 @@
     def _write_rejection(self, status: int, reason: str) -> None:
         if self._transport.is_closing() or self._end_sent:
             return
-        self._transport.write(messages.rejection_bytes(status, reason))
+        self._outgoing.write(messages.rejection_bytes(status, reason))
         self._linger()
 
     def _linger(self) -> None:
--- a/src/turmericlug/http1/messages.py
+++ b/src/turmericlug/http1/messages.py
@@ -66,9 +66,15 @@
 Handler = abc.Callable[[Request], abc.Awaitable[Response]]
 
 
-def response_bytes(method: bytes, response: Response, close: bool, idle_s: int) -> bytes:
+def has_body(method: bytes, response: Response) -> bool:
+    """Whether the body of a response is sent, as a whole, behind its head."""
+    may_have_body = method != b"HEAD" and response.status not in _STATUSES_WITHOUT_BODY
+    return may_have_body and response.chunks is None
+
+
+def response_head(method: bytes, response: Response, close: bool, idle_s: int) -> bytes:
     """
-    Encode the head of a response, and its body unless that comes in chunks.
+    Encode the head of a response.
 
     :param method: method of the request
     :param close: whether the connection is closed after it
@@ -89,16 +95,11 @@
     elif idle_s:
         lines.append(b"keep-alive: timeout=%d\r\n" % idle_s)
     lines.append(b"\r\n")
-    if (
-        method != b"HEAD"
-        and response.status not in _STATUSES_WITHOUT_BODY
-        and response.chunks is None
-    ):
-        lines.append(response.body)
     return b"".join(lines)
 
 
 def rejection_bytes(status: int, reason: str) -> bytes:
     """Return the response to a request that the server refuses by itself."""
     headers = ((b"retry-after", b"0.5"),) if status == 503 else ()
-    return response_bytes(b"GET", Response(status, headers, reason.encode()), True, 0)
+    body = reason.encode()
+    return response_head(b"GET", Response(status, headers, body), True, 0) + body
--- a/tests/http1/test_endless_requests.py
+++ b/tests/http1/test_endless_requests.py
@@ -41,6 +41,9 @@
     def get_extra_info(self, name):
         return None
 
+    def set_write_buffer_limits(self, high):
+        pass
+
     def write(self, data):
         self.written += data
 
