Count responses in the memory until they are sent

What callers saw: thousands of callers that don't read small answers take an instance beyond its machine's memory, while its account shows nothing.

Cause: only what was unsent above the transport's limit of 64 kB counted, and only while the server waited for that.

Change: each buffer counts in full from the write until its last byte is sent or the connection ends, as the transport keeps it that long. What is sent at once, as most responses are, counts nowhere.

--- a/src/turmericlug/http1/connection.py
+++ b/src/turmericlug/http1/connection.py
@@ -71,7 +71,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept the connection, or reject it when too many are open."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        self._outgoing = outgoing.Outgoing(self._transport)
+        self._outgoing = outgoing.Outgoing(self._transport, self._server.budget)
         client_module.set_socket_options(transport)
         self._server.opening.discard(self)
         self._server.connections.add(self)
@@ -317,21 +317,18 @@
 
     async def _drained(self) -> None:
         """
-        Wait until everything written is sent; meanwhile it counts in the memory.
+        Wait until everything written is sent.
 
         :raises TimeoutError: the caller has taken nothing for the idle timeout
         """
         while not self._outgoing.is_sent:
             unsent_bytes = self._outgoing.unsent_bytes
-            self._server.budget.hold(unsent_bytes)
             try:
                 async with asyncio.timeout(self._server.limits().idle_timeout_s):
                     await self._outgoing.sent()
             except TimeoutError:
                 if self._outgoing.unsent_bytes >= unsent_bytes:
                     raise
-            finally:
-                self._server.budget.release(unsent_bytes)
 
     def _reject(self, status: int, reason: str, text: str, **details: object) -> None:
         """
--- a/src/turmericlug/http1/request_budget.py
+++ b/src/turmericlug/http1/request_budget.py
@@ -3,8 +3,8 @@
 
 The limits on the size of one request don't bound their sum: with thousands of connections, requests
 of the allowed size exceed the memory of the process, which is then killed with all of them.
-Responses that callers are slow to read count, too. They are sent all the same, but while they take
-the memory, further requests are refused.
+Responses count, too, from when they are written until they are sent. They are sent all the same,
+but while they take the memory, further requests are refused.
 """
 
 from __future__ import annotations
--- a/tests/http1/test_unsent_responses.py
+++ b/tests/http1/test_unsent_responses.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import contextlib
+import socket
 import tracemalloc
 import weakref
 
 import pytest
 import uvloop
 
+from turmericlug.http1 import accepting
 from turmericlug.http1 import messages
 from turmericlug.http1 import server
 
@@ -29,10 +31,17 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(handler, **options):
-    """Serve on a port; yield the server and the port."""
+async def serving(handler, send_buffer_bytes=0, **options):
+    """
+    Serve on a port; yield the server and the port.
+
+    :param send_buffer_bytes: what the operating system may buffer; 0 leaves it to that
+    """
     http_server = server.Server(handler, messages.Limits, 100, **options)
-    listener = await server.listen(http_server, "127.0.0.1", 0)
+    listening = accepting.bind("127.0.0.1", 0)
+    if send_buffer_bytes:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
+    listener = await server.listen(http_server, "127.0.0.1", 0, listening)
     try:
         yield http_server, listener.sockets[0].getsockname()[1]
     finally:
@@ -118,3 +127,57 @@
             writer.transport.abort()
 
     run(scenario())
+
+
+async def ten_chunks():
+    for _ in range(10):
+        yield bytes(6000)
+
+
+UNSENT = {
+    "whole": (lambda: messages.Response(200, body=bytes(60_000)), 60_000, 60_000),
+    "in chunks": (lambda: messages.Response(200, chunks=ten_chunks()), 6000, 12_000),
+}
+
+
+@pytest.mark.parametrize("ending", ["read", "closed"])
+@pytest.mark.parametrize("kind", UNSENT)
+def test_unsent_bytes_count_however_few_they_are(kind, ending):
+    """Guards against thousands of small responses that are unsent and outgrow the machine."""
+    make_response, least_bytes, most_bytes = UNSENT[kind]
+    callers = 20
+
+    async def scenario():
+        async def handle(request):
+            return make_response()
+
+        async with serving(handle, send_buffer_bytes=4096) as (http_server, port):
+            streams = []
+            for _ in range(callers):
+                sock = socket.socket()
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                sock.connect(("127.0.0.1", port))
+                sock.setblocking(False)
+                reader, writer = await asyncio.open_connection(sock=sock, limit=1024)
+                writer.transport.pause_reading()
+                writer.write(REQUEST)
+                streams.append((reader, writer))
+            budget = http_server.budget
+            await until(lambda: budget.held_bytes >= callers * least_bytes)
+            assert budget.held_bytes <= callers * (most_bytes + 1000)
+            for reader, writer in streams:
+                if ending == "read":
+                    writer.transport.resume_reading()
+                    body_end = b"0\r\n\r\n" if kind == "in chunks" else bytes(1000)
+                    async with asyncio.timeout(20):
+                        await reader.readuntil(b"\r\n\r\n")
+                        received = b""
+                        while len(received) < 60_000 or not received.endswith(body_end):
+                            received += await reader.read(4096)
+            for _, writer in streams if ending == "closed" else ():
+                writer.transport.abort()
+            await until(lambda: not budget.held_bytes)
+            for _, writer in streams:
+                writer.transport.abort()
+
+    run(scenario())
