Cut off callers that don't read while memory is short

What callers saw: some callers that don't read their answers have everybody else's requests refused for memory until the idle timeout, or outgrow the machine together.

Cause: how long an unread answer is kept depended on its own connection only.

Change: while unsent answers take most of the memory for requests, or what the server's user states as short is, callers that took less than 64 kB in the last 2 s are closed, those longest without progress first, until it is no longer short. What a caller has taken is counted through the system's send buffer: that accepts nothing for seconds while a caller reads what it holds. Time in which the process stood still does not count. Line and counter caller.cut_off.

Evidence: test_slow_callers, test_slow_readers. Without the mechanism nothing is cut off before the idle timeout; with progress counted in the process alone, test_a_sound_reader_is_not_cut_off_while_memory_is_short fails (two cut off, of which one reads 200 kB/s).

--- a/src/turmericlug/http1/connection.py
+++ b/src/turmericlug/http1/connection.py
@@ -71,7 +71,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept the connection, or reject it when too many are open."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        self._outgoing = outgoing.Outgoing(self._transport, self._server.budget)
+        self._outgoing = outgoing.Outgoing(
+            self._transport, self._server.budget, self._server.slow_callers
+        )
         client_module.set_socket_options(transport)
         self._server.opening.discard(self)
         self._server.connections.add(self)
--- a/src/turmericlug/http1/server.py
+++ b/src/turmericlug/http1/server.py
@@ -17,6 +17,7 @@
 from turmericlug.http1 import connection as connection_module
 from turmericlug.http1 import messages
 from turmericlug.http1 import request_budget
+from turmericlug.http1 import slow_callers
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.telemetry import decisions
 
@@ -44,6 +45,7 @@
         budget: request_budget.RequestBudget | None = None,
         on_refused: abc.Callable[[str], None] = lambda reason: None,
         counters: counters_module.Counters | None = None,
+        is_memory_short: abc.Callable[[], bool] = lambda: False,
     ) -> None:
         """
         Create a server.
@@ -52,6 +54,8 @@
         :param stalled_s: returns how long the event loop was just blocked
         :param budget: limit on the memory of the requests that all connections hold
         :param on_refused: called with the reason when the server refuses a request by itself
+        :param is_memory_short: whether callers that don't read are to be cut off, beside when they
+            take the budget
         """
         self.budget = (
             budget if budget is not None else request_budget.RequestBudget(REQUESTS_LIMIT_BYTES)
@@ -59,6 +63,9 @@
         self.on_refused = on_refused
         self.stalled_s = stalled_s
         self.counters = counters or counters_module.Counters()
+        self.slow_callers = slow_callers.SlowCallers(
+            lambda: self.budget.is_taken_by_responses or is_memory_short(), self.counters
+        )
         self.interim = interim
         self.handler = handler
         self.limits = limits
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -75,6 +75,7 @@
     "entry.bad_request.*": "requests rejected as malformed, by the header missing or repeated",
     "entry.unauthorised.*": "requests without a valid API key, by what is wrong",
     "entry.no_route": "requests that no route matches",
+    "caller.cut_off": "connections of callers that did not read, closed while memory was short",
     "caller.response_failed": "connections closed because a response failed while it was written",
     "entry.caller_left": "callers that disconnected before their answer",
     "admission.waited": "requests that waited in the instance below its concurrency limit",
