--- a/src/turmericlug/http1/outgoing.py
+++ b/src/turmericlug/http1/outgoing.py
@@ -7,6 +7,7 @@
 import sys
 import termios
 import typing
+from collections import abc
 
 from turmericlug.http1 import request_budget
 
@@ -40,15 +41,11 @@
         self._unsent_since_s = 0.0
         # Without a buffer limit above zero, the transport reports when all bytes are sent.
         transport.set_write_buffer_limits(high=0)
+        self.is_sent = True
+        """Whether all bytes are sent."""
         self._all_sent = asyncio.Event()
-        self._all_sent.set()
         self._memory: object = None
 
-    @property
-    def is_sent(self) -> bool:
-        """Whether all bytes are sent."""
-        return self._all_sent.is_set()
-
     @property
     def unsent_bytes(self) -> int:
         """Bytes that the operating system has not taken yet."""
@@ -69,31 +66,44 @@
         system_bytes = int.from_bytes(value, sys.byteorder)
         return unsent_bytes + system_bytes, system_bytes > 0
 
-    def write(self, *buffers: bytes, memory: object = None) -> None:
+    def write(self, data: bytes, memory: object = None) -> None:
         """
-        Write buffers, large ones without a copy.
+        Write bytes.
 
-        :param memory: is referred to until all buffers are sent
+        :param memory: is referred to until all bytes are sent
         """
-        size_bytes = sum(map(len, buffers))
-        if size_bytes <= JOINED_BYTES:
-            self._transport.write(b"".join(buffers))
-        else:
-            self._transport.writelines(buffers)
-        if not self._all_sent.is_set() and not self._transport.is_closing():
-            # A buffer is kept whole until its last byte is sent.
+        self._transport.write(data)
+        if not self.is_sent:
+            self._hold(len(data), memory)
+
+    def write_body(
+        self, head: bytes, body: bytes, tail: bytes = b"", memory: object = None
+    ) -> None:
+        """Write a body behind its head, without a copy if it is large."""
+        if len(body) <= JOINED_BYTES:
+            self.write(head + body + tail, memory)
+            return
+        self._transport.writelines((head, body, tail))
+        if not self.is_sent:
+            self._hold(len(head) + len(body) + len(tail), memory)
+
+    def _hold(self, size_bytes: int, memory: object) -> None:
+        # A buffer is kept whole until its last byte is sent.
+        if not self._transport.is_closing():
             self._held_bytes += size_bytes
             self._budget.hold_response(size_bytes)
             self._memory = memory if memory is not None else self._memory
 
     def pause(self) -> None:
         """Note that some bytes are unsent."""
+        self.is_sent = False
         self._all_sent.clear()
         self._unsent_since_s = asyncio.get_running_loop().time()
         self._watching.add(self)
 
     def resume(self) -> None:
         """Note that all bytes are sent."""
+        self.is_sent = True
         self._all_sent.set()
         self.end()
 
@@ -109,6 +119,32 @@
         self._transport.abort()
         self.end()
 
-    async def sent(self) -> None:
-        """Wait until all bytes are sent."""
-        await self._all_sent.wait()
+    async def write_chunks(
+        self, chunks: abc.AsyncIterator[bytes], idle_timeout_s: abc.Callable[[], float]
+    ) -> None:
+        """
+        Write a body in chunks, each once the one before is sent.
+
+        :raises TimeoutError: the caller has taken nothing for the idle timeout
+        """
+        async for chunk in chunks:
+            if not chunk:
+                continue  # On the wire, an empty chunk is the end of the body.
+            self.write_body(b"%x\r\n" % len(chunk), chunk, b"\r\n")
+            await self.drained(idle_timeout_s)
+        self.write(b"0\r\n\r\n")
+
+    async def drained(self, idle_timeout_s: abc.Callable[[], float]) -> None:
+        """
+        Wait until everything written is sent.
+
+        :raises TimeoutError: the caller has taken nothing for the idle timeout
+        """
+        while not self.is_sent:
+            unsent_bytes = self.unsent_bytes
+            try:
+                async with asyncio.timeout(idle_timeout_s()):
+                    await self._all_sent.wait()
+            except TimeoutError:
+                if self.unsent_bytes >= unsent_bytes:
+                    raise
