Free a caller's connection when it has ended

What callers saw: an instance outgrows its machine although nothing is in progress.

Cause: the parser refers to the connection's callbacks and the connection to the parser. Only a garbage collection frees such a circle, with the requests and bodies in it, and instances make collections rare.

Change: the connection drops its parser when it has ended.

Evidence: test_closed_connections, without garbage collection on both kinds of event loop: 16 of 16 cases failed before, none now.

--- a/src/turmericlug/http1/connection.py
+++ b/src/turmericlug/http1/connection.py
@@ -104,6 +104,8 @@
         self._release_unread()
         self._server.budget.release(sum(self._queued_bytes))
         self._queued_bytes.clear()
+        # The parser and the connection refer to each other; a garbage collection may be long off.
+        self._parser = None  # type: ignore[assignment]
         if self._serve_task is not None:
             self._serve_task.cancel()
 
