Cut off callers that don't read while replicas' answers wait for memory

Also: an answer that waited for memory until its deadline is no failure of its replica, and one whose stated length is too large, of which nothing is read, doesn't count among those that pause a replica.

--- a/src/turmericlug/direct/tracking.py
+++ b/src/turmericlug/direct/tracking.py
@@ -139,6 +139,8 @@
     elif isinstance(outcome, sending.NotRun) and outcome.sent:
         replica.record_shed(now_s)
         set_aside = True
+    elif reason == sending.NO_MEMORY:
+        set_aside = False
     else:
         set_aside = replica.record_failure(now_s)
         if isinstance(outcome, sending.Unknown):
--- a/src/turmericlug/entry/daemon.py
+++ b/src/turmericlug/entry/daemon.py
@@ -399,6 +399,7 @@
         budget=request_budget.of_memory(settings.capacity.memory_mb, CALLERS_REQUESTS_SHARE),
         on_refused=lambda reason: kernel.find("counters").add(f"entry.refused.{reason}"),
         counters=kernel.find("counters"),
+        is_memory_short=lambda: kernel.find("answers budget").is_short,
     )
     kernel.provide("caller server", caller_server)
     kernel.find("memory gauges").add("callers", lambda: caller_server.budget.held_bytes)
--- a/src/turmericlug/http1/reading.py
+++ b/src/turmericlug/http1/reading.py
@@ -221,7 +221,8 @@
         length = next((value for name, value in self._headers if name == b"content-length"), None)
         self._length = None if length is None else int(length)
         if self._length is not None and self._length > MAX_RESPONSE_BYTES:
-            raise _too_large("response body", MAX_RESPONSE_BYTES)
+            # Nothing of the body is read: no reason to hold other requests back from the replica.
+            raise ReadError(str(_too_large("response body", MAX_RESPONSE_BYTES)))
 
     def on_body(self, body: bytes) -> None:
         """Parser callback: a piece of the body."""
