Refuse requests that arrive as an entry instance exits

A leaving instance without open connections exits early, 2.5 s after SIGTERM. A request that came between this decision and the closing of the listener and the connections was taken, passed on to a replica and cut off without an answer, also one that isn't idempotent.

From the decision on, the handler lets no request begin; the listener is closed first, and what has been accepted is read and refused before connections close. The new test stalls the instance at this moment: on the former code its two cases with a new connection fail (the replica runs the request, "connection closed"), the two with a kept connection pass.

--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -153,7 +153,7 @@
 
     def end_requests(self) -> None:
         """
-        Answer all requests in flight now, as the process exits.
+        Answer all requests in flight now, as the process exits, and refuse those that still come.
 
         One that no replica has received is refused; the others fail, as they may have run.
         """
@@ -185,8 +185,8 @@
         """
         timeout_s = self._started_s + FIRST_SNAPSHOT_TIMEOUT_S - asyncio.get_running_loop().time()
         if timeout_s > 0 and not self.view.source_unreachable:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(timeout_s):
+            with contextlib.suppress(TimeoutError, in_flight.ExitingError):
+                async with self._in_flight.until_exit(), asyncio.timeout(timeout_s):
                     await self._configured.wait()
         return self.view.configuration
 
--- a/src/turmericlug/entry/draining.py
+++ b/src/turmericlug/entry/draining.py
@@ -27,9 +27,13 @@
 LAST_ANSWERS_S = 0.2
 """Time to write these answers; with the margin above, the process ends before it is forced to
 (``stop_signal.FORCED_EXIT_MARGIN_S``)."""
+POLL_S = 0.01
 MIN_DRAIN_S = 2.5
 """A draining instance without connections exits after this time, which is longer than callers cache
 its address (2 s)."""
+READ_LAST_S = 0.1
+"""Time to read and refuse the requests that are on their way on open connections when the process
+exits."""
 ACCEPT_S = 0.1
 """Time to accept and read what waited at the listener while the program was loaded, where the stop
 was asked for long before that."""
@@ -84,19 +88,36 @@
     async with kernel.find("supervisor").background(deregistered):
         while loop.time() < exit_at_s:
             may_exit_s = max(began_s + MIN_DRAIN_S, accepted_by_s)
-            is_idle = not (caller_server.connections or caller_server.opening)
-            if loop.time() >= may_exit_s and is_idle:
+            if loop.time() >= may_exit_s and not _are_open(caller_server):
                 break
             await asyncio.sleep(0.05)
         decisions.log("instance.exiting", in_flight=caller_server.busy_count())
         with failures.reported():
             handler.end_requests()
-        await _wait_for_last_answers(caller_server, accepted_by_s)
+        await _answer_last_requests(kernel, accepted_by_s)
 
 
-async def _wait_for_last_answers(caller_server: server.Server, accepted_by_s: float) -> None:
+async def _answer_last_requests(kernel: kernel_module.Kernel, accepted_by_s: float) -> None:
+    """
+    Stop listening, and wait until every request that has been read is answered.
+
+    Requests that waited at the listener, and those that arrive on open connections meanwhile, are
+    refused. Otherwise one that comes as the process exits could be run without an answer.
+    """
     loop = asyncio.get_running_loop()
+    caller_server, binding = kernel.find("caller server"), kernel.find("callers listener")
+    read_by_s = loop.time() + READ_LAST_S
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(LAST_ANSWERS_S):
-            while caller_server.busy_count() or loop.time() < accepted_by_s:
-                await asyncio.sleep(0.01)
+            # In the meantime, what waits at the listener is accepted.
+            await asyncio.sleep(max(accepted_by_s - loop.time(), POLL_S))
+            if binding.is_bound:
+                binding.listener.close()
+            while caller_server.busy_count() or (
+                loop.time() < read_by_s and _are_open(caller_server)
+            ):
+                await asyncio.sleep(POLL_S)
+
+
+def _are_open(caller_server: server.Server) -> bool:
+    return bool(caller_server.connections or caller_server.opening)
--- a/src/turmericlug/entry/in_flight.py
+++ b/src/turmericlug/entry/in_flight.py
@@ -16,14 +16,17 @@
 
     def __init__(self) -> None:
         self._timeouts: set[asyncio.Timeout] = set()
+        self._ended = False
 
     @contextlib.asynccontextmanager
     async def until_exit(self) -> abc.AsyncIterator[None]:
         """
         Run a block that is cancelled when the process exits.
 
-        :raises ExitingError: the process exits
+        :raises ExitingError: the process exits; the block was not run if it exited before
         """
+        if self._ended:
+            raise ExitingError
         timeout = asyncio.timeout(None)
         try:
             async with timeout:
@@ -38,7 +41,8 @@
             raise ExitingError from None
 
     def end(self) -> None:
-        """Cancel all blocks, as the process is about to exit."""
+        """Cancel all blocks and let none begin, as the process is about to exit."""
+        self._ended = True
         now_s = asyncio.get_running_loop().time()
         for timeout in self._timeouts:
             timeout.reschedule(now_s)
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -57,6 +57,14 @@
         "            pass\n",
         "integration/test_leaving_entry.py::test_requests_that_outlast_the_process_are_answered",
     ),
+    mutant.one(
+        "take-requests-at-the-exit",
+        "entry/in_flight.py",
+        "        self._ended = True\n",
+        "",
+        "integration/test_requests_at_the_exit.py"
+        "::test_a_request_that_arrives_as_the_instance_exits_is_refused",
+    ),
     mutant.one(
         "refuse-what-has-been-sent-at-the-exit",
         "entry/callers.py",
