Finish the batches of other instances before an entry instance exits

A leaving instance waited for its own callers only. While the store is away, the others go on handing batches over to it: one begun 2 s after SIGTERM was cut off at 2.5 s.

The instance waits for these batches until the end of its grace period, and refuses those whose answer is due after it, and late in the grace period those whose deadline is. The refusal says that nothing ran, so that the parts go elsewhere at once. instance.exiting counts the batches that are cut off all the same; helping.refused says exits_in_ms.

--- a/src/turmericlug/entry/batches.py
+++ b/src/turmericlug/entry/batches.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import abc
 
 import attrs
@@ -19,6 +20,7 @@
 from turmericlug.direct import sending
 from turmericlug.direct import timing
 from turmericlug.http1 import messages
+from turmericlug.policy import leaving
 from turmericlug.telemetry import decisions
 
 PartTask = asyncio.Task[sending.Outcome]
@@ -37,8 +39,31 @@
 other instances knew the replicas."""
 
 
-def handler(sender: sender_module.Sender) -> messages.Handler:
+@attrs.define
+class Taken:
+    """The batches that this instance runs, and until when it takes more."""
+
+    count: int = 0
+    limits: leaving.Limits = leaving.Limits()
+
+    def start_draining(self, refuse_from_s: float, exits_at_s: float) -> None:
+        """
+        Begin draining: refuse batches that may still run when the process exits.
+
+        A refused batch goes to another instance at once. One that is cut off would be run again.
+
+        :param refuse_from_s: time until which batches are taken whose deadline is after the exit
+        """
+        self.limits = leaving.Limits(refuse_from_s, -math.inf, exits_at_s)
+
+    def refuse_all(self) -> None:
+        """Refuse all further batches, as the process exits."""
+        self.limits = leaving.Limits(-math.inf, -math.inf, -math.inf)
+
+
+def handler(sender: sender_module.Sender, taken: Taken | None = None) -> messages.Handler:
     """Return the handler of batches."""
+    taken = taken or Taken()
 
     async def handle(request: messages.Request) -> messages.Response:
         if request.target != handover.PATH:
@@ -48,22 +73,31 @@
         except handover_codec.MessageError as error:
             decisions.log("helping.unreadable", reason=str(error))
             return messages.Response(400)
-        reason = _refusal_reason(sender, batch, request.stalled_s)
+        reason = _refusal_reason(sender, batch, request, taken.limits)
         if reason:
             sender.counters.add("helping.refused")
             decisions.log("helping.refused", request=batch.request_id, **reason)
             return messages.Response(handover.REFUSED_STATUS)
-        return messages.Response(200, chunks=_stream_answers(sender, batch, request.arrived_s))
+        return messages.Response(
+            200, chunks=_stream_answers(sender, batch, request.arrived_s, taken)
+        )
 
     return handle
 
 
 def _refusal_reason(
-    sender: sender_module.Sender, batch: handover_codec.Batch, stalled_s: float
+    sender: sender_module.Sender,
+    batch: handover_codec.Batch,
+    request: messages.Request,
+    limits: leaving.Limits,
 ) -> dict[str, int]:
     """Return the log field with the reason for refusing a batch; empty if it is accepted."""
-    if stalled_s > MAX_STALL_S:
-        return {"stalled_ms": round(stalled_s * 1000)}
+    if request.stalled_s > MAX_STALL_S:
+        return {"stalled_ms": round(request.stalled_s * 1000)}
+    now_s = asyncio.get_running_loop().time()
+    deadline_s = request.arrived_s + batch.time_left_ms / 1000
+    if not leaving.takes(limits, deadline_s, batch.answer_in_ms / 1000, now_s):
+        return {"exits_in_ms": round(max(limits.exits_at_s - now_s, 0.0) * 1000)}
     if batch.shared is None and batch.maybe_sent_before:
         # An earlier build: how many replicas the parts may have reached is not known.
         return {"unstated_replicas": len(batch.shards)}
@@ -74,7 +108,7 @@
 
 
 async def _stream_answers(
-    sender: sender_module.Sender, batch: handover_codec.Batch, arrived_s: float
+    sender: sender_module.Sender, batch: handover_codec.Batch, arrived_s: float, taken: Taken
 ) -> abc.AsyncIterator[bytes]:
     """
     Yield an answer with the results available at the requested time, then one per straggler.
@@ -102,6 +136,7 @@
     answer_at_s = min(arrived_s + batch.answer_in_ms / 1000, call.deadline_s)
     call.answer_at_s = answer_at_s
     pending = set(shard_by_task)
+    taken.count += 1
     with sender.quarantine.in_flight(call):
         try:
             done, pending = await asyncio.wait(pending, timeout=max(answer_at_s - loop.time(), 0.0))
@@ -136,6 +171,7 @@
             call.abandon()
             raise
         finally:
+            taken.count -= 1
             for task in shard_by_task:
                 task.cancel()
             call.shorten_timeouts(timing.STUCK_AFTER_S)
--- a/src/turmericlug/entry/draining.py
+++ b/src/turmericlug/entry/draining.py
@@ -73,6 +73,9 @@
         handler.start_draining(
             began_s + refuse_unrepeatable_after_s, began_s + refuse_after_s, exit_at_s
         )
+    taken_batches = kernel.find("taken batches")
+    with failures.reported():
+        taken_batches.start_draining(began_s + refuse_after_s, exit_at_s)
     with failures.reported():
         quota_service.leave(kernel)
     with failures.reported():
@@ -88,12 +91,19 @@
     async with kernel.find("supervisor").background(deregistered):
         while loop.time() < exit_at_s:
             may_exit_s = max(began_s + MIN_DRAIN_S, accepted_by_s)
-            if loop.time() >= may_exit_s and not _are_open(caller_server):
+            is_idle = not (_are_open(caller_server) or taken_batches.count)
+            if loop.time() >= may_exit_s and is_idle:
                 break
             await asyncio.sleep(0.05)
-        decisions.log("instance.exiting", in_flight=caller_server.busy_count())
+        decisions.log(
+            "instance.exiting",
+            in_flight=caller_server.busy_count(),
+            batches=taken_batches.count,
+        )
         with failures.reported():
             handler.end_requests()
+        with failures.reported():
+            taken_batches.refuse_all()
         await _answer_last_requests(kernel, accepted_by_s)
 
 
--- a/src/turmericlug/entry/listeners.py
+++ b/src/turmericlug/entry/listeners.py
@@ -157,7 +157,9 @@
 
 
 def _peers_handler(kernel: Kernel) -> messages.Handler:
-    run_batch = batches.handler(kernel.find("sender"))
+    taken = batches.Taken()
+    kernel.provide("taken batches", taken)
+    run_batch = batches.handler(kernel.find("sender"), taken)
     serve_updates = relay.handler(
         kernel.find("journal"),
         kernel.find("view").source_age_s,
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -103,7 +103,9 @@
         "other instances' requests refused unread, by reason; `memory`: those in progress hold an "
         "eighth of it"
     ),
-    "helping.refused": "batches refused after a stall, without replicas, or if sent before",
+    "helping.refused": (
+        "batches refused after a stall, without replicas, if sent before, or when leaving"
+    ),
     "helping.answered": "other instances' batches that were answered",
     "quota.exchanges": "messages about quotas that other instances answered",
     "quota.no_answer": "reports to a quota's holder that got no answer",
--- a/tests/entry_world.py
+++ b/tests/entry_world.py
@@ -87,11 +87,12 @@
 
 
 @contextlib.asynccontextmanager
-async def running(tmp_path, data_centres, replicas_in, sections="", **keys):
+async def running(tmp_path, data_centres, replicas_in, sections="", grace_s=3.0, **keys):
     """
     Run an instance in each of the data centres, and all replicas in one.
 
     :param sections: further sections of the settings
+    :param grace_s: grace period of each instance
     :param keys: the keys of each organisation in the first configuration
     """
     async with contextlib.AsyncExitStack() as stack:
@@ -104,7 +105,7 @@
         for number, data_centre in enumerate(data_centres, 1):
             name = f"e-{number}"
             store_port, peers_port = fleet_spec.reserve_ports(2)
-            instance = entry_process.make(tmp_path, name, store_port, REGIONS, data_centre)
+            instance = entry_process.make(tmp_path, name, store_port, REGIONS, data_centre, grace_s)
             instance.settings.write_text(instance.settings.read_text() + sections)
             world.instances.append(instance)
             proxy_routes += [
--- a/tests/integration/test_failing_drain.py
+++ b/tests/integration/test_failing_drain.py
@@ -14,7 +14,7 @@
 _PROGRAM = """\
 import sys
 sys.path.insert(0, {source!r})
-from turmericlug.entry import callers, quota_service
+from turmericlug.entry import batches, callers, quota_service
 from turmericlug.http1 import server
 def fail(*arguments):
     raise RuntimeError("odd value")
@@ -29,8 +29,10 @@
     [
         "server.Server.drain",
         "callers.RequestHandler.start_draining",
+        "batches.Taken.start_draining",
         "quota_service.leave",
         "callers.RequestHandler.end_requests",
+        "batches.Taken.refuse_all",
     ],
 )
 def test_an_error_in_a_step_of_the_drain_does_not_end_the_others(tmp_path, step):
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -57,6 +57,22 @@
         "            pass\n",
         "integration/test_leaving_entry.py::test_requests_that_outlast_the_process_are_answered",
     ),
+    mutant.one(
+        "exit-without-waiting-for-batches",
+        "entry/draining.py",
+        "            is_idle = not (_are_open(caller_server) or taken_batches.count)\n",
+        "            is_idle = not _are_open(caller_server)\n",
+        "integration/test_batches_of_a_leaving_entry.py"
+        "::test_batches_of_a_leaving_instance_are_finished_or_refused",
+    ),
+    mutant.one(
+        "take-batches-that-outlast-the-process",
+        "entry/batches.py",
+        "        self.limits = leaving.Limits(refuse_from_s, -math.inf, exits_at_s)\n",
+        "        pass\n",
+        "integration/test_batches_of_a_leaving_entry.py"
+        "::test_batches_of_a_leaving_instance_are_finished_or_refused",
+    ),
     mutant.one(
         "take-requests-at-the-exit",
         "entry/in_flight.py",
@@ -227,8 +243,8 @@
     mutant.one(
         "run-old-batches",
         "entry/batches.py",
-        "if stalled_s > MAX_STALL_S:",
-        "if stalled_s < 0:",
+        "if request.stalled_s > MAX_STALL_S:",
+        "if request.stalled_s < 0:",
         "direct/test_handover.py::test_a_batch_that_may_be_old_is_refused",
     ),
     mutant.one(
