Decide by usual durations what a leaving instance takes

In a planned stop, a request was taken or refused by its deadline and its moment alone. With a grace period of 6 s, idempotent requests sent 3 to 3.6 s after SIGTERM to replicas that need seconds ran and failed with 502 at the exit, and so did requests that aren't idempotent and were sent before 3 s.

policy/leaving.py decides by the deadline, the moment and the time within which 85 of 100 requests of the route are answered. From 20 answers on: a request that isn't idempotent is refused at once if that is after the exit, an idempotent one from 3 s on. All others are taken as before. The line of a refusal tells its route, exits_in_ms and usual_ms.

The table of requests by kind and moment runs against real processes, one instance and three with gathered routes. On the former code three of its 39 rows fail in each: 3.3 s again-slow and gathered-slow, and 2.7 s once-slow, each (502, run) instead of (503, not run).

--- a/src/turmericlug/direct/replicas.py
+++ b/src/turmericlug/direct/replicas.py
@@ -354,6 +354,17 @@
             self._latencies[key] = RecentLatencies(DEFAULT_LOCAL_MS if near else DEFAULT_REMOTE_MS)
         return self._latencies[key]
 
+    def usual_ms(self, route: str) -> float | None:
+        """
+        Return the time within which most attempts of a route are answered, in any data centre.
+
+        :returns: ``None`` if there are too few measurements
+        """
+        known_ms = [
+            latencies.p85_ms for (name, _), latencies in self._latencies.items() if name == route
+        ]
+        return max((ms for ms in known_ms if ms is not None), default=None)
+
     def in_own_region(self, data_centre: str) -> bool:
         """Whether a data centre is in this instance's region."""
         return self._place.distance(data_centre) < placement.OTHER_REGION
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -5,7 +5,6 @@
 import asyncio
 import collections
 import contextlib
-import math
 from collections import abc
 
 import attrs
@@ -21,6 +20,7 @@
 from turmericlug.entry import admission as admission_module
 from turmericlug.entry import identity
 from turmericlug.entry import in_flight
+from turmericlug.entry import leaving
 from turmericlug.entry import organisation_counts
 from turmericlug.entry import quota_check
 from turmericlug.entry import quotas as quotas_module
@@ -66,9 +66,7 @@
         self.organisation_counts = organisation_counts.OrganisationCounts()
         self._quota_check = quota_check.QuotaCheck(quotas, sender, self.organisation_counts)
         self._in_flight = in_flight.InFlight()
-        self._refuse_from_s = math.inf
-        self._refuse_unrepeatable_from_s = math.inf
-        self._exits_at_s = math.inf
+        self._leaving = leaving.Leaving(sender.replicas)
         self._source_age_s = source_age_s
         self._admission = admission
         self._balancer = weighted_round_robin.WeightedRoundRobin()
@@ -109,9 +107,10 @@
                 return refusal
             route = route.restricted_to(organisation.regions)
         call = self._make_call(request, request_id, target, route, configuration, organisation)
-        if self._may_be_interrupted(call):
+        interruption = self._leaving.expected_interruption(call)
+        if interruption is not None:
             self._quota_check.refund(call)
-            return self._refused_leaving(request, organisation)
+            return self._refused_leaving(request, organisation, **interruption)
         return await self._answer_call(call, request.caller_host)
 
     def _identify(
@@ -140,16 +139,8 @@
     def start_draining(
         self, refuse_unrepeatable_from_s: float, refuse_from_s: float, exits_at_s: float
     ) -> None:
-        """
-        Begin draining: refuse requests that may still be in flight when the process exits.
-
-        :param refuse_unrepeatable_from_s: time until which requests that aren't idempotent are
-            accepted
-        :param refuse_from_s: time until which idempotent requests are accepted
-        :param exits_at_s: time at which the process exits
-        """
-        self._refuse_unrepeatable_from_s = refuse_unrepeatable_from_s
-        self._refuse_from_s, self._exits_at_s = refuse_from_s, exits_at_s
+        """Begin draining; see ``leaving.Leaving.start``."""
+        self._leaving.start(refuse_unrepeatable_from_s, refuse_from_s, exits_at_s)
 
     def end_requests(self) -> None:
         """
@@ -159,19 +150,6 @@
         """
         self._in_flight.end()
 
-    def _may_be_interrupted(self, call: sending.Call) -> bool:
-        """
-        Whether this process may exit before the request's deadline.
-
-        Requests with an earlier deadline are still accepted: there is time to answer them long
-        before the exit, and if they were refused, they would be answered late after a retry. A
-        request that isn't idempotent is refused sooner: its caller can't repeat it once it fails.
-        """
-        now_s = asyncio.get_running_loop().time()
-        idempotent = call.route.idempotent
-        refuse_from_s = self._refuse_from_s if idempotent else self._refuse_unrepeatable_from_s
-        return now_s >= refuse_from_s and call.deadline_s > self._exits_at_s
-
     def on_configured(self) -> None:
         """Wake requests that wait for the first configuration."""
         self._configured.set()
@@ -386,19 +364,25 @@
         )
 
     def _refused_leaving(
-        self, request: messages.Request, organisation: organisations_module.Organisation | None
+        self,
+        request: messages.Request,
+        organisation: organisations_module.Organisation | None,
+        **details: object,
     ) -> messages.Response:
         if organisation is not None:
             self.organisation_counts.add(organisation.name, "refused", LEAVING)
-        return attrs.evolve(self._refused(request, LEAVING), close=True)
+        return attrs.evolve(self._refused(request, LEAVING, **details), close=True)
 
-    def _refused(self, request: messages.Request, reason: str) -> messages.Response:
+    def _refused(
+        self, request: messages.Request, reason: str, **details: object
+    ) -> messages.Response:
         self.sender.counters.add(f"entry.refused.{reason}")
         decisions.log(
             "query.refused",
             request=request.header(self.sender.names.request_id),
             reason=reason,
             source_age_s=view_module.rounded_age_s(self._source_age_s()),
+            **details,
         )
         return answering.refusal(self.sender, reason).answer
 
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -73,6 +73,13 @@
         "integration/test_batches_of_a_leaving_entry.py"
         "::test_batches_of_a_leaving_instance_are_finished_or_refused",
     ),
+    mutant.one(
+        "ignore-usual-durations-when-leaving",
+        "policy/leaving.py",
+        "    is_long = usual_s is not None and now_s + usual_s > limits.exits_at_s\n",
+        "    is_long = False\n",
+        "policy/test_leaving.py::test_what_a_leaving_instance_takes",
+    ),
     mutant.one(
         "take-requests-at-the-exit",
         "entry/in_flight.py",
@@ -90,9 +97,9 @@
     ),
     mutant.one(
         "accept-unrepeatable-requests-as-long-as-others",
-        "entry/callers.py",
-        "self._refuse_from_s if idempotent else self._refuse_unrepeatable_from_s",
-        "self._refuse_from_s",
+        "entry/leaving.py",
+        "self._idempotent if call.route.idempotent else self._unrepeatable",
+        "self._idempotent",
         "entry/test_callers.py::test_what_a_draining_instance_refuses",
     ),
     mutant.one(
@@ -785,16 +792,16 @@
     ),
     mutant.one(
         "refuse-all-when-draining",
-        "entry/callers.py",
-        "now_s >= refuse_from_s and call.deadline_s > self._exits_at_s",
-        "now_s >= refuse_from_s",
+        "policy/leaving.py",
+        "    if deadline_s <= limits.exits_at_s:\n        return True\n",
+        "",
         "entry/test_callers.py::test_status",
     ),
     mutant.one(
         "interrupt-requests-when-draining",
-        "entry/callers.py",
-        "now_s >= refuse_from_s and call.deadline_s > self._exits_at_s",
-        "now_s >= refuse_from_s + 60.0",
+        "policy/leaving.py",
+        "    return now_s < (",
+        "    return now_s - 60.0 < (",
         "entry/test_callers.py::test_status",
     ),
     mutant.one(
