--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -78,6 +78,37 @@
         "            pass\n",
         "integration/test_leaving_entry.py::test_requests_that_outlast_the_process_are_answered",
     ),
+    mutant.one(
+        "exit-without-waiting-for-batches",
+        "entry/draining.py",
+        "            is_idle = not (_are_open(caller_server) or taken_batches.count)\n",
+        "            is_idle = not _are_open(caller_server)\n",
+        "integration/test_batches_of_a_leaving_entry.py"
+        "::test_batches_of_a_leaving_instance_are_finished_or_refused",
+    ),
+    mutant.one(
+        "take-batches-that-outlast-the-process",
+        "entry/batches.py",
+        "        self.limits = leaving.Limits(refuse_from_s, -math.inf, exits_at_s)\n",
+        "        pass\n",
+        "integration/test_batches_of_a_leaving_entry.py"
+        "::test_batches_of_a_leaving_instance_are_finished_or_refused",
+    ),
+    mutant.one(
+        "ignore-usual-durations-when-leaving",
+        "policy/leaving.py",
+        "    is_long = usual_s is not None and now_s + usual_s > limits.exits_at_s\n",
+        "    is_long = False\n",
+        "policy/test_leaving.py::test_what_a_leaving_instance_takes",
+    ),
+    mutant.one(
+        "take-requests-at-the-exit",
+        "entry/in_flight.py",
+        "        self._ended = True\n",
+        "",
+        "integration/test_requests_at_the_exit.py"
+        "::test_a_request_that_arrives_as_the_instance_exits_is_refused",
+    ),
     mutant.one(
         "refuse-what-has-been-sent-at-the-exit",
         "entry/callers.py",
@@ -87,9 +118,9 @@
     ),
     mutant.one(
         "accept-unrepeatable-requests-as-long-as-others",
-        "entry/callers.py",
-        "self._refuse_from_s if idempotent else self._refuse_unrepeatable_from_s",
-        "self._refuse_from_s",
+        "entry/leaving.py",
+        "self._idempotent if call.route.idempotent else self._unrepeatable",
+        "self._idempotent",
         "entry/test_callers.py::test_what_a_draining_instance_refuses",
     ),
     mutant.one(
@@ -240,8 +271,8 @@
     mutant.one(
         "run-old-batches",
         "entry/batches.py",
-        "if stalled_s > MAX_STALL_S:",
-        "if stalled_s < 0:",
+        "if request.stalled_s > MAX_STALL_S:",
+        "if request.stalled_s < 0:",
         "direct/test_handover.py::test_a_batch_that_may_be_old_is_refused",
     ),
     mutant.one(
@@ -782,16 +813,16 @@
     ),
     mutant.one(
         "refuse-all-when-draining",
-        "entry/callers.py",
-        "now_s >= refuse_from_s and call.deadline_s > self._exits_at_s",
-        "now_s >= refuse_from_s",
+        "policy/leaving.py",
+        "    if deadline_s <= limits.exits_at_s:\n        return True\n",
+        "",
         "entry/test_callers.py::test_status",
     ),
     mutant.one(
         "interrupt-requests-when-draining",
-        "entry/callers.py",
-        "now_s >= refuse_from_s and call.deadline_s > self._exits_at_s",
-        "now_s >= refuse_from_s + 60.0",
+        "policy/leaving.py",
+        "    return now_s < (",
+        "    return now_s - 60.0 < (",
         "entry/test_callers.py::test_status",
     ),
     mutant.one(
