Free the answers of a query when the query is over

Callers saw: large sound answers take an instance of turmericlugd beyond its machine, although nothing keeps them.

Cause: the fan-out of a query keeps functions that cancel its parts, and these refer to the fan-out. The cycle, with all answers in it, stays until the next full garbage collection; the thresholds make that rare.

Change: the functions are dropped when the fan-out stops.

--- a/src/turmericlug/query/fan_out.py
+++ b/src/turmericlug/query/fan_out.py
@@ -293,8 +293,10 @@
     def stop(self) -> None:
         """Cancel the open parts at the owners and, through them, at the targets."""
         self._stopped = True
-        for cancel in self._cancel_callbacks:
-            cancel()
+        # Emptied, as the callbacks refer to this object: answers would stay until the next full
+        # garbage collection, which is rare.
+        while self._cancel_callbacks:
+            self._cancel_callbacks.pop()()
 
     def coverage(self) -> outcome_module.Coverage:
         """Return how many parts are answered, and why each other one is missing."""
