Refuse replies of targets that are not UTF-8

Callers saw: a target that replies in UTF-16 or UTF-32 has its queries answered with status 500; one with a byte order mark gives an answer that is no JSON.

Cause: the JSON parser detects the encoding of bytes, so that the reply counted as sound; it was decoded as UTF-8 only when the answer was written.

Change: a reply is decoded before it is parsed, and malformed otherwise.

Test: three more cases of test_malformed_reply_is_an_outcome, which fail without the change.

--- a/src/turmericlug/owner/target.py
+++ b/src/turmericlug/owner/target.py
@@ -183,8 +183,9 @@
 
 
 def _is_json(body: bytes) -> bool:
+    # Decoded first: the parser accepts other encodings, too, in which no answer is sent on.
     try:
-        json.loads(body)
+        json.loads(body.decode())
     except (ValueError, RecursionError):
         return False
     return True
--- a/tests/owner/test_target.py
+++ b/tests/owner/test_target.py
@@ -12,11 +12,17 @@
 from turmericlug.telemetry import counters
 
 DEEP = b"[" * 200_000
+OTHER_ENCODINGS = ['{"a": 1}'.encode(name) for name in ("utf-16", "utf-32", "utf-8-sig")]
 
 
-@pytest.mark.parametrize("body", [b"", b"no json", b"\xff", DEEP, b"9" * 5000], ids=lambda b: b[:4])
+@pytest.mark.parametrize(
+    "body", [b"", b"no json", b"\xff", DEEP, b"9" * 5000, *OTHER_ENCODINGS], ids=lambda b: b[:4]
+)
 def test_malformed_reply_is_an_outcome(body):
-    """Guards against a deeply nested reply that raises in the attempt instead of ending it."""
+    """
+    Guards against a deeply nested reply that raises in the attempt instead of ending it, and
+    against one in UTF-16 whose query was answered with status 500.
+    """
 
     async def handle(request):
         headers = (
