Cut off replies of targets that have no end

Callers saw: one target that sends replies after a whole one takes an instance of turmericlugd to 1.7 GB, and all of its callers wait or get 503 not_current.

Cause: the HTTP library parses all that it receives in a turn of the event loop and keeps whole replies, asked for or not, without flow control. Empty lines, interim replies and chunks of one byte cost time without a limit. What a failed reply leaves behind (protocol, replies, errors whose frames hold the received bytes) refers to itself and stays until the next full garbage collection, which is rare.

Counters owner.unasked_reply and owner.reply_not_read.REASON, one limited log line each.

The cut-off of small chunks has no test that fails before, as such a reply ended at 4 MiB.

--- a/src/turmericlug/owner/target.py
+++ b/src/turmericlug/owner/target.py
@@ -12,7 +12,10 @@
 
 import aiohttp
 
+from turmericlug.owner import reply_budget
+from turmericlug.owner import target_protocol
 from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import events
 
 ATTEMPT_HEADER = "Query-Attempt"
 SNAPSHOT_HEADER = "Query-Snapshot"
@@ -26,6 +29,17 @@
 MAX_REPLY_BYTES = 4 << 20
 MAX_STATE_BYTES = 64 * 1024
 """Of the reply to a health check or a cancellation, which is some bytes."""
+MIN_CHUNK_BYTES = 256
+"""Least mean size of the chunks of a reply, beyond the first ``MAX_SMALL_CHUNKS``: each takes time
+of the event loop, however short it is."""
+MAX_SMALL_CHUNKS = 1024
+NO_MEMORY = "memory"
+"""Reason of a reply that is not read to its end, as the replies held take all the memory."""
+_LOG_LINES_PER_S = 10
+_OWN_MB = 64
+"""Memory for replies of a client that shares it with no other."""
+_READ_BUFFER_BYTES = 64 * 1024
+"""Received and not read yet from one connection, at which it pauses."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,9 +78,16 @@
 class Client:
     """Requests to the replicas of one service, over a small pool of keep-alive connections."""
 
-    def __init__(self, session: aiohttp.ClientSession, counters: counters_module.Counters) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        counters: counters_module.Counters,
+        share: reply_budget.Share,
+    ) -> None:
         self._session = session
         self._counters = counters
+        self._share = share
+        self._log_limiter = events.Limiter(_LOG_LINES_PER_S)
 
     async def run(
         self,
@@ -99,20 +120,37 @@
                 async with self._session.post(
                     f"{address}/v1/run", data=body, headers=headers
                 ) as response:
-                    return await self._read_outcome(response, attempt_id, snapshot)
-        except aiohttp.ClientConnectorError:
-            return NotRun("connect_failed")
-        except TimeoutError:
-            return Unknown("timeout")
-        except aiohttp.ClientPayloadError:
-            return Unknown("truncated_reply")
-        except (aiohttp.ClientError, OSError):
-            return CONNECTION_LOST
+                    with self._held() as reserve:
+                        return await self._read_outcome(response, attempt_id, snapshot, reserve)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            target_protocol.drop_tracebacks(error)
+            return _outcome_of(error)
+
+    @contextlib.contextmanager
+    def _held(self) -> abc.Iterator[_Reserve]:
+        """Provide a function that holds bytes of a reply until the end of the block."""
+        held_bytes = 0
+
+        def reserve(size_bytes: int) -> bool:
+            nonlocal held_bytes
+            if not self._share.reserve_read(size_bytes):
+                return False
+            held_bytes += size_bytes
+            return True
+
+        try:
+            yield reserve
+        finally:
+            self._share.release_read(held_bytes)
 
     async def _read_outcome(
-        self, response: aiohttp.ClientResponse, attempt_id: str, snapshot: str
+        self,
+        response: aiohttp.ClientResponse,
+        attempt_id: str,
+        snapshot: str,
+        reserve: _Reserve,
     ) -> Outcome:
-        body = await _read_limited(response, MAX_REPLY_BYTES)
+        body = await _read_limited(response, MAX_REPLY_BYTES, reserve)
         # A response with the identifier of another attempt belongs to another request, for example
         # to an earlier one on this connection that timed out. The connection is closed, because all
         # later responses on it would be off by one as well.
@@ -123,8 +161,11 @@
         if response.status == 200:
             if response.headers.get(SNAPSHOT_HEADER) != snapshot:
                 return Unknown("wrong_snapshot")
-            if body is None or not _is_json(body):
+            if isinstance(body, _Unread):
+                return self._not_read(body.reason, attempt_id)
+            if not _is_json(body):
                 return Unknown("bad_reply")
+            self._share.record_size(len(body))
             return Answered(snapshot, body)
         if response.status == 409:
             return SnapshotAbsent()
@@ -134,23 +175,35 @@
             return Unknown("cancelled")
         return Unknown(f"status_{response.status}")
 
+    def _not_read(self, reason: str, attempt_id: str) -> Unknown:
+        self._counters.add(f"owner.reply_not_read.{reason}")
+        held_bytes = self._share.held_bytes
+        self._log_limiter.emit(
+            "target.reply_not_read", attempt=attempt_id, reason=reason, held_bytes=held_bytes
+        )
+        return Unknown(NO_MEMORY if reason == NO_MEMORY else "bad_reply")
+
     async def cancel(self, address: str, attempt_id: str) -> None:
         """Ask a target to cancel an attempt; the target then answers the attempt at once."""
-        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+        try:
             async with asyncio.timeout(CANCEL_TIMEOUT_S):
                 async with self._session.post(
                     f"{address}/v1/cancel", headers={ATTEMPT_HEADER: attempt_id}
                 ) as response:
                     await _read_limited(response, MAX_STATE_BYTES)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            target_protocol.drop_tracebacks(error)
 
     async def health(self, address: str, timeout_s: float) -> str:
         """Return the state from a replica's health check, an empty string if there is none."""
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._session.get(f"{address}/v1/health") as response:
-                    payload = json.loads(await _read_limited(response, MAX_STATE_BYTES) or b"")
+                    body = await _read_limited(response, MAX_STATE_BYTES)
+                    payload = None if isinstance(body, _Unread) else json.loads(body)
                     return str(payload.get("state", "")) if isinstance(payload, dict) else ""
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError):
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError) as error:
+            target_protocol.drop_tracebacks(error)
             return ""
 
     async def refuses_connections(self, address: str, timeout_s: float) -> bool:
@@ -159,27 +212,63 @@
             async with asyncio.timeout(timeout_s):
                 async with self._session.get(f"{address}/v1/health"):
                     return False
-        except aiohttp.ClientConnectorError as error:
-            return isinstance(error.os_error, ConnectionRefusedError)
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            return False
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            target_protocol.drop_tracebacks(error)
+            is_connect_error = isinstance(error, aiohttp.ClientConnectorError)
+            return is_connect_error and isinstance(error.os_error, ConnectionRefusedError)
 
     async def warm(self, address: str, connections: int, timeout_s: float) -> None:
         """Open connections to a replica in advance."""
         await asyncio.gather(*(self.health(address, timeout_s) for _ in range(connections)))
 
 
-async def _read_limited(response: aiohttp.ClientResponse, max_bytes: int) -> bytes | None:
-    """Read a body; close the connection and return ``None`` if it is longer than the limit."""
-    chunks = []
-    left = max_bytes
-    async for chunk in response.content.iter_any():
-        left -= len(chunk)
-        if left < 0:
+def _outcome_of(error: Exception) -> NotRun | Unknown:
+    match error:
+        case aiohttp.ClientConnectorError():
+            return NotRun("connect_failed")
+        case TimeoutError():
+            return Unknown("timeout")
+        case aiohttp.ClientPayloadError():
+            return Unknown("truncated_reply")
+    return CONNECTION_LOST
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Unread:
+    """A body that was not read to its end; ``reason`` names a counter."""
+
+    reason: str
+
+
+_Reserve = abc.Callable[[int], bool]
+
+
+async def _read_limited(
+    response: aiohttp.ClientResponse,
+    max_bytes: int,
+    reserve: _Reserve = lambda size_bytes: True,
+) -> bytes | _Unread:
+    """
+    Read a body; close the connection if it exceeds a limit.
+
+    :param reserve: holds bytes before they are kept; returns false if there is no memory
+    """
+    pieces = bytearray()
+    chunks = 0
+    async for piece, ends_chunk in response.content.iter_chunks():
+        chunks += ends_chunk
+        reason = ""
+        if len(pieces) + len(piece) > max_bytes:
+            reason = "too_long"
+        elif chunks > MAX_SMALL_CHUNKS + len(pieces) // MIN_CHUNK_BYTES:
+            reason = "small_chunks"
+        elif not reserve(len(piece)):
+            reason = NO_MEMORY
+        if reason:
             response.close()
-            return None
-        chunks.append(chunk)
-    return b"".join(chunks)
+            return _Unread(reason)
+        pieces += piece
+    return bytes(pieces)
 
 
 def _is_json(body: bytes) -> bool:
@@ -193,12 +282,15 @@
 
 @contextlib.asynccontextmanager
 async def connected(
-    connections: int, counters: counters_module.Counters
+    connections: int,
+    counters: counters_module.Counters,
+    share: reply_budget.Share | None = None,
 ) -> abc.AsyncIterator[Client]:
     """
     Provide a client of one service's replicas; closes its connections at the end of the block.
 
     :param connections: maximum number of connections to each replica
+    :param share: of the memory for replies; by default, one that no other client uses
     """
     trace_config = aiohttp.TraceConfig()
 
@@ -211,15 +303,26 @@
         counters.add("owner.connections_opened")
         counters.time_ms("owner.connect_ms", (time.monotonic() - context.started_at_s) * 1000)
 
+    log_limiter = events.Limiter(_LOG_LINES_PER_S)
+
+    def on_unasked(address: typing.Any) -> None:
+        counters.add("owner.unasked_reply")
+        log_limiter.emit("target.unasked_reply", address=address)
+
     trace_config.on_connection_create_start.append(on_connect_start)
     trace_config.on_connection_create_end.append(on_connect_end)
-    connector = aiohttp.TCPConnector(
-        limit=0, limit_per_host=connections, keepalive_timeout=KEEP_ALIVE_S
+
+    connector = target_protocol.Connector(
+        on_unasked,
+        limit=0,
+        limit_per_host=connections,
+        keepalive_timeout=KEEP_ALIVE_S,
     )
     async with aiohttp.ClientSession(
         connector=connector,
         trace_configs=[trace_config],
         timeout=aiohttp.ClientTimeout(total=None),
         auto_decompress=False,
+        read_bufsize=_READ_BUFFER_BYTES,
     ) as session:
-        yield Client(session, counters)
+        yield Client(session, counters, share or reply_budget.of_memory(_OWN_MB).share(""))
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -40,6 +40,8 @@
     "owner.connections_opened": "connections opened to targets",
     "owner.ejected": "replicas ejected after errors",
     "owner.mismatched_reply": "target replies for another attempt",
+    "owner.unasked_reply": "connections closed because a target sent more than was asked for",
+    "owner.reply_not_read.*": "target replies not read to their end, by reason",
     "owner.handed_over": "queued parts returned when this instance left",
     "instance.loop_lag_ms": "timer: delay of this process's event loop, which shows CPU overload",
     "task.failed.*": "tasks and callbacks that ended by an unexpected error, by name",
--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -36,8 +36,8 @@
     mutant.one(
         "no-body-check",
         "owner/target.py",
-        "or not _is_json(body)",
-        "",
+        "if not _is_json(body):",
+        "if False:",
         "integration/test_own_answer.py::test_replies_go_wrong[garbage]",
     ),
     mutant.one(
