Limit the memory of replies and answers of turmericlugd as a sum

Callers saw: callers that ask for large sound answers, or don't read them, take an instance beyond the memory of its machine.

Cause: each reply of a target is limited to 4 MiB, and nothing limits the sum over parts, services, queries and callers. An answer was copied four times, and the last copy stayed in the transport until its caller had read it.

Who is turned away first: a service without room for a further reply of its usual size has its queries refused as not run (memory), its queued parts wait; only a reply or an answer larger than usual is given up, the newest that asks for room. A sound service with large answers is thus slowed down, not failed. Answers are joined once and written in pieces of 64 KiB; a caller that takes nothing for 10 s is cut off (query.answer_not_taken). Gauges memory.held_kb.replies and memory.resident_mb.

The fake settings and client of test_owner.py get the new field and argument.

--- a/src/turmericlug/instance.py
+++ b/src/turmericlug/instance.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import functools
+import itertools
 import time
 import typing
 from collections import abc
@@ -13,6 +14,7 @@
 
 from turmericlug import long_running
 from turmericlug.config import settings as settings_module
+from turmericlug.entry import memory_gauges
 from turmericlug.kernel import binding as binding_module
 from turmericlug.kernel import early_signals
 from turmericlug.kernel import failures
@@ -39,6 +41,8 @@
 from turmericlug.wire import server as server_module
 
 _STATE_INTERVAL_S = 0.1
+_ROUNDS_PER_GAUGES = 20
+"""Announcements of the state until the gauges of memory are set again."""
 _JOIN_TIMEOUT_S = 2.0
 _DRAIN_TIMEOUT_S = 60.0
 _ADVERTISED_LISTENERS = ("peers", "callers")
@@ -197,8 +201,12 @@
     """
     members = kernel.find("mesh").members
     freshness = kernel.find("configuration").freshness
-    while True:
+    gauges = kernel.find("memory gauges")
+    gauges.add("replies", lambda: owner.replies.held_bytes)
+    for count in itertools.count():
         await asyncio.sleep(_STATE_INTERVAL_S)
+        if not count % _ROUNDS_PER_GAUGES:
+            gauges.update()
         members.set_own_load(owner.load_permille())
         wait_end_s = time.monotonic() + _STATE_INTERVAL_S
         current = await freshness.wait_until_current(wait_end_s) and _listens(kernel)
@@ -360,6 +368,7 @@
     kernel.provide("stop", stop)
     kernel.provide("eras", eras_module.Eras())
     kernel.provide("bindings", {})
+    kernel.provide("memory gauges", memory_gauges.MemoryGauges(counters))
     kernel.provide("configuration", configuration.Configuration(freshness, counters))
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(functools.partial(_report_failure, counters))
--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -17,6 +17,7 @@
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.owner import part as part_module
 from turmericlug.owner import replica as replica_module
+from turmericlug.owner import reply_budget
 from turmericlug.owner import service_queue
 from turmericlug.owner import submission
 from turmericlug.owner import suspects as suspects_module
@@ -50,6 +51,7 @@
     ) -> None:
         self.queues: dict[str, service_queue.ServiceQueue] = {}
         self.draining = False
+        self.replies = reply_budget.of_memory(settings.limits.replies_mb)
         self._settings = settings
         self._config = config
         self._mesh = mesh
@@ -193,7 +195,7 @@
         # While instance lists differ, a service may have two owners: each uses half of these.
         async with contextlib.AsyncExitStack() as opened:
             client = await opened.enter_async_context(
-                target.connected(connections // 2, self._counters)
+                target.connected(connections // 2, self._counters, self.replies.share(service))
             )
             queue = self._new_queue(service, client)
             await self._refresh_replicas(service, queue, client)
@@ -220,6 +222,7 @@
             self.suspects,
         )
         queue.on_draining = lambda instance: self._notify_draining(service, instance)
+        queue.may_receive = self.replies.share(service).may_receive
         return queue
 
     async def _poll_replicas(
--- a/src/turmericlug/owner/service_queue.py
+++ b/src/turmericlug/owner/service_queue.py
@@ -21,6 +21,8 @@
 
 # No attempt starts with less time to its deadline: it could not be sent and answered.
 _MIN_REMAINING_S = 0.001
+_MEMORY_CHECK_INTERVAL_S = 0.01
+"""Between two checks whether there is memory for a further reply."""
 
 
 class ServiceQueue:
@@ -56,6 +58,9 @@
         self._pending_hedges: collections.deque[part_module.Part] = collections.deque()
         self._tasks = tasks.Tasks()
         self.on_draining: abc.Callable[[str], None] = lambda instance: None
+        self.may_receive: abc.Callable[[int], bool] = lambda in_flight: True
+        """Whether there is memory for a further reply, given the number of attempts in flight."""
+        self._memory_timer: asyncio.TimerHandle | None = None
 
     def slots(self) -> float:
         """Return the sum of the concurrency limits of the eligible replicas."""
@@ -170,6 +175,9 @@
             replica = selection.select_untried(self.replicas.values(), now_s, None)
             if replica is None:
                 return
+            if not self.may_receive(self.in_flight()):
+                self._wait_for_memory()
+                return
             part = self._queue.pop()
             if part is None:
                 return
@@ -184,6 +192,17 @@
                 continue
             self._start_attempt(part, chosen, now_s)
 
+    def _wait_for_memory(self) -> None:
+        """Start attempts again soon: replies that are handed on elsewhere make room, too."""
+        if self._memory_timer is None:
+            self._counters.add("owner.waited_for_memory")
+            loop = asyncio.get_running_loop()
+            self._memory_timer = loop.call_later(_MEMORY_CHECK_INTERVAL_S, self._on_memory_timer)
+
+    def _on_memory_timer(self) -> None:
+        self._memory_timer = None
+        self.start_attempts()
+
     def _start_hedges(self, now_s: float) -> None:
         """
         Start the pending hedges, before any queued part.
@@ -414,4 +433,6 @@
 
     async def close(self) -> None:
         """Cancel the attempts; a planned stop first waits until :meth:`in_flight` is zero."""
+        if self._memory_timer is not None:
+            self._memory_timer.cancel()
         await self._tasks.close()
--- a/src/turmericlug/query/callers_http.py
+++ b/src/turmericlug/query/callers_http.py
@@ -17,6 +17,7 @@
 from turmericlug.kernel import tasks
 from turmericlug.membership import members as members_module
 from turmericlug.membership import mesh as mesh_module
+from turmericlug.owner import reply_budget
 from turmericlug.query import coordinator as coordinator_module
 from turmericlug.query import outcome as outcome_module
 from turmericlug.records import records as records_module
@@ -43,6 +44,11 @@
 _CALLER_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._@-]{0,63}\Z")
 _MAX_LINE_BYTES = 8190
 _MAX_ADDRESSES = 16
+_WRITE_BYTES = 64 * 1024
+"""Written at once of an answer; the rest waits until the caller has taken most of it."""
+_TAKE_TIMEOUT_S = 10.0
+"""Time without progress after which a caller counts as gone. Its answer holds memory that further
+answers need."""
 
 
 class BadRequestError(Exception):
@@ -106,18 +112,43 @@
         return web.json_response(payload, status=status)
 
     async def _query(self, request: web.Request) -> web.StreamResponse:
-        query = self._parse_query(request, await request.read())
-        query_id = self._coordinator.new_id()
-        run = self._coordinator.run(query, query_id)
-        if query.idempotency_key:
-            # A caller that disconnects cancels its query, unless the query runs at most once: its
-            # outcome has to be recorded for the retry that follows.
-            outcome = await asyncio.shield(self._shielded_tasks.start(run))
-        else:
-            outcome = await run
-        return self._response(outcome, query_id)
-
-    def _response(self, outcome: outcome_module.Outcome, query_id: str) -> web.Response:
+        with reply_budget.held(self._coordinator.replies) as held:
+            query = self._parse_query(request, await request.read(), held)
+            query_id = self._coordinator.new_id()
+            run = self._coordinator.run(query, query_id)
+            if query.idempotency_key:
+                # A caller that disconnects cancels its query, unless the query runs at most once:
+                # its outcome has to be recorded for the retry that follows.
+                outcome = await asyncio.shield(self._shielded_tasks.start(run))
+            else:
+                outcome = await run
+            response, body = self._response(outcome, query_id)
+            del outcome
+            return await self._write(request, response, body)
+
+    async def _write(
+        self, request: web.Request, response: web.StreamResponse, body: bytes
+    ) -> web.StreamResponse:
+        """Write a response; close the connection if its caller takes nothing for too long."""
+        response.content_length = len(body)
+        view = memoryview(body)
+        try:
+            await response.prepare(request)
+            for start in range(0, len(view), _WRITE_BYTES):
+                async with asyncio.timeout(_TAKE_TIMEOUT_S):
+                    await response.write(view[start : start + _WRITE_BYTES])
+            await response.write_eof()
+        except TimeoutError:
+            self._counters.add("query.answer_not_taken")
+            if request.transport is not None:
+                request.transport.abort()
+        except ConnectionError:
+            pass  # the caller has left
+        return response
+
+    def _response(
+        self, outcome: outcome_module.Outcome, query_id: str
+    ) -> tuple[web.StreamResponse, bytes]:
         status, headers = 200, {}
         if isinstance(outcome, outcome_module.Refused):
             status = 429 if outcome.reason == "rate_limit" else 503
@@ -129,10 +160,9 @@
         move_to = self._move_to_address()
         if move_to:
             headers[MOVE_TO_HEADER] = move_to
-        text = outcome_module.to_json(outcome, self._settings.instance.name, query_id)
-        return web.Response(
-            text=text, status=status, headers=headers, content_type="application/json"
-        )
+        body = outcome_module.to_json(outcome, self._settings.instance.name, query_id)
+        headers["Content-Type"] = "application/json; charset=utf-8"
+        return web.StreamResponse(status=status, headers=headers), body
 
     def _move_to_address(self) -> str:
         """Return another instance's address if this one is draining, an empty string otherwise."""
@@ -141,7 +171,9 @@
         members = self._ranked_members()
         return f"{members[0].host}:{members[0].callers_port}" if members else ""
 
-    def _parse_query(self, request: web.Request, body: bytes) -> coordinator_module.Query:
+    def _parse_query(
+        self, request: web.Request, body: bytes, held: reply_budget.Held
+    ) -> coordinator_module.Query:
         """
         Parse and check a request.
 
@@ -179,6 +211,7 @@
             priority=priority,
             headers={name.lower(): value for name, value in headers.items()},
             repeatable=repeatable,
+            held=held,
             idempotency_key=key,
             key_created_at_s=self._key_created_at_s(key) if key else 0,
         )
--- a/src/turmericlug/query/coordinator.py
+++ b/src/turmericlug/query/coordinator.py
@@ -15,6 +15,7 @@
 from turmericlug.kernel import tasks
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.owner import owner as owner_module
+from turmericlug.owner import reply_budget
 from turmericlug.owner import submission
 from turmericlug.query import admission as admission_module
 from turmericlug.query import fan_out as fan_out_module
@@ -29,6 +30,7 @@
 _ANSWER_MARGIN_S = 0.004
 """Reserved before the deadline for merging and for the response to the caller."""
 _NOT_CURRENT_RETRY_AFTER_MS = 500
+_NO_MEMORY_RETRY_AFTER_MS = 200
 _LOG_LINES_PER_S = 10
 """Limit of log lines per second for each kind of outcome."""
 
@@ -45,6 +47,8 @@
     priority: int | None
     headers: dict[str, str]
     repeatable: bool
+    held: reply_budget.Held
+    """What is held of the answers until the caller has them."""
     idempotency_key: str = ""
     key_created_at_s: int = 0
 
@@ -76,6 +80,11 @@
         self._log_limiter = events.Limiter(_LOG_LINES_PER_S)
         self._settle_tasks = tasks.Tasks()
 
+    @property
+    def replies(self) -> reply_budget.ReplyBudget:
+        """The memory for replies of targets and answers to callers."""
+        return self._owner.replies
+
     @property
     def running(self) -> int:
         """Number of queries in flight and of claims being settled."""
@@ -206,6 +215,8 @@
         services = self._config.catalog.members_of(query.service)
         if not services:
             return refusal("unknown_service", self._jitter_ms(1000))
+        if not all(self._owner.replies.share(service).may_receive(0) for service in services):
+            return refusal(fan_out_module.NO_MEMORY, self._jitter_ms(_NO_MEMORY_RETRY_AFTER_MS))
         if treatment.rate_per_s is not None:
             instances = len(self._mesh.members.serving())
             retry_after_ms = self._admission.rate_limit_retry_after_ms(
@@ -258,7 +269,9 @@
             retries=treatment.retries,
             body=query.body,
         )
-        return fan_out_module.Plan(parameters, snapshot, parts, treatment.min_coverage, deadline_s)
+        return fan_out_module.Plan(
+            parameters, snapshot, parts, treatment.min_coverage, deadline_s, query.held
+        )
 
     async def _run_parts(
         self,
--- a/src/turmericlug/query/fan_out.py
+++ b/src/turmericlug/query/fan_out.py
@@ -13,6 +13,7 @@
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.owner import owner as owner_module
 from turmericlug.owner import part as part_module
+from turmericlug.owner import reply_budget
 from turmericlug.owner import submission
 from turmericlug.query import outcome as outcome_module
 from turmericlug.telemetry import counters as counters_module
@@ -23,6 +24,8 @@
 MAX_SUBMISSIONS = 6
 _RESUBMIT_DELAY_S = 0.025
 SNAPSHOT_ABSENT = "snapshot_absent"
+NO_MEMORY = "memory"
+"""Reason of a part whose answer isn't kept, as the answers held take all the memory."""
 
 
 @attrs.frozen
@@ -36,6 +39,8 @@
     min_coverage: float
     deadline_s: float
     """On the monotonic clock."""
+    held: reply_budget.Held
+    """What is held of the answers."""
 
 
 @attrs.define
@@ -245,6 +250,10 @@
             self._counters.add("query.mismatched_reply")
             self._close_part(reply.number, "wrong_snapshot")
             return
+        if not self._plan.held.reserve(part.service, len(reply.body)):
+            self._counters.add("query.answer_dropped.memory")
+            self._close_part(reply.number, NO_MEMORY)
+            return
         part.answer = reply.body
         self._answered_count += 1
         self._open_numbers.discard(reply.number)
--- a/src/turmericlug/query/outcome.py
+++ b/src/turmericlug/query/outcome.py
@@ -78,7 +78,7 @@
             return "failed"
 
 
-def to_json(outcome: Outcome, instance: str, query_id: str) -> str:
+def to_json(outcome: Outcome, instance: str, query_id: str) -> bytes:
     """Encode an outcome for the caller; results are forwarded as the targets wrote them."""
     fields: dict[str, typing.Any] = {
         "outcome": name_of(outcome),
@@ -103,14 +103,16 @@
                 fields["come_back_ms"] = outcome.retry_after_ms
             if outcome.coverage is not None:
                 fields["coverage"] = _coverage_fields(outcome.coverage)
-    text = json.dumps(fields)
-    if isinstance(outcome, Answer):
-        results = ", ".join(
-            f'{{"shard": {json.dumps(shard)}, "result": {body.decode()}}}'
-            for shard, body in outcome.results
-        )
-        text = f'{text[:-1]}, "results": [{results}]}}'
-    return text
+    text = json.dumps(fields).encode()
+    if not isinstance(outcome, Answer):
+        return text
+    # Joined once: the results of a query may be large.
+    pieces, separator = [text[:-1], b', "results": ['], b""
+    for shard, body in outcome.results:
+        name = json.dumps(shard).encode()
+        pieces += (separator, b'{"shard": ', name, b', "result": ', body, b"}")
+        separator = b", "
+    return b"".join([*pieces, b"]}"])
 
 
 def _coverage_fields(coverage: Coverage) -> dict[str, typing.Any]:
--- a/tests/owner/test_owner.py
+++ b/tests/owner/test_owner.py
@@ -37,7 +37,7 @@
     clients = set()
 
     @contextlib.asynccontextmanager
-    async def connected(connections, counters):
+    async def connected(connections, counters, share):
         client = Client()
         clients.add(client)
         try:
@@ -63,7 +63,7 @@
         policy=types.SimpleNamespace(
             hedge_budget=0.05, hedge_percentile=95.0, retry_budget=0.1, caller_share=0.5
         ),
-        limits=types.SimpleNamespace(queue_parts=100),
+        limits=types.SimpleNamespace(queue_parts=100, replies_mb=64),
     )
     config = types.SimpleNamespace(
         catalog=types.SimpleNamespace(services=dict.fromkeys(SERVICES, service)),
--- a/tests/owner/test_service_queue.py
+++ b/tests/owner/test_service_queue.py
@@ -373,3 +373,22 @@
     assert len(messages) == count_before + 1
     assert other.merge_message(messages[-1]) is None
     assert other.verdict(b"q") is poison.Verdict.ALLOWED
+
+
+def test_parts_wait_for_memory_for_their_replies():
+    """Guards against replies that are given up for want of memory, though they could wait."""
+    targets, replies, has_memory = Targets({"r": [ANSWER]}), [], [False]
+
+    async def main():
+        queue = make_queue(targets)
+        queue.may_receive = lambda in_flight: has_memory[0]
+        submit(queue, replies)
+        await asyncio.sleep(0.05)
+        assert not targets.sent
+        has_memory[0] = True
+        while not replies:
+            await asyncio.sleep(0.01)
+        await queue.close()
+
+    asyncio.run(main())
+    assert [reply.outcome for reply in replies] == [part_module.ANSWERED]
