--- a/src/turmericlug/owner/target.py
+++ b/src/turmericlug/owner/target.py
@@ -253,22 +253,23 @@
 
     :param reserve: holds bytes before they are kept; returns false if there is no memory
     """
-    pieces = bytearray()
-    chunks = 0
+    pieces: list[bytes] = []
+    size_bytes = chunks = 0
     async for piece, ends_chunk in response.content.iter_chunks():
         chunks += ends_chunk
         reason = ""
-        if len(pieces) + len(piece) > max_bytes:
+        if size_bytes + len(piece) > max_bytes:
             reason = "too_long"
-        elif chunks > MAX_SMALL_CHUNKS + len(pieces) // MIN_CHUNK_BYTES:
+        elif chunks > MAX_SMALL_CHUNKS + size_bytes // MIN_CHUNK_BYTES:
             reason = "small_chunks"
         elif not reserve(len(piece)):
             reason = NO_MEMORY
         if reason:
             response.close()
             return _Unread(reason)
-        pieces += piece
-    return bytes(pieces)
+        size_bytes += len(piece)
+        pieces.append(piece)
+    return b"".join(pieces)
 
 
 def _is_json(body: bytes) -> bool:
