Bound the names of counters that end in text from outside

Callers saw: nothing; over a year the metrics of a process grow with each text that a target, a replica or another instance sends as a status or a reason (owner.retry.*, owner.part.failed.*, query.refused.*, peer.rejected.*, direct.send_failed.* and others), up to 8 kB each, and each line of totals and each reading of the metrics with them.

Change: at most 64 names of a family and of 100 printable ASCII characters are kept apart; further ones are counted under its name "other", so that sums stay right.

Test: tests/telemetry/test_counters.py; 8 new cases fail without the change.

--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -8,6 +8,11 @@
 from hdrh import histogram
 
 _MAX_US = 60_000_000
+MAX_NAMES = 64
+"""Names of one family, some times the most that the code itself has."""
+MAX_NAME_LENGTH = 100
+OTHER = "other"
+"""Last part of the name of all counters of a family that are not kept apart."""
 
 # Every metric of the daemon and the entry instances, with its description. A trailing ".*" stands
 # for a reason, an operation or the like. docs/reference-metrics.md lists the same names, which a
@@ -160,20 +165,56 @@
 }
 
 
+_FAMILIES = frozenset(name[:-1] for name in DESCRIPTIONS if name.endswith(".*"))
+
+
+def _family_of(name: str) -> str | None:
+    """Return the beginning that a name shares with others, ``None`` for a name of its own."""
+    if name in DESCRIPTIONS:
+        return None
+    end = len(name)
+    while (end := name.rfind(".", 0, end)) >= 0:
+        if name[: end + 1] in _FAMILIES:
+            return name[: end + 1]
+    return ""
+
+
 class Counters:
     """Counters, timers and gauges since the start, also sent to statsd if a port is given."""
 
     def __init__(self, host: str = "", port: int = 0, prefix: str = "") -> None:
         self.totals: collections.Counter[str] = collections.Counter()
+        self._names_by_family: collections.Counter[str] = collections.Counter()
         self._timers: dict[str, histogram.HdrHistogram] = {}
         self._client = statsd.StatsClient(host, port, prefix) if port else None
 
     def add(self, name: str, amount: int = 1) -> None:
-        """Increment a counter."""
+        """
+        Increment a counter.
+
+        Names may end in text from outside, such as a reason that another process states. Beyond
+        ``MAX_NAMES`` of one family they are counted under ``OTHER``.
+        """
+        if name not in self.totals:
+            name = self._admit(name)
         self.totals[name] += amount
         if self._client is not None:
             self._client.incr(name, amount)
 
+    def _admit(self, name: str) -> str:
+        """Return the name under which a counter that is not known yet is kept."""
+        family = _family_of(name)
+        if family is None:
+            return name
+        other = family + OTHER
+        if name == other:
+            return other
+        is_usable = len(name) <= MAX_NAME_LENGTH and name.isascii() and name.isprintable()
+        if not is_usable or self._names_by_family[family] >= MAX_NAMES:
+            return other
+        self._names_by_family[family] += 1
+        return name
+
     def time_ms(self, name: str, duration_ms: float) -> None:
         """Record one duration."""
         timer = self._timers.get(name)
--- a/tests/telemetry/test_counters.py
+++ b/tests/telemetry/test_counters.py
@@ -4,6 +4,8 @@
 import re
 import socket
 
+import pytest
+
 from turmericlug.telemetry import counters
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -47,3 +49,23 @@
     assert server.recv(100).startswith(b"t.query.total_ms:5")
     assert metrics.totals["query.complete"] == 2
     assert metrics.timers_ms()["query.total_ms"]["count"] == 1
+
+
+@pytest.mark.parametrize("family", ["owner.retry.", "query.failed.", "no_such_family."])
+def test_names_from_outside_are_bounded(family):
+    """Guards against metrics that grow with each new text that another process sends."""
+    recorded = counters.Counters()
+    recorded.add(family + "timeout")
+    for number in range(10_000):
+        recorded.add(f"{family}status_{number}")
+    assert len(recorded.totals) <= counters.MAX_NAMES + 1
+    assert recorded.totals[family + "timeout"] == 1
+    assert sum(recorded.totals.values()) == 10_001
+
+
+@pytest.mark.parametrize("reason", ["a\nb", "\udce4", "\u00e4", "x" * 8000, "\x00"], ids=repr)
+def test_names_from_outside_are_short_text(reason):
+    """Guards against a name that breaks the text of the metrics, or that can't be encoded."""
+    recorded = counters.Counters()
+    recorded.add(f"peer.rejected.{reason}")
+    assert recorded.totals == {"peer.rejected.other": 1}
