Send large replies to a coordinator in several messages

Callers saw: queries over parts with large answers lose whole owners at a time; requests that run at most once get owner_lost.

Cause: the replies of one turn of the event loop go into one message. Three of 4 MiB, or some hundred of 100 kB, exceed the 8 MiB of a frame; the coordinator closes the connection, and all requests open on it, of any query, are lost.

Change: at most 1 MiB of replies in one message, unless one alone is larger.

--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import time
 from collections import abc
@@ -337,11 +338,13 @@
         parts_request = submission.decode_parts(request.message.parts)
 
         def on_replies(replies: list[part_module.PartReply]) -> None:
-            request.reply(
-                lambda envelope: submission.encode_replies(
-                    envelope, parts_request.parameters.query_id, replies
+            for batch in submission.in_frames(replies):
+                encode = functools.partial(
+                    submission.encode_replies,
+                    query_id=parts_request.parameters.query_id,
+                    replies=batch,
                 )
-            )
+                request.reply(encode)
 
         if self._config.freshness.tick():
             # This process was suspended. The remaining time in the request dates from before, so
--- a/src/turmericlug/owner/submission.py
+++ b/src/turmericlug/owner/submission.py
@@ -12,6 +12,12 @@
 from turmericlug.owner import service_queue
 from turmericlug.policy import fingerprint
 
+MAX_MESSAGE_BYTES = 1 << 20
+"""Replies in one message, unless a single one is larger: far below the limit of a frame, so that
+other messages of the connection don't wait long behind it."""
+_REPLY_OVERHEAD_BYTES = 1024
+"""Of the other fields of a reply, some of which are text of a target."""
+
 
 @attrs.frozen
 class QueryParameters:
@@ -92,6 +98,27 @@
         reply_message.waitMs = reply.wait_ms
 
 
+def in_frames(
+    replies: list[part_module.PartReply],
+) -> abc.Iterator[list[part_module.PartReply]]:
+    """
+    Divide replies into those of one message each.
+
+    A frame that is too long ends the connection, and with it all requests that are open on it.
+    """
+    batch: list[part_module.PartReply] = []
+    size_bytes = 0
+    for reply in replies:
+        reply_bytes = len(reply.body) + _REPLY_OVERHEAD_BYTES
+        if batch and size_bytes + reply_bytes > MAX_MESSAGE_BYTES:
+            yield batch
+            batch, size_bytes = [], 0
+        batch.append(reply)
+        size_bytes += reply_bytes
+    if batch:
+        yield batch
+
+
 @attrs.define(eq=False)
 class PendingParts:
     """The parts of one request, while they are submitted to the queues in several steps."""
