Forget targets that were draining long ago

Cause: an owner of turmericlugd remembers each start of each target that it has found draining, or that another instance has named, for good, with names of any length. The reason with which a target refuses a part was kept and sent on whatever its length.

Change: the latest 10,000 are remembered; names are cut at 512 characters, reasons at 64.

Test: test_draining_targets_are_forgotten, which fails without the change.

--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import functools
 import random
@@ -34,6 +35,9 @@
 _STANDBY_OWNERS = 2
 _UNOWNED_IDLE_S = 2.0
 _PARTS_PER_ITERATION = 16
+_MAX_DRAINING_TARGETS = 10_000
+"""Targets that are remembered as draining: a day of restarts of the largest deployment."""
+_MAX_TARGET_NAME_LENGTH = 512
 
 
 OnReplies = abc.Callable[[list[part_module.PartReply]], None]
@@ -63,8 +67,8 @@
         self._unowned_since_s: dict[str, float] = {}
         self._open_tasks: dict[str, asyncio.Task[service_queue.ServiceQueue]] = {}
         self._generations: dict[str, int] = {}
-        self._draining_targets: dict[str, str] = {}
-        """How each was found to be draining, by name and generation."""
+        self._draining_targets: collections.OrderedDict[str, str] = collections.OrderedDict()
+        """How each was found to be draining, by name and generation; the latest ones."""
         # Cached: ranking all instances for each of 500 parts costs more than the rest of a query.
         self._rankings: dict[str, list[members_module.Member]] = {}
         self._rankings_version = (-1, -1)
@@ -299,12 +303,18 @@
         """
         events.emit("target.leaving", target=instance, service=service)
         target_name = f"{instance}#{self._generations.get(instance, 0)}"
-        self._draining_targets[target_name] = "found_here"
+        self._remember_draining(target_name, "found_here")
         for member in self.ranking(service)[: _STANDBY_OWNERS + 1]:
             link = self._mesh.link(member.instance)
             if link is not None and member.instance != self._mesh.members.own.instance:
                 link.send_one_way(lambda envelope: setattr(envelope, "targetLeaving", target_name))
 
+    def _remember_draining(self, target_name: str, reason: str) -> None:
+        self._draining_targets[target_name[:_MAX_TARGET_NAME_LENGTH]] = reason
+        self._draining_targets.move_to_end(target_name[:_MAX_TARGET_NAME_LENGTH])
+        while len(self._draining_targets) > _MAX_DRAINING_TARGETS:
+            self._draining_targets.popitem(last=False)
+
     def _peer_names(self) -> list[str]:
         own_name = self._mesh.members.own.instance
         names = (member.instance for member in self._mesh.members.serving())
@@ -326,7 +336,8 @@
     def on_target_leaving(self, request: server_module.Request) -> None:
         """Mark a target as draining when another owner reports it."""
         target_name = request.message.targetLeaving
-        self._draining_targets.setdefault(target_name, "told_by_peer")
+        if target_name not in self._draining_targets:
+            self._remember_draining(target_name, "told_by_peer")
         instance, _, generation = target_name.rpartition("#")
         for queue in self.queues.values():
             replica = queue.replicas.get(instance)
--- a/src/turmericlug/owner/target.py
+++ b/src/turmericlug/owner/target.py
@@ -35,6 +35,8 @@
 MAX_SMALL_CHUNKS = 1024
 NO_MEMORY = "memory"
 """Reason of a reply that is not read to its end, as the replies held take all the memory."""
+MAX_REASON_LENGTH = 64
+"""Of the reason that a target gives, which goes to callers, other instances and the log."""
 _LOG_LINES_PER_S = 10
 _OWN_MB = 64
 """Memory for replies of a client that shares it with no other."""
@@ -170,7 +172,7 @@
         if response.status == 409:
             return SnapshotAbsent()
         if response.headers.get(NOT_RUN_HEADER):
-            return NotRun(response.headers[NOT_RUN_HEADER])
+            return NotRun(response.headers[NOT_RUN_HEADER][:MAX_REASON_LENGTH])
         if response.status == CANCELLED_STATUS:
             return Unknown("cancelled")
         return Unknown(f"status_{response.status}")
--- a/tests/owner/test_owner.py
+++ b/tests/owner/test_owner.py
@@ -176,3 +176,21 @@
 
     asyncio.run(main())
     assert len(failures) == 1
+
+
+def test_draining_targets_are_forgotten(open_clients, monkeypatch):
+    """Guards against a list of each start of each target, which grows for as long as it runs."""
+    monkeypatch.setattr(owner_module, "_MAX_DRAINING_TARGETS", 3, raising=False)
+
+    async def main():
+        owner = make_owner()
+        await owner.open_owned()
+        for number in range(10):
+            message = types.SimpleNamespace(targetLeaving=f"gone-{number}#1")
+            owner.on_target_leaving(types.SimpleNamespace(message=message))
+        owner.queues["s0"].mark_draining("s0-r0", "draining")
+        known = list(owner._draining_targets)
+        await owner.close()
+        return known
+
+    assert asyncio.run(main()) == ["gone-8#1", "gone-9#1", "s0-r0#1"]
