Close connections that can't be opened, whatever the error

What callers saw: connections that nobody answers, and in the end every further one refused, as the listener counts them as open for good.

Cause: only OSError was expected while an accepted connection is opened. Another error there, in the creation of its protocol or in a refusal left the socket open; an error as the connection begins is reported by the event loop, which leaves the connection open, too.

Change: any error closes the socket, counts in listener.open_failed and frees the place. An error as the connection begins closes it.

--- a/src/turmericlug/http1/accepting.py
+++ b/src/turmericlug/http1/accepting.py
@@ -84,14 +84,20 @@
             except OSError as error:
                 self._pause(error)
                 return
-            accepted.setblocking(False)
-            if self.is_full():
-                _refuse(accepted, self.refusal())
-                continue
-            opening = self._open(accepted, self.create_protocol())
-            task = asyncio.get_running_loop().create_task(opening)
-            self._opening.add(task)
-            task.add_done_callback(self._opening.discard)
+            try:
+                self._begin(accepted)
+            except Exception as error:
+                self._fail(accepted, error)
+
+    def _begin(self, accepted: socket.socket) -> None:
+        accepted.setblocking(False)
+        if self.is_full():
+            _refuse(accepted, self.refusal())
+            return
+        opening = self._open(accepted, self.create_protocol())
+        task = asyncio.get_running_loop().create_task(opening)
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
 
     def _pause(self, error: OSError) -> None:
         self.counters.add("listener.accept_failed")
@@ -104,11 +110,14 @@
         loop = asyncio.get_running_loop()
         try:
             await loop.connect_accepted_socket(lambda: protocol, accepted)
-        except OSError as error:
-            accepted.close()
+        except Exception as error:
             self.on_failed(protocol)
-            self.counters.add("listener.open_failed")
-            decisions.log("listener.open_failed", error=str(error))
+            self._fail(accepted, error)
+
+    def _fail(self, accepted: socket.socket, error: Exception) -> None:
+        accepted.close()
+        self.counters.add("listener.open_failed")
+        decisions.log("listener.open_failed", error=f"{type(error).__name__}: {error}"[:300])
 
 
 def bind(host: str, port: int) -> socket.socket:
--- a/src/turmericlug/http1/connection.py
+++ b/src/turmericlug/http1/connection.py
@@ -85,9 +85,17 @@
         self._outgoing = outgoing.Outgoing(
             self._transport, self._server.budget, self._server.slow_callers
         )
-        client_module.set_socket_options(transport)
         self._server.opening.discard(self)
         self._server.connections.add(self)
+        try:
+            self._begin()
+        except Exception:
+            # The event loop reports the error, and would leave the connection open.
+            self._transport.abort()
+            raise
+
+    def _begin(self) -> None:
+        client_module.set_socket_options(self._transport)
         if len(self._server.connections) > self._server.max_connections:
             self._rejected = True
             self._outgoing.write(self._server.refuse_connection())
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -369,6 +369,85 @@
     asyncio.run(main())
 
 
+def fail_to_open(http_server, listener):
+    """Let opening fail in the event loop."""
+
+    async def connect(create_protocol, accepted):
+        create_protocol()
+        raise RuntimeError("bug")
+
+    asyncio.get_running_loop().connect_accepted_socket = connect
+
+
+def fail_to_create(http_server, listener):
+    """Let creating the connection fail."""
+
+    def create():
+        raise RuntimeError("bug")
+
+    listener.create_protocol = create
+
+
+def fail_to_refuse(http_server, listener):
+    """Let refusing a connection fail."""
+
+    def refuse():
+        raise RuntimeError("bug")
+
+    listener.is_full = lambda: True
+    listener.refusal = refuse
+
+
+@pytest.mark.parametrize("event_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+@pytest.mark.parametrize("fail", [fail_to_open, fail_to_create, fail_to_refuse])
+def test_connections_that_cannot_be_opened_count_no_longer(fail, event_loop):
+    """Guards against a listener that is full of connections that were never opened."""
+
+    async def main():
+        http_server = server.Server(echo, lambda: LIMITS, 1)
+        listener = await server.listen(http_server, "127.0.0.1", 0)
+        address = listener.sockets[0].getsockname()
+        loop = asyncio.get_running_loop()
+        usual = listener.is_full, listener.create_protocol, loop.connect_accepted_socket
+        fail(http_server, listener)
+        for _ in range(2 + server.MAX_LINGERING):
+            with contextlib.suppress(ConnectionError):
+                assert await send_and_receive(address) == b""
+        assert not http_server.opening
+        assert http_server.counters.totals["listener.open_failed"] == 2 + server.MAX_LINGERING
+        listener.is_full, listener.create_protocol, loop.connect_accepted_socket = usual
+        answer = await send_and_receive(address, CLOSING_REQUEST)
+        assert answer.startswith(b"HTTP/1.1 200")
+        listener.close()
+        http_server.close()
+
+    with asyncio.Runner(loop_factory=event_loop) as runner:
+        runner.run(main())
+
+
+@pytest.mark.parametrize("event_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_an_error_as_a_connection_begins_closes_it(event_loop):
+    """Guards against connections that nobody serves and that count as open for good."""
+
+    async def main():
+        errors = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+
+        def fail(now_s):
+            raise RuntimeError("bug")
+
+        async with serving(echo) as (http_server, address):
+            http_server.idle_timeout_s = fail
+            with contextlib.suppress(ConnectionError):
+                assert await send_and_receive(address) == b""
+            assert not http_server.opening
+            assert not http_server.connections
+            assert len(errors) == 1
+
+    with asyncio.Runner(loop_factory=event_loop) as runner:
+        runner.run(main())
+
+
 @pytest.mark.parametrize(
     ("limits_s", "at_s", "kept_s"),
     [([15.0], 0.0, 16.0), ([15.0, 5.0], 10.0, 16.0), ([15.0, 5.0], 60.0, 6.0)],
