Count the body of a pipelined request once

What callers saw: a request behind another one on its connection is refused for memory although both fit.

Cause: of a request with a length that is read behind one in progress, the bytes that wait to be parsed counted beside the whole body that its head announces.

Change: a body that has begun and whose length is known is parsed to its end before the rest waits.

Evidence: test_connection_closed_with_a_request_behind_gives_its_bytes_back with 40,000 bytes failed before (a second request within the limit of 100,000 bytes was refused).

Tests: that test now has a small and a large second request, since with only a large one the mutant forget-the-bytes-of-queued-requests survived; the parts of test_large_reads have a fixed size, with which parse-reads-at-once does not.

--- a/src/turmericlug/http1/connection.py
+++ b/src/turmericlug/http1/connection.py
@@ -143,17 +143,19 @@
     def _parse_slices(self, data: memoryview, arrived_s: float) -> None:
         """Parse until a request is to be served, or a turn of the event loop is due."""
         while data and not (self._rejected or self._must_close):
-            # What remains of a body with a length is a single piece, whatever its size.
-            body_left_bytes = self._announced_bytes - len(self._body) if self._head_done else 0
-            size, pieces_before = max(SLICE_BYTES, body_left_bytes), self._pieces
+            # What remains of a body with a length is a single piece, and counts already.
+            size, pieces_before = max(SLICE_BYTES, self._body_left_bytes()), self._pieces
             self._parse(data[:size], arrived_s)
             data = data[size:]
-            is_turn_due = self._pieces - pieces_before > PIECES_PER_TURN
-            if data and (self._serve_task is not None or is_turn_due):
+            must_wait = self._serve_task is not None and not self._body_left_bytes()
+            if data and (must_wait or self._pieces - pieces_before > PIECES_PER_TURN):
                 self._keep(data, arrived_s)
                 return
         self._unparsed.drop()
 
+    def _body_left_bytes(self) -> int:
+        return max(0, self._announced_bytes - len(self._body)) if self._head_done else 0
+
     def _keep(self, data: memoryview, arrived_s: float) -> None:
         if self._rejected or self._must_close:
             self._unparsed.drop()
--- a/tests/http1/test_large_reads.py
+++ b/tests/http1/test_large_reads.py
@@ -15,6 +15,8 @@
 from turmericlug.http1 import server
 
 READ_BYTES = 256 * 1024
+PART_BYTES = 4096
+"""What may be parsed at once."""
 REQUEST = b"GET /a HTTP/1.1\r\n\r\n"
 SHORT_HEADER = b"a:\r\n"
 CHUNK = b"1\r\na\r\n"
@@ -67,14 +69,14 @@
     first, again, last, callback = READS[kind]
     counted = count_callbacks(monkeypatch, callback)
     count = READ_BYTES // len(again)
-    most = connection.SLICE_BYTES // len(again) + 1
+    most = PART_BYTES // len(again) + 1
 
     async def main():
         caller, transport, budget = connect()
         caller.data_received(first + again * count + last)
         assert counted[callback] <= most
         assert not transport.is_reading
-        assert budget.held_bytes >= READ_BYTES - 2 * connection.SLICE_BYTES
+        assert budget.held_bytes >= READ_BYTES - 2 * PART_BYTES
         counts = [counted[callback]]
 
         def is_read():
@@ -83,7 +85,7 @@
 
         turns = await until(is_read)
         assert max(later - earlier for earlier, later in itertools.pairwise(counts)) <= most
-        assert turns >= READ_BYTES // connection.SLICE_BYTES
+        assert turns >= READ_BYTES // PART_BYTES
         await until(lambda: not caller.busy)
         answers = transport.written.count(b"HTTP/1.1 200 ")
         assert answers == (count if kind == "requests" else 1)
@@ -107,7 +109,7 @@
         caller, transport, budget = connect(wait)
         caller.data_received(REQUEST * 4000)
         await asyncio.sleep(0.01)
-        assert counted["on_message_complete"] <= connection.SLICE_BYTES // len(REQUEST) + 1
+        assert counted["on_message_complete"] <= PART_BYTES // len(REQUEST) + 1
         assert not transport.is_reading
         release.set()
         await until(lambda: transport.written.count(b"HTTP/1.1 200 ") == 4000)
@@ -132,7 +134,7 @@
         caller.data_received(REQUEST * 2 + filling)
         kept_bytes = budget.held_bytes
         if ending == "closed":
-            assert kept_bytes > READ_BYTES - 2 * connection.SLICE_BYTES
+            assert kept_bytes > READ_BYTES - 2 * PART_BYTES
             caller.connection_lost(None)
         await until(lambda: budget.held_bytes < 100_000)
         caller.connection_lost(None)
--- a/tests/http1/test_request_budget.py
+++ b/tests/http1/test_request_budget.py
@@ -117,14 +117,19 @@
     asyncio.run(scenario())
 
 
-def test_connection_closed_with_a_request_behind_gives_its_bytes_back():
+@pytest.mark.parametrize("size_bytes", [3000, 40_000], ids=["one part", "several parts"])
+def test_connection_closed_with_a_request_behind_gives_its_bytes_back(size_bytes):
     """The bytes of a request that was never served would count for good."""
 
     async def scenario():
         async with held_server() as (port, release, http_server, _):
             _, writer = await asyncio.open_connection("127.0.0.1", port)
-            writer.write(2 * post(LENGTH, 40_000))
-            await until_held(http_server, 80_000)
+            writer.write(post(LENGTH, 40_000))
+            await until_held(http_server, 40_000)
+            writer.write(post(LENGTH, size_bytes))
+            async with asyncio.timeout(10):
+                while http_server.budget.held_bytes < 40_000 + size_bytes:
+                    await asyncio.sleep(0.01)
             http_server.close()
             await until_empty(http_server)
             writer.close()
@@ -154,8 +159,8 @@
 
     async def scenario():
         async with held_server() as (port, release, http_server, refusals):
-            head = b"GET / HTTP/1.1\r\nhost: h\r\nx-pad: %s\r\n\r\n" % (b"p" * 10_000)
-            streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(10)]
+            head = b"GET / HTTP/1.1\r\nhost: h\r\nx-pad: %s\r\n\r\n" % (b"p" * 1800)
+            streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(40)]
             for _, writer in streams:
                 writer.write(2 * head)
             async with asyncio.timeout(10):
