Count the heads of requests that are still being read

What callers saw: nothing yet; found by reading. A head of 16 kB of short header lines that does not end takes 150 bytes for each of its 4,000 headers until the head's time-out, and nothing limits the sum over connections.

Cause: a head counted in the memory only when it was complete.

Change: after each read that leaves the head incomplete, what it takes so far counts, and is refused beyond the limit. A head in one piece costs no more calls.

Evidence: test_heads_that_are_not_complete_count failed before in both cases (refused only as too slow, after 3 s), test_a_head_in_pieces_counts_once too (0 bytes held).

--- a/src/turmericlug/http1/connection.py
+++ b/src/turmericlug/http1/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import contextlib
 import typing
 
 import httptools
@@ -196,6 +197,9 @@
             too_large = self._sizes.count(len(data), body_size, head_was_done, self._head_done)
             if too_large:
                 self._reject_large(431 if too_large == sizes.HEAD else 413, too_large)
+            elif not self._head_done:
+                with contextlib.suppress(_RejectedError):
+                    self._hold(self._sizes.head_bytes + self._header_overhead_bytes())
 
     def _reject_unreadable(self, detail: str) -> None:
         self._reject(400, "unreadable", "unreadable request", detail=detail[:100])
@@ -242,7 +246,7 @@
         if self._announced_bytes > self._server.limits().body_bytes:
             self._reject_large(413, _BODY)
             raise _RejectedError
-        self._held_head_bytes = self._head_bytes + len(self._headers) * _HEADER_OVERHEAD_BYTES
+        self._held_head_bytes = self._head_bytes + self._header_overhead_bytes()
         self._hold(self._held_head_bytes + self._announced_bytes)
         if any(name == b"expect" for name, _ in self._headers):
             self._outgoing.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -253,17 +257,21 @@
         if len(self._body) + len(body) > self._server.limits().body_bytes:
             self._reject_large(413, _BODY)
             raise _RejectedError
-        self._hold(self._held_head_bytes + len(self._body) + len(body) - self._held_bytes)
+        self._hold(self._held_head_bytes + len(self._body) + len(body))
         self._body += body
 
+    def _header_overhead_bytes(self) -> int:
+        return len(self._headers) * _HEADER_OVERHEAD_BYTES
+
     def _hold(self, size_bytes: int) -> None:
-        """Hold further bytes of the request, or refuse it if all requests get too large."""
-        if size_bytes <= 0:
+        """Hold what the request takes so far, or refuse it if all requests get too large."""
+        further_bytes = size_bytes - self._held_bytes
+        if further_bytes <= 0:
             return
-        if not self._server.budget.reserve(size_bytes):
+        if not self._server.budget.reserve(further_bytes):
             self._reject_for_memory()
             raise _RejectedError
-        self._held_bytes += size_bytes
+        self._held_bytes = size_bytes
 
     def _release_unread(self) -> None:
         """Drop what was read of a request that will not be served."""
--- a/src/turmericlug/http1/sizes.py
+++ b/src/turmericlug/http1/sizes.py
@@ -20,7 +20,7 @@
 
     max_head_bytes: int
     max_framing_bytes: int
-    _head_bytes: int = 0
+    head_bytes: int = 0
     _body_bytes: int = 0
     _framing_bytes: int = 0
     _framing_bytes_in_a_row: int = 0
@@ -37,8 +37,8 @@
         """
         self._body_bytes += body_size
         if not head_is_done:
-            self._head_bytes += size
-            return HEAD if self._head_bytes > self.max_head_bytes else ""
+            self.head_bytes += size
+            return HEAD if self.head_bytes > self.max_head_bytes else ""
         if not head_was_done:
             return ""
         self._framing_bytes += size - body_size
--- a/tests/http1/test_request_budget.py
+++ b/tests/http1/test_request_budget.py
@@ -179,6 +179,49 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    "sent", [b"x-pad: " + b"p" * 15_000, b"a:\r\n" * 500], ids=["one header", "many headers"]
+)
+def test_heads_that_are_not_complete_count(sent):
+    """Guards against heads in progress on many connections, which only counted when complete."""
+
+    async def scenario():
+        async with held_server() as (port, release, http_server, refusals):
+            streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(10)]
+            for _, writer in streams:
+                writer.write(b"GET / HTTP/1.1\r\nhost: h\r\n" + sent)
+            async with asyncio.timeout(10):
+                while not refusals:
+                    await asyncio.sleep(0.01)
+            assert set(refusals) == {"memory"}
+            for _, writer in streams:
+                writer.close()
+            await until_empty(http_server)
+
+    asyncio.run(scenario())
+
+
+def test_a_head_in_pieces_counts_once():
+    """Guards against a head that counts again with each piece."""
+
+    async def scenario():
+        async with held_server() as (port, release, http_server, refusals):
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            held_bytes = []
+            for piece in [b"GET / HTTP/1.1\r\n", *[b"x-a: 1\r\n"] * 20, b"\r\n"]:
+                writer.write(piece)
+                await asyncio.sleep(0.01)
+                held_bytes.append(http_server.budget.held_bytes)
+            assert held_bytes == sorted(held_bytes)
+            assert 0 < held_bytes[0] < held_bytes[-1] < 5000
+            assert not refusals
+            release.set()
+            await until_empty(http_server)
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_caller_that_reads_slowly_gets_one_response_at_a_time():
     """Responses that callers did not read took the memory, and the process ended."""
     body, handled = bytes(160 * LIMIT_BYTES), []
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -39,8 +39,8 @@
     mutant.one(
         "read-heads-without-end",
         "http1/sizes.py",
-        "self._head_bytes > self.max_head_bytes",
-        "self._head_bytes > 1 << 22",
+        "self.head_bytes > self.max_head_bytes",
+        "self.head_bytes > 1 << 22",
         "http1/test_endless_responses.py::test_an_endless_response_ends_at_its_limit",
     ),
     mutant.one(
@@ -209,6 +209,42 @@
         "self._hold(self._announced_bytes)",
         "http1/test_request_budget.py::test_pipelined_heads_beyond_the_limit_are_refused",
     ),
+    mutant.one(
+        "count-no-heads-in-progress",
+        "http1/connection.py",
+        "self._hold(self._sizes.head_bytes + self._header_overhead_bytes())",
+        "self._hold(0)",
+        "http1/test_request_budget.py::test_heads_that_are_not_complete_count",
+    ),
+    mutant.one(
+        "count-no-unsent-responses",
+        "http1/outgoing.py",
+        "            self._budget.hold_response(size_bytes)\n",
+        "            self._held_bytes = 0\n",
+        "http1/test_unsent_responses.py::test_unsent_bytes_count_however_few_they_are",
+    ),
+    mutant.one(
+        "cut-off-no-slow-callers",
+        "http1/slow_callers.py",
+        "            self._cut_off(sending, self._progress[sending])\n",
+        "            pass\n",
+        "http1/test_slow_callers.py::test_callers_that_take_the_budget_are_cut_off",
+    ),
+    mutant.one(
+        "parse-reads-at-once",
+        "http1/connection.py",
+        "SLICE_BYTES = 4096",
+        "SLICE_BYTES = 1 << 20",
+        "http1/test_large_reads.py::test_bytes_behind_a_request_in_progress_wait_for_its_answer",
+    ),
+    mutant.one(
+        "keep-the-parser-of-a-closed-connection",
+        "http1/connection.py",
+        "        self._parser = None  # type: ignore[assignment]\n",
+        "",
+        "http1/test_closed_connections.py::"
+        "test_a_closed_connection_waits_for_no_garbage_collection",
+    ),
     mutant.one(
         "ignore-a-disconnect",
         "http1/connection.py",
