--- a/src/turmericlug/direct/attempts.py
+++ b/src/turmericlug/direct/attempts.py
@@ -15,11 +15,14 @@
 from turmericlug.direct import sending
 from turmericlug.direct import timing
 from turmericlug.direct import tracking
+from turmericlug.kernel import failures
+from turmericlug.policy import backoff
 from turmericlug.telemetry import decisions
 
 RETRY_DELAY_S = 0.015
 """Delay before the first retry at replicas that have all shed a request: one or two service times.
 It doubles with each further retry."""
+MAX_RETRY_DELAY_S = 0.12
 MAX_DELAYED_RETRIES = 4
 """Delayed retries per request: 0.23 s in total. A request that is still shed after that is refused
 while its caller has time to try another instance."""
@@ -115,7 +118,7 @@
     reached = map(placement.replica_id, call.reached(service))
     state = _RequestState(sender, call, service, shared | frozenset(reached), is_retry)
     if not is_retry:
-        sender.replicas.retry_budget(service).count_request(loop.time(), call.organisation_name)
+        failures.try_record("retry budget", sender.count_request, service, call, loop.time())
     elif call.route.max_attempts < 2 or not sender.spend_retry_budget(service, call, loop.time()):
         sender.counters.add("direct.repeat_denied.budget")
         return sending.Unknown("budget")
@@ -337,9 +340,10 @@
 
     :param suspected: whether the request is withheld from all replicas only because it is suspected
     """
-    delay_s = RETRY_DELAY_S * 2**state.delayed_retries * state.sender.rng.uniform(0.75, 1.25)
     if not (state.shed_by or suspected) or state.delayed_retries >= MAX_DELAYED_RETRIES:
         return
+    delay_s = backoff.delay(RETRY_DELAY_S, MAX_RETRY_DELAY_S, state.delayed_retries + 1)
+    delay_s *= state.sender.rng.uniform(0.75, 1.25)
     if now_s + delay_s < state.call.deadline_s:
         state.retry_at_s = now_s + delay_s
 
@@ -396,8 +400,6 @@
         replica.cold_sent_s = now_s
     call.attempts_by_service.setdefault(state.service, []).append(attempt)
     task = sender.tasks.start(tracking.send_and_record(sender, call, replica, attempt))
-    near = sender.replicas.in_own_region(replica.entry.data_centre)
-    sender.counters.add("direct.sent.near" if near else "direct.sent.far")
     call.tasks.add(task)
     task.add_done_callback(call.tasks.discard)
     task.add_done_callback(lambda _: replica.attempts.discard(attempt))
@@ -405,3 +407,4 @@
     state.attempts_by_replica[replica.entry.instance] += 1
     state.pending[task] = _PendingAttempt(replica, attempt)
     state.attempt_count += 1
+    failures.try_record("sent", sender.count_attempt, replica)
--- a/src/turmericlug/entry/callers.py
+++ b/src/turmericlug/entry/callers.py
@@ -5,7 +5,6 @@
 import asyncio
 import collections
 import contextlib
-import math
 from collections import abc
 
 import attrs
@@ -21,12 +20,14 @@
 from turmericlug.entry import admission as admission_module
 from turmericlug.entry import identity
 from turmericlug.entry import in_flight
+from turmericlug.entry import leaving
 from turmericlug.entry import organisation_counts
 from turmericlug.entry import quota_check
 from turmericlug.entry import quotas as quotas_module
 from turmericlug.entry import view as view_module
 from turmericlug.http1 import client
 from turmericlug.http1 import messages
+from turmericlug.kernel import failures
 from turmericlug.policy import caller_timeout
 from turmericlug.policy import slow_start
 from turmericlug.telemetry import decisions
@@ -66,9 +67,7 @@
         self.organisation_counts = organisation_counts.OrganisationCounts()
         self._quota_check = quota_check.QuotaCheck(quotas, sender, self.organisation_counts)
         self._in_flight = in_flight.InFlight()
-        self._refuse_from_s = math.inf
-        self._refuse_unrepeatable_from_s = math.inf
-        self._exits_at_s = math.inf
+        self._leaving = leaving.Leaving(sender.replicas)
         self._source_age_s = source_age_s
         self._admission = admission
         self._balancer = weighted_round_robin.WeightedRoundRobin()
@@ -109,9 +108,10 @@
                 return refusal
             route = route.restricted_to(organisation.regions)
         call = self._make_call(request, request_id, target, route, configuration, organisation)
-        if self._may_be_interrupted(call):
+        interruption = self._leaving.expected_interruption(call)
+        if interruption is not None:
             self._quota_check.refund(call)
-            return self._refused_leaving(request, organisation)
+            return self._refused_leaving(request, organisation, **interruption)
         return await self._answer_call(call, request.caller_host)
 
     def _identify(
@@ -140,38 +140,17 @@
     def start_draining(
         self, refuse_unrepeatable_from_s: float, refuse_from_s: float, exits_at_s: float
     ) -> None:
-        """
-        Begin draining: refuse requests that may still be in flight when the process exits.
-
-        :param refuse_unrepeatable_from_s: time until which requests that aren't idempotent are
-            accepted
-        :param refuse_from_s: time until which idempotent requests are accepted
-        :param exits_at_s: time at which the process exits
-        """
-        self._refuse_unrepeatable_from_s = refuse_unrepeatable_from_s
-        self._refuse_from_s, self._exits_at_s = refuse_from_s, exits_at_s
+        """Begin draining; see ``leaving.Leaving.start``."""
+        self._leaving.start(refuse_unrepeatable_from_s, refuse_from_s, exits_at_s)
 
     def end_requests(self) -> None:
         """
-        Answer all requests in flight now, as the process exits.
+        Answer all requests in flight now, as the process exits, and refuse those that still come.
 
         One that no replica has received is refused; the others fail, as they may have run.
         """
         self._in_flight.end()
 
-    def _may_be_interrupted(self, call: sending.Call) -> bool:
-        """
-        Whether this process may exit before the request's deadline.
-
-        Requests with an earlier deadline are still accepted: there is time to answer them long
-        before the exit, and if they were refused, they would be answered late after a retry. A
-        request that isn't idempotent is refused sooner: its caller can't repeat it once it fails.
-        """
-        now_s = asyncio.get_running_loop().time()
-        idempotent = call.route.idempotent
-        refuse_from_s = self._refuse_from_s if idempotent else self._refuse_unrepeatable_from_s
-        return now_s >= refuse_from_s and call.deadline_s > self._exits_at_s
-
     def on_configured(self) -> None:
         """Wake requests that wait for the first configuration."""
         self._configured.set()
@@ -185,8 +164,8 @@
         """
         timeout_s = self._started_s + FIRST_SNAPSHOT_TIMEOUT_S - asyncio.get_running_loop().time()
         if timeout_s > 0 and not self.view.source_unreachable:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(timeout_s):
+            with contextlib.suppress(TimeoutError, in_flight.ExitingError):
+                async with self._in_flight.until_exit(), asyncio.timeout(timeout_s):
                     await self._configured.wait()
         return self.view.configuration
 
@@ -265,12 +244,16 @@
         except in_flight.ExitingError:
             result = self._interrupt(call)
         except asyncio.CancelledError:
-            self._on_caller_left(call, loop.time())
-            self._quota_check.refund_unsent(call)
+            if call.route.idempotent:
+                # Another one that has been written is left to finish: cancelled halfway, its effect
+                # would be unknown, and there is no caller to report that to.
+                call.abandon()
+            failures.try_record("caller left", self._log_caller_left, call, loop.time())
+            failures.try_record("refund", self._quota_check.refund_unsent, call)
             raise
         if result.outcome == "refused":
-            self._quota_check.refund(call)
-        self._log_result(call, result, loop.time())
+            failures.try_record("refund", self._quota_check.refund, call)
+        failures.try_record("result", self._log_result, call, result, loop.time())
         return result.answer
 
     async def _get_result(self, call: sending.Call, now_s: float) -> answering.Result:
@@ -316,7 +299,10 @@
             in_time = result.answer.status == 200 and received_s <= call.goal_at_s
             return result
         finally:
-            self._slow_start.release(loop.time(), loop.time() - began_s, in_time)
+            duration_s = loop.time() - began_s
+            failures.try_record(
+                "slow start", self._slow_start.release, loop.time(), duration_s, in_time
+            )
 
     async def _wait_for_slot(self, call: sending.Call) -> bool:
         """Wait until slow start admits the query; false when that would be too late."""
@@ -337,24 +323,19 @@
             if isinstance(error, TimeoutError):
                 return False
             raise
+        failures.try_record("wait", self._log_wait, call, loop.time() - began_s)
+        return True
+
+    def _log_wait(self, call: sending.Call, waited_s: float) -> None:
         self.sender.counters.add("entry.waited")
         decisions.log(
             "query.waited",
             request=call.request_id,
-            waited_ms=round((loop.time() - began_s) * 1000, 1),
+            waited_ms=round(waited_s * 1000, 1),
             others=self._slow_start.queue_length,
         )
-        return True
 
-    def _on_caller_left(self, call: sending.Call, now_s: float) -> None:
-        """
-        Abandon the request of a caller that has disconnected.
-
-        A request that is not idempotent and has been written is left to finish: cancelled halfway,
-        its effect would be unknown, and there is no caller to report that to.
-        """
-        if call.route.idempotent:
-            call.abandon()
+    def _log_caller_left(self, call: sending.Call, now_s: float) -> None:
         self.sender.counters.add("entry.caller_left")
         decisions.log(
             "query.caller_left",
@@ -386,19 +367,25 @@
         )
 
     def _refused_leaving(
-        self, request: messages.Request, organisation: organisations_module.Organisation | None
+        self,
+        request: messages.Request,
+        organisation: organisations_module.Organisation | None,
+        **details: object,
     ) -> messages.Response:
         if organisation is not None:
             self.organisation_counts.add(organisation.name, "refused", LEAVING)
-        return attrs.evolve(self._refused(request, LEAVING), close=True)
+        return attrs.evolve(self._refused(request, LEAVING, **details), close=True)
 
-    def _refused(self, request: messages.Request, reason: str) -> messages.Response:
+    def _refused(
+        self, request: messages.Request, reason: str, **details: object
+    ) -> messages.Response:
         self.sender.counters.add(f"entry.refused.{reason}")
         decisions.log(
             "query.refused",
             request=request.header(self.sender.names.request_id),
             reason=reason,
             source_age_s=view_module.rounded_age_s(self._source_age_s()),
+            **details,
         )
         return answering.refusal(self.sender, reason).answer
 
--- a/src/turmericlug/owner/owner.py
+++ b/src/turmericlug/owner/owner.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
+import functools
 import random
 import time
 from collections import abc
@@ -17,6 +19,7 @@
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.owner import part as part_module
 from turmericlug.owner import replica as replica_module
+from turmericlug.owner import reply_budget
 from turmericlug.owner import service_queue
 from turmericlug.owner import submission
 from turmericlug.owner import suspects as suspects_module
@@ -32,6 +35,9 @@
 _STANDBY_OWNERS = 2
 _UNOWNED_IDLE_S = 2.0
 _PARTS_PER_ITERATION = 16
+_MAX_DRAINING_TARGETS = 10_000
+"""Targets that are remembered as draining: a day of restarts of the largest deployment."""
+_MAX_TARGET_NAME_LENGTH = 512
 
 
 OnReplies = abc.Callable[[list[part_module.PartReply]], None]
@@ -50,6 +56,7 @@
     ) -> None:
         self.queues: dict[str, service_queue.ServiceQueue] = {}
         self.draining = False
+        self.replies = reply_budget.of_memory(settings.limits.replies_mb)
         self._settings = settings
         self._config = config
         self._mesh = mesh
@@ -60,8 +67,8 @@
         self._unowned_since_s: dict[str, float] = {}
         self._open_tasks: dict[str, asyncio.Task[service_queue.ServiceQueue]] = {}
         self._generations: dict[str, int] = {}
-        self._draining_targets: dict[str, str] = {}
-        """How each was found to be draining, by name and generation."""
+        self._draining_targets: collections.OrderedDict[str, str] = collections.OrderedDict()
+        """How each was found to be draining, by name and generation; the latest ones."""
         # Cached: ranking all instances for each of 500 parts costs more than the rest of a query.
         self._rankings: dict[str, list[members_module.Member]] = {}
         self._rankings_version = (-1, -1)
@@ -193,7 +200,7 @@
         # While instance lists differ, a service may have two owners: each uses half of these.
         async with contextlib.AsyncExitStack() as opened:
             client = await opened.enter_async_context(
-                target.connected(connections // 2, self._counters)
+                target.connected(connections // 2, self._counters, self.replies.share(service))
             )
             queue = self._new_queue(service, client)
             await self._refresh_replicas(service, queue, client)
@@ -220,6 +227,7 @@
             self.suspects,
         )
         queue.on_draining = lambda instance: self._notify_draining(service, instance)
+        queue.may_receive = self.replies.share(service).may_receive
         return queue
 
     async def _poll_replicas(
@@ -295,12 +303,18 @@
         """
         events.emit("target.leaving", target=instance, service=service)
         target_name = f"{instance}#{self._generations.get(instance, 0)}"
-        self._draining_targets[target_name] = "found_here"
+        self._remember_draining(target_name, "found_here")
         for member in self.ranking(service)[: _STANDBY_OWNERS + 1]:
             link = self._mesh.link(member.instance)
             if link is not None and member.instance != self._mesh.members.own.instance:
                 link.send_one_way(lambda envelope: setattr(envelope, "targetLeaving", target_name))
 
+    def _remember_draining(self, target_name: str, reason: str) -> None:
+        self._draining_targets[target_name[:_MAX_TARGET_NAME_LENGTH]] = reason
+        self._draining_targets.move_to_end(target_name[:_MAX_TARGET_NAME_LENGTH])
+        while len(self._draining_targets) > _MAX_DRAINING_TARGETS:
+            self._draining_targets.popitem(last=False)
+
     def _peer_names(self) -> list[str]:
         own_name = self._mesh.members.own.instance
         names = (member.instance for member in self._mesh.members.serving())
@@ -322,7 +336,8 @@
     def on_target_leaving(self, request: server_module.Request) -> None:
         """Mark a target as draining when another owner reports it."""
         target_name = request.message.targetLeaving
-        self._draining_targets.setdefault(target_name, "told_by_peer")
+        if target_name not in self._draining_targets:
+            self._remember_draining(target_name, "told_by_peer")
         instance, _, generation = target_name.rpartition("#")
         for queue in self.queues.values():
             replica = queue.replicas.get(instance)
@@ -334,11 +349,13 @@
         parts_request = submission.decode_parts(request.message.parts)
 
         def on_replies(replies: list[part_module.PartReply]) -> None:
-            request.reply(
-                lambda envelope: submission.encode_replies(
-                    envelope, parts_request.parameters.query_id, replies
+            for batch in submission.in_frames(replies):
+                encode = functools.partial(
+                    submission.encode_replies,
+                    query_id=parts_request.parameters.query_id,
+                    replies=batch,
                 )
-            )
+                request.reply(encode)
 
         if self._config.freshness.tick():
             # This process was suspended. The remaining time in the request dates from before, so
--- a/src/turmericlug/owner/service_queue.py
+++ b/src/turmericlug/owner/service_queue.py
@@ -8,6 +8,7 @@
 import time
 from collections import abc
 
+from turmericlug.kernel import failures
 from turmericlug.kernel import tasks
 from turmericlug.owner import fair_queue
 from turmericlug.owner import hedging
@@ -21,6 +22,8 @@
 
 # No attempt starts with less time to its deadline: it could not be sent and answered.
 _MIN_REMAINING_S = 0.001
+_MEMORY_CHECK_INTERVAL_S = 0.01
+"""Between two checks whether there is memory for a further reply."""
 
 
 class ServiceQueue:
@@ -56,6 +59,9 @@
         self._pending_hedges: collections.deque[part_module.Part] = collections.deque()
         self._tasks = tasks.Tasks()
         self.on_draining: abc.Callable[[str], None] = lambda instance: None
+        self.may_receive: abc.Callable[[int], bool] = lambda in_flight: True
+        """Whether there is memory for a further reply, given the number of attempts in flight."""
+        self._memory_timer: asyncio.TimerHandle | None = None
 
     def slots(self) -> float:
         """Return the sum of the concurrency limits of the eligible replicas."""
@@ -170,6 +176,9 @@
             replica = selection.select_untried(self.replicas.values(), now_s, None)
             if replica is None:
                 return
+            if not self.may_receive(self.in_flight()):
+                self._wait_for_memory()
+                return
             part = self._queue.pop()
             if part is None:
                 return
@@ -184,6 +193,17 @@
                 continue
             self._start_attempt(part, chosen, now_s)
 
+    def _wait_for_memory(self) -> None:
+        """Start attempts again soon: replies that are handed on elsewhere make room, too."""
+        if self._memory_timer is None:
+            self._counters.add("owner.waited_for_memory")
+            loop = asyncio.get_running_loop()
+            self._memory_timer = loop.call_later(_MEMORY_CHECK_INTERVAL_S, self._on_memory_timer)
+
+    def _on_memory_timer(self) -> None:
+        self._memory_timer = None
+        self.start_attempts()
+
     def _start_hedges(self, now_s: float) -> None:
         """
         Start the pending hedges, before any queued part.
@@ -243,7 +263,8 @@
     ) -> str:
         """Start an attempt; return its identifier."""
         if not part.attempt_count:
-            self._counters.time_ms("owner.queue_ms", (now_s - part.queued_at_s) * 1000)
+            queued_ms = (now_s - part.queued_at_s) * 1000
+            failures.try_record("wait", self._counters.time_ms, "owner.queue_ms", queued_ms)
         part.attempt_count += 1
         part.tried_replicas.add(replica.instance)
         attempt_id = f"{part.attempt_id_prefix}.{part.attempt_count}"
@@ -295,9 +316,12 @@
             replica.in_flight -= 1
             part.attempts_in_flight.pop(attempt_id, None)
         duration_ms = (time.monotonic() - started_at_s) * 1000
-        self._counters.time_ms("owner.target_ms", duration_ms)
-        self._update_replica(replica, part, outcome, duration_ms)
-        await self._suspects.record_outcome(part, replica, outcome, self._client)
+        failures.try_record("duration", self._counters.time_ms, "owner.target_ms", duration_ms)
+        failures.try_record("target", self._update_replica, replica, part, outcome, duration_ms)
+        try:
+            await self._suspects.record_outcome(part, replica, outcome, self._client)
+        except Exception as error:
+            failures.report_recording("crash", error)
         if not part.done:
             self._apply_outcome(part, replica, outcome, attempt_id)
         self.start_attempts()
@@ -351,11 +375,7 @@
         """Finish the part with the outcome of an attempt, or start another attempt."""
         match outcome:
             case target.Answered():
-                self._record_stuck_attempts(part)
-                if part.hedge_attempt_id:
-                    won = attempt_id == part.hedge_attempt_id
-                    self._hedging.delay.record_result(won)
-                    self._counters.add("owner.hedge.won" if won else "owner.hedge.lost")
+                failures.try_record("answer", self._record_answer, part, attempt_id)
                 self._counters.add("owner.part.answered")
                 self._finish(
                     part,
@@ -378,6 +398,13 @@
                 part.may_have_run = True
                 self._retry(part, reason)
 
+    def _record_answer(self, part: part_module.Part, attempt_id: str) -> None:
+        self._record_stuck_attempts(part)
+        if part.hedge_attempt_id:
+            won = attempt_id == part.hedge_attempt_id
+            self._hedging.delay.record_result(won)
+            self._counters.add("owner.hedge.won" if won else "owner.hedge.lost")
+
     def _record_stuck_attempts(self, part: part_module.Part) -> None:
         """
         Record a failure for each slower attempt that looks stuck.
@@ -414,4 +441,6 @@
 
     async def close(self) -> None:
         """Cancel the attempts; a planned stop first waits until :meth:`in_flight` is zero."""
+        if self._memory_timer is not None:
+            self._memory_timer.cancel()
         await self._tasks.close()
--- a/tests/mutants_entry.py
+++ b/tests/mutants_entry.py
@@ -36,6 +36,27 @@
         "        self._reader = self._reader or reading.Reader(",
         "http1/test_cut_responses.py::test_a_cut_response_with_a_length_is_never_complete",
     ),
+    mutant.one(
+        "read-on-without-memory",
+        "http1/client.py",
+        "            if not self._has_memory(reader.required_bytes):\n",
+        "            if not self._has_memory(0):\n",
+        "http1/test_response_budget.py::test_a_response_waits_for_memory_and_is_read_whole",
+    ),
+    mutant.one(
+        "parse-all-chunks-in-one-turn",
+        "http1/client.py",
+        "            if framing_left <= 0 and data:\n",
+        "            if framing_left <= 0 and not data:\n",
+        "http1/test_response_budget.py::test_many_chunks_leave_the_event_loop_to_others",
+    ),
+    mutant.one(
+        "leave-failed-answers-to-the-garbage-collector",
+        "http1/reading.py",
+        "        del self._parser\n        self._body = bytearray()\n",
+        "        pass\n",
+        "http1/test_client_memory.py::test_an_exchange_leaves_no_body_to_the_garbage_collector",
+    ),
     mutant.one(
         "read-heads-without-end",
         "http1/sizes.py",
@@ -57,6 +78,37 @@
         "            pass\n",
         "integration/test_leaving_entry.py::test_requests_that_outlast_the_process_are_answered",
     ),
+    mutant.one(
+        "exit-without-waiting-for-batches",
+        "entry/draining.py",
+        "            is_idle = not (_are_open(caller_server) or taken_batches.count)\n",
+        "            is_idle = not _are_open(caller_server)\n",
+        "integration/test_batches_of_a_leaving_entry.py"
+        "::test_batches_of_a_leaving_instance_are_finished_or_refused",
+    ),
+    mutant.one(
+        "take-batches-that-outlast-the-process",
+        "entry/batches.py",
+        "        self.limits = leaving.Limits(refuse_from_s, -math.inf, exits_at_s)\n",
+        "        pass\n",
+        "integration/test_batches_of_a_leaving_entry.py"
+        "::test_batches_of_a_leaving_instance_are_finished_or_refused",
+    ),
+    mutant.one(
+        "ignore-usual-durations-when-leaving",
+        "policy/leaving.py",
+        "    is_long = usual_s is not None and now_s + usual_s > limits.exits_at_s\n",
+        "    is_long = False\n",
+        "policy/test_leaving.py::test_what_a_leaving_instance_takes",
+    ),
+    mutant.one(
+        "take-requests-at-the-exit",
+        "entry/in_flight.py",
+        "        self._ended = True\n",
+        "",
+        "integration/test_requests_at_the_exit.py"
+        "::test_a_request_that_arrives_as_the_instance_exits_is_refused",
+    ),
     mutant.one(
         "refuse-what-has-been-sent-at-the-exit",
         "entry/callers.py",
@@ -66,9 +118,9 @@
     ),
     mutant.one(
         "accept-unrepeatable-requests-as-long-as-others",
-        "entry/callers.py",
-        "self._refuse_from_s if idempotent else self._refuse_unrepeatable_from_s",
-        "self._refuse_from_s",
+        "entry/leaving.py",
+        "self._idempotent if call.route.idempotent else self._unrepeatable",
+        "self._idempotent",
         "entry/test_callers.py::test_what_a_draining_instance_refuses",
     ),
     mutant.one(
@@ -255,8 +307,8 @@
     mutant.one(
         "run-old-batches",
         "entry/batches.py",
-        "if stalled_s > MAX_STALL_S:",
-        "if stalled_s < 0:",
+        "if request.stalled_s > MAX_STALL_S:",
+        "if request.stalled_s < 0:",
         "direct/test_handover.py::test_a_batch_that_may_be_old_is_refused",
     ),
     mutant.one(
@@ -797,16 +849,16 @@
     ),
     mutant.one(
         "refuse-all-when-draining",
-        "entry/callers.py",
-        "now_s >= refuse_from_s and call.deadline_s > self._exits_at_s",
-        "now_s >= refuse_from_s",
+        "policy/leaving.py",
+        "    if deadline_s <= limits.exits_at_s:\n        return True\n",
+        "",
         "entry/test_callers.py::test_status",
     ),
     mutant.one(
         "interrupt-requests-when-draining",
-        "entry/callers.py",
-        "now_s >= refuse_from_s and call.deadline_s > self._exits_at_s",
-        "now_s >= refuse_from_s + 60.0",
+        "policy/leaving.py",
+        "    return now_s < (",
+        "    return now_s - 60.0 < (",
         "entry/test_callers.py::test_status",
     ),
     mutant.one(
@@ -1340,7 +1392,7 @@
     mutant.one(
         "restart-without-backoff",
         "kernel/supervisor.py",
-        "RESTART_MIN_S * 2**doublings",
+        "backoff.delay(RESTART_MIN_S, RESTART_MAX_S, status.failures_in_a_row)",
         "RESTART_MIN_S",
         "entry/test_restarts.py::test_poisoned_snapshot_is_not_read_in_a_tight_loop",
     ),
@@ -1365,4 +1417,25 @@
         "                await asyncio.Event().wait()\n",
         "integration/test_task_failures.py::test_task_that_fails_once_runs_again",
     ),
+    mutant.one(
+        "choose-a-paused-replica",
+        "direct/replicas.py",
+        "            and replica.may_get_request(now_s)\n",
+        "",
+        "direct/test_oversized_replicas.py::test_hedge_and_retry_pass_over_a_paused_replica",
+    ),
+    mutant.one(
+        "write-to-a-paused-replica",
+        "direct/replicas.py",
+        'return "" if replica.may_be_written_to(now_s) else OVERSIZED',
+        'return ""',
+        "direct/test_oversized_replicas.py::test_requests_that_wait_for_a_connection_are_withheld",
+    ),
+    mutant.one(
+        "let-errors-of-recording-through",
+        "kernel/failures.py",
+        "        report_recording(step, error)\n        return None\n",
+        "        raise\n",
+        "entry/test_recording_errors.py::test_attempt_has_its_outcome",
+    ),
 )
