--- a/src/turmericlug/http1/connection.py
+++ b/src/turmericlug/http1/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import contextlib
 import typing
 
 import httptools
@@ -85,9 +86,17 @@
         self._outgoing = outgoing.Outgoing(
             self._transport, self._server.budget, self._server.slow_callers
         )
-        client_module.set_socket_options(transport)
         self._server.opening.discard(self)
         self._server.connections.add(self)
+        try:
+            self._begin()
+        except Exception:
+            # The event loop reports the error, and would leave the connection open.
+            self._transport.abort()
+            raise
+
+    def _begin(self) -> None:
+        client_module.set_socket_options(self._transport)
         if len(self._server.connections) > self._server.max_connections:
             self._rejected = True
             self._outgoing.write(self._server.refuse_connection())
@@ -135,17 +144,19 @@
     def _parse_slices(self, data: memoryview, arrived_s: float) -> None:
         """Parse until a request is to be served, or a turn of the event loop is due."""
         while data and not (self._rejected or self._must_close):
-            # What remains of a body with a length is a single piece, whatever its size.
-            body_left_bytes = self._announced_bytes - len(self._body) if self._head_done else 0
-            size, pieces_before = max(SLICE_BYTES, body_left_bytes), self._pieces
+            # What remains of a body with a length is a single piece, and counts already.
+            size, pieces_before = max(SLICE_BYTES, self._body_left_bytes()), self._pieces
             self._parse(data[:size], arrived_s)
             data = data[size:]
-            is_turn_due = self._pieces - pieces_before > PIECES_PER_TURN
-            if data and (self._serve_task is not None or is_turn_due):
+            must_wait = self._serve_task is not None and not self._body_left_bytes()
+            if data and (must_wait or self._pieces - pieces_before > PIECES_PER_TURN):
                 self._keep(data, arrived_s)
                 return
         self._unparsed.drop()
 
+    def _body_left_bytes(self) -> int:
+        return max(0, self._announced_bytes - len(self._body)) if self._head_done else 0
+
     def _keep(self, data: memoryview, arrived_s: float) -> None:
         if self._rejected or self._must_close:
             self._unparsed.drop()
@@ -186,6 +197,9 @@
             too_large = self._sizes.count(len(data), body_size, head_was_done, self._head_done)
             if too_large:
                 self._reject_large(431 if too_large == sizes.HEAD else 413, too_large)
+            elif not self._head_done:
+                with contextlib.suppress(_RejectedError):
+                    self._hold(self._sizes.head_bytes + self._header_overhead_bytes())
 
     def _reject_unreadable(self, detail: str) -> None:
         self._reject(400, "unreadable", "unreadable request", detail=detail[:100])
@@ -232,7 +246,7 @@
         if self._announced_bytes > self._server.limits().body_bytes:
             self._reject_large(413, _BODY)
             raise _RejectedError
-        self._held_head_bytes = self._head_bytes + len(self._headers) * _HEADER_OVERHEAD_BYTES
+        self._held_head_bytes = self._head_bytes + self._header_overhead_bytes()
         self._hold(self._held_head_bytes + self._announced_bytes)
         if any(name == b"expect" for name, _ in self._headers):
             self._outgoing.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -243,17 +257,21 @@
         if len(self._body) + len(body) > self._server.limits().body_bytes:
             self._reject_large(413, _BODY)
             raise _RejectedError
-        self._hold(self._held_head_bytes + len(self._body) + len(body) - self._held_bytes)
+        self._hold(self._held_head_bytes + len(self._body) + len(body))
         self._body += body
 
+    def _header_overhead_bytes(self) -> int:
+        return len(self._headers) * _HEADER_OVERHEAD_BYTES
+
     def _hold(self, size_bytes: int) -> None:
-        """Hold further bytes of the request, or refuse it if all requests get too large."""
-        if size_bytes <= 0:
+        """Hold what the request takes so far, or refuse it if all requests get too large."""
+        further_bytes = size_bytes - self._held_bytes
+        if further_bytes <= 0:
             return
-        if not self._server.budget.reserve(size_bytes):
+        if not self._server.budget.reserve(further_bytes):
             self._reject_for_memory()
             raise _RejectedError
-        self._held_bytes += size_bytes
+        self._held_bytes = size_bytes
 
     def _release_unread(self) -> None:
         """Drop what was read of a request that will not be served."""
