Build the fan-out of a test with its own constructor

The test left out fields by which FanOut now counts the answers that it holds, and failed with AttributeError once both changes were merged. It checks the same as before.

--- a/tests/owner/test_recording_errors_of_owners.py
+++ b/tests/owner/test_recording_errors_of_owners.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import types
 
 import pytest
 import test_service_queue
 
+from turmericlug.catalog import catalog
 from turmericlug.kernel import failures
 from turmericlug.owner import hedging
 from turmericlug.owner import part as part_module
 from turmericlug.owner import policy
 from turmericlug.owner import replica as replica_module
+from turmericlug.owner import reply_budget
 from turmericlug.owner import service_queue
+from turmericlug.owner import submission
 from turmericlug.owner import suspects as suspects_module
 from turmericlug.owner import target
 from turmericlug.query import coordinator as coordinator_module
@@ -134,13 +138,18 @@
 
 
 def test_reply_counts_though_its_wait_is_not_recorded():
+    """Guards against parts that are late though their owner has replied."""
+    plan = fan_out.Plan(
+        submission.QueryParameters("q", "c", 5, True, True, 1, b"{}"),
+        catalog.Snapshot("s1", {}),
+        (("s", "s"),),
+        0.0,
+        time.monotonic() + 10.0,
+        reply_budget.Held(reply_budget.of_memory(16)),
+    )
+
     async def main():
-        parts = fan_out.FanOut.__new__(fan_out.FanOut)
-        parts._on_wait_predicted = fail
-        parts._parts = [fan_out._PartState("s", "s")]
-        parts._open_numbers, parts._answered_count = {0}, 0
-        parts._plan = types.SimpleNamespace(snapshot=types.SimpleNamespace(name="s1"))
-        parts._changed = asyncio.Event()
+        parts = fan_out.FanOut(plan, None, None, counters_module.Counters(), fail)
         parts._on_replies([part_module.PartReply(0, part_module.ANSWERED, "", "s1", 0, b"{}")])
         return parts.results()
 
