Reply to a part whose attempt ended by an unexpected error

What callers saw: a query that waits until its deadline for a part, though nothing is in flight. An error that the client of targets doesn't expect ended the task of the attempt, and the part was neither finished nor tried again. Found by reading.

The attempt has the outcome internal_error, which may have run, and the error is reported. Test: test_part_is_replied_after_an_unexpected_error; both cases time out with the code before.

--- a/src/turmericlug/owner/service_queue.py
+++ b/src/turmericlug/owner/service_queue.py
@@ -312,6 +312,9 @@
                 part.body,
                 part.deadline_s - started_at_s,
             )
+        except Exception as error:
+            failures.report(error)
+            outcome = target.Unknown("internal_error")
         finally:
             replica.in_flight -= 1
             part.attempts_in_flight.pop(attempt_id, None)
--- a/tests/owner/test_recording_errors_of_owners.py
+++ b/tests/owner/test_recording_errors_of_owners.py
@@ -87,6 +87,30 @@
     assert {failure.event for failure in reported} <= {failures.RECORDING_FAILED}
 
 
+@pytest.mark.parametrize("failures_in_a_row", [1, 2])
+def test_part_is_replied_after_an_unexpected_error(failures_in_a_row):
+    """Guards against a part without a reply, whose query waits for its deadline."""
+
+    class Targets(test_service_queue.Targets):
+        async def run(self, *args):
+            outcome = await super().run(*args)
+            return fail() if len(self.sent) <= failures_in_a_row else outcome
+
+    async def main():
+        queue = test_service_queue.make_queue(Targets({"a": [test_service_queue.ANSWER]}))
+        replies = []
+        test_service_queue.submit(queue, replies)
+        await test_service_queue.wait_for_replies(replies)
+        await queue._tasks.finish()
+        assert queue.in_flight() == 0
+        return replies
+
+    (reply,), reported = run_reporting(main)
+    outcomes = {1: part_module.ANSWERED, 2: part_module.FAILED}
+    assert reply.outcome == outcomes[failures_in_a_row]
+    assert len(reported) == failures_in_a_row
+
+
 def test_query_has_its_outcome_though_it_is_not_recorded():
     """Guards against status 500 for a query that was answered."""
     answer = outcome_module.Answer("s1", outcome_module.Coverage(1, 1, ()), [("s", b"{}")], 1, "")
