--- a/tests/owner/test_recording_errors_of_owners.py
+++ b/tests/owner/test_recording_errors_of_owners.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import types
 
 import pytest
 import test_service_queue
 
+from turmericlug.catalog import catalog
 from turmericlug.kernel import failures
 from turmericlug.owner import hedging
 from turmericlug.owner import part as part_module
 from turmericlug.owner import policy
 from turmericlug.owner import replica as replica_module
+from turmericlug.owner import reply_budget
 from turmericlug.owner import service_queue
+from turmericlug.owner import submission
 from turmericlug.owner import suspects as suspects_module
 from turmericlug.owner import target
 from turmericlug.query import coordinator as coordinator_module
@@ -83,6 +87,30 @@
     assert {failure.event for failure in reported} <= {failures.RECORDING_FAILED}
 
 
+@pytest.mark.parametrize("failures_in_a_row", [1, 2])
+def test_part_is_replied_after_an_unexpected_error(failures_in_a_row):
+    """Guards against a part without a reply, whose query waits for its deadline."""
+
+    class Targets(test_service_queue.Targets):
+        async def run(self, *args):
+            outcome = await super().run(*args)
+            return fail() if len(self.sent) <= failures_in_a_row else outcome
+
+    async def main():
+        queue = test_service_queue.make_queue(Targets({"a": [test_service_queue.ANSWER]}))
+        replies = []
+        test_service_queue.submit(queue, replies)
+        await test_service_queue.wait_for_replies(replies)
+        await queue._tasks.finish()
+        assert queue.in_flight() == 0
+        return replies
+
+    (reply,), reported = run_reporting(main)
+    outcomes = {1: part_module.ANSWERED, 2: part_module.FAILED}
+    assert reply.outcome == outcomes[failures_in_a_row]
+    assert len(reported) == failures_in_a_row
+
+
 def test_query_has_its_outcome_though_it_is_not_recorded():
     """Guards against status 500 for a query that was answered."""
     answer = outcome_module.Answer("s1", outcome_module.Coverage(1, 1, ()), [("s", b"{}")], 1, "")
@@ -134,13 +162,18 @@
 
 
 def test_reply_counts_though_its_wait_is_not_recorded():
+    """Guards against parts that are late though their owner has replied."""
+    plan = fan_out.Plan(
+        submission.QueryParameters("q", "c", 5, True, True, 1, b"{}"),
+        catalog.Snapshot("s1", {}),
+        (("s", "s"),),
+        0.0,
+        time.monotonic() + 10.0,
+        reply_budget.Held(reply_budget.of_memory(16)),
+    )
+
     async def main():
-        parts = fan_out.FanOut.__new__(fan_out.FanOut)
-        parts._on_wait_predicted = fail
-        parts._parts = [fan_out._PartState("s", "s")]
-        parts._open_numbers, parts._answered_count = {0}, 0
-        parts._plan = types.SimpleNamespace(snapshot=types.SimpleNamespace(name="s1"))
-        parts._changed = asyncio.Event()
+        parts = fan_out.FanOut(plan, None, None, counters_module.Counters(), fail)
         parts._on_replies([part_module.PartReply(0, part_module.ANSWERED, "", "s1", 0, b"{}")])
         return parts.results()
 
