--- a/src/turmericlug/http1/accepting.py
+++ b/src/turmericlug/http1/accepting.py
@@ -62,12 +62,14 @@
         self._watch()
 
     def close(self) -> None:
-        """Stop listening; open connections stay open."""
-        if self._retry is not None:
-            self._retry.cancel()
+        """Accept what waits and stop listening; open connections stay open."""
         if self.socket.fileno() >= 0:
+            # The operating system resets what has not been accepted.
+            self._accept()
             asyncio.get_running_loop().remove_reader(self.socket)
             self.socket.close()
+        if self._retry is not None:
+            self._retry.cancel()
 
     def _watch(self) -> None:
         self._retry = None
