Close the callers' port of turmericlugd once its address has expired

A planned stop waited until no query ran, with the port open and all queries taken: callers that went on with the address kept the instance from ending, for up to 60 s; then what ran was cut off after 1 s.

Now the port is closed once the address has expired, queries on open connections are refused (reason leaving, with the address of another instance), and those that run are answered before the exit. instance.cutting_off counts what still runs after 60 s; that was invisible.

--- a/src/turmericlug/instance.py
+++ b/src/turmericlug/instance.py
@@ -421,8 +421,9 @@
     Drain this instance without interrupting a request.
 
     It first gives up its ownership and its entry address. Callers that still use the address are
-    served through the new owners for its lifetime, and told which address to use instead; only then
-    is the port closed.
+    served through the new owners for its lifetime, and told which address to use instead. Then the
+    port is closed, what still comes on open connections is refused, and the requests that run are
+    answered.
     """
     settings = kernel.find("settings")
     owner, coordinator = kernel.find("owner"), kernel.find("coordinator")
@@ -433,7 +434,30 @@
     with failures.reported():
         owner.drain()
     await asyncio.sleep(settings.policy.address_lifetime_ms / 1000)
+    with failures.reported():
+        await _stop_taking_queries(kernel)
     deadline_s = time.monotonic() + _DRAIN_TIMEOUT_S
     while (owner.in_flight() or coordinator.running) and time.monotonic() < deadline_s:
         await asyncio.sleep(0.02)
+    if owner.in_flight() or coordinator.running:
+        events.emit(
+            "instance.cutting_off",
+            "warning",
+            attempts=owner.in_flight(),
+            queries=coordinator.running,
+        )
     await kernel.find("callers").finish()
+
+
+async def _stop_taking_queries(kernel: Kernel) -> None:
+    """
+    Close the callers' port and refuse further queries.
+
+    Callers that keep the address would keep this instance from ending, until it is terminated with
+    their requests.
+    """
+    kernel.find("callers").refuse_queries()
+    binding = kernel.find("bindings")["callers"]
+    if binding.is_bound:
+        for site in list(binding.listener.sites):
+            await site.stop()
--- a/src/turmericlug/query/callers_http.py
+++ b/src/turmericlug/query/callers_http.py
@@ -23,6 +23,7 @@
 from turmericlug.rules import configuration
 from turmericlug.rules import model
 from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import events
 
 CALLER_HEADER = "Turmericlug-Caller"
 DATA_CENTRE_HEADER = "Turmericlug-Data-Centre"
@@ -43,6 +44,8 @@
 _CALLER_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._@-]{0,63}\Z")
 _MAX_LINE_BYTES = 8190
 _MAX_ADDRESSES = 16
+LEAVING = "leaving"
+"""Reason for refusing a request: this instance has left, and its address is not valid any more."""
 
 
 class BadRequestError(Exception):
@@ -73,6 +76,11 @@
         self._counters = counters
         self._rng = random.Random(settings.instance.name)
         self._shielded_tasks = tasks.Tasks()
+        self._refuses_queries = False
+
+    def refuse_queries(self) -> None:
+        """Refuse queries that come on connections that are still open."""
+        self._refuses_queries = True
 
     def application(self) -> web.Application:
         """Build the application with its routes."""
@@ -108,6 +116,12 @@
     async def _query(self, request: web.Request) -> web.StreamResponse:
         query = self._parse_query(request, await request.read())
         query_id = self._coordinator.new_id()
+        if self._refuses_queries:
+            self._counters.add(f"query.refused.{LEAVING}")
+            events.emit("query.refused", request=query_id, service=query.service, reason=LEAVING)
+            response = self._response(outcome_module.Refused(LEAVING, 0), query_id)
+            response.force_close()
+            return response
         run = self._coordinator.run(query, query_id)
         if query.idempotency_key:
             # A caller that disconnects cancels its query, unless the query runs at most once: its
--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -166,6 +166,14 @@
         "if self.consecutive_failures >= 0:",
         "integration/test_leaving_target.py::test_crashed_target",
     ),
+    mutant.one(
+        "take-queries-for-as-long-as-callers-ask",
+        "instance.py",
+        "        await _stop_taking_queries(kernel)\n",
+        "        pass\n",
+        "integration/test_daemon_last_requests.py"
+        "::test_requests_until_the_end_are_answered_or_have_not_run",
+    ),
     mutant.one(
         "stop-before-addresses-expire",
         "instance.py",
