--- a/src/turmericlug/direct/sending.py
+++ b/src/turmericlug/direct/sending.py
@@ -27,6 +27,8 @@
 """Reason if the request reached another replica that has taken over the address."""
 NO_RESPONSE = "silent"
 """Reason if a replica got the request and did not respond in time."""
+NO_MEMORY = "no_memory"
+"""Reason if the response waited for memory until the time ran out."""
 CRASHES_REPLICAS = "ends_replicas"
 """Reason if the request is not forwarded because replicas crashed while they ran it."""
 
@@ -218,6 +220,7 @@
     replicas_module.LEAVING,
     replicas_module.MISDIRECTED,
     replicas_module.OUT_OF_REGION,
+    replicas_module.OVERSIZED,
 )
 
 Outcome = Answered | AnsweredInBatch | Failed | NotRun | Unknown
@@ -293,7 +296,7 @@
 
 def timed_out(outcome: Outcome) -> bool:
     """Whether there is no response because the time ran out."""
-    return isinstance(outcome, Unknown) and outcome.reason in ("deadline", NO_RESPONSE)
+    return isinstance(outcome, Unknown) and outcome.reason in ("deadline", NO_RESPONSE, NO_MEMORY)
 
 
 def was_shed(outcome: Outcome) -> bool:
@@ -313,10 +316,18 @@
     return status in _NOT_RUN_STATUSES
 
 
+def internal_error(attempt: replica_module.Attempt) -> Outcome:
+    """Return the outcome of an attempt that ended by an unexpected error in this instance."""
+    if attempt.written_s is None:
+        return NotRun(INTERNAL_ERROR.reason, sent=False)
+    return INTERNAL_ERROR
+
+
 def _timeout_outcome(attempt: replica_module.Attempt) -> Outcome:
     if attempt.written_s is None:
         return NotRun("no_connection_in_time", sent=False)
-    return Unknown(NO_RESPONSE)
+    waits = attempt.connection is not None and attempt.connection.waits_for_memory
+    return Unknown(NO_MEMORY if waits else NO_RESPONSE)
 
 
 async def send(
--- a/src/turmericlug/query/fan_out.py
+++ b/src/turmericlug/query/fan_out.py
@@ -10,9 +10,11 @@
 import attrs
 
 from turmericlug.catalog import catalog as catalog_module
+from turmericlug.kernel import failures
 from turmericlug.membership import mesh as mesh_module
 from turmericlug.owner import owner as owner_module
 from turmericlug.owner import part as part_module
+from turmericlug.owner import reply_budget
 from turmericlug.owner import submission
 from turmericlug.query import outcome as outcome_module
 from turmericlug.telemetry import counters as counters_module
@@ -23,6 +25,8 @@
 MAX_SUBMISSIONS = 6
 _RESUBMIT_DELAY_S = 0.025
 SNAPSHOT_ABSENT = "snapshot_absent"
+NO_MEMORY = "memory"
+"""Reason of a part whose answer isn't kept, as the answers held take all the memory."""
 
 
 @attrs.frozen
@@ -36,6 +40,8 @@
     min_coverage: float
     deadline_s: float
     """On the monotonic clock."""
+    held: reply_budget.Held
+    """What is held of the answers."""
 
 
 @attrs.define
@@ -223,7 +229,7 @@
             if reply.number not in self._open_numbers:
                 continue
             part = self._parts[reply.number]
-            self._on_wait_predicted(part.service, reply.wait_ms)
+            failures.try_record("wait", self._on_wait_predicted, part.service, reply.wait_ms)
             if reply.outcome == part_module.ANSWERED:
                 self._accept_answer(reply, part)
             elif reply.outcome == part_module.FAILED:
@@ -245,6 +251,10 @@
             self._counters.add("query.mismatched_reply")
             self._close_part(reply.number, "wrong_snapshot")
             return
+        if not self._plan.held.reserve(part.service, len(reply.body)):
+            self._counters.add("query.answer_dropped.memory")
+            self._close_part(reply.number, NO_MEMORY)
+            return
         part.answer = reply.body
         self._answered_count += 1
         self._open_numbers.discard(reply.number)
@@ -293,8 +303,10 @@
     def stop(self) -> None:
         """Cancel the open parts at the owners and, through them, at the targets."""
         self._stopped = True
-        for cancel in self._cancel_callbacks:
-            cancel()
+        # Emptied, as the callbacks refer to this object: answers would stay until the next full
+        # garbage collection, which is rare.
+        while self._cancel_callbacks:
+            self._cancel_callbacks.pop()()
 
     def coverage(self) -> outcome_module.Coverage:
         """Return how many parts are answered, and why each other one is missing."""
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -8,6 +8,11 @@
 from hdrh import histogram
 
 _MAX_US = 60_000_000
+MAX_NAMES = 64
+"""Names of one family, some times the most that the code itself has."""
+MAX_NAME_LENGTH = 100
+OTHER = "other"
+"""Last part of the name of all counters of a family that are not kept apart."""
 
 # Every metric of the daemon and the entry instances, with its description. A trailing ".*" stands
 # for a reason, an operation or the like. docs/reference-metrics.md lists the same names, which a
@@ -22,6 +27,8 @@
     "query.moved_parts": "parts sent to the next owner because the first did not respond",
     "query.unconfirmed": "queries that met a configuration not confirmed to be the newest",
     "query.mismatched_reply": "owners' replies dropped because they were for another query",
+    "query.answer_dropped.*": "answers to parts that were not kept, by reason",
+    "query.answer_not_taken": "connections closed because the caller took nothing of its answer",
     "query.total_ms": "timer: a query, from its arrival to its answer",
     "owner.part.answered": "parts answered by a target",
     "owner.part.refused.*": "parts refused and not run, by reason",
@@ -40,9 +47,13 @@
     "owner.connections_opened": "connections opened to targets",
     "owner.ejected": "replicas ejected after errors",
     "owner.mismatched_reply": "target replies for another attempt",
+    "owner.unasked_reply": "connections closed because a target sent more than was asked for",
+    "owner.reply_not_read.*": "target replies not read to their end, by reason",
+    "owner.waited_for_memory": "times queued parts waited for memory for their replies",
     "owner.handed_over": "queued parts returned when this instance left",
     "instance.loop_lag_ms": "timer: delay of this process's event loop, which shows CPU overload",
     "task.failed.*": "tasks and callbacks that ended by an unexpected error, by name",
+    "recording.failed.*": "errors in recording a known outcome, told all the same, by step",
     "membership.suspected": "peers that missed a probe",
     "membership.died": "peers declared dead",
     "membership.unreadable": "gossiped instances ignored because a field is out of range",
@@ -75,6 +86,7 @@
     "entry.bad_request.*": "requests rejected as malformed, by the header missing or repeated",
     "entry.unauthorised.*": "requests without a valid API key, by what is wrong",
     "entry.no_route": "requests that no route matches",
+    "caller.cut_off": "connections of callers that did not read, closed while memory was short",
     "caller.response_failed": "connections closed because a response failed while it was written",
     "entry.caller_left": "callers that disconnected before their answer",
     "admission.waited": "requests that waited in the instance below its concurrency limit",
@@ -85,12 +97,14 @@
     "direct.sent.*": "attempts sent to replicas, by whether they are in this instance's region",
     "direct.send_ms": "timer: an answered attempt, including the wait for a connection",
     "direct.send_failed.*": "attempts without a usable answer, by reason",
+    "direct.oversized": "pauses of replicas whose responses repeatedly exceeded a limit",
     "direct.withheld.*": "attempts that were not written, by reason",
     "direct.hedge.sent": "hedges for late attempts",
     "direct.hedge_denied.*": "late attempts without a hedge, by reason",
     "direct.repeat.*": "retries, by the failure of the previous attempt",
     "direct.repeat_denied.*": "failed attempts not retried although a retry is safe, by reason",
     "direct.missing_parts": "shards missing in partial answers",
+    "direct.waited_for_memory": "answers that waited until others had given memory back",
     "direct.unasked_bytes": "connections closed because of bytes received outside of a response",
     "handover.sent": "batches of parts handed over to an instance near their replicas",
     "handover.shards": "parts in those batches",
@@ -157,20 +171,56 @@
 }
 
 
+_FAMILIES = frozenset(name[:-1] for name in DESCRIPTIONS if name.endswith(".*"))
+
+
+def _family_of(name: str) -> str | None:
+    """Return the beginning that a name shares with others, ``None`` for a name of its own."""
+    if name in DESCRIPTIONS:
+        return None
+    end = len(name)
+    while (end := name.rfind(".", 0, end)) >= 0:
+        if name[: end + 1] in _FAMILIES:
+            return name[: end + 1]
+    return ""
+
+
 class Counters:
     """Counters, timers and gauges since the start, also sent to statsd if a port is given."""
 
     def __init__(self, host: str = "", port: int = 0, prefix: str = "") -> None:
         self.totals: collections.Counter[str] = collections.Counter()
+        self._names_by_family: collections.Counter[str] = collections.Counter()
         self._timers: dict[str, histogram.HdrHistogram] = {}
         self._client = statsd.StatsClient(host, port, prefix) if port else None
 
     def add(self, name: str, amount: int = 1) -> None:
-        """Increment a counter."""
+        """
+        Increment a counter.
+
+        Names may end in text from outside, such as a reason that another process states. Beyond
+        ``MAX_NAMES`` of one family they are counted under ``OTHER``.
+        """
+        if name not in self.totals:
+            name = self._admit(name)
         self.totals[name] += amount
         if self._client is not None:
             self._client.incr(name, amount)
 
+    def _admit(self, name: str) -> str:
+        """Return the name under which a counter that is not known yet is kept."""
+        family = _family_of(name)
+        if family is None:
+            return name
+        other = family + OTHER
+        if name == other:
+            return other
+        is_usable = len(name) <= MAX_NAME_LENGTH and name.isascii() and name.isprintable()
+        if not is_usable or self._names_by_family[family] >= MAX_NAMES:
+            return other
+        self._names_by_family[family] += 1
+        return name
+
     def time_ms(self, name: str, duration_ms: float) -> None:
         """Record one duration."""
         timer = self._timers.get(name)
