--- a/src/turmericlug/query/callers_http.py
+++ b/src/turmericlug/query/callers_http.py
@@ -25,6 +25,7 @@
 from turmericlug.rules import configuration
 from turmericlug.rules import model
 from turmericlug.telemetry import counters as counters_module
+from turmericlug.telemetry import events
 
 CALLER_HEADER = "Turmericlug-Caller"
 DATA_CENTRE_HEADER = "Turmericlug-Data-Centre"
@@ -45,6 +46,8 @@
 _CALLER_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._@-]{0,63}\Z")
 _MAX_LINE_BYTES = 8190
 _MAX_ADDRESSES = 16
+LEAVING = "leaving"
+"""Reason for refusing a request: this instance has left, and its address is not valid any more."""
 _WRITE_BYTES = 64 * 1024
 """Written at once of an answer; the rest waits until the caller has taken most of it."""
 _TAKE_TIMEOUT_S = 10.0
@@ -80,6 +83,11 @@
         self._counters = counters
         self._rng = random.Random(settings.instance.name)
         self._shielded_tasks = tasks.Tasks()
+        self._refuses_queries = False
+
+    def refuse_queries(self) -> None:
+        """Refuse queries that come on connections that are still open."""
+        self._refuses_queries = True
 
     def application(self) -> web.Application:
         """Build the application with its routes."""
@@ -116,6 +124,8 @@
         with reply_budget.held(self._coordinator.replies) as held:
             query = self._parse_query(request, await request.read(), held)
             query_id = self._coordinator.new_id()
+            if self._refuses_queries:
+                return await self._refuse_leaving(request, query.service, query_id)
             run = self._coordinator.run(query, query_id)
             if query.idempotency_key:
                 # A caller that disconnects cancels its query, unless the query runs at most once:
@@ -127,6 +137,15 @@
             del outcome
             return await self._write(request, response, body)
 
+    async def _refuse_leaving(
+        self, request: web.Request, service: str, query_id: str
+    ) -> web.StreamResponse:
+        self._counters.add(f"query.refused.{LEAVING}")
+        events.emit("query.refused", request=query_id, service=service, reason=LEAVING)
+        response, body = self._response(outcome_module.Refused(LEAVING, 0), query_id)
+        response.force_close()
+        return await self._write(request, response, body)
+
     async def _write(
         self, request: web.Request, response: web.StreamResponse, body: bytes
     ) -> web.StreamResponse:
