--- a/src/turmericlug/owner/replica.py
+++ b/src/turmericlug/owner/replica.py
@@ -8,6 +8,7 @@
 
 from turmericlug.owner import policy
 
+_ABSENT_TTL_S = 0.25
 LISTED_AS_LEAVING = "listed_as_leaving"
 
 
@@ -45,7 +46,16 @@
     def lacks_snapshot(self, snapshot: str, now_s: float) -> bool:
         """Whether it reported within the last 250 ms that it does not hold a snapshot."""
         reported_at_s = self.absent_snapshots.get(snapshot)
-        return reported_at_s is not None and now_s - reported_at_s < 0.25
+        return reported_at_s is not None and now_s - reported_at_s < _ABSENT_TTL_S
+
+    def record_absent(self, snapshot: str, now_s: float) -> None:
+        """Record that it reported a snapshot absent; forgets older reports."""
+        self.absent_snapshots = {
+            name: reported_at_s
+            for name, reported_at_s in self.absent_snapshots.items()
+            if now_s - reported_at_s < _ABSENT_TTL_S
+        }
+        self.absent_snapshots[snapshot] = now_s
 
     def record_success(self, duration_ms: float) -> None:
         """Record an answer; ends an ejection."""
--- a/src/turmericlug/owner/service_queue.py
+++ b/src/turmericlug/owner/service_queue.py
@@ -341,7 +341,7 @@
             case target.NotRun():
                 replica.record_refusal()
             case target.SnapshotAbsent():
-                replica.absent_snapshots[part.snapshot] = time.monotonic()
+                replica.record_absent(part.snapshot, time.monotonic())
             case target.Unknown(reason="timeout") if duration_ms < 4 * self.durations.mean_ms:
                 pass  # the caller's deadline was too short; the replica did not fail
             case target.Unknown():
--- a/tests/owner/test_selection.py
+++ b/tests/owner/test_selection.py
@@ -73,3 +73,13 @@
     assert (selected.instance if selected else None) == untried
     selected = selection.select_for_retry(replicas, NOW_S, part)
     assert (selected.instance if selected else None) == for_retry
+
+
+def test_reports_of_absent_snapshots_are_forgotten():
+    """Guards against a list of all snapshots that a replica lacked, over a year of versions."""
+    reporting = replica("a")
+    for number in range(100):
+        reporting.record_absent(f"s{number}", NOW_S + number)
+    assert list(reporting.absent_snapshots) == ["s99"]
+    assert reporting.lacks_snapshot("s99", NOW_S + 99.2)
+    assert not reporting.lacks_snapshot("s99", NOW_S + 99.3)
