Forget the rates of rules that have gone

A coordinator keeps a token bucket for each rule with a rate that it has ever applied. The least recently used is dropped beyond 10,000.

Test: test_rates_of_rules_that_have_gone_are_forgotten; 11 buckets with a limit of 3 without the change.

--- a/src/turmericlug/query/admission.py
+++ b/src/turmericlug/query/admission.py
@@ -13,6 +13,8 @@
 _WAIT_MAX_AGE_S = 0.3
 """Age from which a predicted wait is ignored."""
 _MAX_WAITS = 10000
+_MAX_BUCKETS = 10000
+"""Rules with a rate, some times those of the largest document."""
 
 
 @attrs.define
@@ -75,4 +77,7 @@
             self._buckets = {key: other for key, other in self._buckets.items() if key[0] != rule}
             bucket = TokenBucket(instance_rate_per_s, 1.0, now_s)
             self._buckets[rule, instance_rate_per_s] = bucket
+            if len(self._buckets) > _MAX_BUCKETS:
+                # The one that was not used for the longest is that of a rule that has gone.
+                del self._buckets[min(self._buckets, key=lambda k: self._buckets[k].refilled_at_s)]
         return math.ceil(bucket.take(now_s) * 1000)
--- a/tests/query/test_admission.py
+++ b/tests/query/test_admission.py
@@ -39,3 +39,17 @@
         admitted_count += not checks.rate_limit_retry_after_ms("r", 30.0, 3)
     assert 98 <= admitted_count <= 111
     assert 0 < checks.rate_limit_retry_after_ms("r", 30.0, 3) <= 100
+
+
+def test_rates_of_rules_that_have_gone_are_forgotten(monkeypatch):
+    """Guards against a list of all rules that have ever had a rate, over a year of edits."""
+    monkeypatch.setattr(admission, "_MAX_BUCKETS", 3, raising=False)
+    now_s = [0.0]
+    monkeypatch.setattr(admission.time, "monotonic", lambda: now_s[0])
+    checks = admission.Admission(random.Random(1))
+    for number in range(10):
+        now_s[0] += 1.0
+        checks.rate_limit_retry_after_ms("stays", 0.001, 1)
+        checks.rate_limit_retry_after_ms(f"gone-{number}", 1.0, 1)
+    assert len(checks._buckets) <= 3
+    assert checks.rate_limit_retry_after_ms("stays", 0.001, 1)
