Forget the failures of relays that have gone

A relay that fails and is then removed leaves an entry for good.

Test: test_failures_of_relays_that_have_gone_are_forgotten; 100 entries without the change.

--- a/src/turmericlug/entry/relay.py
+++ b/src/turmericlug/entry/relay.py
@@ -281,6 +281,12 @@
 
     def _record_failure(self, relay: replica_module.Replica, reason: str) -> None:
         name = relay.entry.instance
+        if name not in self._failures:
+            # Those of instances that have gone would stay for good.
+            known = self.peers.instances()
+            self._failures = {
+                each: self._failures[each] for each in self._failures if each in known
+            }
         failures = self._failures.setdefault(name, _Failures())
         failures.in_a_row += 1
         if failures.in_a_row >= FAILURES_TO_SKIP:
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -556,3 +556,18 @@
             assert source.counters.totals["relay.failed"] == 1
 
     asyncio.run(main())
+
+
+def test_failures_of_relays_that_have_gone_are_forgotten():
+    """Guards against an entry for each relay that failed before it ended, over a year of them."""
+
+    async def main():
+        async with relayed(*[silent] * 2) as (source, _):
+            for number in range(100):
+                entry = routes.ReplicaEntry(f"gone-{number}", "dc", "h", 1, "dc", 1, False, 0)
+                source.peers.put(entry)
+                source._record_failure(source.peers.find(entry.instance), "closed")
+                source.peers.remove(entry.instance)
+            return len(source._failures)
+
+    assert asyncio.run(main()) <= 2
