--- a/tests/direct/test_quarantine.py
+++ b/tests/direct/test_quarantine.py
@@ -10,6 +10,7 @@
 import threading
 import time
 
+import attrs
 import pytest
 import scripted
 import uvloop
@@ -474,3 +475,26 @@
 
     counts = run_scenario({"s": {"a": scripted.ScriptedReplica(GOOD)}}, scenario)
     assert counts == (quarantine.MAX_UNRESOLVED, 0)
+
+
+def test_replicas_that_are_lost_in_silence_are_forgotten():
+    """Guards against an entry for each lost replica that stays for good."""
+
+    async def scenario(sender, call):
+        watching = sender.quarantine
+        now_s = [asyncio.get_running_loop().time()]
+        watching._now_s = lambda: now_s[0]
+        [replica] = sender.replicas.of("s")
+        for number in range(100):
+            now_s[0] += 1.0
+            replica.entry = attrs.evolve(replica.entry, instance=f"lost-{number}")
+            await watching.record_outcome(call, replica, sending.Unknown(sending.NO_RESPONSE))
+            watching.expire()
+        kept = len(watching._unresolved)
+        now_s[0] += 2 * quarantine.UNRESOLVED_TTL_S
+        watching.expire()
+        return kept, len(watching._unresolved)
+
+    kept, left = run_scenario({"s": {"a": scripted.ScriptedReplica([])}}, scenario)
+    assert kept <= quarantine.UNRESOLVED_TTL_S + 1
+    assert not left
