Limit the memory of request bodies of turmericlugd as a sum

Callers saw: callers that send all of a body but its end take an instance beyond the memory of its machine, and hold it for as long as they like.

Cause: each body is limited (max_body_bytes), their sum and their time are not; up to 512 KiB of each connection were buffered besides.

Change: bodies are drawn from a budget (requests_mb in [limits], 32 MB) from their first byte until their query is answered; beyond it a request is refused unread with 503 memory, as not run. A body of which nothing comes for 10 s is refused with 408. 32 KiB are buffered unread. Gauge memory.held_kb.requests.

Test: test_callers_send_all_but_the_end_of_their_bodies (limit 256 MB); the case of 4 MiB fails before, that of 64 KiB is a guard.

--- a/src/turmericlug/config/settings.py
+++ b/src/turmericlug/config/settings.py
@@ -86,6 +86,9 @@
     queue_parts: int = ini.key(
         ini.integer(1, 1000000), 2000, "largest number of queued parts per service"
     )
+    requests_mb: int = ini.key(
+        ini.integer(4, 1 << 20), 32, "memory for request bodies until their answers"
+    )
     replies_mb: int = ini.key(
         ini.integer(16, 1 << 20), 96, "memory for replies of targets until their callers have them"
     )
--- a/src/turmericlug/instance.py
+++ b/src/turmericlug/instance.py
@@ -323,6 +323,7 @@
         kernel.find("coordinator"),
         kernel.find("counters"),
     )
+    kernel.find("memory gauges").add("requests", lambda: callers.requests.held_bytes)
     instance = settings.instance
 
     def serve_callers() -> contextlib.AbstractAsyncContextManager[typing.Any]:
--- a/src/turmericlug/query/callers_http.py
+++ b/src/turmericlug/query/callers_http.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from turmericlug.config import settings as settings_module
+from turmericlug.http1 import request_budget
 from turmericlug.kernel import tasks
 from turmericlug.membership import members as members_module
 from turmericlug.membership import mesh as mesh_module
@@ -42,7 +43,11 @@
     "idempotency_key",
 }
 _CALLER_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._@-]{0,63}\Z")
+NO_MEMORY = "memory"
+"""Reason of a request that is refused unread for want of memory."""
 _MAX_LINE_BYTES = 8190
+_READ_BUFFER_BYTES = 16 * 1024
+"""Received and not read yet from one connection, at which it pauses."""
 _MAX_ADDRESSES = 16
 _WRITE_BYTES = 64 * 1024
 """Written at once of an answer; the rest waits until the caller has taken most of it."""
@@ -79,6 +84,8 @@
         self._counters = counters
         self._rng = random.Random(settings.instance.name)
         self._shielded_tasks = tasks.Tasks()
+        self.requests = request_budget.of_memory(settings.limits.requests_mb, 1.0)
+        """The memory for the bodies of requests."""
 
     def application(self) -> web.Application:
         """Build the application with its routes."""
@@ -112,8 +119,11 @@
         return web.json_response(payload, status=status)
 
     async def _query(self, request: web.Request) -> web.StreamResponse:
-        with reply_budget.held(self._coordinator.replies) as held:
-            query = self._parse_query(request, await request.read(), held)
+        with (
+            reply_budget.held(self._coordinator.replies) as held,
+            self._reserving() as reserve,
+        ):
+            query = self._parse_query(request, await self._read_body(request, reserve), held)
             query_id = self._coordinator.new_id()
             run = self._coordinator.run(query, query_id)
             if query.idempotency_key:
@@ -126,6 +136,49 @@
             del outcome
             return await self._write(request, response, body)
 
+    @contextlib.contextmanager
+    def _reserving(self) -> abc.Iterator[abc.Callable[[int], bool]]:
+        """Provide a function that holds bytes of a request until the end of the block."""
+        held_bytes = 0
+
+        def reserve(size_bytes: int) -> bool:
+            nonlocal held_bytes
+            if not self.requests.reserve(size_bytes):
+                return False
+            held_bytes += size_bytes
+            return True
+
+        try:
+            yield reserve
+        finally:
+            self.requests.release(held_bytes)
+
+    async def _read_body(self, request: web.Request, reserve: abc.Callable[[int], bool]) -> bytes:
+        """
+        Read the body of a request.
+
+        :raises BadRequestError: it is too long or too slow, or there is no memory for it
+        """
+        max_bytes = self._settings.limits.max_body_bytes
+        pieces: list[bytes] = []
+        size_bytes = 0
+        try:
+            while True:
+                async with asyncio.timeout(_TAKE_TIMEOUT_S):
+                    piece = await request.content.readany()
+                if not piece:
+                    return b"".join(pieces)
+                size_bytes += len(piece)
+                if size_bytes > max_bytes:
+                    raise web.HTTPRequestEntityTooLarge(max_bytes, size_bytes)
+                if not reserve(len(piece)):
+                    detail = "the requests in progress take all the memory for them"
+                    raise BadRequestError(NO_MEMORY, detail, 503)
+                pieces.append(piece)
+        except TimeoutError as error:
+            detail = f"nothing of the body came for {_TAKE_TIMEOUT_S} s"
+            raise BadRequestError("body_too_slow", detail, 408) from error
+
     async def _write(
         self, request: web.Request, response: web.StreamResponse, body: bytes
     ) -> web.StreamResponse:
@@ -350,6 +403,7 @@
         handler_cancellation=True,
         shutdown_timeout=1.0,
         max_line_size=_MAX_LINE_BYTES,
+        read_bufsize=_READ_BUFFER_BYTES,
     )
     await runner.setup()
     try:
--- a/tests/integration/test_faulty_targets.py
+++ b/tests/integration/test_faulty_targets.py
@@ -51,3 +51,19 @@
     peak_mb, status = asyncio.run(main())
     assert peak_mb < MAX_MB
     assert status == 200
+
+
+@pytest.mark.parametrize(
+    ("callers", "size_bytes"), [(1000, 65_536), (200, 1 << 22)], ids=["64 kB", "4 MB"]
+)
+def test_callers_send_all_but_the_end_of_their_bodies(callers, size_bytes, tmp_path):
+    """Guards against bodies of the allowed size whose sum exceeds the memory."""
+    settings = {"limits": {"max_body_bytes": str(size_bytes)}}
+
+    async def main():
+        async with faulty_targets.world(tmp_path, settings=settings) as (fleet, _):
+            pid = fleet.processes["e1"].pid
+            await faulty_targets.send_beginnings(fleet, callers, size_bytes, 3.0)
+            return faulty_replicas.memory_mb(pid, "VmHWM")
+
+    assert asyncio.run(main()) < MAX_MB
