Read replies of the store and of the instance list up to a limit

Cause: turmericlugd read these replies whole, whatever their size, until the time-out of the call; up to eight replies of the store at the same time.

Change: at most 32 MiB of a reply and 48 MB of all that are read are held, until the value is decoded; beyond it the connection is closed and the call fails as refused. The list's content type is checked as before.

Test: tests/storage/test_endless_replies.py.

--- a/src/turmericlug/storage/instances.py
+++ b/src/turmericlug/storage/instances.py
@@ -8,6 +8,10 @@
 import aiohttp
 import attrs
 
+from turmericlug.storage import reading
+
+_REPLIES = reading.new_budget()
+
 OWN_SERVICE = "turmericlug"
 """The service under which the platform lists this project's daemons."""
 
@@ -47,7 +51,10 @@
             async with session.get(f"{url}/v1/health/service/{service}") as response:
                 if response.status != 200:
                     raise InstancesError(f"status {response.status}")
-                return [_decode_instance(item) for item in await response.json()]
+                if response.content_type != "application/json":
+                    raise InstancesError(f"content type {response.content_type[:100]}")
+                async with reading.read_json(response, _REPLIES) as items:
+                    return [_decode_instance(item) for item in items]
     except (aiohttp.ClientError, OSError, TimeoutError, *_MALFORMED) as error:
         raise InstancesError(type(error).__name__) from error
 
--- a/src/turmericlug/storage/store.py
+++ b/src/turmericlug/storage/store.py
@@ -13,6 +13,7 @@
 import attrs
 
 from turmericlug.storage import eras as eras_module
+from turmericlug.storage import reading
 from turmericlug.telemetry import counters as counters_module
 
 _ERA_HEADER = "Store-Era"
@@ -57,6 +58,7 @@
         self._url = url
         self._timeout_s = timeout_ms / 1000
         self._counters = counters
+        self._replies = reading.new_budget()
 
     async def read(self, key: str) -> Value:
         """
@@ -149,7 +151,8 @@
                     self._observe_era(response)
                     if response.status != 200:
                         raise aiohttp.ClientError(f"status {response.status}")
-                    return await response.json(content_type=None)
+                    async with reading.read_json(response, self._replies) as reply:
+                        return reply
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError) as error:
             raise self._record_error(error) from error
 
