Limit the memory of messages between instances over all connections

Cause: a frame is limited to 8 MiB and unsent data to 32 MiB a connection, their sum over up to 10,000 connections is not.

Change: incomplete frames take at most 64 MiB in all; the connection that needs more is closed as for a bad frame. As much may wait to be sent; beyond it the connections with most of it are closed (peer.not_reading, one log line). Up to 256 KiB a connection are always allowed. Gauge memory.held_kb.peers.

--- a/src/turmericlug/instance.py
+++ b/src/turmericlug/instance.py
@@ -290,7 +290,12 @@
 @contextlib.asynccontextmanager
 async def _peers(kernel: Kernel) -> abc.AsyncIterator[server_module.Server]:
     instance = kernel.find("settings").instance
-    server = server_module.Server(instance.cluster_key, instance.name, kernel.find("counters"))
+    held = kernel.find("mesh").held
+    gauges = kernel.find("memory gauges")
+    gauges.add("peers", lambda: held.received_bytes + held.unsent_bytes())
+    server = server_module.Server(
+        instance.cluster_key, instance.name, kernel.find("counters"), held
+    )
     detector = kernel.find("detector")
     distribution = kernel.find("distribution")
     owner = kernel.find("owner")
--- a/src/turmericlug/membership/mesh.py
+++ b/src/turmericlug/membership/mesh.py
@@ -11,6 +11,7 @@
 from turmericlug.membership import members as members_module
 from turmericlug.telemetry import counters as counters_module
 from turmericlug.wire import link as link_module
+from turmericlug.wire import memory as memory_module
 
 _CHECKS_PER_SILENCE_LIMIT = 3
 _IDLE_LIMIT_S = 30.0
@@ -29,6 +30,8 @@
         source_host: str = "",
     ) -> None:
         self.members = members
+        self.held = memory_module.Memory()
+        """What is held of messages to and from all peers."""
         self._source_host = source_host
         self._key = key
         self._counters = counters
@@ -59,7 +62,9 @@
 
     def _new_link(self, address: tuple[str, int]) -> link_module.Link:
         own = self.members.own
-        return link_module.Link(address, self._key, own.instance, self._counters, self._source_host)
+        return link_module.Link(
+            address, self._key, own.instance, self._counters, self._source_host, self.held
+        )
 
     async def monitor_links(self) -> None:
         """Detect silent peers and close idle links and links to dead peers, until cancelled."""
--- a/src/turmericlug/telemetry/counters.py
+++ b/src/turmericlug/telemetry/counters.py
@@ -75,6 +75,7 @@
     "peer.rejected.*": "peer connections rejected, by reason",
     "peer.unreadable_status": "status reports of peers refused, as they are malformed",
     "peer.unasked_reply": "replies dropped because they matched no open request: late or duplicate",
+    "peer.not_reading": "connections closed because too much waited to be sent to the peer",
     "peer.frames_sent": "frames sent to peers",
     "peer.bytes_sent": "bytes sent to peers",
     "entry.answered": "requests answered in full",
--- a/src/turmericlug/wire/codec.py
+++ b/src/turmericlug/wire/codec.py
@@ -8,6 +8,8 @@
 
 import capnp
 
+from turmericlug.wire import memory as memory_module
+
 schema = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
 
 PROTOCOL_VERSION = 1
@@ -63,14 +65,17 @@
 class FrameReader:
     """Split a byte stream into frames; incomplete frames are not copied."""
 
-    def __init__(self) -> None:
+    def __init__(self, held: memory_module.Memory | None = None) -> None:
         self._buffer = bytearray()
+        self._held = held or memory_module.Memory()
+        self._held_bytes = 0
 
     def feed(self, data: bytes) -> list[bytes]:
         """
         Add received bytes and return the bodies of all complete frames.
 
-        :raises FrameError: a frame length is invalid, as in random or hostile input
+        :raises FrameError: a frame length is invalid, as in random or hostile input, or there is no
+            memory for the rest of a frame
         """
         self._buffer += data
         bodies = []
@@ -87,4 +92,13 @@
             bodies.append(bytes(self._buffer[start + _LENGTH.size : end]))
             start = end
         del self._buffer[:start]
+        before_bytes, self._held_bytes = self._held_bytes, len(self._buffer)
+        if not self._held.hold_received(before_bytes, self._held_bytes):
+            raise FrameError(f"no memory for a frame, of which {self._held_bytes} bytes came")
         return bodies
+
+    def close(self) -> None:
+        """Hold nothing any more."""
+        self._held.hold_received(self._held_bytes, 0)
+        self._held_bytes = 0
+        self._buffer.clear()
--- a/src/turmericlug/wire/link.py
+++ b/src/turmericlug/wire/link.py
@@ -16,6 +16,7 @@
 from turmericlug.telemetry import events
 from turmericlug.wire import codec
 from turmericlug.wire import handshake
+from turmericlug.wire import memory as memory_module
 from turmericlug.wire import outbox
 
 CONNECT_TIMEOUT_S = 1.0
@@ -57,6 +58,7 @@
         instance: str,
         counters: counters_module.Counters,
         source_host: str = "",
+        held: memory_module.Memory | None = None,
     ) -> None:
         self.address = address
         self._source = (source_host, 0) if source_host else None
@@ -66,6 +68,7 @@
         self._key = key
         self._instance = instance
         self._counters = counters
+        self._held = held or memory_module.Memory()
         self._outbox: outbox.Outbox | None = None
         self._open_requests: dict[int, tuple[OnReply, float]] = {}
         self._request_id = 0
@@ -109,7 +112,7 @@
             )
         try:
             self.peer = await handshake.initiate(reader, writer, self._key, self._instance)
-            self._outbox = outbox.Outbox(writer, self._counters)
+            self._outbox = outbox.Outbox(writer, self._counters, self._held)
             self._record_contact()
             self._connected.set()
             await self._read(reader)
@@ -123,11 +126,11 @@
                 self._open_requests.clear()
 
     async def _read(self, reader: asyncio.StreamReader) -> None:
-        frames = codec.FrameReader()
-        while data := await reader.read(_READ_BYTES):
-            self._record_contact()
-            for body in frames.feed(data):
-                self._dispatch_reply(codec.decode(body))
+        with contextlib.closing(codec.FrameReader(self._held)) as frames:
+            while data := await reader.read(_READ_BYTES):
+                self._record_contact()
+                for body in frames.feed(data):
+                    self._dispatch_reply(codec.decode(body))
 
     def _record_contact(self) -> None:
         self.last_received_at_s = time.monotonic()
--- a/src/turmericlug/wire/server.py
+++ b/src/turmericlug/wire/server.py
@@ -14,6 +14,7 @@
 from turmericlug.telemetry import events
 from turmericlug.wire import codec
 from turmericlug.wire import handshake
+from turmericlug.wire import memory as memory_module
 from turmericlug.wire import outbox
 
 _READ_BYTES = 1 << 18
@@ -42,12 +43,19 @@
 class Server:
     """Handlers by message kind, and the connections of peers."""
 
-    def __init__(self, key: str, instance: str, counters: counters_module.Counters) -> None:
+    def __init__(
+        self,
+        key: str,
+        instance: str,
+        counters: counters_module.Counters,
+        held: memory_module.Memory | None = None,
+    ) -> None:
         self.handlers: dict[str, Handler] = {}
         self._key = key
         self._instance = instance
         self._counters = counters
         self.tasks = tasks.Tasks()
+        self._held = held or memory_module.Memory()
 
     def on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve a new connection in its own task, or reject it when too many are open."""
@@ -62,7 +70,8 @@
         requests: dict[int, Request] = {}
         try:
             peer = await handshake.accept(reader, writer, self._key, self._instance)
-            await self._read(reader, outbox.Outbox(writer, self._counters), peer, requests)
+            connection_outbox = outbox.Outbox(writer, self._counters, self._held)
+            await self._read(reader, connection_outbox, peer, requests)
         except handshake.HandshakeError as error:
             self._counters.add(f"peer.rejected.{error.reason}")
             events.emit("peer.rejected", "warning", address=address, reason=error.reason)
@@ -85,23 +94,23 @@
         peer: str,
         requests: dict[int, Request],
     ) -> None:
-        frames = codec.FrameReader()
         last_request_id = 0
-        while data := await reader.read(_READ_BYTES):
-            for body in frames.feed(data):
-                message = codec.decode(body)
-                kind = message.which()
-                if kind == "cancel":
-                    request = requests.pop(message.requestId, None)
-                    if request is not None and request.on_cancel is not None:
-                        request.on_cancel()
-                    continue
-                # A duplicated frame would run a request twice. Request IDs strictly increase on a
-                # connection, so a duplicate is detected and closes the connection.
-                if message.requestId and message.requestId <= last_request_id:
-                    raise codec.FrameError("request ID was already used on this connection")
-                last_request_id = max(last_request_id, message.requestId)
-                self._dispatch(str(kind), Request(peer, message, connection_outbox), requests)
+        with contextlib.closing(codec.FrameReader(self._held)) as frames:
+            while data := await reader.read(_READ_BYTES):
+                for body in frames.feed(data):
+                    message = codec.decode(body)
+                    kind = message.which()
+                    if kind == "cancel":
+                        request = requests.pop(message.requestId, None)
+                        if request is not None and request.on_cancel is not None:
+                            request.on_cancel()
+                        continue
+                    # A duplicated frame would run a request twice. Request IDs strictly increase on
+                    # a connection, so a duplicate is detected and closes the connection.
+                    if message.requestId and message.requestId <= last_request_id:
+                        raise codec.FrameError("request ID was already used on this connection")
+                    last_request_id = max(last_request_id, message.requestId)
+                    self._dispatch(str(kind), Request(peer, message, connection_outbox), requests)
 
     def _dispatch(self, kind: str, request: Request, requests: dict[int, Request]) -> None:
         handler = self.handlers.get(kind)
