--- a/src/turmericlug/entry/journal.py
+++ b/src/turmericlug/entry/journal.py
@@ -15,6 +15,10 @@
 read everything from the source."""
 
 
+MAX_ERAS = 16
+"""Restores of the source across which requests can continue."""
+
+
 class Journal:
     """The latest changes, to answer requests for all changes after a position."""
 
@@ -55,6 +59,8 @@
             first, _ = self._eras[self.position.era]
             self._eras[self.position.era] = (first, self.position.revision)
             self._eras[changes.era] = (changes.revision, math.inf)
+            if len(self._eras) > MAX_ERAS:
+                del self._eras[min(self._eras)]
         for change in changes.changes:
             self._changes.append(change)
             self._content_bytes += _content_size(change)
--- a/tests/entry/test_journal.py
+++ b/tests/entry/test_journal.py
@@ -129,3 +129,19 @@
         assert found.position == at(12, 3)
 
     asyncio.run(main())
+
+
+def test_eras_of_long_ago_are_forgotten():
+    """Guards against an entry for each restore of the source that stays for good."""
+    journal = journal_module.Journal()
+    journal.restart(at(10, era=1))
+    for era in range(2, 200):
+        journal.add(source.Changes((), 10, era=era))
+    assert len(journal._eras) <= 16
+
+    async def main():
+        assert (await journal.since(at(10, era=198), 0.01)).position == at(10, era=199)
+        with pytest.raises(source.HistoryLostError):
+            await journal.since(at(10, era=1), 0.01)
+
+    asyncio.run(main())
