Soak: replicas whose answers have no end, beside all other faults

A third profile, so that the faults of known seeds stay as they are: bodies without end, nearly whole ones and small chunks without end, of one to three replicas at a time; no instance may exceed 256 MB.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,8 +23,10 @@
 sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "src")]
 
 import callers as callers_module  # noqa: E402
+import endless_faults as endless_faults_module  # noqa: E402
 import entry_process  # noqa: E402
 import faults as faults_module  # noqa: E402
+import faulty_replicas  # noqa: E402
 import organisations as organisations_module  # noqa: E402
 import pauses as pauses_module  # noqa: E402
 import process_faults as process_faults_module  # noqa: E402
@@ -38,8 +40,10 @@
 INJECTORS = {
     "network": faults_module.FaultInjector,
     "processes": process_faults_module.ProcessFaultInjector,
+    "endless": endless_faults_module.EndlessFaultInjector,
 }
 """Profiles of faults; the faults that a seed injects depend on the profile."""
+MAX_MEMORY_MB = 256
 CALLER_COUNT = 6
 SETTLE_S = 3.0
 """Time for held entries to be written again (2.2 s) and ejected replicas to be tried again."""
@@ -90,12 +94,21 @@
         await _check_quarantine(testbed, callers)
         await _check_evacuation(testbed, callers)
         await _check_keys(testbed, callers)
+        _check_memory(testbed, callers)
     finally:
         for task in caller_tasks:
             task.cancel()
         await asyncio.gather(*caller_tasks, return_exceptions=True)
 
 
+def _check_memory(testbed, callers):
+    """No instance has outgrown the memory that it may use."""
+    for instance in testbed.instances:
+        peak_mb = faulty_replicas.memory_mb(instance.process.pid, "VmHWM")
+        if peak_mb > MAX_MEMORY_MB:
+            callers.violations.append(f"MEMORY {instance.name}: {peak_mb:.0f} MB resident")
+
+
 async def _check_recovery(testbed, callers):
     """After the last fault every instance becomes ready and serves complete responses again."""
     testbed.publish_replicas()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,6 +13,7 @@
 }
 """Seeds that once violated a guarantee, with the cause; they stay in the test for good."""
 PROCESS_SEEDS = (5002, 5003, 5004)
+ENDLESS_SEEDS = (6101,)
 
 
 @pytest.mark.parametrize("seed", [*SEEDS, *REGRESSIONS])
@@ -32,3 +33,12 @@
     answers of the store ended the tasks that read them.
     """
     assert soak.run_seed(seed, DURATION_S, profile="processes") == []
+
+
+@pytest.mark.parametrize("seed", ENDLESS_SEEDS)
+def test_answers_without_end_violate_no_guarantee(seed):
+    """
+    Replicas sent answers without end beside all other faults: instances outgrew their machine, and
+    callers of sound replicas waited.
+    """
+    assert soak.run_seed(seed, DURATION_S, profile="endless") == []
