Wait until callers have taken their answers before turmericlugd exits

A planned stop waited for the queries that run, not for answers that are still being written: these had one second. A caller that read an answer of 6 MB in 64 kB every 0.1 s got its first 4.5 MB (test: fails before, passes now).

The drain counts queries until their callers have the whole answer, within the same 60 s, and until the operating system has taken its last bytes, which the exit discards otherwise. instance.cutting_off counts the answers that are cut off all the same.

--- a/src/turmericlug/instance.py
+++ b/src/turmericlug/instance.py
@@ -445,17 +445,21 @@
     await asyncio.sleep(settings.policy.address_lifetime_ms / 1000)
     with failures.reported():
         await _stop_taking_queries(kernel)
+    callers = kernel.find("callers")
+
+    def in_progress() -> dict[str, int]:
+        return {
+            "attempts": owner.in_flight(),
+            "queries": coordinator.running,
+            "answers": callers.unanswered,
+        }
+
     deadline_s = time.monotonic() + _DRAIN_TIMEOUT_S
-    while (owner.in_flight() or coordinator.running) and time.monotonic() < deadline_s:
+    while any(in_progress().values()) and time.monotonic() < deadline_s:
         await asyncio.sleep(0.02)
-    if owner.in_flight() or coordinator.running:
-        events.emit(
-            "instance.cutting_off",
-            "warning",
-            attempts=owner.in_flight(),
-            queries=coordinator.running,
-        )
-    await kernel.find("callers").finish()
+    if any(in_progress().values()):
+        events.emit("instance.cutting_off", "warning", **in_progress())
+    await callers.finish()
 
 
 async def _stop_taking_queries(kernel: Kernel) -> None:
--- a/src/turmericlug/query/callers_http.py
+++ b/src/turmericlug/query/callers_http.py
@@ -50,6 +50,7 @@
 """Reason for refusing a request: this instance has left, and its address is not valid any more."""
 _WRITE_BYTES = 64 * 1024
 """Written at once of an answer; the rest waits until the caller has taken most of it."""
+_FLUSH_INTERVAL_S = 0.01
 _TAKE_TIMEOUT_S = 10.0
 """Time without progress after which a caller counts as gone. Its answer holds memory that further
 answers need."""
@@ -84,6 +85,8 @@
         self._rng = random.Random(settings.instance.name)
         self._shielded_tasks = tasks.Tasks()
         self._refuses_queries = False
+        self.unanswered = 0
+        """Queries whose callers have not taken the whole answer yet."""
 
     def refuse_queries(self) -> None:
         """Refuse queries that come on connections that are still open."""
@@ -121,8 +124,16 @@
         return web.json_response(payload, status=status)
 
     async def _query(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        self.unanswered += 1
+        try:
+            return await self._answer_query(request, body)
+        finally:
+            self.unanswered -= 1
+
+    async def _answer_query(self, request: web.Request, body: bytes) -> web.StreamResponse:
         with reply_budget.held(self._coordinator.replies) as held:
-            query = self._parse_query(request, await request.read(), held)
+            query = self._parse_query(request, body, held)
             query_id = self._coordinator.new_id()
             if self._refuses_queries:
                 return await self._refuse_leaving(request, query.service, query_id)
@@ -158,6 +169,8 @@
                 async with asyncio.timeout(_TAKE_TIMEOUT_S):
                     await response.write(view[start : start + _WRITE_BYTES])
             await response.write_eof()
+            async with asyncio.timeout(_TAKE_TIMEOUT_S):
+                await _flush(request)
         except TimeoutError:
             self._counters.add("query.answer_not_taken")
             if request.transport is not None:
@@ -359,6 +372,12 @@
     return value
 
 
+async def _flush(request: web.Request) -> None:
+    """Wait until the operating system has taken what is written; an exit discards the rest."""
+    while request.transport is not None and request.transport.get_write_buffer_size():
+        await asyncio.sleep(_FLUSH_INTERVAL_S)
+
+
 @contextlib.asynccontextmanager
 async def serving(
     application: web.Application, host: str, port: int
--- a/tests/mutants_daemon.py
+++ b/tests/mutants_daemon.py
@@ -166,6 +166,14 @@
         "if self.consecutive_failures >= 0:",
         "integration/test_leaving_target.py::test_crashed_target",
     ),
+    mutant.one(
+        "exit-before-answers-are-taken",
+        "instance.py",
+        '            "answers": callers.unanswered,\n',
+        "",
+        "integration/test_daemon_last_answers.py"
+        "::test_an_answer_that_is_read_slowly_is_sent_whole",
+    ),
     mutant.one(
         "take-queries-for-as-long-as-callers-ask",
         "instance.py",
