--- a/src/turmericlug/query/callers_http.py
+++ b/src/turmericlug/query/callers_http.py
@@ -132,9 +132,10 @@
                 outcome = await asyncio.shield(self._shielded_tasks.start(run))
             else:
                 outcome = await run
-            response, body = self._response(outcome, query_id)
+            status, headers = self._status(outcome)
+            body = outcome_module.to_json(outcome, self._settings.instance.name, query_id)
             del outcome
-            return await self._write(request, response, body)
+            return await self._write(request, status, headers, body)
 
     @contextlib.contextmanager
     def _reserving(self) -> abc.Iterator[abc.Callable[[int], bool]]:
@@ -162,35 +163,43 @@
         max_bytes = self._settings.limits.max_body_bytes
         pieces: list[bytes] = []
         size_bytes = 0
+        loop = asyncio.get_running_loop()
         try:
-            while True:
-                async with asyncio.timeout(_TAKE_TIMEOUT_S):
-                    piece = await request.content.readany()
-                if not piece:
-                    return b"".join(pieces)
-                size_bytes += len(piece)
-                if size_bytes > max_bytes:
-                    raise web.HTTPRequestEntityTooLarge(max_bytes, size_bytes)
-                if not reserve(len(piece)):
-                    detail = "the requests in progress take all the memory for them"
-                    raise BadRequestError(NO_MEMORY, detail, 503)
-                pieces.append(piece)
+            async with asyncio.timeout(_TAKE_TIMEOUT_S) as timeout:
+                while piece := await request.content.readany():
+                    timeout.reschedule(loop.time() + _TAKE_TIMEOUT_S)
+                    size_bytes += len(piece)
+                    if size_bytes > max_bytes:
+                        raise web.HTTPRequestEntityTooLarge(max_bytes, size_bytes)
+                    if not reserve(len(piece)):
+                        detail = "the requests in progress take all the memory for them"
+                        raise BadRequestError(NO_MEMORY, detail, 503)
+                    pieces.append(piece)
+            return b"".join(pieces)
         except TimeoutError as error:
             detail = f"nothing of the body came for {_TAKE_TIMEOUT_S} s"
             raise BadRequestError("body_too_slow", detail, 408) from error
 
     async def _write(
-        self, request: web.Request, response: web.StreamResponse, body: bytes
+        self, request: web.Request, status: int, headers: dict[str, str], body: bytes
     ) -> web.StreamResponse:
         """Write a response; close the connection if its caller takes nothing for too long."""
-        response.content_length = len(body)
+        response: web.StreamResponse
+        if len(body) <= _WRITE_BYTES:
+            response = web.Response(status=status, headers=headers, body=body)
+            body = b""
+        else:
+            response = web.StreamResponse(status=status, headers=headers)
+            response.content_length = len(body)
         view = memoryview(body)
+        loop = asyncio.get_running_loop()
         try:
-            await response.prepare(request)
-            for start in range(0, len(view), _WRITE_BYTES):
-                async with asyncio.timeout(_TAKE_TIMEOUT_S):
+            async with asyncio.timeout(_TAKE_TIMEOUT_S) as timeout:
+                await response.prepare(request)
+                for start in range(0, len(view), _WRITE_BYTES):
                     await response.write(view[start : start + _WRITE_BYTES])
-            await response.write_eof()
+                    timeout.reschedule(loop.time() + _TAKE_TIMEOUT_S)
+                await response.write_eof()
         except TimeoutError:
             self._counters.add("query.answer_not_taken")
             if request.transport is not None:
@@ -199,10 +208,9 @@
             pass  # the caller has left
         return response
 
-    def _response(
-        self, outcome: outcome_module.Outcome, query_id: str
-    ) -> tuple[web.StreamResponse, bytes]:
-        status, headers = 200, {}
+    def _status(self, outcome: outcome_module.Outcome) -> tuple[int, dict[str, str]]:
+        """Return the status and the headers of a response."""
+        status, headers = 200, {"Content-Type": "application/json; charset=utf-8"}
         if isinstance(outcome, outcome_module.Refused):
             status = 429 if outcome.reason == "rate_limit" else 503
         elif isinstance(outcome, outcome_module.Failed):
@@ -213,9 +221,7 @@
         move_to = self._move_to_address()
         if move_to:
             headers[MOVE_TO_HEADER] = move_to
-        body = outcome_module.to_json(outcome, self._settings.instance.name, query_id)
-        headers["Content-Type"] = "application/json; charset=utf-8"
-        return web.StreamResponse(status=status, headers=headers), body
+        return status, headers
 
     def _move_to_address(self) -> str:
         """Return another instance's address if this one is draining, an empty string otherwise."""
