Give back the memory of chunks that were passed on

What callers saw: on a machine of 300 MB, the answers of an instance to several batches came one after the other. While one batch waited for its slowest part, the answers that were ready to others were not read, and their parts counted as late.

Cause: a body of unknown length reserves the memory of the largest one as soon as it exceeds 64 kB, and a replica's share holds one such reservation on a small machine. The answer to a batch comes in chunks that are passed on as they arrive, but its reservation stayed until the last one.

Evidence: six responses on six connections to one replica, each with a first chunk that is passed on and an end that comes later. With chunks of 100 kB and 4 MB, the first chunks of the others never arrived (time-out after 10 s); with 1 kB they did.

Change: the reservation shrinks when the chunk was passed on.

Result: the three cases pass, with those of the response budget and of the client's memory beside them (27 in all).

--- a/src/turmericlug/http1/client.py
+++ b/src/turmericlug/http1/client.py
@@ -158,7 +158,10 @@
             return True
         if self._holding is None:
             self._holding = response_budget.Holding(self._source)
-        is_held = required_bytes <= self._holding.size_bytes
+        if required_bytes < self._holding.size_bytes:
+            # A chunk was passed on: what it took must not wait for the end of the response.
+            self._holding.resize(required_bytes)
+        is_held = required_bytes == self._holding.size_bytes
         return is_held or self._holding.reserve(required_bytes)
 
     def _wait_for_memory(self, required_bytes: int) -> None:
