Don't pause replicas that have just answered others

What callers saw: one caller, one request after the other, whose requests provoke answers beyond a limit, took a service from all its other callers: their sound requests were refused as replica_oversized.

Cause: two such answers in a row pause a replica, whoever asked for them. A caller that repeats its request at once gets two in a row at any replica, and after the pause the one request at a time is mostly its own, which begins a longer pause.

Change: a replica is not paused within 2 s of an answer within the limits. What the others cost in memory is bounded by the budget for answers.

The new test fails without the change.

--- a/src/turmericlug/direct/tracking.py
+++ b/src/turmericlug/direct/tracking.py
@@ -67,7 +67,7 @@
 
 def _record_size(replica: replica_module.Replica) -> None:
     """Record a response within the limits."""
-    if replica.oversized.reset():
+    if replica.oversized.reset(asyncio.get_running_loop().time()):
         decisions.log(
             "replica.oversized_ended",
             replica=replica.entry.instance,
--- a/tests/direct/test_oversized_replicas.py
+++ b/tests/direct/test_oversized_replicas.py
@@ -255,10 +255,29 @@
     asyncio.run(main())
 
 
+def test_replica_that_answers_others_is_not_paused():
+    """Guards against a caller whose requests provoke large responses taking the replica."""
+
+    async def main():
+        scripted_replica = scripted.ScriptedReplica(SOUND)
+        sender = scripted.make_sender({"s": {"a": scripted_replica}})
+        assert isinstance(await send(sender), sending.Answered)
+        scripted_replica.script = [TOO_LARGE]
+        for _ in range(10):
+            outcome = await send(sender)
+            assert isinstance(outcome, sending.Unknown) and outcome.exceeded_limit
+        (replica,) = sender.replicas.of("s")
+        replica.oversized.sound_at_s -= oversized.SOUND_FOR_S
+        assert await send(sender) != REFUSED
+        assert await send(sender) == REFUSED
+
+    asyncio.run(main())
+
+
 def test_pauses_have_a_bound_for_any_number_of_failures():
     state = oversized.Oversized()
     for second in range(100_000):
         state.pause(second + 0.5, second + 1.0)
     assert state.pauses == 100_000
     assert state.until_s - state.paused_at_s == policy.EJECTION_MAX_MS / 1000
-    assert state.reset() and not state.is_active
+    assert state.reset(100_001.0) and not state.is_active
