Notice callers that leave behind an empty line

What callers saw: a request that was read at once with an empty line behind its body, 4 kB or more in all, ran on to its end after its caller had left.

Cause: bytes behind a request pause the reading until it is answered, and a paused connection doesn't notice its end. Before large reads were parsed in parts, an empty line was parsed at once.

Change: an empty line is parsed at once.

Result: the four cases pass; with the empty line behind 9000 bytes, the test fails without the change.

--- a/src/turmericlug/http1/connection.py
+++ b/src/turmericlug/http1/connection.py
@@ -30,6 +30,8 @@
 """Headers and pieces of a body in a slice, beyond which others have a turn before the next one."""
 _START_LINE_BYTES = 1024
 """Bytes of a head beyond its target and headers: method, version, white space, empty lines."""
+_EMPTY_LINE = b"\r\n"
+"""Some callers send one behind a body."""
 _BODY = "body"
 _HEADER_OVERHEAD_BYTES = 150
 """Memory of a header beside its name and value: a tuple and two bytes objects."""
@@ -149,6 +151,8 @@
             self._parse(data[:size], arrived_s)
             data = data[size:]
             must_wait = self._serve_task is not None and not self._body_left_bytes()
+            if len(data) <= len(_EMPTY_LINE):
+                must_wait = False  # While something waits, a caller that leaves isn't noticed.
             if data and (must_wait or self._pieces - pieces_before > PIECES_PER_TURN):
                 self._keep(data, arrived_s)
                 return
--- a/tests/http1/test_closed_connections.py
+++ b/tests/http1/test_closed_connections.py
@@ -67,3 +67,35 @@
             runner.run(main())
         finally:
             gc.enable()
+
+
+@pytest.mark.parametrize("body_bytes", [100, 9000])
+@pytest.mark.parametrize("tail", [b"", b"\r\n"], ids=["nothing", "empty line"])
+def test_request_of_a_caller_that_left_is_cancelled(body_bytes, tail):
+    """Guards against a request that runs on without its caller, as reading is paused behind it."""
+
+    async def main():
+        began, cancelled = asyncio.Event(), asyncio.Event()
+
+        async def handle(request):
+            began.set()
+            try:
+                await asyncio.sleep(60)
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+            return messages.Response(200)
+
+        http_server = server.Server(handle, messages.Limits, 10)
+        listener = await server.listen(http_server, "127.0.0.1", 0)
+        _, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+        length = b"content-length: %d\r\n\r\n" % body_bytes
+        writer.write(HEAD + length + bytes(body_bytes) + tail)
+        async with asyncio.timeout(10):
+            await began.wait()
+            writer.transport.abort()
+            await cancelled.wait()
+        listener.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
