--- a/src/turmericlug/query/callers_http.py
+++ b/src/turmericlug/query/callers_http.py
@@ -55,6 +55,7 @@
 """Reason for refusing a request: this instance has left, and its address is not valid any more."""
 _WRITE_BYTES = 64 * 1024
 """Written at once of an answer; the rest waits until the caller has taken most of it."""
+_FLUSH_INTERVAL_S = 0.01
 _TAKE_TIMEOUT_S = 10.0
 """Time without progress after which a caller counts as gone. Its answer holds memory that further
 answers need."""
@@ -91,6 +92,8 @@
         self._refuses_queries = False
         self.requests = request_budget.of_memory(settings.limits.requests_mb, 1.0)
         """The memory for the bodies of requests."""
+        self.unanswered = 0
+        """Queries whose callers have not taken the whole answer yet."""
 
     def refuse_queries(self) -> None:
         """Refuse queries that come on connections that are still open."""
@@ -128,11 +131,17 @@
         return web.json_response(payload, status=status)
 
     async def _query(self, request: web.Request) -> web.StreamResponse:
-        with (
-            reply_budget.held(self._coordinator.replies) as held,
-            self._reserving() as reserve,
-        ):
-            query = self._parse_query(request, await self._read_body(request, reserve), held)
+        with self._reserving() as reserve:
+            body = await self._read_body(request, reserve)
+            self.unanswered += 1
+            try:
+                return await self._answer_query(request, body)
+            finally:
+                self.unanswered -= 1
+
+    async def _answer_query(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        with reply_budget.held(self._coordinator.replies) as held:
+            query = self._parse_query(request, body, held)
             query_id = self._coordinator.new_id()
             if self._refuses_queries:
                 return await self._refuse_leaving(request, query.service, query_id)
@@ -143,18 +152,20 @@
                 outcome = await asyncio.shield(self._shielded_tasks.start(run))
             else:
                 outcome = await run
-            response, body = self._response(outcome, query_id)
+            status, headers = self._status(outcome)
+            body = outcome_module.to_json(outcome, self._settings.instance.name, query_id)
             del outcome
-            return await self._write(request, response, body)
+            return await self._write(request, status, headers, body)
 
     async def _refuse_leaving(
         self, request: web.Request, service: str, query_id: str
     ) -> web.StreamResponse:
         self._counters.add(f"query.refused.{LEAVING}")
         events.emit("query.refused", request=query_id, service=service, reason=LEAVING)
-        response, body = self._response(outcome_module.Refused(LEAVING, 0), query_id)
-        response.force_close()
-        return await self._write(request, response, body)
+        outcome = outcome_module.Refused(LEAVING, 0)
+        status, headers = self._status(outcome)
+        body = outcome_module.to_json(outcome, self._settings.instance.name, query_id)
+        return await self._write(request, status, headers, body, closes=True)
 
     @contextlib.contextmanager
     def _reserving(self) -> abc.Iterator[abc.Callable[[int], bool]]:
@@ -182,35 +193,56 @@
         max_bytes = self._settings.limits.max_body_bytes
         pieces: list[bytes] = []
         size_bytes = 0
+        loop = asyncio.get_running_loop()
         try:
-            while True:
-                async with asyncio.timeout(_TAKE_TIMEOUT_S):
-                    piece = await request.content.readany()
-                if not piece:
-                    return b"".join(pieces)
-                size_bytes += len(piece)
-                if size_bytes > max_bytes:
-                    raise web.HTTPRequestEntityTooLarge(max_bytes, size_bytes)
-                if not reserve(len(piece)):
-                    detail = "the requests in progress take all the memory for them"
-                    raise BadRequestError(NO_MEMORY, detail, 503)
-                pieces.append(piece)
+            async with asyncio.timeout(_TAKE_TIMEOUT_S) as timeout:
+                while piece := await request.content.readany():
+                    timeout.reschedule(loop.time() + _TAKE_TIMEOUT_S)
+                    size_bytes += len(piece)
+                    if size_bytes > max_bytes:
+                        raise web.HTTPRequestEntityTooLarge(max_bytes, size_bytes)
+                    if not reserve(len(piece)):
+                        detail = "the requests in progress take all the memory for them"
+                        raise BadRequestError(NO_MEMORY, detail, 503)
+                    pieces.append(piece)
+            return b"".join(pieces)
         except TimeoutError as error:
             detail = f"nothing of the body came for {_TAKE_TIMEOUT_S} s"
             raise BadRequestError("body_too_slow", detail, 408) from error
 
     async def _write(
-        self, request: web.Request, response: web.StreamResponse, body: bytes
+        self,
+        request: web.Request,
+        status: int,
+        headers: dict[str, str],
+        body: bytes,
+        closes: bool = False,
     ) -> web.StreamResponse:
-        """Write a response; close the connection if its caller takes nothing for too long."""
-        response.content_length = len(body)
+        """
+        Write a response; close the connection if its caller takes nothing for too long.
+
+        :param closes: whether the connection ends with the response in any case
+        """
+        response: web.StreamResponse
+        if len(body) <= _WRITE_BYTES:
+            response = web.Response(status=status, headers=headers, body=body)
+            body = b""
+        else:
+            response = web.StreamResponse(status=status, headers=headers)
+            response.content_length = len(body)
+        if closes:
+            response.force_close()
         view = memoryview(body)
+        loop = asyncio.get_running_loop()
         try:
-            await response.prepare(request)
-            for start in range(0, len(view), _WRITE_BYTES):
-                async with asyncio.timeout(_TAKE_TIMEOUT_S):
+            async with asyncio.timeout(_TAKE_TIMEOUT_S) as timeout:
+                await response.prepare(request)
+                for start in range(0, len(view), _WRITE_BYTES):
                     await response.write(view[start : start + _WRITE_BYTES])
-            await response.write_eof()
+                    timeout.reschedule(loop.time() + _TAKE_TIMEOUT_S)
+                await response.write_eof()
+                timeout.reschedule(loop.time() + _TAKE_TIMEOUT_S)
+                await _flush(request)
         except TimeoutError:
             self._counters.add("query.answer_not_taken")
             if request.transport is not None:
@@ -219,10 +251,9 @@
             pass  # the caller has left
         return response
 
-    def _response(
-        self, outcome: outcome_module.Outcome, query_id: str
-    ) -> tuple[web.StreamResponse, bytes]:
-        status, headers = 200, {}
+    def _status(self, outcome: outcome_module.Outcome) -> tuple[int, dict[str, str]]:
+        """Return the status and the headers of a response."""
+        status, headers = 200, {"Content-Type": "application/json; charset=utf-8"}
         if isinstance(outcome, outcome_module.Refused):
             status = 429 if outcome.reason == "rate_limit" else 503
         elif isinstance(outcome, outcome_module.Failed):
@@ -233,9 +264,7 @@
         move_to = failures.try_record("address", self._move_to_address)
         if move_to:
             headers[MOVE_TO_HEADER] = move_to
-        body = outcome_module.to_json(outcome, self._settings.instance.name, query_id)
-        headers["Content-Type"] = "application/json; charset=utf-8"
-        return web.StreamResponse(status=status, headers=headers), body
+        return status, headers
 
     def _move_to_address(self) -> str:
         """Return another instance's address if this one is draining, an empty string otherwise."""
@@ -412,6 +441,12 @@
     return value
 
 
+async def _flush(request: web.Request) -> None:
+    """Wait until the operating system has taken what is written; an exit discards the rest."""
+    while request.transport is not None and request.transport.get_write_buffer_size():
+        await asyncio.sleep(_FLUSH_INTERVAL_S)
+
+
 @contextlib.asynccontextmanager
 async def serving(
     application: web.Application, host: str, port: int
