--- a/tests/http1/test_response_budget.py
+++ b/tests/http1/test_response_budget.py
@@ -123,6 +123,27 @@
     asyncio.run(main())
 
 
+def test_a_large_response_is_let_in_beside_small_ones():
+    """Guards against a large answer that small ones overtake for as long as they keep coming."""
+
+    async def main():
+        source, granted = response_budget.ResponseBudget(LIMIT_BYTES).source("a"), []
+        small = [reserve(source, reading.SMALL_BYTES) for _ in range(80)]
+        large = response_budget.Holding(source)
+        assert not large.reserve(8 * MB)
+        large.reserve_later(8 * MB, lambda: granted.append(True))
+        for _ in range(1000):
+            del small[0]
+            if (arriving := reserve(source, reading.SMALL_BYTES)) is not None:
+                small.append(arriving)
+            await asyncio.sleep(0)
+            if granted or not small:
+                break
+        assert granted
+
+    asyncio.run(main())
+
+
 @contextlib.asynccontextmanager
 async def replica(message):
     """Answer each request with a message; yield the address."""
